Doors: the HTTP side of callers knows nothing of jobs, keys or paths

Cause: hin.c mixed connections with the product's own table of paths, keys and refusals, so a second protocol towards callers could not use it.

Change: hin.c is left with connections, bodies, streams and hang-ups behind a door, one listening address with four callbacks; api.c holds the product's own interface. The loop runs a list of hooks, one a door. A request keeps its target as it was sent (libmicrohttpd hands out a decoded path), and a request with two statements of its length is answered 400 and its connection closed: what hides behind it is never read as a request.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 WIRE = prompt.o strm.o
 SETTINGS = cfg.o cfgval.o settings_gen.o
 SERVER = log.o met.o loop.o xfer.o fetch.o epc.o tabc.o objc.o auth.o refusal.o \
-	hin.o job.o pump.o attempt.o jobclaim.o jobreply.o claims.o \
+	hin.o api.o job.o pump.o attempt.o jobclaim.o jobreply.o claims.o \
 	history.o poll.o storec.o kept.o export.o adopt.o conf.o confpost.o member.o \
 	peerrpc.o peerseal.o peer_xdr.o adm.o srv.o
 COMMANDS = main.o ctl.o ctlconf.o
--- /dev/null
+++ b/api.c
@@ -0,0 +1,246 @@
+/*
+ * The product's own interface to callers and operators: its table of paths,
+ * its keys, its refusals.
+ */
+#include "libserver.h"
+
+#include <microhttpd.h>
+#include <string.h>
+
+#define CONNECTION_MEMORY 12288 /* bytes a connection, for head and buffers   \
+                                 */
+#define RETRY_MAX_S 3600        /* longest Retry-After */
+#define CONTROL_BODY_MAX 65536  /* bytes of an operator's request */
+#define MAX_LINES 8             /* header lines of a reply */
+
+/* --- replies --------------------------------------------------------- */
+
+void
+req_reply (struct req *r, const struct reply *reply)
+{
+  g_autofree char *type
+      = g_strconcat ("Content-Type: ", reply->content_type, NULL);
+  g_autofree char *id = g_strconcat ("Camphorquay-Request-Id: ", r->id, NULL);
+  g_autofree char *outcome = NULL;
+  g_autofree char *retry = NULL;
+  const char *lines[MAX_LINES] = { type, id };
+  int n = 2;
+
+  if (reply->outcome != NULL)
+    lines[n++] = outcome
+        = g_strconcat ("Camphorquay-Outcome: ", reply->outcome, NULL);
+  if (reply->retry_after_s > 0)
+    lines[n++] = retry
+        = g_strdup_printf ("Retry-After: %d", reply->retry_after_s);
+  req_respond (r, reply->status, lines, reply->body, reply->len);
+}
+
+void
+req_reply_json (struct req *r, int status, json_t *doc)
+{
+  char *text = json_dumps (doc, JSON_INDENT (2));
+  struct reply reply
+      = { .status = status, .content_type = "application/json" };
+
+  reply.body = text;
+  reply.len = strlen (text);
+  req_reply (r, &reply);
+  free (text);
+  json_decref (doc);
+}
+
+static int
+whole_seconds (int64_t us)
+{
+  int64_t s = (us + CQ_US_PER_S - 1) / CQ_US_PER_S;
+
+  return (int)(s < RETRY_MAX_S ? s : RETRY_MAX_S);
+}
+
+/* Refuse before any work: nothing was run. */
+void
+req_refuse (struct req *r, const char *code, int64_t retry_after_us)
+{
+  const struct refusal *f = refusal_find (code);
+  json_t *doc
+      = json_pack ("{s:{s:s,s:s,s:s}}", "error", "code", f->code, "message",
+                   f->message, "outcome", out_name (OUT_NOT_RUN));
+  char *text = json_dumps (doc, JSON_COMPACT);
+  struct reply reply
+      = { .status = f->status, .content_type = "application/json" };
+
+  reply.body = text;
+  reply.len = strlen (text);
+  reply.outcome = out_name (OUT_NOT_RUN);
+  reply.retry_after_s = whole_seconds (retry_after_us);
+  req_reply (r, &reply);
+  free (text);
+  json_decref (doc);
+}
+
+/* Refuse a request that never became a job. */
+static void
+refuse_early (struct req *r, const char *code, int64_t retry_after_us)
+{
+  log_event (LOG_LEVEL_INFO, "refuse", "req=%s outcome=not-run reason=%s",
+             r->id, code);
+  req_refuse (r, code, retry_after_us);
+}
+
+/*
+ * Start the reply of a stream.  Its outcome is not known yet; it comes in the
+ * trailer at the end, or in the error event of a broken stream.
+ */
+void
+req_stream_begin (struct req *r, const char *content_type)
+{
+  g_autofree char *type = g_strconcat ("Content-Type: ", content_type, NULL);
+  g_autofree char *id = g_strconcat ("Camphorquay-Request-Id: ", r->id, NULL);
+  const char *lines[] = { type, "Cache-Control: no-cache", id,
+                          "Trailer: Camphorquay-Outcome", NULL };
+
+  req_stream_open (r, MHD_HTTP_OK, lines);
+}
+
+void
+req_stream_end (struct req *r, bool whole)
+{
+  req_stream_close (r, whole, "Camphorquay-Outcome", out_name (OUT_ANSWERED));
+}
+
+/* --- heads ----------------------------------------------------------- */
+
+static const struct req_route *
+find_route (const char *method, const char *path)
+{
+  const struct req_route *route;
+  size_t n;
+
+  for (route = req_routes; route->method != NULL; route++)
+    {
+      n = strlen (route->path);
+      if (strcmp (route->method, method) != 0)
+        continue;
+      if (route->path[n - 1] == '/' ? strncmp (route->path, path, n) == 0
+                                    : strcmp (route->path, path) == 0)
+        return route;
+    }
+  return NULL;
+}
+
+/* Find who asks; the same answer for an unknown name and a wrong secret. */
+static bool
+authenticate (struct req *r)
+{
+  const struct cfg *cfg = server_cfg (r->worker->server);
+  enum cfg_group_id group
+      = r->route->auth == AUTH_OPERATOR ? CFG_OPERATOR : CFG_WORKSPACE;
+  const char *secret = NULL;
+  g_autofree char *name = auth_name (req_header (r, "Authorization"), &secret);
+  char *const *hashes;
+  int i;
+
+  if (name == NULL)
+    return false;
+  i = cfg_find (cfg, group, name);
+  if (i < 0 || (group == CFG_WORKSPACE && cfg_workspace (cfg, i)->removed))
+    return false;
+  hashes = group == CFG_OPERATOR ? cfg_operator (cfg, i)->keys
+                                 : cfg_workspace (cfg, i)->keys;
+  if (!auth_matches (hashes, secret))
+    return false;
+  if (group == CFG_OPERATOR)
+    r->operator_index = i;
+  else
+    r->workspace = i;
+  return true;
+}
+
+static size_t
+body_limit (const struct req *r)
+{
+  const struct cfg *cfg = server_cfg (r->worker->server);
+
+  if (r->workspace < 0)
+    return CONTROL_BODY_MAX;
+  return (size_t)cfg_workspace (cfg, r->workspace)->body_max_kb * 1024;
+}
+
+/* The declared length, or -1. */
+static int64_t
+declared_length (struct req *r)
+{
+  const char *text = req_header (r, "Content-Length");
+  guint64 n;
+
+  if (text == NULL
+      || !g_ascii_string_to_unsigned (text, 10, 0, G_MAXINT64, &n, NULL))
+    return -1;
+  return (int64_t)n;
+}
+
+/* Judge the head of a request; a refusal set here spares reading the body. */
+static void
+judge_head (struct req *r, const char *method)
+{
+  r->route = find_route (method, r->path);
+  if (r->route == NULL)
+    {
+      refuse_early (r, "not_found", 0);
+      return;
+    }
+  r->rest = r->path + strlen (r->route->path);
+  if (r->route->auth != AUTH_NONE && !authenticate (r))
+    {
+      refuse_early (r, "no_key", 0);
+      return;
+    }
+  r->body_max = body_limit (r);
+  if (declared_length (r) > (int64_t)r->body_max)
+    refuse_early (r, "body_too_large", 0);
+}
+
+static void
+start (struct req *r)
+{
+  if (r->excess == EXCESS_BODY)
+    refuse_early (r, "body_too_large", 0);
+  else if (r->excess == EXCESS_MEMORY)
+    refuse_early (r, "body_memory", CQ_US_PER_S);
+  else
+    r->route->start (r);
+}
+
+static void
+drained (struct req *r)
+{
+  if (r->job != NULL)
+    job_drained (r->job);
+}
+
+static void
+gone (struct req *r)
+{
+  if (r->job != NULL)
+    job_caller_gone (r->job);
+}
+
+static const struct door_ops api_ops = {
+  .head = judge_head,
+  .start = start,
+  .drained = drained,
+  .gone = gone,
+};
+
+/* Open the door of the product's own interface. */
+struct door *
+api_open (struct worker *w)
+{
+  const struct cfg_vm *vm = cfg_vm (server_cfg (w->server));
+  struct door_opts o = { .ops = &api_ops, .close_from = PHASE_DRAINING };
+
+  o.connections = (unsigned)(vm->connections / w->server->nworkers + 1);
+  o.idle_s = (unsigned)vm->header_timeout_s;
+  o.connection_memory = CONNECTION_MEMORY;
+  return door_open (w, w->server->listen_fd, &o);
+}
--- a/hin.c
+++ b/hin.c
@@ -1,9 +1,10 @@
 /*
- * Callers' requests, through libmicrohttpd.
+ * HTTP requests that come in, through libmicrohttpd.
  *
- * Each worker has a daemon of its own on the shared listening socket, driven
- * by the worker's loop, so that a caller's connection and the transfers that
- * serve it live on one thread and pass bytes without a lock.
+ * A door is one listening address on one worker: a daemon driven by the
+ * worker's loop, so that a caller's connection and the transfers that serve
+ * it live on one thread and pass bytes without a lock.  What the requests
+ * mean is the business of the door's callbacks.
  */
 #include "libserver.h"
 
@@ -13,11 +14,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define CONNECTION_MEMORY 12288 /* bytes for headers and buffers */
-#define RETRY_MAX_S 3600        /* longest Retry-After */
-#define OVERSIZE_FACTOR 4       /* bodies this much too large are cut off */
-#define CONTROL_BODY_MAX 65536  /* bytes of an operator's request */
-#define STREAM_BLOCK 4096       /* bytes asked of a stream at once */
+#define OVERSIZE_FACTOR 4 /* bodies this much too large are cut off */
+#define STREAM_BLOCK 4096 /* bytes asked of a stream at once */
 
 /* --- replies --------------------------------------------------------- */
 
@@ -30,84 +28,45 @@
   MHD_resume_connection (r->conn);
 }
 
+/* Add "Name: value" lines to the reply; NULL ends them. */
 static void
-add_header (struct MHD_Response *response, const char *name, const char *value)
+add_lines (struct MHD_Response *response, const char *const *lines)
 {
-  MHD_add_response_header (response, name, value);
-}
+  const char *colon;
 
-void
-req_reply (struct req *r, const struct reply *reply)
-{
-  char seconds[16];
-
-  r->response = MHD_create_response_from_buffer (
-      reply->len, (void *)reply->body, MHD_RESPMEM_MUST_COPY);
-  r->status = reply->status;
-  add_header (r->response, "Content-Type", reply->content_type);
-  add_header (r->response, "Camphorquay-Request-Id", r->id);
-  if (reply->outcome != NULL)
-    add_header (r->response, "Camphorquay-Outcome", reply->outcome);
-  if (reply->retry_after_s > 0)
+  for (; lines != NULL && *lines != NULL; lines++)
     {
-      g_snprintf (seconds, sizeof seconds, "%d", reply->retry_after_s);
-      add_header (r->response, "Retry-After", seconds);
-    }
-  if (server_phase (r->worker->server) >= PHASE_DRAINING)
-    add_header (r->response, "Connection", "close");
-  resume (r);
-}
-
-void
-req_reply_json (struct req *r, int status, json_t *doc)
-{
-  char *text = json_dumps (doc, JSON_INDENT (2));
-  struct reply reply
-      = { .status = status, .content_type = "application/json" };
+      g_autofree char *name = NULL;
 
-  reply.body = text;
-  reply.len = strlen (text);
-  req_reply (r, &reply);
-  free (text);
-  json_decref (doc);
+      colon = strchr (*lines, ':');
+      if (colon == NULL)
+        continue;
+      name = g_strndup (*lines, (gsize)(colon - *lines));
+      for (colon++; *colon == ' '; colon++)
+        continue;
+      MHD_add_response_header (response, name, colon);
+    }
 }
 
-static int
-whole_seconds (int64_t us)
+/* Connections that stay open through a stop would end in a reset. */
+static void
+close_when_stopping (struct req *r)
 {
-  int64_t s = (us + CQ_US_PER_S - 1) / CQ_US_PER_S;
-
-  return (int)(s < RETRY_MAX_S ? s : RETRY_MAX_S);
+  if ((int)server_phase (r->worker->server) >= r->door->close_from)
+    MHD_add_response_header (r->response, "Connection", "close");
 }
 
-/* Refuse before any work: nothing was run. */
+/* Answer with a whole body, which is copied. */
 void
-req_refuse (struct req *r, const char *code, int64_t retry_after_us)
-{
-  const struct refusal *f = refusal_find (code);
-  json_t *doc
-      = json_pack ("{s:{s:s,s:s,s:s}}", "error", "code", f->code, "message",
-                   f->message, "outcome", out_name (OUT_NOT_RUN));
-  char *text = json_dumps (doc, JSON_COMPACT);
-  struct reply reply
-      = { .status = f->status, .content_type = "application/json" };
-
-  reply.body = text;
-  reply.len = strlen (text);
-  reply.outcome = out_name (OUT_NOT_RUN);
-  reply.retry_after_s = whole_seconds (retry_after_us);
-  req_reply (r, &reply);
-  free (text);
-  json_decref (doc);
-}
-
-/* Refuse a request that never became a job. */
-static void
-refuse_early (struct req *r, const char *code, int64_t retry_after_us)
-{
-  log_event (LOG_LEVEL_INFO, "refuse", "req=%s outcome=not-run reason=%s",
-             r->id, code);
-  req_refuse (r, code, retry_after_us);
+req_respond (struct req *r, int status, const char *const *lines,
+             const char *body, size_t len)
+{
+  r->response = MHD_create_response_from_buffer (len, (void *)body,
+                                                 MHD_RESPMEM_MUST_COPY);
+  r->status = status;
+  add_lines (r->response, lines);
+  close_when_stopping (r);
+  resume (r);
 }
 
 /* --- streams --------------------------------------------------------- */
@@ -146,8 +105,8 @@
   if (req_stream_pending (r) > 0)
     {
       n = take_out (r, to, max);
-      if (r->job != NULL)
-        job_drained (r->job);
+      if (r->door->ops->drained != NULL)
+        r->door->ops->drained (r);
       return n;
     }
   /* Ending without the last chunk shows the break to any HTTP client. */
@@ -160,20 +119,15 @@
   return 0;
 }
 
-/*
- * Start the reply of a stream.  Its outcome is not known yet; it comes in the
- * trailer at the end, or in the error event of a broken stream.
- */
+/* Start an answer whose body comes in pieces. */
 void
-req_stream_begin (struct req *r, const char *content_type)
+req_stream_open (struct req *r, int status, const char *const *lines)
 {
   r->response = MHD_create_response_from_callback (
       MHD_SIZE_UNKNOWN, STREAM_BLOCK, read_stream, r, NULL);
-  r->status = MHD_HTTP_OK;
-  add_header (r->response, "Content-Type", content_type);
-  add_header (r->response, "Cache-Control", "no-cache");
-  add_header (r->response, "Camphorquay-Request-Id", r->id);
-  add_header (r->response, "Trailer", "Camphorquay-Outcome");
+  r->status = status;
+  add_lines (r->response, lines);
+  close_when_stopping (r);
   resume (r);
 }
 
@@ -185,12 +139,14 @@
   resume (r);
 }
 
+/* End the stream; without WHOLE it ends in a way that no reader takes for a
+   finished one.  FOOTERS may be NULL. */
 void
-req_stream_end (struct req *r, bool whole)
+req_stream_close (struct req *r, bool whole, const char *name,
+                  const char *value)
 {
-  if (whole)
-    MHD_add_response_footer (r->response, "Camphorquay-Outcome",
-                             out_name (OUT_ANSWERED));
+  if (whole && name != NULL)
+    MHD_add_response_footer (r->response, name, value);
   r->out_end = whole;
   r->out_broken = !whole;
   resume (r);
@@ -238,110 +194,21 @@
   sodium_bin2hex (id + 1, ID_SIZE - 1, random, sizeof random);
 }
 
-static const struct req_route *
-find_route (const char *method, const char *path)
-{
-  const struct req_route *route;
-  size_t n;
-
-  for (route = req_routes; route->method != NULL; route++)
-    {
-      n = strlen (route->path);
-      if (strcmp (route->method, method) != 0)
-        continue;
-      if (route->path[n - 1] == '/' ? strncmp (route->path, path, n) == 0
-                                    : strcmp (route->path, path) == 0)
-        return route;
-    }
-  return NULL;
-}
-
 const char *
 req_header (struct req *r, const char *name)
 {
   return MHD_lookup_connection_value (r->conn, MHD_HEADER_KIND, name);
 }
 
-/* Find who asks; the same answer for an unknown name and a wrong secret. */
-static bool
-authenticate (struct req *r)
-{
-  const struct cfg *cfg = server_cfg (r->worker->server);
-  enum cfg_group_id group
-      = r->route->auth == AUTH_OPERATOR ? CFG_OPERATOR : CFG_WORKSPACE;
-  const char *secret = NULL;
-  g_autofree char *name = auth_name (req_header (r, "Authorization"), &secret);
-  char *const *hashes;
-  int i;
-
-  if (name == NULL)
-    return false;
-  i = cfg_find (cfg, group, name);
-  if (i < 0 || (group == CFG_WORKSPACE && cfg_workspace (cfg, i)->removed))
-    return false;
-  hashes = group == CFG_OPERATOR ? cfg_operator (cfg, i)->keys
-                                 : cfg_workspace (cfg, i)->keys;
-  if (!auth_matches (hashes, secret))
-    return false;
-  if (group == CFG_OPERATOR)
-    r->operator_index = i;
-  else
-    r->workspace = i;
-  return true;
-}
-
-static size_t
-body_limit (const struct req *r)
-{
-  const struct cfg *cfg = server_cfg (r->worker->server);
-
-  if (r->workspace < 0)
-    return CONTROL_BODY_MAX;
-  return (size_t)cfg_workspace (cfg, r->workspace)->body_max_kb * 1024;
-}
-
-/* The declared length, or -1. */
-static int64_t
-declared_length (struct req *r)
-{
-  const char *text = req_header (r, "Content-Length");
-  guint64 n;
-
-  if (text == NULL
-      || !g_ascii_string_to_unsigned (text, 10, 0, G_MAXINT64, &n, NULL))
-    return -1;
-  return (int64_t)n;
-}
-
-/* Judge the head of a request; a refusal set here spares reading the body. */
-static void
-judge_head (struct req *r, const char *method)
-{
-  r->route = find_route (method, r->path);
-  if (r->route == NULL)
-    {
-      refuse_early (r, "not_found", 0);
-      return;
-    }
-  r->rest = r->path + strlen (r->route->path);
-  if (r->route->auth != AUTH_NONE && !authenticate (r))
-    {
-      refuse_early (r, "no_key", 0);
-      return;
-    }
-  r->body_max = body_limit (r);
-  if (declared_length (r) > (int64_t)r->body_max)
-    refuse_early (r, "body_too_large", 0);
-}
-
 static struct req *
-req_new (struct worker *w, struct MHD_Connection *conn, const char *url)
+req_new (struct door *d, struct MHD_Connection *conn, const char *target)
 {
   struct req *r = g_new0 (struct req, 1);
 
-  r->worker = w;
+  r->door = d;
+  r->worker = d->worker;
   r->conn = conn;
-  r->path = g_strdup (url);
+  r->target = g_strdup (target);
   r->workspace = -1;
   r->operator_index = -1;
   r->body = g_string_new (NULL);
@@ -365,14 +232,15 @@
 static void
 req_free (struct req *r)
 {
-  if (r->job != NULL)
-    job_caller_gone (r->job);
+  if (r->door->ops->gone != NULL)
+    r->door->ops->gone (r);
   if (r->response != NULL)
     MHD_destroy_response (r->response);
   drop_body (r);
   met_add (MET_STREAM_BYTES, -(int64_t)req_stream_pending (r));
   g_string_free (r->out, TRUE);
   g_free (r->path);
+  g_free (r->target);
   g_free (r);
 }
 
@@ -396,13 +264,13 @@
     return MHD_YES;
   if (r->body->len + n > r->body_max)
     {
-      r->too_large = true;
+      r->excess = EXCESS_BODY;
       r->dropped += n;
       return r->dropped < OVERSIZE_FACTOR * r->body_max ? MHD_YES : MHD_NO;
     }
   if (!body_memory_left (s))
     {
-      refuse_early (r, "body_memory", CQ_US_PER_S);
+      r->excess = EXCESS_MEMORY;
       return MHD_YES;
     }
   g_string_append_len (r->body, data, (gssize)n);
@@ -415,11 +283,8 @@
 {
   r->started = true;
   r->arrived_us = loop_now_us ();
-  if (r->too_large)
-    refuse_early (r, "body_too_large", 0);
-  else
-    r->route->start (r);
-  /* A job has taken what it needs. */
+  r->door->ops->start (r);
+  /* Who wants the body for longer has taken it. */
   drop_body (r);
 }
 
@@ -433,6 +298,67 @@
   return done;
 }
 
+/* Lengths as the head states them. */
+struct framing
+{
+  int lengths;      /* Content-Length lines */
+  int encodings;    /* Transfer-Encoding lines */
+  bool unsupported; /* an encoding other than chunked alone */
+};
+
+static enum MHD_Result
+look_at_framing (void *arg, enum MHD_ValueKind kind, const char *name,
+                 const char *value)
+{
+  struct framing *f = arg;
+
+  (void)kind;
+  if (g_ascii_strcasecmp (name, "Content-Length") == 0)
+    f->lengths++;
+  if (g_ascii_strcasecmp (name, "Transfer-Encoding") == 0)
+    {
+      f->encodings++;
+      f->unsupported |= g_ascii_strcasecmp (value, "chunked") != 0;
+    }
+  return MHD_YES;
+}
+
+/*
+ * Two statements of a length let a caller hide a second request in a body:
+ * what is a body to one reader is a request to the next.  Such a request is
+ * answered 400 and its connection is closed, so nothing behind it is read.
+ */
+static bool
+framing_is_clear (struct req *r)
+{
+  struct framing f = { 0 };
+
+  MHD_get_connection_values (r->conn, MHD_HEADER_KIND, look_at_framing, &f);
+  return f.lengths + f.encodings <= 1 && !f.unsupported;
+}
+
+static enum MHD_Result
+refuse_framing (struct req *r)
+{
+  static const char *const close_line[] = { "Connection: close", NULL };
+
+  log_event (LOG_LEVEL_INFO, "refuse",
+             "req=%s outcome=not-run reason=ambiguous_length", r->id);
+  req_respond (r, MHD_HTTP_BAD_REQUEST, close_line, "", 0);
+  return queue_response (r);
+}
+
+static enum MHD_Result
+on_head (struct req *r, const char *url, const char *method)
+{
+  r->head_seen = true;
+  r->path = g_strdup (url);
+  if (!framing_is_clear (r))
+    return refuse_framing (r);
+  r->door->ops->head (r, method);
+  return r->response != NULL ? queue_response (r) : MHD_YES;
+}
+
 static enum MHD_Result
 on_request (void *arg, struct MHD_Connection *conn, const char *url,
             const char *method, const char *version, const char *data,
@@ -440,14 +366,10 @@
 {
   struct req *r = *con_cls;
 
+  (void)arg;
   (void)version;
-  if (r == NULL)
-    {
-      r = req_new (arg, conn, url);
-      *con_cls = r;
-      judge_head (r, method);
-      return r->response != NULL ? queue_response (r) : MHD_YES;
-    }
+  if (!r->head_seen)
+    return on_head (r, url, method);
   if (*len > 0)
     return take_upload (r, data, len);
   if (r->gone)
@@ -461,6 +383,14 @@
   return MHD_YES;
 }
 
+/* Called first, with the target as it was sent: the path that later calls get
+   is decoded, which cannot be undone. */
+static void *
+on_target (void *arg, const char *target, struct MHD_Connection *conn)
+{
+  return req_new (arg, conn, target);
+}
+
 static void
 on_completed (void *arg, struct MHD_Connection *conn, void **con_cls,
               enum MHD_RequestTerminationCode code)
@@ -483,7 +413,39 @@
   met_add (MET_CONNECTIONS, code == MHD_CONNECTION_NOTIFY_STARTED ? 1 : -1);
 }
 
-/* --- daemon ---------------------------------------------------------- */
+/* Close the caller's connection once it has been idle for IDLE_S. */
+void
+req_set_idle (struct req *r, unsigned idle_s)
+{
+  MHD_set_connection_option (r->conn, MHD_CONNECTION_OPTION_TIMEOUT, idle_s);
+}
+
+struct header_call
+{
+  req_header_fn fn; /* whom to show each line */
+  void *arg;        /* passed to it */
+};
+
+static enum MHD_Result
+show_header (void *arg, enum MHD_ValueKind kind, const char *name,
+             const char *value)
+{
+  struct header_call *c = arg;
+
+  (void)kind;
+  c->fn (c->arg, name, value != NULL ? value : "");
+  return MHD_YES;
+}
+
+void
+req_each_header (struct req *r, req_header_fn fn, void *arg)
+{
+  struct header_call c = { fn, arg };
+
+  MHD_get_connection_values (r->conn, MHD_HEADER_KIND, show_header, &c);
+}
+
+/* --- doors ----------------------------------------------------------- */
 
 static void
 on_daemon_ready (void *arg, int fd, bool readable, bool writable)
@@ -498,68 +460,78 @@
 static void
 run_daemon (void *arg)
 {
-  struct worker *w = arg;
+  struct door *d = arg;
 
-  MHD_run (w->daemon);
+  MHD_run (d->daemon);
 }
 
 static int64_t
 daemon_timeout_us (void *arg)
 {
-  struct worker *w = arg;
+  struct door *d = arg;
   MHD_UNSIGNED_LONG_LONG ms;
 
-  if (MHD_get_timeout (w->daemon, &ms) != MHD_YES)
+  if (MHD_get_timeout (d->daemon, &ms) != MHD_YES)
     return -1;
   return (int64_t)ms * 1000;
 }
 
-struct MHD_Daemon *
-hin_start (struct worker *w)
+/* Open a door on W's loop; LISTEN_FD stays the caller's. */
+struct door *
+door_open (struct worker *w, int listen_fd, const struct door_opts *o)
 {
-  const struct cfg_vm *vm = cfg_vm (server_cfg (w->server));
-  unsigned limit = (unsigned)(vm->connections / w->server->nworkers + 1);
-  struct loop_hook hook = { run_daemon, daemon_timeout_us, w };
+  struct door *d = g_new0 (struct door, 1);
   const union MHD_DaemonInfo *info;
 
-  w->daemon = MHD_start_daemon (
-      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_request, w,
-      MHD_OPTION_LISTEN_SOCKET, dup (w->server->listen_fd),
-      MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL,
-      MHD_OPTION_NOTIFY_CONNECTION, on_connection, NULL,
-      MHD_OPTION_CONNECTION_LIMIT, limit, MHD_OPTION_CONNECTION_TIMEOUT,
-      (unsigned)vm->header_timeout_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-      (size_t)CONNECTION_MEMORY, MHD_OPTION_CONNECTION_MEMORY_INCREMENT,
-      (size_t)1024, MHD_OPTION_END);
-  if (w->daemon == NULL)
-    return NULL;
-  info = MHD_get_daemon_info (w->daemon, MHD_DAEMON_INFO_EPOLL_FD);
-  w->daemon_fd = loop_add_fd (w->loop, info->epoll_fd, on_daemon_ready, w);
-  loop_watch (w->loop, w->daemon_fd, true, false);
-  loop_set_hook (w->loop, &hook);
-  return w->daemon;
+  d->worker = w;
+  d->ops = o->ops;
+  d->owner = o->owner;
+  d->close_from = o->close_from;
+  d->daemon = MHD_start_daemon (
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_request, d,
+      MHD_OPTION_LISTEN_SOCKET, dup (listen_fd), MHD_OPTION_NOTIFY_COMPLETED,
+      on_completed, NULL, MHD_OPTION_NOTIFY_CONNECTION, on_connection, NULL,
+      MHD_OPTION_URI_LOG_CALLBACK, on_target, d, MHD_OPTION_CONNECTION_LIMIT,
+      o->connections, MHD_OPTION_CONNECTION_TIMEOUT, o->idle_s,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, o->connection_memory,
+      MHD_OPTION_CONNECTION_MEMORY_INCREMENT, (size_t)1024,
+      MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
+  if (d->daemon == NULL)
+    {
+      g_free (d);
+      return NULL;
+    }
+  info = MHD_get_daemon_info (d->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+  d->fd = loop_add_fd (w->loop, info->epoll_fd, on_daemon_ready, d);
+  loop_watch (w->loop, d->fd, true, false);
+  d->hook.turn = run_daemon;
+  d->hook.timeout_us = daemon_timeout_us;
+  d->hook.arg = d;
+  loop_add_hook (w->loop, &d->hook);
+  return d;
 }
 
 /* Accept no more connections; those that stand go on. */
 void
-hin_quiesce (struct worker *w)
+door_quiesce (struct door *d)
 {
   MHD_socket fd;
 
-  if (w->quiesced)
+  if (d == NULL || d->quiesced)
     return;
-  w->quiesced = true;
-  fd = MHD_quiesce_daemon (w->daemon);
+  d->quiesced = true;
+  fd = MHD_quiesce_daemon (d->daemon);
   if (fd != MHD_INVALID_SOCKET)
     close (fd);
 }
 
 void
-hin_stop (struct worker *w)
+door_close (struct door *d)
 {
-  struct loop_hook none = { 0 };
-
-  loop_set_hook (w->loop, &none);
-  loop_remove_fd (w->loop, w->daemon_fd);
-  MHD_stop_daemon (w->daemon);
+  if (d == NULL)
+    return;
+  loop_remove_hook (&d->hook);
+  loop_remove_fd (d->worker->loop, d->fd);
+  MHD_stop_daemon (d->daemon);
+  g_free (d);
 }
--- a/libserver.h
+++ b/libserver.h
@@ -33,6 +33,7 @@
 struct job;
 struct kept;
 struct member;
+struct req;
 struct server;
 
 /* --- server ---------------------------------------------------------- */
@@ -74,8 +75,7 @@
   int index;                          /* number */
   GThread *thread;                    /* that runs the loop */
   struct loop *loop;                  /* events */
-  struct MHD_Daemon *daemon;          /* callers' connections */
-  struct loop_fd *daemon_fd;          /* its epoll descriptor */
+  struct door *door;                  /* callers' connections */
   struct xfer_pool *pool;             /* transfers to endpoints */
   struct endpoint_ops endpoints;      /* adapter */
   struct object_ops objects;          /* adapter; its ctx is NULL if unset */
@@ -84,7 +84,6 @@
   int njobs;                          /* their number */
   struct loop_timer sweep;            /* deadlines and stalls */
   struct loop_msg stop;               /* posted to end the loop */
-  bool quiesced;                      /* accepts no more connections */
 };
 
 struct server
@@ -149,7 +148,53 @@
 
 const struct refusal *refusal_find (const char *code);
 
-/* --- callers' requests (hin.c) --------------------------------------- */
+/* --- requests that come in (hin.c) ----------------------------------- */
+
+struct door;
+
+/* What a door does with its requests; all on its worker's thread. */
+struct door_ops
+{
+  /* The head was read: set body_max, or reply at once. */
+  void (*head) (struct req *r, const char *method);
+  /* The request is whole, or EXCESS says why its body is not. */
+  void (*start) (struct req *r);
+  /* The reader took bytes of a stream; may be NULL. */
+  void (*drained) (struct req *r);
+  /* The request ends, whatever became of it; may be NULL. */
+  void (*gone) (struct req *r);
+};
+
+struct door_opts
+{
+  const struct door_ops *ops; /* callbacks */
+  void *owner;                /* for them, as door->owner */
+  int close_from;             /* enum phase from which replies close */
+  unsigned connections;       /* held at once */
+  unsigned idle_s;            /* seconds without a byte */
+  size_t connection_memory;   /* bytes a connection, for head and buffers */
+};
+
+/* One listening address on one worker. */
+struct door
+{
+  struct worker *worker;      /* where it runs */
+  const struct door_ops *ops; /* callbacks */
+  void *owner;                /* of the callbacks */
+  int close_from;             /* enum phase from which replies close */
+  struct MHD_Daemon *daemon;  /* connections */
+  struct loop_fd *fd;         /* its epoll descriptor */
+  struct loop_hook hook;      /* runs it each turn */
+  bool quiesced;              /* accepts no more connections */
+};
+
+/* Why a body was not taken. */
+enum req_excess
+{
+  EXCESS_NONE,
+  EXCESS_BODY,  /* over the request's own limit */
+  EXCESS_MEMORY /* over what all bodies may take */
+};
 
 enum req_auth
 {
@@ -158,8 +203,6 @@
   AUTH_OPERATOR
 };
 
-struct req;
-
 /* One entry of the table of paths. */
 struct req_route
 {
@@ -174,17 +217,21 @@
 /* A caller's request; belongs to its worker's thread. */
 struct req
 {
+  struct door *door;             /* where it came in */
+  void *work;                    /* of the door's owner */
   struct worker *worker;         /* where it runs */
   struct MHD_Connection *conn;   /* its connection */
   const struct req_route *route; /* what was asked for */
-  char *path;                    /* whole path */
+  char *target;                  /* path and query as they were sent */
+  bool head_seen;                /* the head was judged */
+  char *path;                    /* whole path, decoded */
   const char *rest;              /* path behind the route's prefix */
   char id[ID_SIZE];              /* request id */
   int workspace;                 /* index, or -1 */
   int operator_index;            /* index, or -1 */
   GString *body;                 /* request body */
   size_t body_max;               /* bytes allowed */
-  bool too_large;                /* the body went over */
+  enum req_excess excess;        /* why the body was not taken */
   size_t dropped;                /* bytes dropped since then */
   bool started;                  /* start was called */
   bool suspended;                /* its connection waits */
@@ -211,20 +258,34 @@
   int retry_after_s;        /* for Retry-After, 0 for none */
 };
 
+typedef void (*req_header_fn) (void *arg, const char *name, const char *value);
+
 const char *req_header (struct req *r, const char *name);
-void req_reply (struct req *r, const struct reply *reply);
-void req_reply_json (struct req *r, int status, json_t *doc);
-void req_refuse (struct req *r, const char *code, int64_t retry_after_us);
-void req_stream_begin (struct req *r, const char *content_type);
+void req_each_header (struct req *r, req_header_fn fn, void *arg);
+void req_set_idle (struct req *r, unsigned idle_s);
+void req_respond (struct req *r, int status, const char *const *lines,
+                  const char *body, size_t len);
+void req_stream_open (struct req *r, int status, const char *const *lines);
 void req_stream_write (struct req *r, const char *data, size_t len);
-void req_stream_end (struct req *r, bool whole);
+void req_stream_close (struct req *r, bool whole, const char *name,
+                       const char *value);
 size_t req_stream_pending (const struct req *r);
 bool req_caller_gone (struct req *r);
 void req_abandon (struct req *r);
 
-struct MHD_Daemon *hin_start (struct worker *w);
-void hin_quiesce (struct worker *w);
-void hin_stop (struct worker *w);
+struct door *door_open (struct worker *w, int listen_fd,
+                        const struct door_opts *opts);
+void door_quiesce (struct door *d);
+void door_close (struct door *d);
+
+/* --- the product's own interface (api.c) ----------------------------- */
+
+struct door *api_open (struct worker *w);
+void req_reply (struct req *r, const struct reply *reply);
+void req_reply_json (struct req *r, int status, json_t *doc);
+void req_refuse (struct req *r, const char *code, int64_t retry_after_us);
+void req_stream_begin (struct req *r, const char *content_type);
+void req_stream_end (struct req *r, bool whole);
 
 /* --- keys (auth.c) --------------------------------------------------- */
 
--- a/loop.c
+++ b/loop.c
@@ -30,7 +30,7 @@
   GMutex lock;                               /* guards mail */
   APR_RING_HEAD (mail, loop_msg) mail;       /* messages to run */
   GThread *thread;                           /* that runs the loop */
-  struct loop_hook hook;                     /* done each turn */
+  APR_RING_HEAD (hooks, loop_hook) hooks;    /* done each turn */
   bool stopping;                             /* loop_stop was called */
 };
 
@@ -57,6 +57,7 @@
   APR_RING_INIT (&l->unused, loop_fd, link);
   APR_RING_INIT (&l->timers, loop_timer, link);
   APR_RING_INIT (&l->mail, loop_msg, link);
+  APR_RING_INIT (&l->hooks, loop_hook, link);
   g_mutex_init (&l->lock);
   return l;
 }
@@ -71,9 +72,15 @@
 }
 
 void
-loop_set_hook (struct loop *l, const struct loop_hook *hook)
+loop_add_hook (struct loop *l, struct loop_hook *hook)
 {
-  l->hook = *hook;
+  APR_RING_INSERT_TAIL (&l->hooks, hook, loop_hook, link);
+}
+
+void
+loop_remove_hook (struct loop_hook *hook)
+{
+  APR_RING_REMOVE (hook, link);
 }
 
 void
@@ -224,6 +231,7 @@
 wait_us (struct loop *l)
 {
   int64_t wait = LONGEST_WAIT_US;
+  struct loop_hook *h;
   int64_t n;
 
   if (has_mail (l))
@@ -234,12 +242,12 @@
       if (n < wait)
         wait = n < 0 ? 0 : n;
     }
-  if (l->hook.timeout_us != NULL)
-    {
-      n = l->hook.timeout_us (l->hook.arg);
-      if (n >= 0 && n < wait)
-        wait = n;
-    }
+  APR_RING_FOREACH (h, &l->hooks, loop_hook, link)
+  {
+    n = h->timeout_us (h->arg);
+    if (n >= 0 && n < wait)
+      wait = n;
+  }
   /* APR cuts to whole milliseconds: without rounding up, the loop would spin
      through the last part of every wait. */
   return (wait + 999) / 1000 * 1000;
@@ -267,6 +275,7 @@
 loop_run (struct loop *l)
 {
   const apr_pollfd_t *ready;
+  struct loop_hook *h;
   apr_int32_t n;
 
   l->thread = g_thread_self ();
@@ -278,8 +287,8 @@
         run_sockets (ready, n);
       run_timers (l);
       run_mail (l);
-      if (l->hook.turn != NULL)
-        l->hook.turn (l->hook.arg);
+      APR_RING_FOREACH (h, &l->hooks, loop_hook, link)
+      h->turn (h->arg);
     }
   run_mail (l);
 }
--- a/loop.h
+++ b/loop.h
@@ -39,6 +39,7 @@
 /* Work done once in each turn, after sockets and messages. */
 struct loop_hook
 {
+  APR_RING_ENTRY (loop_hook) link;   /* in the loop's list */
   void (*turn) (void *arg);          /* called each turn */
   int64_t (*timeout_us) (void *arg); /* longest wait, -1 for none */
   void *arg;                         /* passed to both */
@@ -61,7 +62,8 @@
 
 void loop_arm (struct loop *l, struct loop_timer *t, int64_t due_us);
 void loop_disarm (struct loop_timer *t);
-void loop_set_hook (struct loop *l, const struct loop_hook *hook);
+void loop_add_hook (struct loop *l, struct loop_hook *hook);
+void loop_remove_hook (struct loop_hook *hook);
 
 /* Any thread: run M on the loop's thread.  M must stay until it has run. */
 void loop_post (struct loop *l, struct loop_msg *m);
--- a/srv.c
+++ b/srv.c
@@ -89,7 +89,7 @@
   struct worker *w = arg;
 
   loop_run (w->loop);
-  hin_stop (w);
+  door_close (w->door);
   return NULL;
 }
 
@@ -109,7 +109,8 @@
   storec_ops (&w->stores, w->pool);
   if (p->objects[0] != '\0')
     objc_ops (&w->objects, w->pool, p->objects, p->timeout_ms);
-  return hin_start (w) != NULL;
+  w->door = api_open (w);
+  return w->door != NULL;
 }
 
 /* The platform's table is reached from the first worker's thread. */
