--- a/Makefile
+++ b/Makefile
@@ -14,10 +14,16 @@
 SERVER = log.o met.o loop.o xfer.o fetch.o epc.o tabc.o objc.o auth.o refusal.o \
 	hin.o api.o job.o pump.o attempt.o jobclaim.o jobreply.o claims.o \
 	history.o poll.o storec.o kept.o export.o adopt.o conf.o confpost.o member.o \
-	peerrpc.o peerseal.o peer_xdr.o adm.o srv.o
+	peerrpc.o peerseal.o peer_xdr.o adm.o entry.o srv.o
+# Requests that are passed on: beliefs of the fleet, and each request's life.
+RELAY = fleet.o pick.o evt.o relay.o follow.o
+# The users' platform; translates only.
+PLATFORM = platform/decode.o platform/engine.o platform/ingress.o \
+	platform/platform.o platform/store.o
 COMMANDS = main.o ctl.o ctlconf.o
 
-ARCHIVES = libserver.a libsettings.a libwire.a libdecide.a
+ARCHIVES = libserver.a libplatform.a librelay.a libserver.a libsettings.a \
+	libwire.a libdecide.a
 
 FAKES = regress/fake.o regress/fakeeng.o regress/fakeplain.o \
 	regress/faketab.o regress/fakehttp.o regress/fakekv.o \
@@ -25,14 +31,16 @@
 
 all: camphorquay
 
-camphorquay: $(COMMANDS) $(ARCHIVES)
+camphorquay: $(COMMANDS) $(sort $(ARCHIVES))
 	$(CC) $(CFLAGS) -o $@ $(COMMANDS) $(ARCHIVES) $(LIBS)
 
 libdecide.a: $(DECIDE)
 libwire.a: $(WIRE)
 libsettings.a: $(SETTINGS)
 libserver.a: $(SERVER)
-$(ARCHIVES):
+librelay.a: $(RELAY)
+libplatform.a: $(PLATFORM)
+$(sort $(ARCHIVES)):
 	rm -f $@
 	$(AR) rc $@ $^
 
@@ -74,7 +82,8 @@
 SANITIZE = -O1 -g -fno-omit-frame-pointer -fsanitize=address,undefined \
 	-fno-sanitize-recover=undefined
 sanitized:
-	mkdir -p build-asan/regress build-asan/bench
+	mkdir -p build-asan/regress build-asan/bench build-asan/platform
+	cp -p platform/*.c platform/*.h build-asan/platform
 	cp -p *.c *.h *.x Makefile config.mk build-asan
 	cp -p regress/*.c regress/*.h build-asan/regress
 	cp -p bench/*.c build-asan/bench
@@ -106,7 +115,7 @@
 	cp man/*.5 $(DESTDIR)$(PREFIX)/share/man/man5
 
 clean:
-	rm -f *.o *.d *.a regress/*.o regress/*.d bench/*.o bench/*.d \
+	rm -f *.o *.d *.a platform/*.o platform/*.d regress/*.o regress/*.d bench/*.o bench/*.d \
 		camphorquay regress/fake regress/drive regress/check regress/test-units \
 		bench/load bench/slopes regress/fuzz-input
 	rm -rf build-asan
@@ -114,4 +123,4 @@
 
 .PHONY: all install tests sanitized generate clean
 .SUFFIXES: .c .o
--include $(wildcard *.d regress/*.d bench/*.d)
+-include $(wildcard *.d platform/*.d regress/*.d bench/*.d)
--- a/api.c
+++ b/api.c
@@ -7,11 +7,12 @@
 #include <microhttpd.h>
 #include <string.h>
 
-#define CONNECTION_MEMORY 12288 /* bytes a connection, for head and buffers   \
-                                 */
-#define RETRY_MAX_S 3600        /* longest Retry-After */
-#define CONTROL_BODY_MAX 65536  /* bytes of an operator's request */
-#define MAX_LINES 8             /* header lines of a reply */
+#define CONNECTION_MEMORY                                                     \
+  12288                        /* bytes a connection, for head and buffers    \
+                                */
+#define RETRY_MAX_S 3600       /* longest Retry-After */
+#define CONTROL_BODY_MAX 65536 /* bytes of an operator's request */
+#define MAX_LINES 8            /* header lines of a reply */
 
 /* --- replies --------------------------------------------------------- */
 
--- a/cfg.c
+++ b/cfg.c
@@ -338,7 +338,7 @@
   int k = g < 0 ? -1 : key_index (&cfg_groups[g], o->key);
   struct item *item;
 
-  if (g < 0 || g == CFG_VM || g == CFG_PLATFORM
+  if (g < 0 || g == CFG_VM || g == CFG_PLATFORM || g == CFG_ENTRY
       || (id != NULL && !cfg_is_name (id)))
     {
       fault (cfg, by_change, o->group, NULL, "not a group that can change");
@@ -418,6 +418,12 @@
   return fields (cfg, CFG_PLATFORM, 0);
 }
 
+const struct cfg_entry *
+cfg_entry (const struct cfg *cfg)
+{
+  return fields (cfg, CFG_ENTRY, 0);
+}
+
 int
 cfg_count (const struct cfg *cfg, enum cfg_group_id group)
 {
--- /dev/null
+++ b/entry.c
@@ -0,0 +1,205 @@
+/* The entry: beliefs, relays and doors put together. */
+#include "entry.h"
+
+#include <sodium.h>
+#include <string.h>
+#include <unistd.h>
+
+/* A key that was taken away must open nothing once the operator's bound has
+   passed; this much earlier covers what happens between the last look and
+   the first byte. */
+#define REVOKE_MARGIN_US (300 * CQ_US_PER_MS)
+/* Likewise for requests that begin on old weights. */
+#define VERSION_MARGIN_US (1500 * CQ_US_PER_MS)
+#define SWEEP_US (500 * CQ_US_PER_MS) /* between looks at missing entries */
+#define READY_CONNECTIONS 16          /* the balancer needs one */
+#define READY_MEMORY 2048             /* bytes a connection */
+#define READY_IDLE_S 30               /* seconds without a question */
+
+struct entry
+{
+  struct worker *worker;       /* where it runs */
+  struct cfg *settings;        /* a reference, for cfg */
+  const struct cfg_entry *cfg; /* declared */
+  void *store;                 /* of the adapter */
+  struct fleet fleet;          /* beliefs */
+  struct follow *follow;       /* keeps them current */
+  struct relays *relays;       /* requests under way */
+  struct door *front;          /* callers */
+  struct door *ready;          /* the balancer */
+  int front_fd;                /* listening socket */
+  int ready_fd;                /* listening socket */
+  struct loop_timer sweep;     /* missing entries */
+  bool was_ready;              /* as logged last */
+};
+
+/* --- readiness ------------------------------------------------------- */
+
+/*
+ * A VM that would refuse what it gets must say so, or the balancer sends it
+ * a share of the callers.  Not ready: nothing known yet, or knowledge so old
+ * that keys count for nothing.
+ */
+bool
+entry_ready (const struct entry *e, int64_t now_us)
+{
+  struct server *s = e->worker->server;
+  int64_t stale = e->cfg->revoke_ms * CQ_US_PER_MS - REVOKE_MARGIN_US;
+
+  return server_phase (s) < PHASE_NOTICE && e->fleet.conf != NULL
+         && e->fleet.listed && fleet_age_us (&e->fleet, now_us) < stale;
+}
+
+static void
+answer_ready (struct req *r, const char *method)
+{
+  struct entry *e = r->door->owner;
+  int64_t now = loop_now_us ();
+  bool ready = entry_ready (e, now);
+
+  (void)method;
+  if (ready != e->was_ready)
+    log_event (LOG_LEVEL_INFO, "ready",
+               "outcome=%s conf_age_us=%" G_GINT64_FORMAT " phase=%d",
+               ready ? "yes" : "no", (gint64)fleet_age_us (&e->fleet, now),
+               (int)server_phase (r->worker->server));
+  e->was_ready = ready;
+  req_respond (r, ready ? 200 : 503, NULL, "", 0);
+}
+
+static void
+no_body (struct req *r)
+{
+  (void)r;
+}
+
+static const struct door_ops ready_ops = {
+  .head = answer_ready,
+  .start = no_body,
+};
+
+/* --- parts ----------------------------------------------------------- */
+
+static void
+on_sweep (void *arg, int64_t now_us)
+{
+  struct entry *e = arg;
+
+  fleet_sweep (&e->fleet, now_us);
+  loop_arm (e->worker->loop, &e->sweep, now_us + SWEEP_US);
+}
+
+static uint64_t
+seed_of (const struct cfg_vm *vm)
+{
+  uint64_t seed = (uint64_t)vm->seed;
+
+  if (seed == 0)
+    randombytes_buf (&seed, sizeof seed);
+  return seed;
+}
+
+static void
+start_following (struct entry *e)
+{
+  struct follow_opts o = { .loop = e->worker->loop, .fleet = &e->fleet };
+
+  entry_adapter.follow_ops (e->store, &o.ops);
+  o.seed = seed_of (cfg_vm (server_cfg (e->worker->server)));
+  e->follow = follow_new (&o);
+  follow_start (e->follow);
+}
+
+static void
+make_relays (struct entry *e)
+{
+  const struct cfg_vm *vm = cfg_vm (server_cfg (e->worker->server));
+  struct relays_opts o = { .loop = e->worker->loop, .fleet = &e->fleet };
+
+  entry_adapter.engine_ops (&o.engine, e->worker->pool);
+  o.domain = vm->domain;
+  o.stale_us = e->cfg->revoke_ms * CQ_US_PER_MS - REVOKE_MARGIN_US;
+  o.retry_percent = (int)e->cfg->retry_percent;
+  o.retry_burst = (int)e->cfg->retry_burst;
+  o.stream_buffer = (size_t)vm->stream_buffer_kb * 1024;
+  o.answer_max = (size_t)vm->answer_max_kb * 1024;
+  o.seed = seed_of (vm);
+  e->relays = relays_new (&o);
+}
+
+static bool
+open_doors (struct entry *e)
+{
+  struct server *s = e->worker->server;
+  struct door_opts o = { .ops = &ready_ops, .owner = e };
+
+  e->front_fd = server_listen (s, e->cfg->listen);
+  e->ready_fd = server_listen (s, e->cfg->ready);
+  if (e->front_fd < 0 || e->ready_fd < 0)
+    return false;
+  o.close_from = PHASE_STOPPED;
+  o.connections = READY_CONNECTIONS;
+  o.idle_s = READY_IDLE_S;
+  o.connection_memory = READY_MEMORY;
+  e->ready = door_open (e->worker, e->ready_fd, &o);
+  e->front = entry_adapter.door (e->worker, e->front_fd, e->relays, &e->fleet);
+  return e->ready != NULL && e->front != NULL;
+}
+
+struct entry *
+entry_new (struct worker *w)
+{
+  struct entry *e = g_new0 (struct entry, 1);
+
+  e->worker = w;
+  e->settings = cfg_ref (server_cfg (w->server));
+  e->cfg = cfg_entry (e->settings);
+  fleet_init (&e->fleet);
+  e->fleet.old_max_us = e->cfg->version_ms * CQ_US_PER_MS - VERSION_MARGIN_US;
+  make_relays (e);
+  if (!open_doors (e))
+    return NULL;
+  e->store = entry_adapter.open (w->pool, e->cfg->store);
+  start_following (e);
+  e->sweep.fire = on_sweep;
+  e->sweep.arg = e;
+  loop_arm (w->loop, &e->sweep, loop_now_us () + SWEEP_US);
+  return e;
+}
+
+/* --- end ------------------------------------------------------------- */
+
+void
+entry_stop (struct entry *e)
+{
+  follow_stop (e->follow);
+  loop_disarm (&e->sweep);
+}
+
+void
+entry_close_doors (struct entry *e)
+{
+  door_close (e->front);
+  door_close (e->ready);
+}
+
+int
+entry_waiting (const struct entry *e)
+{
+  return e == NULL ? 0 : follow_waiting (e->follow);
+}
+
+void
+entry_free (struct entry *e)
+{
+  if (e == NULL)
+    return;
+  follow_free (e->follow);
+  relays_free (e->relays);
+  fleet_clear (&e->fleet);
+  entry_adapter.close (e->store);
+  close (e->front_fd);
+  close (e->ready_fd);
+  cfg_free (e->settings);
+  g_free (e);
+}
--- /dev/null
+++ b/entry.h
@@ -0,0 +1,42 @@
+/*
+ * The entry: requests that come through a platform's balancer and are passed
+ * on to the endpoints that the platform lists.
+ */
+#ifndef CQ_ENTRY_H
+#define CQ_ENTRY_H
+
+#include "follow.h"
+#include "libserver.h"
+#include "relay.h"
+
+/* What a platform's adapter offers; all on the first worker's thread. */
+struct entry_adapter
+{
+  /* The platform's store at ADDRESS. */
+  void *(*open) (struct xfer_pool *pool, const char *address);
+  void (*close) (void *store);
+  void (*follow_ops) (void *store, struct follow_ops *ops);
+  void (*engine_ops) (struct relay_engine *ops, struct xfer_pool *pool);
+  /* The door for callers. */
+  struct door *(*door) (struct worker *w, int listen_fd, struct relays *relays,
+                        struct fleet *fleet);
+};
+
+/* The adapter that is built in. */
+extern const struct entry_adapter entry_adapter;
+
+struct entry;
+
+/* Start on W's loop; NULL if an address cannot be had. */
+struct entry *entry_new (struct worker *w);
+/* On W's thread: ask the platform nothing more. */
+void entry_stop (struct entry *e);
+/* On W's thread, at its end. */
+void entry_close_doors (struct entry *e);
+void entry_free (struct entry *e);
+/* Calls to the platform under way, whose answers nobody needs at a stop. */
+int entry_waiting (const struct entry *e);
+/* Whether requests with a key can be served now. */
+bool entry_ready (const struct entry *e, int64_t now_us);
+
+#endif
--- /dev/null
+++ b/fleet.c
@@ -0,0 +1,324 @@
+/* What a VM believes of the fleet it serves. */
+#include "fleet.h"
+
+#include <string.h>
+
+/*
+ * Entries can lapse while the platform's list cannot be read, and return
+ * within two seconds of its own return if the endpoint lives.  An entry that
+ * is missing then would take a live endpoint out of service; one still
+ * missing after that is gone.
+ */
+#define RETURN_WAIT_US INT64_C (2200000)
+
+/* --- configuration --------------------------------------------------- */
+
+void
+fleet_route_free (struct fleet_route *r)
+{
+  int i;
+
+  for (i = 0; i < r->nsplits; i++)
+    g_free (r->splits[i].service);
+  g_free (r->splits);
+  g_free (r->name);
+  g_free (r->host);
+  g_free (r->prefix);
+  g_free (r);
+}
+
+void
+fleet_service_free (struct fleet_service *s)
+{
+  g_free (s->name);
+  g_free (s->model);
+  g_free (s->health_path);
+  g_free (s->store_address);
+  g_free (s);
+}
+
+void
+fleet_workspace_free (struct fleet_workspace *w)
+{
+  g_free (w->name);
+  g_free (w);
+}
+
+struct fleet_conf *
+fleet_conf_new (void)
+{
+  struct fleet_conf *c = g_new0 (struct fleet_conf, 1);
+
+  c->refs = 1;
+  c->routes
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)fleet_route_free);
+  c->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                       (GDestroyNotify)fleet_service_free);
+  c->workspaces
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)fleet_workspace_free);
+  c->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  c->hosts = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                    (GDestroyNotify)g_ptr_array_unref);
+  return c;
+}
+
+static int
+longer_first (gconstpointer a, gconstpointer b)
+{
+  const struct fleet_route *const *ra = a;
+  const struct fleet_route *const *rb = b;
+  size_t na = strlen ((*ra)->prefix);
+  size_t nb = strlen ((*rb)->prefix);
+
+  return (na < nb) - (na > nb);
+}
+
+void
+fleet_conf_seal (struct fleet_conf *c)
+{
+  GHashTableIter it;
+  gpointer list;
+  guint i;
+
+  for (i = 0; i < c->routes->len; i++)
+    {
+      struct fleet_route *r = c->routes->pdata[i];
+
+      list = g_hash_table_lookup (c->hosts, r->host);
+      if (list == NULL)
+        {
+          list = g_ptr_array_new ();
+          g_hash_table_insert (c->hosts, r->host, list);
+        }
+      g_ptr_array_add (list, r);
+    }
+  g_hash_table_iter_init (&it, c->hosts);
+  while (g_hash_table_iter_next (&it, NULL, &list))
+    g_ptr_array_sort (list, longer_first);
+}
+
+struct fleet_conf *
+fleet_conf_ref (struct fleet_conf *c)
+{
+  c->refs++;
+  return c;
+}
+
+void
+fleet_conf_unref (struct fleet_conf *c)
+{
+  if (c == NULL || --c->refs > 0)
+    return;
+  g_hash_table_destroy (c->hosts);
+  g_hash_table_destroy (c->keys);
+  g_hash_table_destroy (c->services);
+  g_ptr_array_unref (c->workspaces);
+  g_ptr_array_unref (c->routes);
+  g_free (c);
+}
+
+const struct fleet_route *
+fleet_route_find (const struct fleet_conf *c, const char *host,
+                  const char *path)
+{
+  const struct fleet_route *r;
+  GPtrArray *list;
+  g_autofree char *name = g_ascii_strdown (host, -1);
+  guint i;
+
+  /* A port says how the caller got here, not what it asks for. */
+  name[strcspn (name, ":")] = '\0';
+  list = g_hash_table_lookup (c->hosts, name);
+  for (i = 0; list != NULL && i < list->len; i++)
+    {
+      r = list->pdata[i];
+      if (strncmp (path, r->prefix, strlen (r->prefix)) == 0)
+        return r;
+    }
+  return NULL;
+}
+
+const char *
+fleet_split_pick (const struct fleet_route *r, uint64_t digest)
+{
+  int64_t all = 0;
+  int64_t at;
+  int i;
+
+  for (i = 0; i < r->nsplits; i++)
+    all += r->splits[i].weight;
+  if (all <= 0)
+    return r->splits[0].service;
+  at = (int64_t)(digest % (uint64_t)all);
+  for (i = 0; i < r->nsplits - 1; i++)
+    {
+      at -= r->splits[i].weight;
+      if (at < 0)
+        break;
+    }
+  return r->splits[i].service;
+}
+
+/* --- beliefs --------------------------------------------------------- */
+
+void
+fleet_init (struct fleet *f)
+{
+  memset (f, 0, sizeof *f);
+  APR_RING_INIT (&f->endpoints, fleet_endpoint, link);
+  f->by_id = g_hash_table_new (g_str_hash, g_str_equal);
+  f->wanted = g_array_new (FALSE, TRUE, sizeof (struct fleet_wanted));
+}
+
+void
+fleet_endpoint_unref (struct fleet_endpoint *e)
+{
+  if (--e->refs == 0)
+    g_free (e);
+}
+
+struct fleet_endpoint *
+fleet_endpoint_ref (struct fleet_endpoint *e)
+{
+  e->refs++;
+  return e;
+}
+
+static void
+drop (struct fleet *f, struct fleet_endpoint *e)
+{
+  e->gone = true;
+  g_hash_table_remove (f->by_id, e->is.id);
+  APR_RING_REMOVE (e, link);
+  fleet_endpoint_unref (e);
+}
+
+void
+fleet_clear (struct fleet *f)
+{
+  while (!APR_RING_EMPTY (&f->endpoints, fleet_endpoint, link))
+    drop (f, APR_RING_FIRST (&f->endpoints));
+  g_hash_table_destroy (f->by_id);
+  g_array_free (f->wanted, TRUE);
+  fleet_conf_unref (f->conf);
+}
+
+/*
+ * A read that was overtaken, or a source that lags, may bring an older
+ * configuration: taking it would bring back a route or a key that was taken
+ * away.  Both the change's number and the operator's own must grow.
+ */
+bool
+fleet_take_conf (struct fleet *f, struct fleet_conf *c, int64_t row)
+{
+  if (row <= f->conf_row || (f->conf != NULL && c->version < f->conf->version))
+    {
+      fleet_conf_unref (c);
+      return false;
+    }
+  fleet_conf_unref (f->conf);
+  f->conf = c;
+  f->conf_row = row;
+  return true;
+}
+
+static struct fleet_wanted *
+find_wanted (const struct fleet *f, const char *model)
+{
+  struct fleet_wanted *w;
+  guint i;
+
+  for (i = 0; i < f->wanted->len; i++)
+    {
+      w = &g_array_index (f->wanted, struct fleet_wanted, i);
+      if (strcmp (w->model, model) == 0)
+        return w;
+    }
+  return NULL;
+}
+
+const struct fleet_wanted *
+fleet_wanted_of (const struct fleet *f, const char *model)
+{
+  return find_wanted (f, model);
+}
+
+bool
+fleet_take_wanted (struct fleet *f, const char *model, int64_t version,
+                   int64_t row, int64_t now_us)
+{
+  struct fleet_wanted new = { .version = version, .row = row };
+  struct fleet_wanted *w = find_wanted (f, model);
+
+  if (w != NULL && version <= w->version)
+    return false;
+  g_strlcpy (new.model, model, sizeof new.model);
+  new.heard_us = now_us;
+  if (w != NULL)
+    *w = new;
+  else
+    g_array_append_val (f->wanted, new);
+  return true;
+}
+
+struct fleet_endpoint *
+fleet_take_listing (struct fleet *f, const struct fleet_listing *l)
+{
+  struct fleet_endpoint *e = g_hash_table_lookup (f->by_id, l->id);
+
+  if (e == NULL)
+    {
+      e = g_new0 (struct fleet_endpoint, 1);
+      e->refs = 1;
+      e->is = *l;
+      e->version = l->version;
+      APR_RING_ELEM_INIT (e, link);
+      APR_RING_INSERT_TAIL (&f->endpoints, e, fleet_endpoint, link);
+      g_hash_table_insert (f->by_id, e->is.id, e);
+    }
+  if (l->version > e->version)
+    e->version = l->version;
+  /* The id is a key of the table, and equal. */
+  e->is = *l;
+  /* One life of an endpoint never takes its leaving back. */
+  e->draining |= l->draining;
+  e->missing_us = 0;
+  return e;
+}
+
+void
+fleet_list_back (struct fleet *f, int64_t now_us)
+{
+  f->back_us = now_us;
+}
+
+void
+fleet_take_missing (struct fleet *f, struct fleet_endpoint *e, int64_t now_us)
+{
+  if (f->back_us == 0 || now_us - f->back_us >= RETURN_WAIT_US)
+    drop (f, e);
+  else if (e->missing_us == 0)
+    e->missing_us = now_us;
+}
+
+void
+fleet_sweep (struct fleet *f, int64_t now_us)
+{
+  struct fleet_endpoint *e, *next;
+
+  if (f->back_us == 0 || now_us - f->back_us < RETURN_WAIT_US)
+    return;
+  for (e = APR_RING_FIRST (&f->endpoints);
+       e != APR_RING_SENTINEL (&f->endpoints, fleet_endpoint, link); e = next)
+    {
+      next = APR_RING_NEXT (e, link);
+      if (e->missing_us != 0)
+        drop (f, e);
+    }
+}
+
+int64_t
+fleet_age_us (const struct fleet *f, int64_t now_us)
+{
+  return f->fresh_us == 0 ? INT64_MAX : now_us - f->fresh_us;
+}
--- /dev/null
+++ b/fleet.h
@@ -0,0 +1,254 @@
+/*
+ * What a VM believes of the fleet it serves: the operators' routes, services,
+ * workspaces and keys, the endpoints, and the weight versions wanted.
+ *
+ * An adapter decodes what its platform says into these types; everything that
+ * decides reads only them.  Present time is an argument; times are
+ * microseconds of CLOCK_BOOTTIME.
+ */
+#ifndef CQ_FLEET_H
+#define CQ_FLEET_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <apr_ring.h>
+
+/* --- the operators' configuration ------------------------------------ */
+
+/* What may be repeated, and how the answer comes. */
+enum fleet_kind
+{
+  FLEET_IDEMPOTENT, /* may run more than once */
+  FLEET_ONCE,       /* runs at most once */
+  FLEET_STREAM      /* events; at most once unless it may resume */
+};
+
+/* A service that gets a share of a route's requests. */
+struct fleet_split
+{
+  char *service; /* name */
+  int weight;    /* share, relative to the others of the route */
+};
+
+struct fleet_route
+{
+  char *name;                 /* for logs */
+  char *host;                 /* Host header, without a port */
+  char *prefix;               /* head of the path, from slash to slash */
+  enum fleet_kind kind;       /* what may be repeated */
+  int64_t timeout_us;         /* longest wait for the answer */
+  int64_t target_us;          /* time in which an answer is worth most */
+  int64_t gap_us;             /* longest pause between events, 0 if none */
+  int priority;               /* 0 goes first */
+  int max_attempts;           /* endpoints one request may be sent to */
+  bool anonymous;             /* no key is needed */
+  bool sticky;                /* prompts share heads worth finding again */
+  bool resumable;             /* a stream may go on at another endpoint */
+  struct fleet_split *splits; /* where its requests go */
+  int nsplits;                /* entries in splits, at least one */
+};
+
+/* A service as the operator declared it. */
+struct fleet_service
+{
+  char *name;              /* named by splits and endpoints */
+  char *model;             /* of its engines; NULL for a plain service */
+  char *health_path;       /* asked for its health */
+  int64_t max_connections; /* one endpoint takes, from all VMs */
+  int64_t slots;           /* requests an engine runs at once, 0 if unknown */
+  int64_t memory_tokens;   /* an engine's KV cache, 0 if unknown */
+  char *store_address;     /* IP:PORT if it is a store of kept KV cache */
+};
+
+struct fleet_workspace
+{
+  char *name;    /* told to endpoints */
+  int priority;  /* goes before the route's; -1 if it has none */
+  bool isolated; /* shares no cached work with others */
+};
+
+/* Bounds on what a caller may send. */
+struct fleet_limits
+{
+  int64_t body_bytes; /* of one request */
+  int64_t idle_us;    /* a connection without a request */
+};
+
+/* One configuration; immutable once built, shared by reference. */
+struct fleet_conf
+{
+  int refs;              /* holders */
+  int64_t version;       /* the operator's number; grows */
+  GPtrArray *routes;     /* struct fleet_route */
+  GHashTable *services;  /* name to struct fleet_service */
+  GPtrArray *workspaces; /* struct fleet_workspace */
+  GHashTable *keys;      /* key to struct fleet_workspace */
+  GHashTable *hosts;     /* host to GPtrArray of routes, longest first */
+  struct fleet_limits limits;
+};
+
+struct fleet_conf *fleet_conf_new (void);
+/* Build the index after routes were added. */
+void fleet_conf_seal (struct fleet_conf *c);
+struct fleet_conf *fleet_conf_ref (struct fleet_conf *c);
+void fleet_conf_unref (struct fleet_conf *c);
+void fleet_route_free (struct fleet_route *r);
+void fleet_service_free (struct fleet_service *s);
+void fleet_workspace_free (struct fleet_workspace *w);
+
+/* Route of a request, or NULL; PATH may end in a query. */
+const struct fleet_route *fleet_route_find (const struct fleet_conf *c,
+                                            const char *host,
+                                            const char *path);
+/* Service that gets the request with this digest. */
+const char *fleet_split_pick (const struct fleet_route *r, uint64_t digest);
+
+/* --- endpoints ------------------------------------------------------- */
+
+#define FLEET_NAME_SIZE 64 /* bytes of an id, address or name with its NUL */
+
+/* An endpoint as the platform lists it. */
+struct fleet_listing
+{
+  char id[FLEET_NAME_SIZE];      /* one life of one endpoint */
+  char address[FLEET_NAME_SIZE]; /* IP:PORT */
+  char service[FLEET_NAME_SIZE]; /* that it serves */
+  char domain[FLEET_NAME_SIZE];  /* failure domain */
+  char model[FLEET_NAME_SIZE];   /* whose weights it has; "" if plain */
+  int64_t version;               /* of these weights */
+  int slots;                     /* requests it runs at once */
+  bool draining;                 /* it is leaving */
+};
+
+/* Running state of an endpoint on this VM. */
+struct fleet_endpoint
+{
+  APR_RING_ENTRY (fleet_endpoint) link; /* in the fleet's list */
+  struct fleet_listing is;              /* last listing */
+  int refs;                             /* the list, and requests at it */
+  bool draining;         /* sticky: some source said that it leaves */
+  bool gone;             /* it is listed no more */
+  int64_t missing_us;    /* missing since, while that is doubted; or 0 */
+  int64_t version;       /* weights by its last word on any channel */
+  int running;           /* our requests at it */
+  int reported;          /* requests it runs and holds, by its report */
+  int64_t reported_us;   /* when it said so; 0 for never */
+  int sent_since;        /* our sends since then, less our ends */
+  int failures;          /* in a row */
+  int64_t rest_until_us; /* gets nothing until then, after failures */
+  int64_t full_until_us; /* it refused for want of room: last choice */
+  int64_t reload_us;     /* when its weights were ordered, 0 if not */
+};
+
+/* --- beliefs --------------------------------------------------------- */
+
+/* A weight version that was named for a model. */
+struct fleet_wanted
+{
+  char model[FLEET_NAME_SIZE]; /* model */
+  int64_t version;             /* newest version named */
+  int64_t row;                 /* change that named it */
+  int64_t heard_us;            /* when this VM heard */
+};
+
+struct fleet
+{
+  struct fleet_conf *conf; /* in force; NULL while none is known */
+  int64_t conf_row;        /* change that brought it */
+  APR_RING_HEAD (fleet_ring, fleet_endpoint) endpoints; /* all listed */
+  GHashTable *by_id;  /* id to struct fleet_endpoint */
+  bool listed;        /* endpoints were listed once */
+  GArray *wanted;     /* struct fleet_wanted */
+  int64_t fresh_us;   /* the configuration was current then; 0: never */
+  int64_t listed_us;  /* the list of endpoints was current then */
+  int64_t back_us;    /* the list could be read again since */
+  int64_t old_max_us; /* old weights take work this long after newer ones
+                         were named; 0 for ever */
+};
+
+void fleet_init (struct fleet *f);
+void fleet_clear (struct fleet *f);
+
+/* Take over a configuration read in change ROW; false if it is not newer. */
+bool fleet_take_conf (struct fleet *f, struct fleet_conf *c, int64_t row);
+
+/* A named weight version; false if it is not newer. */
+bool fleet_take_wanted (struct fleet *f, const char *model, int64_t version,
+                        int64_t row, int64_t now_us);
+const struct fleet_wanted *fleet_wanted_of (const struct fleet *f,
+                                            const char *model);
+
+/* An endpoint is listed, or listed in another way. */
+struct fleet_endpoint *fleet_take_listing (struct fleet *f,
+                                           const struct fleet_listing *l);
+
+/* An entry was removed, or is not in a whole list. */
+void fleet_take_missing (struct fleet *f, struct fleet_endpoint *e,
+                         int64_t now_us);
+
+/* Drop the entries whose return has been waited for long enough. */
+void fleet_sweep (struct fleet *f, int64_t now_us);
+
+/* Contact with the list of endpoints was lost until NOW_US. */
+void fleet_list_back (struct fleet *f, int64_t now_us);
+
+struct fleet_endpoint *fleet_endpoint_ref (struct fleet_endpoint *e);
+void fleet_endpoint_unref (struct fleet_endpoint *e);
+
+/* Age of the knowledge of configuration; INT64_MAX if there is none. */
+int64_t fleet_age_us (const struct fleet *f, int64_t now_us);
+
+/* --- choice of an endpoint (pick.c) ---------------------------------- */
+
+#define PICK_EXCLUDE_MAX 8 /* endpoints that one request has tried */
+
+struct pick_query
+{
+  const char *service;  /* asked for */
+  const char *domain;   /* of this VM */
+  const char *affinity; /* part of the prompt to find again, or NULL */
+  const struct fleet_endpoint *exclude[PICK_EXCLUDE_MAX]; /* tried before */
+  int nexclude;    /* entries in exclude */
+  uint64_t random; /* breaks ties */
+};
+
+enum pick_code
+{
+  PICK_CHOSEN,
+  PICK_NONE,       /* the service has no endpoint */
+  PICK_RESTING,    /* all failed lately, or were tried */
+  PICK_OLD_WEIGHTS /* only endpoints that still have old weights */
+};
+
+struct pick_choice
+{
+  enum pick_code code;             /* whether, or why not */
+  struct fleet_endpoint *endpoint; /* chosen */
+  int candidates;                  /* endpoints that could be chosen */
+  int load;                        /* expected requests at the chosen one */
+  int crowded;                     /* endpoints passed over for load */
+  int64_t version;                 /* weights it is believed to have */
+};
+
+struct pick_choice pick_endpoint (const struct fleet *f,
+                                  const struct pick_query *q, int64_t now_us);
+const char *pick_code_name (enum pick_code code);
+
+/* Requests expected at E now. */
+int pick_load (const struct fleet_endpoint *e, int64_t now_us);
+
+/* What an endpoint's answers say. */
+void pick_sent (struct fleet_endpoint *e);
+void pick_ended (struct fleet_endpoint *e);
+void pick_reported (struct fleet_endpoint *e, int running, int64_t now_us);
+void pick_worked (struct fleet_endpoint *e);
+void pick_failed (struct fleet_endpoint *e, int64_t now_us);
+void pick_refused (struct fleet_endpoint *e, int64_t now_us);
+
+/* Whether E waits for its turn of a change of weights, or is in it. */
+bool pick_reloading (const struct fleet *f, const struct fleet_endpoint *e,
+                     int64_t now_us);
+
+#endif
--- /dev/null
+++ b/follow.c
@@ -0,0 +1,340 @@
+/* Following what the platform says. */
+#include "follow.h"
+
+#include <string.h>
+
+#include "decide.h"
+#include "log.h"
+
+/*
+ * Longest poll.  An answer proves that what is known was current when it was
+ * asked for, so the wait is also how old knowledge gets in calm: it must stay
+ * well under the bound past which keys count for nothing (seconds).
+ */
+#define OPERATOR_WAIT_US (1300 * CQ_US_PER_MS)
+#define ENDPOINTS_WAIT_US (2000 * CQ_US_PER_MS)
+/* For an answer to come, over the wait: sixty times the platform's usual
+   4 ms, twice, and a reconnect. */
+#define ANSWER_US (700 * CQ_US_PER_MS)
+#define READ_US (900 * CQ_US_PER_MS)
+/* Pauses after a failed call, doubled up to the longest, with as much again
+   at random: all VMs lose the platform at one moment, and must not return at
+   one moment. */
+#define PAUSE_FIRST_US (60 * CQ_US_PER_MS)
+#define PAUSE_MAX_US (500 * CQ_US_PER_MS)
+/* Entries of live endpoints lapse only after an outage longer than this. */
+#define OUTAGE_US (1000 * CQ_US_PER_MS)
+
+static const char *const source_names[FOLLOW_SOURCES] = {
+  [FOLLOW_OPERATOR] = "operator",
+  [FOLLOW_ENDPOINTS] = "endpoints",
+};
+
+static const int64_t waits[FOLLOW_SOURCES] = {
+  [FOLLOW_OPERATOR] = OPERATOR_WAIT_US,
+  [FOLLOW_ENDPOINTS] = ENDPOINTS_WAIT_US,
+};
+
+/* One source that is followed. */
+struct stream
+{
+  struct follow *follow;     /* whose */
+  enum follow_source source; /* which */
+  bool known;                /* read once, and history goes on from there */
+  int64_t version;           /* to ask for changes after */
+  int64_t asked_us;          /* when the call under way was sent */
+  bool reading;              /* that call reads all */
+  int64_t lost_us;           /* calls fail since then; 0 if they do not */
+  int64_t pause_us;          /* after the next failure */
+  struct loop_timer timer;   /* ends a pause */
+  bool busy;                 /* a call is under way */
+};
+
+struct follow
+{
+  struct follow_opts opts;               /* as made */
+  struct stream streams[FOLLOW_SOURCES]; /* by source */
+  GRand *rand;                           /* for pauses */
+  bool stopped;                          /* asks nothing more */
+};
+
+static void ask (struct stream *s, int64_t now_us);
+
+/* --- taking news ----------------------------------------------------- */
+
+static void
+take_conf (struct fleet *f, struct news_item *it)
+{
+  int64_t old = f->conf != NULL ? f->conf->version : 0;
+  int64_t new = it->conf->version;
+  guint routes = it->conf->routes->len;
+  bool taken = fleet_take_conf (f, it->conf, it->row);
+
+  log_event (LOG_LEVEL_INFO, "conf",
+             "outcome=%s conf=%" G_GINT64_FORMAT " before=%" G_GINT64_FORMAT
+             " row=%" G_GINT64_FORMAT " routes=%u",
+             taken ? "in_force" : "older", (gint64) new, (gint64)old,
+             (gint64)it->row, routes);
+}
+
+static void
+take_wanted (struct fleet *f, const struct news_item *it, int64_t now_us)
+{
+  if (fleet_take_wanted (f, it->model, it->version, it->row, now_us))
+    log_event (LOG_LEVEL_INFO, "weights_named",
+               "model=%s version=%" G_GINT64_FORMAT " row=%" G_GINT64_FORMAT,
+               it->model, (gint64)it->version, (gint64)it->row);
+}
+
+static void
+take_endpoint (struct fleet *f, const struct news_item *it)
+{
+  struct fleet_endpoint *old = g_hash_table_lookup (f->by_id, it->listing.id);
+  bool known = old != NULL;
+  bool draining = known && old->draining;
+  int64_t version = known ? old->version : 0;
+  struct fleet_endpoint *e = fleet_take_listing (f, &it->listing);
+
+  if (!known || draining != e->draining || version != e->version)
+    log_event (LOG_LEVEL_INFO, "endpoint",
+               "endpoint=%s outcome=%s service=%s address=%s domain=%s "
+               "version=%" G_GINT64_FORMAT " row=%" G_GINT64_FORMAT,
+               e->is.id, e->draining ? "draining" : "ready", e->is.service,
+               e->is.address, e->is.domain, (gint64)e->version,
+               (gint64)it->row);
+}
+
+static void
+take_removed (struct fleet *f, struct fleet_endpoint *e, int64_t now_us)
+{
+  log_event (LOG_LEVEL_INFO, "endpoint",
+             "endpoint=%s outcome=removed service=%s running=%d", e->is.id,
+             e->is.service, e->running);
+  fleet_take_missing (f, e, now_us);
+}
+
+static void
+take_item (struct fleet *f, struct news_item *it, int64_t now_us)
+{
+  struct fleet_endpoint *e;
+
+  switch (it->kind)
+    {
+    case NEWS_CONF:
+      take_conf (f, it);
+      it->conf = NULL;
+      break;
+    case NEWS_WANTED:
+      take_wanted (f, it, now_us);
+      break;
+    case NEWS_ENDPOINT:
+      take_endpoint (f, it);
+      break;
+    case NEWS_REMOVED:
+      e = g_hash_table_lookup (f->by_id, it->listing.id);
+      if (e != NULL)
+        take_removed (f, e, now_us);
+      break;
+    }
+}
+
+static bool
+is_in_news (const struct news *n, const char *id)
+{
+  const struct news_item *it;
+  guint i;
+
+  for (i = 0; i < n->items->len; i++)
+    {
+      it = &g_array_index (n->items, struct news_item, i);
+      if (it->kind == NEWS_ENDPOINT && strcmp (it->listing.id, id) == 0)
+        return true;
+    }
+  return false;
+}
+
+/* What a whole list does not hold was removed unseen. */
+static void
+take_absent (struct fleet *f, const struct news *n, int64_t now_us)
+{
+  struct fleet_endpoint *e, *next;
+
+  for (e = APR_RING_FIRST (&f->endpoints);
+       e != APR_RING_SENTINEL (&f->endpoints, fleet_endpoint, link); e = next)
+    {
+      next = APR_RING_NEXT (e, link);
+      if (!is_in_news (n, e->is.id) && e->missing_us == 0)
+        take_removed (f, e, now_us);
+    }
+}
+
+static void
+take_news (struct stream *s, const struct news *n, int64_t now_us)
+{
+  struct fleet *f = s->follow->opts.fleet;
+  guint i;
+
+  for (i = 0; i < n->items->len; i++)
+    take_item (f, &g_array_index (n->items, struct news_item, i), now_us);
+  if (s->reading && s->source == FOLLOW_ENDPOINTS)
+    {
+      take_absent (f, n, now_us);
+      f->listed = true;
+    }
+  if (s->source == FOLLOW_OPERATOR)
+    f->fresh_us = s->asked_us;
+  else
+    f->listed_us = s->asked_us;
+  if (n->version > s->version)
+    s->version = n->version;
+  s->known = true;
+}
+
+/* --- calls ----------------------------------------------------------- */
+
+static void
+note_back (struct stream *s, int64_t now_us)
+{
+  if (s->lost_us == 0)
+    return;
+  log_event (LOG_LEVEL_INFO, "platform",
+             "source=%s outcome=regained lost_us=%" G_GINT64_FORMAT,
+             source_names[s->source], (gint64)(now_us - s->lost_us));
+  if (s->source == FOLLOW_ENDPOINTS && now_us - s->lost_us > OUTAGE_US)
+    fleet_list_back (s->follow->opts.fleet, now_us);
+  s->lost_us = 0;
+  s->pause_us = PAUSE_FIRST_US;
+}
+
+static void
+note_lost (struct stream *s, enum news_code code, int64_t now_us)
+{
+  if (s->lost_us == 0)
+    {
+      log_event (LOG_LEVEL_WARNING, "platform",
+                 "source=%s outcome=lost "
+                 "reason=%s",
+                 source_names[s->source],
+                 code == NEWS_REFUSED ? "refused" : "silent");
+      /* It may have been gone since the call was sent. */
+      s->lost_us = s->asked_us;
+    }
+  /* Only a whole read tells for certain what is current after a fault. */
+  s->known = false;
+  loop_arm (s->follow->opts.loop, &s->timer,
+            now_us + s->pause_us
+                + (int64_t)g_rand_int_range (s->follow->rand, 0,
+                                             (gint32)s->pause_us));
+  if (s->pause_us < PAUSE_MAX_US)
+    s->pause_us *= 2;
+}
+
+static void
+on_news (void *arg, const struct news *n)
+{
+  struct stream *s = arg;
+  struct follow *f = s->follow;
+  int64_t now = loop_now_us ();
+
+  s->busy = false;
+  if (f->stopped)
+    return;
+  if (n->code == NEWS_HISTORY_LOST)
+    {
+      s->known = false;
+      ask (s, now);
+      return;
+    }
+  if (n->code != NEWS_OK)
+    {
+      note_lost (s, n->code, now);
+      return;
+    }
+  note_back (s, now);
+  take_news (s, n, now);
+  if (f->opts.changed != NULL)
+    f->opts.changed (f->opts.arg, now);
+  ask (s, now);
+}
+
+static void
+ask (struct stream *s, int64_t now_us)
+{
+  const struct follow_ops *o = &s->follow->opts.ops;
+  int64_t wait = waits[s->source];
+
+  if (s->busy || s->follow->stopped)
+    return;
+  s->busy = true;
+  s->asked_us = now_us;
+  s->reading = !s->known;
+  if (s->reading)
+    o->read (o->ctx, s->source, READ_US, on_news, s);
+  else
+    o->changes (o->ctx, s->source, s->version, wait, wait + ANSWER_US, on_news,
+                s);
+}
+
+static void
+on_timer (void *arg, int64_t now_us)
+{
+  ask (arg, now_us);
+}
+
+/* --- life ------------------------------------------------------------ */
+
+struct follow *
+follow_new (const struct follow_opts *opts)
+{
+  struct follow *f = g_new0 (struct follow, 1);
+  int i;
+
+  f->opts = *opts;
+  f->rand = g_rand_new_with_seed ((guint32)opts->seed);
+  for (i = 0; i < FOLLOW_SOURCES; i++)
+    {
+      f->streams[i].follow = f;
+      f->streams[i].source = (enum follow_source)i;
+      f->streams[i].pause_us = PAUSE_FIRST_US;
+      f->streams[i].timer.fire = on_timer;
+      f->streams[i].timer.arg = &f->streams[i];
+    }
+  return f;
+}
+
+void
+follow_start (struct follow *f)
+{
+  int i;
+
+  for (i = 0; i < FOLLOW_SOURCES; i++)
+    ask (&f->streams[i], loop_now_us ());
+}
+
+void
+follow_stop (struct follow *f)
+{
+  int i;
+
+  f->stopped = true;
+  for (i = 0; i < FOLLOW_SOURCES; i++)
+    loop_disarm (&f->streams[i].timer);
+}
+
+int
+follow_waiting (const struct follow *f)
+{
+  int n = 0;
+  int i;
+
+  for (i = 0; i < FOLLOW_SOURCES; i++)
+    n += f->streams[i].busy;
+  return n;
+}
+
+void
+follow_free (struct follow *f)
+{
+  g_rand_free (f->rand);
+  g_free (f);
+}
--- a/hin.c
+++ b/hin.c
@@ -217,16 +217,28 @@
   return r;
 }
 
-static void
-drop_body (struct req *r)
+GString *
+req_take_body (struct req *r)
 {
-  struct server *s = r->worker->server;
+  GString *body = r->body;
 
-  if (r->body == NULL)
-    return;
-  __atomic_fetch_sub (&s->body_bytes, (int64_t)r->body->len, __ATOMIC_RELAXED);
-  g_string_free (r->body, TRUE);
   r->body = NULL;
+  return body;
+}
+
+void
+req_free_body (struct server *s, GString *body)
+{
+  if (body == NULL)
+    return;
+  __atomic_fetch_sub (&s->body_bytes, (int64_t)body->len, __ATOMIC_RELAXED);
+  g_string_free (body, TRUE);
+}
+
+static void
+drop_body (struct req *r)
+{
+  req_free_body (r->worker->server, req_take_body (r));
 }
 
 static void
--- a/libserver.h
+++ b/libserver.h
@@ -29,6 +29,7 @@
 
 struct claims;
 struct conf;
+struct entry;
 struct history;
 struct job;
 struct kept;
@@ -97,6 +98,7 @@
   struct table_ops table;       /* adapter, on the first worker's thread */
   struct worker *workers;       /* all workers */
   int nworkers;                 /* their number */
+  apr_pool_t *pool;             /* lives as long as the server */
   int listen_fd;                /* shared by the workers */
   int phase;                    /* enum phase; atomic */
   int live;                     /* jobs of all workers; atomic */
@@ -114,6 +116,7 @@
   struct history *history;      /* finished requests */
   struct claims *claims;        /* NULL without a table */
   struct kept *kept;            /* kept work; guarded by route_lock */
+  struct entry *entry;          /* requests that are passed on, or NULL */
   struct poller *poller;        /* asks endpoints for load reports */
   int64_t started_us;           /* when the process started */
 };
@@ -126,6 +129,9 @@
 
 enum phase server_phase (struct server *s);
 
+/* Listen on ADDRESS; the descriptor, or -1 after a log line. */
+int server_listen (struct server *s, const char *address);
+
 /* Settings in force; valid on the calling thread until it returns to its loop
    (and for OLD_CFG_US after they were replaced). */
 struct cfg *server_cfg (struct server *s);
@@ -262,6 +268,9 @@
 
 const char *req_header (struct req *r, const char *name);
 void req_each_header (struct req *r, req_header_fn fn, void *arg);
+/* Take over the body, which counts as held until it is freed. */
+GString *req_take_body (struct req *r);
+void req_free_body (struct server *s, GString *body);
 void req_set_idle (struct req *r, unsigned idle_s);
 void req_respond (struct req *r, int status, const char *const *lines,
                   const char *body, size_t len);
--- /dev/null
+++ b/pick.c
@@ -0,0 +1,321 @@
+/* Choice of an endpoint for a request that is passed on as it is. */
+#include "fleet.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* A failed endpoint rests this long, doubled with each further failure: a
+   restart takes about a second, and a look costs one request. */
+#define REST_FIRST_US INT64_C (300000)
+#define REST_MAX_US INT64_C (4000000)
+/* Failures in a row before it rests: one may be the request's own. */
+#define FAILURES_MAX 2
+/* It refused for want of room: places come free within some tens of ms. */
+#define FULL_US INT64_C (150000)
+/* A report older than this says little about requests of some hundred ms. */
+#define REPORT_MAX_US INT64_C (1000000)
+/* A request leaves its sticky endpoint when that has a quarter more than the
+   mean load, and some: the bound of consistent hashing with bounded loads. */
+#define BOUND_PERCENT 125
+#define BOUND_SPARE 3
+/* Endpoints that change weights at once; two load fastest each. */
+#define RELOAD_WIDTH 2
+/* An order whose effect never shows is taken for lost. */
+#define RELOAD_MAX_US INT64_C (6000000)
+
+const char *
+pick_code_name (enum pick_code code)
+{
+  static const char *const names[] = {
+    [PICK_CHOSEN] = "chosen",
+    [PICK_NONE] = "no_endpoint",
+    [PICK_RESTING] = "all_failed",
+    [PICK_OLD_WEIGHTS] = "old_weights",
+  };
+
+  return names[code];
+}
+
+/* --- what answers say ------------------------------------------------ */
+
+void
+pick_sent (struct fleet_endpoint *e)
+{
+  e->running++;
+  e->sent_since++;
+}
+
+void
+pick_ended (struct fleet_endpoint *e)
+{
+  e->running--;
+  e->sent_since--;
+}
+
+void
+pick_reported (struct fleet_endpoint *e, int running, int64_t now_us)
+{
+  e->reported = running;
+  e->reported_us = now_us;
+  e->sent_since = 0;
+}
+
+void
+pick_worked (struct fleet_endpoint *e)
+{
+  e->failures = 0;
+  e->rest_until_us = 0;
+}
+
+void
+pick_failed (struct fleet_endpoint *e, int64_t now_us)
+{
+  int64_t rest = REST_FIRST_US;
+  int i;
+
+  e->failures++;
+  if (e->failures < FAILURES_MAX)
+    return;
+  for (i = FAILURES_MAX; i < e->failures && rest < REST_MAX_US; i++)
+    rest *= 2;
+  e->rest_until_us = now_us + rest;
+}
+
+void
+pick_refused (struct fleet_endpoint *e, int64_t now_us)
+{
+  e->full_until_us = now_us + FULL_US;
+}
+
+int
+pick_load (const struct fleet_endpoint *e, int64_t now_us)
+{
+  int load = e->reported + e->sent_since;
+
+  if (e->reported_us == 0 || now_us - e->reported_us > REPORT_MAX_US)
+    return e->running;
+  return load > e->running ? load : e->running;
+}
+
+/* --- weights --------------------------------------------------------- */
+
+static uint64_t
+order_of (const struct fleet_endpoint *e)
+{
+  return XXH3_64bits (e->is.id, strlen (e->is.id));
+}
+
+static bool
+is_old (const struct fleet *f, const struct fleet_endpoint *e)
+{
+  const struct fleet_wanted *w;
+
+  if (e->is.model[0] == '\0')
+    return false;
+  w = fleet_wanted_of (f, e->is.model);
+  return w != NULL && e->version < w->version;
+}
+
+/* Whether E's weights are so old that no request may begin on them. */
+static bool
+too_old (const struct fleet *f, const struct fleet_endpoint *e, int64_t now_us)
+{
+  return f->old_max_us > 0 && is_old (f, e)
+         && now_us - fleet_wanted_of (f, e->is.model)->heard_us
+                >= f->old_max_us;
+}
+
+/*
+ * Endpoints change weights in the order of their ids' digests, a few at a
+ * time.  Every VM knows ids and versions, so all of them find the same ones
+ * without a message, and send their work elsewhere before the order comes.
+ */
+bool
+pick_reloading (const struct fleet *f, const struct fleet_endpoint *e,
+                int64_t now_us)
+{
+  const struct fleet_endpoint *o;
+  int before = 0;
+
+  (void)now_us;
+  if (!is_old (f, e))
+    return false;
+  APR_RING_FOREACH (o, &f->endpoints, fleet_endpoint, link)
+  {
+    if (o != e && !o->draining && strcmp (o->is.model, e->is.model) == 0
+        && is_old (f, o) && order_of (o) < order_of (e))
+      before++;
+  }
+  return before < RELOAD_WIDTH;
+}
+
+/* --- choice ---------------------------------------------------------- */
+
+/* How much an endpoint is to be avoided, best first. */
+enum tier
+{
+  TIER_GOOD,
+  TIER_OLD,       /* answers made by old weights are worth less */
+  TIER_RELOADING, /* it is about to refuse */
+  TIER_FULL,      /* it refused just now */
+  TIER_NEVER
+};
+
+static bool
+excluded (const struct pick_query *q, const struct fleet_endpoint *e)
+{
+  int i;
+
+  for (i = 0; i < q->nexclude; i++)
+    if (q->exclude[i] == e)
+      return true;
+  return false;
+}
+
+static enum tier
+tier_of (const struct fleet *f, const struct pick_query *q,
+         const struct fleet_endpoint *e, int64_t now_us)
+{
+  if (e->draining || excluded (q, e) || now_us < e->rest_until_us
+      || too_old (f, e, now_us))
+    return TIER_NEVER;
+  if (now_us < e->full_until_us)
+    return TIER_FULL;
+  if (pick_reloading (f, e, now_us))
+    return TIER_RELOADING;
+  return is_old (f, e) ? TIER_OLD : TIER_GOOD;
+}
+
+/* What is known of the endpoints of the service before one is chosen. */
+struct survey
+{
+  int listed;     /* endpoints of the service that are not leaving */
+  int count;      /* that may be chosen */
+  enum tier best; /* lowest tier among them */
+  int in_tier;    /* endpoints of that tier */
+  int64_t load;   /* of these, in all */
+};
+
+static void
+survey_add (struct survey *s, enum tier tier, int load)
+{
+  s->count++;
+  if (tier < s->best)
+    {
+      s->best = tier;
+      s->in_tier = 0;
+      s->load = 0;
+    }
+  if (tier == s->best)
+    {
+      s->in_tier++;
+      s->load += load;
+    }
+}
+
+static struct survey
+look (const struct fleet *f, const struct pick_query *q, int64_t now_us)
+{
+  struct survey s = { .best = TIER_NEVER };
+  const struct fleet_endpoint *e;
+  enum tier tier;
+
+  APR_RING_FOREACH (e, &f->endpoints, fleet_endpoint, link)
+  {
+    if (strcmp (e->is.service, q->service) != 0)
+      continue;
+    s.listed += !e->draining;
+    tier = tier_of (f, q, e, now_us);
+    if (tier != TIER_NEVER)
+      survey_add (&s, tier, pick_load (e, now_us));
+  }
+  return s;
+}
+
+static uint64_t
+affinity_of (const struct pick_query *q, const struct fleet_endpoint *e)
+{
+  return XXH3_64bits_withSeed (q->affinity, strlen (q->affinity),
+                               order_of (e));
+}
+
+/* The endpoint where the affinity points, unless its load is over the bound;
+   then the next one. */
+static struct fleet_endpoint *
+choose_sticky (const struct fleet *f, const struct pick_query *q,
+               const struct survey *s, int64_t now_us,
+               struct pick_choice *choice)
+{
+  int64_t bound = s->load * BOUND_PERCENT / (100 * s->in_tier) + BOUND_SPARE;
+  struct fleet_endpoint *e, *best = NULL;
+  uint64_t score, high = 0;
+
+  APR_RING_FOREACH (e, &f->endpoints, fleet_endpoint, link)
+  {
+    if (strcmp (e->is.service, q->service) != 0
+        || tier_of (f, q, e, now_us) != s->best)
+      continue;
+    score = affinity_of (q, e);
+    if (pick_load (e, now_us) >= bound)
+      {
+        choice->crowded++;
+        continue;
+      }
+    if (best == NULL || score > high)
+      {
+        best = e;
+        high = score;
+      }
+  }
+  return best;
+}
+
+/* The least loaded one; of equals one in this failure domain, then any. */
+static struct fleet_endpoint *
+choose_least (const struct fleet *f, const struct pick_query *q,
+              const struct survey *s, int64_t now_us)
+{
+  struct fleet_endpoint *e, *best = NULL;
+  int64_t cost, low = 0;
+  uint64_t draw, best_draw = 0;
+
+  APR_RING_FOREACH (e, &f->endpoints, fleet_endpoint, link)
+  {
+    if (strcmp (e->is.service, q->service) != 0
+        || tier_of (f, q, e, now_us) != s->best)
+      continue;
+    cost = 2 * (int64_t)pick_load (e, now_us)
+           + (strcmp (e->is.domain, q->domain) != 0);
+    draw = order_of (e) ^ (q->random * UINT64_C (0x9E3779B97F4A7C15));
+    if (best == NULL || cost < low || (cost == low && draw < best_draw))
+      {
+        best = e;
+        low = cost;
+        best_draw = draw;
+      }
+  }
+  return best;
+}
+
+struct pick_choice
+pick_endpoint (const struct fleet *f, const struct pick_query *q,
+               int64_t now_us)
+{
+  struct pick_choice c = { .code = PICK_NONE };
+  struct survey s = look (f, q, now_us);
+
+  c.candidates = s.count;
+  if (s.count == 0)
+    {
+      c.code = s.listed > 0 ? PICK_RESTING : PICK_NONE;
+      return c;
+    }
+  if (q->affinity != NULL)
+    c.endpoint = choose_sticky (f, q, &s, now_us, &c);
+  if (c.endpoint == NULL)
+    c.endpoint = choose_least (f, q, &s, now_us);
+  c.code = PICK_CHOSEN;
+  c.load = pick_load (c.endpoint, now_us);
+  c.version = c.endpoint->version;
+  return c;
+}
--- a/settings.h
+++ b/settings.h
@@ -46,6 +46,7 @@
 
 const struct cfg_vm *cfg_vm (const struct cfg *cfg);
 const struct cfg_platform *cfg_platform (const struct cfg *cfg);
+const struct cfg_entry *cfg_entry (const struct cfg *cfg);
 
 /* Named groups, in the order of the files. */
 int cfg_count (const struct cfg *cfg, enum cfg_group_id group);
--- a/settings_gen.c
+++ b/settings_gen.c
@@ -91,6 +91,28 @@
     "Milliseconds a finished call waits for its answer to be recorded." },
 };
 
+static const struct cfg_key keys_entry[] = {
+  { "listen", CFG_ADDRESS, offsetof (struct cfg_entry, listen), "", 0, 0, NULL,
+    "Address and port for these requests; empty serves none." },
+  { "ready", CFG_ADDRESS, offsetof (struct cfg_entry, ready), "", 0, 0, NULL,
+    "Address and port where the balancer asks whether this VM is ready." },
+  { "store", CFG_ADDRESS, offsetof (struct cfg_entry, store), "", 0, 0, NULL,
+    "Address and port of the platform's metadata store." },
+  { "revoke_ms", CFG_INT, offsetof (struct cfg_entry, revoke_ms), "5000", 1000,
+    600000, NULL,
+    "Milliseconds after which a key that was taken away must open nothing." },
+  { "version_ms", CFG_INT, offsetof (struct cfg_entry, version_ms), "12000",
+    2000, 600000, NULL,
+    "Milliseconds after which no request may begin on weights older than "
+    "those named." },
+  { "retry_percent", CFG_INT, offsetof (struct cfg_entry, retry_percent), "10",
+    0, 100, NULL,
+    "Requests sent to a second endpoint, as a share of a service's "
+    "requests." },
+  { "retry_burst", CFG_INT, offsetof (struct cfg_entry, retry_burst), "4", 0,
+    10000, NULL, "Such requests allowed before any were earned." },
+};
+
 static const struct cfg_key keys_workspace[] = {
   { "removed", CFG_BOOL, offsetof (struct cfg_workspace, removed), "no", 0, 0,
     NULL, "Whether it is taken out of use." },
@@ -230,6 +252,8 @@
     "This VM and its place." },
   { "platform", false, keys_platform, 8, sizeof (struct cfg_platform),
     "The platform's services." },
+  { "entry", false, keys_entry, 7, sizeof (struct cfg_entry),
+    "Requests that come through a platform's balancer." },
   { "workspace", true, keys_workspace, 9, sizeof (struct cfg_workspace),
     "A customer of the system." },
   { "service", true, keys_service, 24, sizeof (struct cfg_service),
--- a/settings_gen.h
+++ b/settings_gen.h
@@ -75,6 +75,22 @@
                              to be recorded. */
 };
 
+/* Requests that come through a platform's balancer. */
+struct cfg_entry
+{
+  char *listen; /* Address and port for these requests; empty serves none. */
+  char *ready;  /* Address and port where the balancer asks whether this VM is
+                   ready. */
+  char *store;  /* Address and port of the platform's metadata store. */
+  int64_t revoke_ms; /* Milliseconds after which a key that was taken away must
+                        open nothing. */
+  int64_t version_ms;    /* Milliseconds after which no request may begin on
+                            weights older than those named. */
+  int64_t retry_percent; /* Requests sent to a second endpoint, as a share of a
+                            service's requests. */
+  int64_t retry_burst;   /* Such requests allowed before any were earned. */
+};
+
 /* A customer of the system. */
 struct cfg_workspace
 {
@@ -193,6 +209,7 @@
 {
   CFG_VM,
   CFG_PLATFORM,
+  CFG_ENTRY,
   CFG_WORKSPACE,
   CFG_SERVICE,
   CFG_ENDPOINT,
--- a/srv.c
+++ b/srv.c
@@ -1,5 +1,5 @@
 /* One VM: its tables, its workers, its start and its stop. */
-#include "libserver.h"
+#include "entry.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -90,6 +90,8 @@
 
   loop_run (w->loop);
   door_close (w->door);
+  if (w->index == 0 && w->server->entry != NULL)
+    entry_close_doors (w->server->entry);
   return NULL;
 }
 
@@ -181,10 +183,18 @@
   return g_strndup (address, n);
 }
 
-static bool
-listen_on (struct server *s, apr_pool_t *pool)
+static int
+listen_failed (const char *address)
 {
-  const char *address = cfg_vm (server_cfg (s))->listen;
+  log_event (LOG_LEVEL_ERROR, "listen", "address=%s error=\"%s\"", address,
+             strerror (errno));
+  return -1;
+}
+
+int
+server_listen (struct server *s, const char *address)
+{
+  apr_pool_t *pool = s->pool;
   apr_sockaddr_t *sa;
   apr_socket_t *sock;
   apr_port_t port = 0;
@@ -196,17 +206,16 @@
       || apr_socket_create (&sock, sa->family, SOCK_STREAM, APR_PROTO_TCP,
                             pool)
              != APR_SUCCESS)
-    return false;
+    return listen_failed (address);
   apr_socket_opt_set (sock, APR_SO_REUSEADDR, 1);
   apr_socket_opt_set (sock, APR_SO_NONBLOCK, 1);
   if (apr_socket_bind (sock, sa) != APR_SUCCESS
       || apr_socket_listen (sock, LISTEN_BACKLOG) != APR_SUCCESS)
-    return false;
+    return listen_failed (address);
   apr_os_sock_get (&fd, sock);
-  s->listen_fd = fd;
   log_event (LOG_LEVEL_INFO, "listen", "address=%s:%d workers=%d", host,
              port_of (fd), s->nworkers);
-  return true;
+  return fd;
 }
 
 /* --- stop ------------------------------------------------------------ */
@@ -241,6 +250,8 @@
 {
   struct server *s = arg;
 
+  if (s->entry != NULL)
+    entry_stop (s->entry);
   poller_stop (s->poller);
   kept_stop (s->kept);
   if (s->conf != NULL)
@@ -254,8 +265,10 @@
 {
   int i;
 
+  int polls = entry_waiting (s->entry);
+
   for (i = 0; i < s->nworkers; i++)
-    if (xfer_count (s->workers[i].pool) > 0)
+    if (xfer_count (s->workers[i].pool) > (i == 0 ? polls : 0))
       return false;
   return s->member == NULL || member_waiting (s->member) == 0;
 }
@@ -325,24 +338,56 @@
   sigemptyset (set);
   sigaddset (set, SIGTERM);
   sigaddset (set, SIGINT);
+  sigaddset (set, SIGHUP);
+}
+
+/* A VM's own settings count from its start; what changed in the files since
+   is checked and told, so that a fault shows before the next start. */
+static void
+check_files (struct server *s)
+{
+  g_autoptr (GError) err = NULL;
+  struct cfg *cfg = cfg_load (s->files[0], s->files[1], &err);
+
+  if (cfg == NULL)
+    log_event (LOG_LEVEL_ERROR, "reload", "outcome=faulty error=\"%s\"",
+               g_strchomp (err->message));
+  else
+    log_event (LOG_LEVEL_INFO, "reload", "outcome=checked");
+  cfg_free (cfg);
 }
 
 static void
-wait_for_signal (void)
+wait_for_signal (struct server *s)
 {
   sigset_t set;
   int sig;
 
   stop_signals (&set);
-  while (sigwait (&set, &sig) != 0)
-    continue;
-  log_event (LOG_LEVEL_INFO, "signal", "signal=%d", sig);
+  for (;;)
+    {
+      if (sigwait (&set, &sig) != 0)
+        continue;
+      log_event (LOG_LEVEL_INFO, "signal", "signal=%d", sig);
+      if (sig != SIGHUP)
+        return;
+      check_files (s);
+    }
 }
 
 /* --- run ------------------------------------------------------------- */
 
 static bool
-start (struct server *s, apr_pool_t *pool)
+init_entry (struct server *s)
+{
+  if (cfg_entry (server_cfg (s))->listen[0] == '\0')
+    return true;
+  s->entry = entry_new (&s->workers[0]);
+  return s->entry != NULL;
+}
+
+static bool
+start (struct server *s)
 {
   int i;
 
@@ -350,18 +395,15 @@
   g_mutex_init (&s->route_lock);
   adopt_settings (s, s->cfg);
   s->nworkers = (int)cfg_vm (server_cfg (s))->workers;
-  if (!listen_on (s, pool))
-    {
-      log_event (LOG_LEVEL_ERROR, "listen", "address=%s error=\"%s\"",
-                 cfg_vm (server_cfg (s))->listen, strerror (errno));
-      return false;
-    }
+  s->listen_fd = server_listen (s, cfg_vm (server_cfg (s))->listen);
+  if (s->listen_fd < 0)
+    return false;
   s->workers = g_new0 (struct worker, s->nworkers);
   for (i = 0; i < s->nworkers; i++)
     if (!init_worker (s, &s->workers[i], i))
       return false;
   init_platform (s);
-  if (!init_member (s))
+  if (!init_member (s) || !init_entry (s))
     return false;
   if (s->conf != NULL)
     conf_start (s->conf);
@@ -377,6 +419,7 @@
 {
   int i;
 
+  entry_free (s->entry);
   member_free (s->member);
   conf_free (s->conf);
   poller_free (s->poller);
@@ -406,23 +449,23 @@
 {
   struct server s = { .cfg = cfg, .started_us = loop_now_us () };
   const struct cfg_vm *vm = cfg_vm (cfg);
-  apr_pool_t *pool;
 
   s.files[0] = base;
   s.files[1] = overlay;
   log_open (vm->name, vm->domain, (enum log_level)vm->log_level);
   block_signals ();
   apr_initialize ();
-  apr_pool_create (&pool, NULL);
-  curl_global_init (CURL_GLOBAL_DEFAULT);
-  if (sodium_init () < 0 || !start (&s, pool))
+  apr_pool_create (&s.pool, NULL);
+  /* Nothing speaks TLS; its library would take memory for nothing. */
+  curl_global_init (CURL_GLOBAL_NOTHING);
+  if (sodium_init () < 0 || !start (&s))
     return EXIT_CODE_FAILED;
-  wait_for_signal ();
+  wait_for_signal (&s);
   drain_and_stop (&s);
   release (&s);
   cfg_free (s.cfg);
   curl_global_cleanup ();
   log_event (LOG_LEVEL_INFO, "exit", "code=0");
-  apr_pool_destroy (pool);
+  apr_pool_destroy (s.pool);
   return EXIT_CODE_OK;
 }
--- a/xfer.c
+++ b/xfer.c
@@ -3,11 +3,19 @@
 
 #include <curl/curl.h>
 #include <glib.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
 #include <strings.h>
 
 #define RECEIVE_BYTES 4096L  /* libcurl's receive buffer for each transfer */
 #define IDLE_CONNECTIONS 64L /* connections kept for reuse */
+/* Idle connections are used again for this long; other ends close theirs
+   after some seconds, and one that crosses our request costs a repeat. */
+#define IDLE_MAX_S 4L
+#define SILENCE_PROBE_S 1   /* seconds before the first probe, and between */
+#define SILENCE_PROBES 2    /* unanswered ones that end a connection */
+#define SILENCE_MAX_MS 2500 /* sent bytes that nobody confirms end it too */
 
 struct xfer_pool
 {
@@ -207,7 +215,8 @@
    * A reply that only the connection's end delimits looks whole when its
    * sender died half way, so it does not count as whole.
    */
-  end.whole = code == CURLE_OK && x->framed;
+  end.clean = code == CURLE_OK;
+  end.whole = end.clean && x->framed;
   end.error = code == CURLE_OK   ? ""
               : x->error[0] != 0 ? x->error
                                  : curl_easy_strerror (code);
@@ -239,6 +248,9 @@
   int i;
 
   curl_easy_setopt (e, CURLOPT_URL, o->url);
+  /* A target goes out byte by byte; a URL would be cleaned up on the way. */
+  if (o->target != NULL)
+    curl_easy_setopt (e, CURLOPT_REQUEST_TARGET, o->target);
   if (o->body != NULL)
     {
       curl_easy_setopt (e, CURLOPT_POST, 1L);
@@ -246,7 +258,16 @@
       curl_easy_setopt (e, CURLOPT_POSTFIELDSIZE_LARGE,
                         (curl_off_t)o->body_len);
     }
-  if (strcmp (o->method, o->body != NULL ? "POST" : "GET") != 0)
+  else if (strcmp (o->method, "POST") == 0)
+    {
+      curl_easy_setopt (e, CURLOPT_POST, 1L);
+      curl_easy_setopt (e, CURLOPT_POSTFIELDSIZE, 0L);
+    }
+  if (strcmp (o->method, "HEAD") == 0)
+    curl_easy_setopt (e, CURLOPT_NOBODY, 1L);
+  else if (strcmp (o->method, "POST") != 0 && strcmp (o->method, "GET") != 0)
+    curl_easy_setopt (e, CURLOPT_CUSTOMREQUEST, o->method);
+  else if (o->body != NULL && strcmp (o->method, "GET") == 0)
     curl_easy_setopt (e, CURLOPT_CUSTOMREQUEST, o->method);
   /* "Expect: 100-continue" would hold back long prompts for a round trip. */
   x->header = curl_slist_append (NULL, "Expect:");
@@ -255,6 +276,29 @@
   curl_easy_setopt (e, CURLOPT_HTTPHEADER, x->header);
 }
 
+/*
+ * A peer that lost power or is cut off answers nothing, and a connection may
+ * go silent for good while new ones work.  Neither shows by itself: the
+ * request would hang until its deadline.  Unanswered probes end it.
+ */
+static int
+set_socket (void *arg, curl_socket_t fd, curlsocktype purpose)
+{
+  static const int on = 1;
+  static const int idle_s = SILENCE_PROBE_S;
+  static const int probes = SILENCE_PROBES;
+  static const unsigned user_ms = SILENCE_MAX_MS;
+
+  (void)arg;
+  (void)purpose;
+  setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof idle_s);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &idle_s, sizeof idle_s);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_ms, sizeof user_ms);
+  return CURL_SOCKOPT_OK;
+}
+
 static void
 set_transport (struct xfer *x, const struct xfer_opts *o)
 {
@@ -266,6 +310,8 @@
   curl_easy_setopt (e, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (e, CURLOPT_BUFFERSIZE, RECEIVE_BYTES);
   curl_easy_setopt (e, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt (e, CURLOPT_SOCKOPTFUNCTION, set_socket);
+  curl_easy_setopt (e, CURLOPT_MAXAGE_CONN, IDLE_MAX_S);
   curl_easy_setopt (e, CURLOPT_CONNECTTIMEOUT_MS, (long)o->connect_timeout_ms);
   curl_easy_setopt (e, CURLOPT_TIMEOUT_MS, (long)o->timeout_ms);
   /*
--- a/xfer.h
+++ b/xfer.h
@@ -23,7 +23,8 @@
 struct xfer_end
 {
   bool handed_over;  /* the request was handed to a connection */
-  bool whole;        /* the reply arrived whole */
+  bool whole;        /* the reply arrived whole, and says where it ends */
+  bool clean;        /* it ended without an error, if need be by a close */
   bool stopped;      /* before_send or on_body stopped it */
   int status;        /* HTTP status, 0 if none arrived */
   const char *error; /* libcurl's words, "" if none */
@@ -57,6 +58,7 @@
 {
   const char *method;               /* GET, POST, PUT or DELETE */
   const char *url;                  /* http://IP:PORT/path */
+  const char *target;               /* sent in place of the URL's, or NULL */
   const char *const *headers;       /* "Name: value" lines, NULL-terminated */
   const char *body;                 /* must stay until the end; may be NULL */
   size_t body_len;                  /* bytes of body */
