Weights are ordered under a lease in the platform's store

Change: lease.c (pure) and orders.c: one VM orders at a time, stops by the latest time the store's clock may show, and a successor starts a pause after the earliest; each order names the endpoint's life and the number of orders it took, and one without an answer is read back. All VMs know from ids and versions which endpoints are next, keep them free of new work while orders are seen to be given, and prefer new weights under one bound on load for old and new together.

--- a/entry.c
+++ b/entry.c
@@ -11,6 +11,7 @@
 #define REVOKE_MARGIN_US (300 * CQ_US_PER_MS)
 /* Likewise for requests that begin on old weights. */
 #define VERSION_MARGIN_US (1500 * CQ_US_PER_MS)
+#define ORDER_GAP_SPARE_MS 150 /* orders travel, and clocks run unlike */
 #define SWEEP_US (500 * CQ_US_PER_MS) /* between looks at missing entries */
 #define READY_CONNECTIONS 16          /* the balancer needs one */
 #define READY_MEMORY 2048             /* bytes a connection */
@@ -24,6 +25,7 @@
   void *store;                 /* of the adapter */
   struct fleet fleet;          /* beliefs */
   struct follow *follow;       /* keeps them current */
+  struct orders *orders;       /* weights of endpoints */
   struct relays *relays;       /* requests under way */
   struct door *front;          /* callers */
   struct door *ready;          /* the balancer */
@@ -99,11 +101,35 @@
   return seed;
 }
 
+static void
+on_changed (void *arg, int64_t now_us)
+{
+  struct entry *e = arg;
+
+  orders_look (e->orders, now_us);
+}
+
+static void
+make_orders (struct entry *e)
+{
+  const struct cfg_vm *vm = cfg_vm (e->settings);
+  struct orders_opts o = { .loop = e->worker->loop, .fleet = &e->fleet };
+
+  entry_adapter.orders_ops (e->store, &o.ops);
+  o.vm = vm->name;
+  o.gap_us = (e->cfg->order_gap_ms + ORDER_GAP_SPARE_MS) * CQ_US_PER_MS;
+  o.seed = seed_of (vm);
+  e->orders = orders_new (&o);
+}
+
 static void
 start_following (struct entry *e)
 {
   struct follow_opts o = { .loop = e->worker->loop, .fleet = &e->fleet };
 
+  o.changed = on_changed;
+  o.arg = e;
+
   entry_adapter.follow_ops (e->store, &o.ops);
   o.seed = seed_of (cfg_vm (server_cfg (e->worker->server)));
   e->follow = follow_new (&o);
@@ -160,6 +186,7 @@
   if (!open_doors (e))
     return NULL;
   e->store = entry_adapter.open (w->pool, e->cfg->store);
+  make_orders (e);
   start_following (e);
   e->sweep.fire = on_sweep;
   e->sweep.arg = e;
@@ -169,9 +196,16 @@
 
 /* --- end ------------------------------------------------------------- */
 
+void
+entry_leave (struct entry *e)
+{
+  orders_stop (e->orders);
+}
+
 void
 entry_stop (struct entry *e)
 {
+  orders_stop (e->orders);
   follow_stop (e->follow);
   loop_disarm (&e->sweep);
 }
@@ -186,7 +220,9 @@
 int
 entry_waiting (const struct entry *e)
 {
-  return e == NULL ? 0 : follow_waiting (e->follow);
+  if (e == NULL)
+    return 0;
+  return follow_waiting (e->follow) + orders_waiting (e->orders);
 }
 
 void
@@ -195,6 +231,7 @@
   if (e == NULL)
     return;
   follow_free (e->follow);
+  orders_free (e->orders);
   relays_free (e->relays);
   fleet_clear (&e->fleet);
   entry_adapter.close (e->store);
--- a/entry.h
+++ b/entry.h
@@ -7,6 +7,7 @@
 
 #include "follow.h"
 #include "libserver.h"
+#include "orders.h"
 #include "relay.h"
 
 /* What a platform's adapter offers; all on the first worker's thread. */
@@ -16,6 +17,7 @@
   void *(*open) (struct xfer_pool *pool, const char *address);
   void (*close) (void *store);
   void (*follow_ops) (void *store, struct follow_ops *ops);
+  void (*orders_ops) (void *store, struct orders_ops *ops);
   void (*engine_ops) (struct relay_engine *ops, struct xfer_pool *pool);
   /* The door for callers. */
   struct door *(*door) (struct worker *w, int listen_fd, struct relays *relays,
@@ -29,6 +31,8 @@
 
 /* Start on W's loop; NULL if an address cannot be had. */
 struct entry *entry_new (struct worker *w);
+/* On W's thread: the VM is to stop, so others should do its duties. */
+void entry_leave (struct entry *e);
 /* On W's thread: ask the platform nothing more. */
 void entry_stop (struct entry *e);
 /* On W's thread, at its end. */
--- a/fleet.c
+++ b/fleet.c
@@ -243,26 +243,70 @@
   return find_wanted (f, model);
 }
 
+static void
+add_named (struct fleet_wanted *w, int64_t version, int64_t now_us)
+{
+  struct fleet_named n = { version, now_us };
+
+  if (w->nnamed == FLEET_NAMED_MAX)
+    memmove (w->named, w->named + 1, sizeof n * --w->nnamed);
+  w->named[w->nnamed++] = n;
+  w->version = version;
+  w->progress_us = 0;
+}
+
 bool
 fleet_take_wanted (struct fleet *f, const char *model, int64_t version,
-                   int64_t row, int64_t now_us)
+                   int64_t now_us)
 {
-  struct fleet_wanted new = { .version = version, .row = row };
+  struct fleet_wanted new = { .version = 0 };
   struct fleet_wanted *w = find_wanted (f, model);
 
   if (w != NULL && version <= w->version)
     return false;
-  g_strlcpy (new.model, model, sizeof new.model);
-  new.heard_us = now_us;
-  if (w != NULL)
-    *w = new;
-  else
-    g_array_append_val (f->wanted, new);
+  if (w == NULL)
+    {
+      g_strlcpy (new.model, model, sizeof new.model);
+      g_array_append_val (f->wanted, new);
+      w = find_wanted (f, model);
+    }
+  add_named (w, version, now_us);
   return true;
 }
 
+/* A second version may be named before the first is in place; each counts
+   from its own naming. */
+int64_t
+fleet_outdated_us (const struct fleet *f, const struct fleet_endpoint *e)
+{
+  const struct fleet_wanted *w;
+  int i;
+
+  if (e->is.model[0] == '\0')
+    return 0;
+  w = find_wanted (f, e->is.model);
+  for (i = 0; w != NULL && i < w->nnamed; i++)
+    if (w->named[i].version > e->version)
+      return w->named[i].heard_us;
+  return 0;
+}
+
+void
+fleet_take_version (struct fleet *f, struct fleet_endpoint *e, int64_t version,
+                    int64_t now_us)
+{
+  struct fleet_wanted *w = find_wanted (f, e->is.model);
+
+  if (version <= e->version)
+    return;
+  e->version = version;
+  if (w != NULL && version == w->version)
+    w->progress_us = now_us;
+}
+
 struct fleet_endpoint *
-fleet_take_listing (struct fleet *f, const struct fleet_listing *l)
+fleet_take_listing (struct fleet *f, const struct fleet_listing *l,
+                    int64_t now_us)
 {
   struct fleet_endpoint *e = g_hash_table_lookup (f->by_id, l->id);
 
@@ -276,8 +320,7 @@
       APR_RING_INSERT_TAIL (&f->endpoints, e, fleet_endpoint, link);
       g_hash_table_insert (f->by_id, e->is.id, e);
     }
-  if (l->version > e->version)
-    e->version = l->version;
+  fleet_take_version (f, e, l->version, now_us);
   /* The id is a key of the table, and equal. */
   e->is = *l;
   /* One life of an endpoint never takes its leaving back. */
--- a/fleet.h
+++ b/fleet.h
@@ -144,13 +144,23 @@
 
 /* --- beliefs --------------------------------------------------------- */
 
-/* A weight version that was named for a model. */
+#define FLEET_NAMED_MAX 8 /* versions remembered for a model */
+
+/* A weight version that was named. */
+struct fleet_named
+{
+  int64_t version;  /* its number */
+  int64_t heard_us; /* when this VM heard of it */
+};
+
+/* Weight versions named for a model, oldest first. */
 struct fleet_wanted
 {
-  char model[FLEET_NAME_SIZE]; /* model */
-  int64_t version;             /* newest version named */
-  int64_t row;                 /* change that named it */
-  int64_t heard_us;            /* when this VM heard */
+  char model[FLEET_NAME_SIZE];               /* model */
+  int64_t version;                           /* newest version named */
+  struct fleet_named named[FLEET_NAMED_MAX]; /* the newest ones */
+  int nnamed;                                /* entries in named */
+  int64_t progress_us; /* an endpoint reached the newest; 0 if none has */
 };
 
 struct fleet
@@ -176,13 +186,21 @@
 
 /* A named weight version; false if it is not newer. */
 bool fleet_take_wanted (struct fleet *f, const char *model, int64_t version,
-                        int64_t row, int64_t now_us);
+                        int64_t now_us);
+/* When this VM heard of the first version newer than E's; 0 if E's is the
+   newest. */
+int64_t fleet_outdated_us (const struct fleet *f,
+                           const struct fleet_endpoint *e);
+/* E said, on any channel, that it has VERSION. */
+void fleet_take_version (struct fleet *f, struct fleet_endpoint *e,
+                         int64_t version, int64_t now_us);
 const struct fleet_wanted *fleet_wanted_of (const struct fleet *f,
                                             const char *model);
 
 /* An endpoint is listed, or listed in another way. */
 struct fleet_endpoint *fleet_take_listing (struct fleet *f,
-                                           const struct fleet_listing *l);
+                                           const struct fleet_listing *l,
+                                           int64_t now_us);
 
 /* An entry was removed, or is not in a whole list. */
 void fleet_take_missing (struct fleet *f, struct fleet_endpoint *e,
@@ -247,6 +265,10 @@
 void pick_failed (struct fleet_endpoint *e, int64_t now_us);
 void pick_refused (struct fleet_endpoint *e, int64_t now_us);
 
+/* Whether A changes weights before B: an order that all VMs know. */
+bool pick_reload_before (const struct fleet_endpoint *a,
+                         const struct fleet_endpoint *b);
+
 /* Whether E waits for its turn of a change of weights, or is in it. */
 bool pick_reloading (const struct fleet *f, const struct fleet_endpoint *e,
                      int64_t now_us);
--- a/follow.c
+++ b/follow.c
@@ -80,20 +80,20 @@
 static void
 take_wanted (struct fleet *f, const struct news_item *it, int64_t now_us)
 {
-  if (fleet_take_wanted (f, it->model, it->version, it->row, now_us))
+  if (fleet_take_wanted (f, it->model, it->version, now_us))
     log_event (LOG_LEVEL_INFO, "weights_named",
                "model=%s version=%" G_GINT64_FORMAT " row=%" G_GINT64_FORMAT,
                it->model, (gint64)it->version, (gint64)it->row);
 }
 
 static void
-take_endpoint (struct fleet *f, const struct news_item *it)
+take_endpoint (struct fleet *f, const struct news_item *it, int64_t now_us)
 {
   struct fleet_endpoint *old = g_hash_table_lookup (f->by_id, it->listing.id);
   bool known = old != NULL;
   bool draining = known && old->draining;
   int64_t version = known ? old->version : 0;
-  struct fleet_endpoint *e = fleet_take_listing (f, &it->listing);
+  struct fleet_endpoint *e = fleet_take_listing (f, &it->listing, now_us);
 
   if (!known || draining != e->draining || version != e->version)
     log_event (LOG_LEVEL_INFO, "endpoint",
@@ -128,7 +128,7 @@
       take_wanted (f, it, now_us);
       break;
     case NEWS_ENDPOINT:
-      take_endpoint (f, it);
+      take_endpoint (f, it, now_us);
       break;
     case NEWS_REMOVED:
       e = g_hash_table_lookup (f->by_id, it->listing.id);
--- /dev/null
+++ b/lease.c
@@ -0,0 +1,58 @@
+/* A lease in the platform's store. */
+#include "lease.h"
+
+#include <string.h>
+
+#define US_PER_MS INT64_C (1000)
+/* An order takes some ms from its last look at the clock to its endpoint. */
+#define ORDER_TRAVEL_MS 100
+
+int64_t
+lease_earliest_ms (const struct lease_clock *c, int64_t now_us)
+{
+  return c->store_ms + (now_us - c->got_us) / US_PER_MS;
+}
+
+int64_t
+lease_latest_ms (const struct lease_clock *c, int64_t now_us)
+{
+  return c->store_ms + (now_us - c->sent_us) / US_PER_MS + 1;
+}
+
+/* "VM/LIFE": whether both are of one VM. */
+static bool
+same_vm (const char *a, const char *b)
+{
+  const char *slash = strchr (a, '/');
+  size_t n = slash != NULL ? (size_t)(slash - a) + 1 : strlen (a) + 1;
+
+  return strncmp (a, b, n) == 0;
+}
+
+bool
+lease_is_free (const struct lease_row *row, const char *holder,
+               const struct lease_clock *c, int64_t now_us)
+{
+  if (row == NULL || row->released || same_vm (row->holder, holder))
+    return true;
+  return lease_earliest_ms (c, now_us) >= row->expires_ms;
+}
+
+int64_t
+lease_begin_ms (const struct lease_row *row, const char *holder,
+                int64_t gap_ms)
+{
+  if (row == NULL || same_vm (row->holder, holder))
+    return 0;
+  if (!row->released)
+    return row->expires_ms + gap_ms;
+  return row->last_order_ms == 0 ? 0 : row->last_order_ms + gap_ms;
+}
+
+bool
+lease_may_order (int64_t begin_ms, int64_t expires_ms,
+                 const struct lease_clock *c, int64_t now_us)
+{
+  return c->store_ms > 0 && lease_earliest_ms (c, now_us) >= begin_ms
+         && lease_latest_ms (c, now_us) + ORDER_TRAVEL_MS < expires_ms;
+}
--- /dev/null
+++ b/lease.h
@@ -0,0 +1,54 @@
+/*
+ * A lease in the platform's store: which VM may give orders.
+ *
+ * Endpoints may not check fences, so safety rests on time: a holder stops
+ * before its lease ends by the latest time the store's clock may show, and a
+ * successor starts only when by the earliest time it may show the lease and
+ * a pause after it are over.  Everything here is pure.
+ */
+#ifndef CQ_LEASE_H
+#define CQ_LEASE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define LEASE_HOLDER_SIZE 96 /* bytes of a holder with its NUL */
+
+/* The lease as its row says, in the store's milliseconds. */
+struct lease_row
+{
+  char holder[LEASE_HOLDER_SIZE]; /* VM and life, "VM/LIFE" */
+  int64_t expires_ms;             /* its orders end before */
+  int64_t last_order_ms;          /* its latest known order, 0 for none */
+  bool released;                  /* it gives no more orders */
+};
+
+/* One reading of the store's clock. */
+struct lease_clock
+{
+  int64_t sent_us;  /* the call was sent */
+  int64_t got_us;   /* its answer came */
+  int64_t store_ms; /* what the store's clock showed in between; 0: never */
+};
+
+/* Bounds on the store's clock at NOW_US. */
+int64_t lease_earliest_ms (const struct lease_clock *c, int64_t now_us);
+int64_t lease_latest_ms (const struct lease_clock *c, int64_t now_us);
+
+/* Whether HOLDER may try to take the lease over; ROW is NULL if there is
+   none. */
+bool lease_is_free (const struct lease_row *row, const char *holder,
+                    const struct lease_clock *c, int64_t now_us);
+
+/* When orders may begin after taking over from ROW, in the store's
+   milliseconds: GAP_MS after the last one that the holder before may have
+   given.  A life of the same VM before this one is the same holder. */
+int64_t lease_begin_ms (const struct lease_row *row, const char *holder,
+                        int64_t gap_ms);
+
+/* Whether an order may leave now under a lease that ends at EXPIRES_MS and
+   may begin at BEGIN_MS. */
+bool lease_may_order (int64_t begin_ms, int64_t expires_ms,
+                      const struct lease_clock *c, int64_t now_us);
+
+#endif
--- /dev/null
+++ b/orders.c
@@ -0,0 +1,595 @@
+/* Orders to endpoints, under a lease. */
+#include "orders.h"
+
+#include <string.h>
+
+#include "decide.h"
+#include "log.h"
+
+/* A lease is short, since a successor waits for its end before the pause
+   between two holders; it is renewed early enough for a second try. */
+#define LEASE_MS 1600
+#define RENEW_LEFT_MS 1000
+/* Between looks while there is something to do. */
+#define LOOK_US (100 * CQ_US_PER_MS)
+/* The first VM to reach for the lease is drawn by a pause of up to this; the
+   others then see its row, or its work. */
+#define DRAW_MAX_US (400 * CQ_US_PER_MS)
+/* Others look at the lease only when no endpoint has changed for this long:
+   a load takes 1.3 s and more, after requests that run have ended. */
+#define PATIENCE_US (2500 * CQ_US_PER_MS)
+/* Between questions to an endpoint that carries out an order. */
+#define ASK_US (250 * CQ_US_PER_MS)
+/* An order whose effect does not show is read back, not sent again blindly;
+   after this long it may be sent again under the same number. */
+#define ORDER_MAX_US (2500 * CQ_US_PER_MS)
+/* An endpoint that does not answer is passed over for this long. */
+#define SKIP_US (800 * CQ_US_PER_MS)
+#define WIDTH 2      /* loads at once; more slow each other down */
+#define MAX_TASKS 64 /* endpoints looked at */
+
+enum task_phase
+{
+  TASK_IDLE,    /* nothing is known yet */
+  TASK_ASKING,  /* its state is asked for */
+  TASK_SENDING, /* an order is under way */
+  TASK_LOADING, /* it accepted an order */
+  TASK_SKIPPED  /* it did not answer */
+};
+
+/* One endpoint's change of weights. */
+struct task
+{
+  APR_RING_ENTRY (task) link;      /* in the list */
+  struct orders *orders;           /* whose */
+  struct fleet_endpoint *endpoint; /* a reference */
+  enum task_phase phase;           /* where it stands */
+  bool busy;                       /* a call is under way */
+  int64_t since_us;                /* in this phase */
+  int64_t asked_us;                /* when its state was asked for */
+  struct load_order order;         /* as sent */
+};
+
+struct orders
+{
+  struct orders_opts opts;               /* as made */
+  char holder[LEASE_HOLDER_SIZE];        /* this life of this VM */
+  struct loop_timer timer;               /* next look */
+  GRand *rand;                           /* for pauses */
+  bool stopped;                          /* gives no more orders */
+  bool held;                             /* the lease is this life's */
+  bool calling;                          /* a call about the lease is on */
+  bool writing;                          /* that call takes or renews it */
+  struct lease_row row;                  /* as written last */
+  int64_t row_version;                   /* of the row */
+  int64_t fence;                         /* row version when it was taken */
+  int64_t begin_ms;                      /* orders may begin, store's clock */
+  int64_t last_order_ms;                 /* of this holder, store's clock */
+  struct lease_clock clock;              /* last reading */
+  int64_t called_us;                     /* when the call was sent */
+  int64_t patient_us;                    /* reach for the lease at */
+  guint old;                             /* endpoints with old weights */
+  APR_RING_HEAD (task_ring, task) tasks; /* endpoints in hand */
+  int ntasks;                            /* their number */
+};
+
+static void look (struct orders *o, int64_t now_us);
+
+/* --- endpoints with old weights -------------------------------------- */
+
+static int64_t
+wanted_version (const struct orders *o, const struct fleet_endpoint *e)
+{
+  const struct fleet_wanted *w;
+
+  if (e->is.model[0] == '\0')
+    return 0;
+  w = fleet_wanted_of (o->opts.fleet, e->is.model);
+  return w != NULL ? w->version : 0;
+}
+
+static bool
+needs_order (const struct orders *o, const struct fleet_endpoint *e)
+{
+  return !e->draining && !e->gone && e->version < wanted_version (o, e);
+}
+
+static guint
+count_old (const struct orders *o)
+{
+  const struct fleet_endpoint *e;
+  guint n = 0;
+
+  APR_RING_FOREACH (e, &o->opts.fleet->endpoints, fleet_endpoint, link)
+  n += needs_order (o, e);
+  return n;
+}
+
+/* --- lease ----------------------------------------------------------- */
+
+static bool
+may_order (const struct orders *o, int64_t now_us)
+{
+  return o->held && !o->stopped
+         && lease_may_order (o->begin_ms, o->row.expires_ms, &o->clock,
+                             now_us);
+}
+
+static void
+read_clock (struct orders *o, const struct lease_reply *r, int64_t now_us)
+{
+  if (r->store_ms <= 0)
+    return;
+  o->clock.sent_us = o->called_us;
+  o->clock.got_us = now_us;
+  o->clock.store_ms = r->store_ms;
+}
+
+static void
+lose (struct orders *o, const char *reason)
+{
+  if (o->held)
+    log_event (LOG_LEVEL_WARNING, "lease",
+               "holder=%s outcome=lost reason=%s fence=%" G_GINT64_FORMAT,
+               o->holder, reason, (gint64)o->fence);
+  o->held = false;
+}
+
+/* The row is this life's now. */
+static void
+take (struct orders *o, const struct lease_reply *r)
+{
+  if (!o->held)
+    {
+      o->fence = r->version;
+      log_event (LOG_LEVEL_INFO, "lease",
+                 "holder=%s outcome=taken fence=%" G_GINT64_FORMAT
+                 " begin_ms=%" G_GINT64_FORMAT " store_ms=%" G_GINT64_FORMAT
+                 " expires_ms=%" G_GINT64_FORMAT,
+                 o->holder, (gint64)o->fence, (gint64)o->begin_ms,
+                 (gint64)r->store_ms, (gint64)o->row.expires_ms);
+    }
+  o->held = true;
+  o->row_version = r->version;
+}
+
+static void
+on_written (void *arg, const struct lease_reply *r)
+{
+  struct orders *o = arg;
+  int64_t now = loop_now_us ();
+
+  o->calling = false;
+  read_clock (o, r, now);
+  switch (r->code)
+    {
+    case LEASE_DONE:
+      if (!o->row.released)
+        take (o, r);
+      break;
+    case LEASE_CONFLICT:
+      lose (o, "taken_by_another");
+      break;
+    case LEASE_REFUSED:
+    case LEASE_UNKNOWN:
+      /* Until a read tells, what may have been written counts for nothing. */
+      lose (o, r->code == LEASE_REFUSED ? "refused" : "no_answer");
+      break;
+    }
+  if (!o->stopped)
+    look (o, now);
+}
+
+static void
+write_lease (struct orders *o, int64_t expected, bool release, int64_t now_us)
+{
+  g_strlcpy (o->row.holder, o->holder, sizeof o->row.holder);
+  o->row.expires_ms = release
+                          ? lease_earliest_ms (&o->clock, now_us)
+                          : lease_earliest_ms (&o->clock, now_us) + LEASE_MS;
+  o->row.last_order_ms = o->last_order_ms;
+  o->row.released = release;
+  o->calling = true;
+  o->called_us = now_us;
+  o->opts.ops.write_lease (o->opts.ops.ctx, &o->row, expected, on_written, o);
+}
+
+/* The row belongs to this life, though it did not hear so. */
+static bool
+is_ours (const struct orders *o, const struct lease_reply *r)
+{
+  return r->exists && !r->row.released
+         && strcmp (r->row.holder, o->holder) == 0;
+}
+
+static void
+on_read (void *arg, const struct lease_reply *r)
+{
+  struct orders *o = arg;
+  int64_t now = loop_now_us ();
+  const struct lease_row *row = r->exists ? &r->row : NULL;
+
+  o->calling = false;
+  if (o->stopped)
+    return;
+  o->patient_us = now + PATIENCE_US / 4
+                  + g_rand_int_range (o->rand, 0, (gint32)DRAW_MAX_US);
+  if (r->code != LEASE_DONE)
+    return;
+  read_clock (o, r, now);
+  if (!is_ours (o, r) && !lease_is_free (row, o->holder, &o->clock, now))
+    {
+      o->patient_us = now + PATIENCE_US;
+      return;
+    }
+  if (!is_ours (o, r))
+    {
+      o->begin_ms
+          = lease_begin_ms (row, o->holder, o->opts.gap_us / CQ_US_PER_MS);
+      o->last_order_ms = 0;
+    }
+  write_lease (o, r->exists ? r->version : 0, false, now);
+}
+
+static void
+reach_for_lease (struct orders *o, int64_t now_us)
+{
+  if (o->calling || now_us < o->patient_us)
+    return;
+  o->calling = true;
+  o->called_us = now_us;
+  o->opts.ops.read_lease (o->opts.ops.ctx, on_read, o);
+}
+
+/* Renew in time, and notice the end. */
+static void
+keep_lease (struct orders *o, int64_t now_us)
+{
+  int64_t left = o->row.expires_ms - lease_latest_ms (&o->clock, now_us);
+
+  if (left <= 0 && !o->calling)
+    lose (o, "expired");
+  else if (left < RENEW_LEFT_MS && !o->calling)
+    write_lease (o, o->row_version, false, now_us);
+}
+
+/* --- tasks ----------------------------------------------------------- */
+
+static void
+task_set (struct task *t, enum task_phase phase, int64_t now_us)
+{
+  t->phase = phase;
+  t->since_us = now_us;
+}
+
+static void
+task_free (struct task *t)
+{
+  APR_RING_REMOVE (t, link);
+  t->orders->ntasks--;
+  fleet_endpoint_unref (t->endpoint);
+  g_free (t);
+}
+
+static bool
+may_send (void *arg)
+{
+  struct task *t = arg;
+
+  return may_order (t->orders, loop_now_us ());
+}
+
+static void
+on_ordered (void *arg, enum order_code code)
+{
+  static const char *const names[] = {
+    [ORDER_ACCEPTED] = "accepted", [ORDER_HOLDS] = "holds",
+    [ORDER_BUSY] = "busy",         [ORDER_REJECTED] = "rejected",
+    [ORDER_UNKNOWN] = "unknown",
+  };
+  struct task *t = arg;
+  struct orders *o = t->orders;
+  int64_t now = loop_now_us ();
+
+  t->busy = false;
+  log_event (LOG_LEVEL_INFO, "order",
+             "endpoint=%s outcome=%s model=%s version=%" G_GINT64_FORMAT
+             " seq=%" G_GINT64_FORMAT " fence=%" G_GINT64_FORMAT,
+             t->endpoint->is.id, names[code], t->order.model,
+             (gint64)t->order.version, (gint64)t->order.seq,
+             (gint64)t->order.fence);
+  if (code == ORDER_HOLDS)
+    fleet_take_version (o->opts.fleet, t->endpoint, t->order.version, now);
+  if (code == ORDER_REJECTED)
+    task_set (t, TASK_SKIPPED, now);
+  else
+    task_set (t, TASK_LOADING, now);
+  look (o, now);
+}
+
+static void
+send_order (struct task *t, int64_t seq, int64_t now_us)
+{
+  struct orders *o = t->orders;
+  int64_t at;
+
+  t->order.model = t->endpoint->is.model;
+  t->order.version = wanted_version (o, t->endpoint);
+  t->order.holder = o->holder;
+  t->order.fence = o->fence;
+  t->order.seq = seq;
+  at = lease_latest_ms (&o->clock, now_us);
+  if (at > o->last_order_ms)
+    o->last_order_ms = at;
+  t->busy = true;
+  t->endpoint->reload_us = now_us;
+  task_set (t, TASK_SENDING, now_us);
+  o->opts.ops.order (o->opts.ops.ctx, t->endpoint, &t->order, may_send,
+                     on_ordered, t);
+}
+
+/* What the endpoint says decides: an order is sent only where none is being
+   carried out and the version is still old. */
+static void
+on_state (void *arg, const struct endpoint_state *s)
+{
+  struct task *t = arg;
+  struct orders *o = t->orders;
+  int64_t now = loop_now_us ();
+
+  t->busy = false;
+  if (!s->reached)
+    {
+      if (t->phase == TASK_ASKING)
+        task_set (t, TASK_SKIPPED, now);
+      return;
+    }
+  if (s->version > t->endpoint->version && !s->busy)
+    {
+      fleet_take_version (o->opts.fleet, t->endpoint, s->version, now);
+      log_event (
+          LOG_LEVEL_INFO, "loaded",
+          "endpoint=%s version=%" G_GINT64_FORMAT " took_us=%" G_GINT64_FORMAT,
+          t->endpoint->is.id, (gint64)s->version,
+          (gint64)(t->endpoint->reload_us ? now - t->endpoint->reload_us : 0));
+    }
+  if (!needs_order (o, t->endpoint))
+    look (o, now);
+  else if (s->busy)
+    task_set (t, TASK_LOADING, now);
+  else if (may_order (o, now)
+           && (t->phase == TASK_ASKING || now - t->since_us > ORDER_MAX_US))
+    send_order (t, s->seq, now);
+}
+
+static void
+ask_state (struct task *t, int64_t now_us)
+{
+  struct orders *o = t->orders;
+
+  t->busy = true;
+  t->asked_us = now_us;
+  o->opts.ops.state (o->opts.ops.ctx, t->endpoint, on_state, t);
+}
+
+static void
+step_task (struct task *t, int64_t now_us)
+{
+  if (t->busy)
+    return;
+  switch (t->phase)
+    {
+    case TASK_IDLE:
+      task_set (t, TASK_ASKING, now_us);
+      ask_state (t, now_us);
+      break;
+    case TASK_ASKING:
+    case TASK_LOADING:
+      if (now_us - t->asked_us >= ASK_US)
+        ask_state (t, now_us);
+      break;
+    case TASK_SKIPPED:
+      if (now_us - t->since_us >= SKIP_US)
+        task_set (t, TASK_IDLE, now_us);
+      break;
+    case TASK_SENDING:
+      break;
+    }
+}
+
+static struct task *
+task_of (struct orders *o, const struct fleet_endpoint *e)
+{
+  struct task *t;
+
+  APR_RING_FOREACH (t, &o->tasks, task, link)
+  {
+    if (t->endpoint == e)
+      return t;
+  }
+  return NULL;
+}
+
+static void
+drop_finished (struct orders *o)
+{
+  struct task *t, *next;
+
+  for (t = APR_RING_FIRST (&o->tasks);
+       t != APR_RING_SENTINEL (&o->tasks, task, link); t = next)
+    {
+      next = APR_RING_NEXT (t, link);
+      if (!t->busy && !needs_order (o, t->endpoint))
+        task_free (t);
+    }
+}
+
+static int
+tasks_in_hand (const struct orders *o)
+{
+  const struct task *t;
+  int n = 0;
+
+  APR_RING_FOREACH (t, &o->tasks, task, link)
+  n += t->phase != TASK_SKIPPED;
+  return n;
+}
+
+/* The endpoint whose turn is next, by the order that all VMs know. */
+static struct fleet_endpoint *
+next_endpoint (struct orders *o)
+{
+  struct fleet_endpoint *e, *best = NULL;
+
+  APR_RING_FOREACH (e, &o->opts.fleet->endpoints, fleet_endpoint, link)
+  {
+    if (needs_order (o, e) && task_of (o, e) == NULL
+        && (best == NULL || pick_reload_before (e, best)))
+      best = e;
+  }
+  return best;
+}
+
+static void
+fill (struct orders *o)
+{
+  struct fleet_endpoint *e;
+  struct task *t;
+
+  while (tasks_in_hand (o) < WIDTH && o->ntasks < MAX_TASKS
+         && (e = next_endpoint (o)) != NULL)
+    {
+      t = g_new0 (struct task, 1);
+      t->orders = o;
+      t->endpoint = fleet_endpoint_ref (e);
+      APR_RING_ELEM_INIT (t, link);
+      APR_RING_INSERT_TAIL (&o->tasks, t, task, link);
+      o->ntasks++;
+    }
+}
+
+static void
+step_tasks (struct orders *o, int64_t now_us)
+{
+  struct task *t, *next;
+
+  drop_finished (o);
+  if (!may_order (o, now_us))
+    return;
+  fill (o);
+  for (t = APR_RING_FIRST (&o->tasks);
+       t != APR_RING_SENTINEL (&o->tasks, task, link); t = next)
+    {
+      next = APR_RING_NEXT (t, link);
+      step_task (t, now_us);
+    }
+}
+
+/* --- looks ----------------------------------------------------------- */
+
+/* A VM without the lease waits: at first a drawn pause, then as long as it
+   sees endpoints change. */
+static void
+be_patient (struct orders *o, guint old, int64_t now_us)
+{
+  if (old > o->old)
+    o->patient_us
+        = now_us + g_rand_int_range (o->rand, 0, (gint32)DRAW_MAX_US);
+  else if (old < o->old)
+    o->patient_us = now_us + PATIENCE_US
+                    + g_rand_int_range (o->rand, 0, (gint32)DRAW_MAX_US);
+  o->old = old;
+}
+
+static void
+look (struct orders *o, int64_t now_us)
+{
+  guint old = count_old (o);
+
+  be_patient (o, old, now_us);
+  if (o->stopped)
+    return;
+  if (old == 0)
+    {
+      drop_finished (o);
+      if (o->held && !o->calling && o->ntasks == 0)
+        {
+          o->held = false;
+          log_event (LOG_LEVEL_INFO, "lease", "holder=%s outcome=released",
+                     o->holder);
+          write_lease (o, o->row_version, true, now_us);
+        }
+      if (!o->held && o->ntasks == 0)
+        return;
+    }
+  else if (o->held)
+    keep_lease (o, now_us);
+  else
+    reach_for_lease (o, now_us);
+  step_tasks (o, now_us);
+  loop_arm (o->opts.loop, &o->timer, now_us + LOOK_US);
+}
+
+static void
+on_timer (void *arg, int64_t now_us)
+{
+  look (arg, now_us);
+}
+
+void
+orders_look (struct orders *o, int64_t now_us)
+{
+  look (o, now_us);
+}
+
+/* --- life ------------------------------------------------------------ */
+
+struct orders *
+orders_new (const struct orders_opts *opts)
+{
+  struct orders *o = g_new0 (struct orders, 1);
+
+  o->opts = *opts;
+  o->rand = g_rand_new_with_seed ((guint32)opts->seed);
+  g_snprintf (o->holder, sizeof o->holder, "%s/%08x", opts->vm,
+              g_rand_int (o->rand));
+  o->timer.fire = on_timer;
+  o->timer.arg = o;
+  APR_RING_INIT (&o->tasks, task, link);
+  return o;
+}
+
+void
+orders_stop (struct orders *o)
+{
+  int64_t now = loop_now_us ();
+
+  if (o->stopped)
+    return;
+  o->stopped = true;
+  loop_disarm (&o->timer);
+  /* A successor then need not wait for the lease to end. */
+  if (o->held && !o->calling)
+    write_lease (o, o->row_version, true, now);
+  o->held = false;
+}
+
+int
+orders_waiting (const struct orders *o)
+{
+  const struct task *t;
+  int n = o->calling;
+
+  APR_RING_FOREACH (t, &o->tasks, task, link)
+  n += t->busy;
+  return n;
+}
+
+void
+orders_free (struct orders *o)
+{
+  while (!APR_RING_EMPTY (&o->tasks, task, link))
+    task_free (APR_RING_FIRST (&o->tasks));
+  g_rand_free (o->rand);
+  g_free (o);
+}
--- a/pick.c
+++ b/pick.c
@@ -18,10 +18,14 @@
    mean load, and some: the bound of consistent hashing with bounded loads. */
 #define BOUND_PERCENT 125
 #define BOUND_SPARE 3
-/* Endpoints that change weights at once; two load fastest each. */
+/* Endpoints that load at once, and those whose turn is next: what runs there
+   should have ended when it comes. */
 #define RELOAD_WIDTH 2
-/* An order whose effect never shows is taken for lost. */
-#define RELOAD_MAX_US INT64_C (6000000)
+#define RELOAD_AHEAD 1
+/* A load takes 1.3 s and more; without one seen in this time nobody orders. */
+#define RELOAD_LIVE_US INT64_C (3500000)
+/* The first orders come within this time after a version was named. */
+#define RELOAD_BEGIN_US INT64_C (2500000)
 
 const char *
 pick_code_name (enum pick_code code)
@@ -105,30 +109,39 @@
   return XXH3_64bits (e->is.id, strlen (e->is.id));
 }
 
-static bool
-is_old (const struct fleet *f, const struct fleet_endpoint *e)
+bool
+pick_reload_before (const struct fleet_endpoint *a,
+                    const struct fleet_endpoint *b)
 {
-  const struct fleet_wanted *w;
-
-  if (e->is.model[0] == '\0')
-    return false;
-  w = fleet_wanted_of (f, e->is.model);
-  return w != NULL && e->version < w->version;
+  return order_of (a) < order_of (b);
 }
 
 /* Whether E's weights are so old that no request may begin on them. */
 static bool
 too_old (const struct fleet *f, const struct fleet_endpoint *e, int64_t now_us)
 {
-  return f->old_max_us > 0 && is_old (f, e)
-         && now_us - fleet_wanted_of (f, e->is.model)->heard_us
-                >= f->old_max_us;
+  int64_t since = fleet_outdated_us (f, e);
+
+  return f->old_max_us > 0 && since != 0 && now_us - since >= f->old_max_us;
+}
+
+/* How many endpoints are kept free of new work for a change of weights. */
+static int
+reload_width (const struct fleet_wanted *w, int64_t now_us)
+{
+  int64_t named = w->named[w->nnamed - 1].heard_us;
+
+  if (w->progress_us != 0 && now_us - w->progress_us < RELOAD_LIVE_US)
+    return RELOAD_WIDTH + RELOAD_AHEAD;
+  return now_us - named < RELOAD_BEGIN_US ? RELOAD_WIDTH : 0;
 }
 
 /*
  * Endpoints change weights in the order of their ids' digests, a few at a
  * time.  Every VM knows ids and versions, so all of them find the same ones
  * without a message, and send their work elsewhere before the order comes.
+ * Only while orders are seen to be given: else endpoints would stand idle
+ * until a successor takes over from a VM that gives none any more.
  */
 bool
 pick_reloading (const struct fleet *f, const struct fleet_endpoint *e,
@@ -137,16 +150,15 @@
   const struct fleet_endpoint *o;
   int before = 0;
 
-  (void)now_us;
-  if (!is_old (f, e))
+  if (fleet_outdated_us (f, e) == 0)
     return false;
   APR_RING_FOREACH (o, &f->endpoints, fleet_endpoint, link)
   {
     if (o != e && !o->draining && strcmp (o->is.model, e->is.model) == 0
-        && is_old (f, o) && order_of (o) < order_of (e))
+        && fleet_outdated_us (f, o) != 0 && pick_reload_before (o, e))
       before++;
   }
-  return before < RELOAD_WIDTH;
+  return before < reload_width (fleet_wanted_of (f, e->is.model), now_us);
 }
 
 /* --- choice ---------------------------------------------------------- */
@@ -183,7 +195,7 @@
     return TIER_FULL;
   if (pick_reloading (f, e, now_us))
     return TIER_RELOADING;
-  return is_old (f, e) ? TIER_OLD : TIER_GOOD;
+  return fleet_outdated_us (f, e) != 0 ? TIER_OLD : TIER_GOOD;
 }
 
 /* What is known of the endpoints of the service before one is chosen. */
@@ -192,25 +204,14 @@
   int listed;     /* endpoints of the service that are not leaving */
   int count;      /* that may be chosen */
   enum tier best; /* lowest tier among them */
-  int in_tier;    /* endpoints of that tier */
+  int willing;    /* endpoints that take new work */
   int64_t load;   /* of these, in all */
 };
 
-static void
-survey_add (struct survey *s, enum tier tier, int load)
+static bool
+is_willing (enum tier tier)
 {
-  s->count++;
-  if (tier < s->best)
-    {
-      s->best = tier;
-      s->in_tier = 0;
-      s->load = 0;
-    }
-  if (tier == s->best)
-    {
-      s->in_tier++;
-      s->load += load;
-    }
+  return tier == TIER_GOOD || tier == TIER_OLD;
 }
 
 static struct survey
@@ -226,8 +227,15 @@
       continue;
     s.listed += !e->draining;
     tier = tier_of (f, q, e, now_us);
-    if (tier != TIER_NEVER)
-      survey_add (&s, tier, pick_load (e, now_us));
+    if (tier == TIER_NEVER)
+      continue;
+    s.count++;
+    if (tier < s.best)
+      s.best = tier;
+    if (!is_willing (tier))
+      continue;
+    s.willing++;
+    s.load += pick_load (e, now_us);
   }
   return s;
 }
@@ -239,31 +247,43 @@
                                order_of (e));
 }
 
-/* The endpoint where the affinity points, unless its load is over the bound;
-   then the next one. */
+/*
+ * The endpoint where the affinity points, unless its load is over the bound;
+ * then the next one.  New weights go first, but the bound is taken over old
+ * and new ones together: just after the first endpoints have changed, all
+ * work would else go to these two.
+ */
 static struct fleet_endpoint *
 choose_sticky (const struct fleet *f, const struct pick_query *q,
                const struct survey *s, int64_t now_us,
                struct pick_choice *choice)
 {
-  int64_t bound = s->load * BOUND_PERCENT / (100 * s->in_tier) + BOUND_SPARE;
   struct fleet_endpoint *e, *best = NULL;
+  enum tier tier, best_tier = TIER_NEVER;
   uint64_t score, high = 0;
+  int64_t bound;
 
+  if (s->willing == 0)
+    return NULL;
+  bound = s->load * BOUND_PERCENT / (100 * s->willing) + BOUND_SPARE;
   APR_RING_FOREACH (e, &f->endpoints, fleet_endpoint, link)
   {
-    if (strcmp (e->is.service, q->service) != 0
-        || tier_of (f, q, e, now_us) != s->best)
+    if (strcmp (e->is.service, q->service) != 0)
+      continue;
+    tier = tier_of (f, q, e, now_us);
+    if (!is_willing (tier))
       continue;
-    score = affinity_of (q, e);
     if (pick_load (e, now_us) >= bound)
       {
         choice->crowded++;
         continue;
       }
-    if (best == NULL || score > high)
+    score = affinity_of (q, e);
+    if (best == NULL || tier < best_tier
+        || (tier == best_tier && score > high))
       {
         best = e;
+        best_tier = tier;
         high = score;
       }
   }
--- a/relay.c
+++ b/relay.c
@@ -266,8 +266,7 @@
   r->not_run = head->not_run;
   if (head->running >= 0)
     pick_reported (r->endpoint, head->running, now);
-  if (head->version > r->endpoint->version)
-    r->endpoint->version = head->version;
+  fleet_take_version (r->rs->opts.fleet, r->endpoint, head->version, now);
   if (head->other_life)
     r->endpoint->draining = true;
   /* An answer without the endpoint's mark, or to another request, is never
--- a/settings_gen.c
+++ b/settings_gen.c
@@ -105,6 +105,9 @@
     2000, 600000, NULL,
     "Milliseconds after which no request may begin on weights older than "
     "those named." },
+  { "order_gap_ms", CFG_INT, offsetof (struct cfg_entry, order_gap_ms), "3000",
+    0, 600000, NULL,
+    "Milliseconds between orders to endpoints from one VM and from another." },
   { "retry_percent", CFG_INT, offsetof (struct cfg_entry, retry_percent), "10",
     0, 100, NULL,
     "Requests sent to a second endpoint, as a share of a service's "
@@ -252,7 +255,7 @@
     "This VM and its place." },
   { "platform", false, keys_platform, 8, sizeof (struct cfg_platform),
     "The platform's services." },
-  { "entry", false, keys_entry, 7, sizeof (struct cfg_entry),
+  { "entry", false, keys_entry, 8, sizeof (struct cfg_entry),
     "Requests that come through a platform's balancer." },
   { "workspace", true, keys_workspace, 9, sizeof (struct cfg_workspace),
     "A customer of the system." },
--- a/settings_gen.h
+++ b/settings_gen.h
@@ -84,8 +84,10 @@
   char *store;  /* Address and port of the platform's metadata store. */
   int64_t revoke_ms; /* Milliseconds after which a key that was taken away must
                         open nothing. */
-  int64_t version_ms;    /* Milliseconds after which no request may begin on
-                            weights older than those named. */
+  int64_t version_ms;   /* Milliseconds after which no request may begin on
+                           weights older than those named. */
+  int64_t order_gap_ms; /* Milliseconds between orders to endpoints from one VM
+                           and from another. */
   int64_t retry_percent; /* Requests sent to a second endpoint, as a share of a
                             service's requests. */
   int64_t retry_burst;   /* Such requests allowed before any were earned. */
--- a/srv.c
+++ b/srv.c
@@ -240,6 +240,8 @@
 {
   struct server *s = arg;
 
+  if (s->entry != NULL)
+    entry_leave (s->entry);
   if (s->member != NULL)
     member_say (s->member, s->conf ? conf_revision (s->conf) : 0);
 }
