Unit tests of fleet, choice, relays, leases, orders and following

Each brings its failure about at its exact moment, between an engine, a caller, a store and endpoints that the test plays: frozen before the first byte, key taken away in the same gap, answer to another request, stream broken in the middle of an event, order without an answer, holder frozen, endpoint that leaves while the history is dropped.

--- a/Makefile
+++ b/Makefile
@@ -62,9 +62,11 @@
 regress/check: regress/check.o
 	$(CC) $(CFLAGS) -o $@ regress/check.o $(LIBS)
 
-regress/test-units: regress/test-units.o regress/test-wire.o libwire.a \
-		libdecide.a
-	$(CC) $(CFLAGS) -o $@ regress/test-units.o regress/test-wire.o \
+UNITS = regress/test-units.o regress/test-wire.o regress/test-fleet.o \
+	regress/test-relay.o regress/test-orders.o
+
+regress/test-units: $(UNITS) librelay.a libserver.a libwire.a libdecide.a
+	$(CC) $(CFLAGS) -o $@ $(UNITS) librelay.a log.o met.o loop.o \
 		libwire.a libdecide.a $(LIBS)
 
 bench/load: bench/load.o loop.o xfer.o
--- a/loop.c
+++ b/loop.c
@@ -291,4 +291,6 @@
       h->turn (h->arg);
     }
   run_mail (l);
+  /* It may be run again. */
+  l->stopping = false;
 }
--- a/regress/fakeeng.c
+++ b/regress/fakeeng.c
@@ -322,15 +322,11 @@
 {
   g_autofree char *version = fk_string ("version", "v1");
   g_autofree char *incarnation = fk_string ("incarnation", "1");
-  json_t *doc;
 
-  g_mutex_lock (&lock);
-  doc = json_pack ("{s:i,s:I,s:s,s:s,s:b}", "running", running + waiting,
-                   "queued_tokens", (json_int_t)queued_tokens, "version",
-                   version, "incarnation", incarnation, "leaving",
-                   (int)fk_number ("leaving", 0));
-  g_mutex_unlock (&lock);
-  return doc;
+  return json_pack ("{s:i,s:I,s:s,s:s,s:b}", "running", running + waiting,
+                    "queued_tokens", (json_int_t)queued_tokens, "version",
+                    version, "incarnation", incarnation, "leaving",
+                    (int)fk_number ("leaving", 0));
 }
 
 static enum MHD_Result
@@ -342,6 +338,8 @@
   int64_t now = g_get_monotonic_time ();
   json_t *doc;
 
+  /* Several VMs ask at once, each on a thread of its own. */
+  g_mutex_lock (&lock);
   if (report == NULL || now - report_us >= fk_number ("lag_ms", 0) * 1000)
     {
       json_decref (report);
@@ -349,6 +347,7 @@
       report_us = now;
     }
   doc = json_copy (report);
+  g_mutex_unlock (&lock);
   json_object_set_new (doc, "filled_tokens",
                        json_integer (fk_filled_tokens ()));
   json_object_set_new (doc, "events", fk_events (since));
--- /dev/null
+++ b/regress/test-fleet.c
@@ -0,0 +1,412 @@
+/*
+ * Unit tests of what a VM believes of its fleet, of the choice of an endpoint,
+ * and of streams that are passed on.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "decide.h"
+#include "evt.h"
+#include "fleet.h"
+#include "units.h"
+
+#define S CQ_US_PER_S
+#define MS CQ_US_PER_MS
+
+static struct fleet_conf *
+conf (int64_t version)
+{
+  struct fleet_conf *c = fleet_conf_new ();
+
+  c->version = version;
+  fleet_conf_seal (c);
+  return c;
+}
+
+static struct fleet_listing
+listing (const char *id, int64_t version)
+{
+  struct fleet_listing l = { .version = version, .slots = 8 };
+
+  g_strlcpy (l.id, id, sizeof l.id);
+  g_strlcpy (l.service, "model", sizeof l.service);
+  g_strlcpy (l.address, "127.0.0.1:1", sizeof l.address);
+  g_strlcpy (l.model, "m", sizeof l.model);
+  return l;
+}
+
+static struct fleet_endpoint *
+add (struct fleet *f, const char *id, int64_t version)
+{
+  struct fleet_listing l = listing (id, version);
+
+  return fleet_take_listing (f, &l, 0);
+}
+
+/* --- configuration --------------------------------------------------- */
+
+/*
+ * A read is overtaken by a later one, or a source lags.  Taking the older
+ * configuration would open a route or a key again that was taken away, and a
+ * caller would see the system go back.
+ */
+static void
+test_never_back (void)
+{
+  struct fleet f;
+
+  fleet_init (&f);
+  g_assert_true (fleet_take_conf (&f, conf (5), 10));
+  g_assert_false (fleet_take_conf (&f, conf (4), 9));
+  g_assert_false (fleet_take_conf (&f, conf (4), 11));
+  g_assert_false (fleet_take_conf (&f, conf (6), 10));
+  g_assert_cmpint (f.conf->version, ==, 5);
+  g_assert_true (fleet_take_conf (&f, conf (9), 12));
+  g_assert_cmpint (f.conf->version, ==, 9);
+  fleet_clear (&f);
+}
+
+static struct fleet_route *
+route (const char *host, const char *prefix)
+{
+  struct fleet_route *r = g_new0 (struct fleet_route, 1);
+
+  r->name = g_strdup (prefix);
+  r->host = g_strdup (host);
+  r->prefix = g_strdup (prefix);
+  r->nsplits = 1;
+  r->splits = g_new0 (struct fleet_split, 1);
+  r->splits[0].service = g_strdup ("model");
+  return r;
+}
+
+static char *
+random_path (GRand *r, int parts)
+{
+  GString *s = g_string_new ("/");
+
+  for (; parts > 0; parts--)
+    g_string_append_printf (s, "%c/", 'a' + g_rand_int_range (r, 0, 3));
+  return g_string_free (s, FALSE);
+}
+
+/* The index by host against a scan of all routes. */
+static void
+test_route_naive (void)
+{
+  static const char *const hosts[] = { "a.example", "b.example" };
+  GRand *r = g_rand_new_with_seed (4);
+  struct fleet_conf *c = fleet_conf_new ();
+  int i;
+  guint k;
+
+  for (i = 0; i < 60; i++)
+    {
+      g_autofree char *p = random_path (r, g_rand_int_range (r, 0, 4));
+      g_ptr_array_add (c->routes, route (hosts[i % 2], p));
+    }
+  fleet_conf_seal (c);
+  for (i = 0; i < 5000; i++)
+    {
+      const char *host = hosts[i % 2];
+      g_autofree char *path = random_path (r, g_rand_int_range (r, 0, 6));
+      g_autofree char *named = g_strconcat (host, i % 3 ? "" : ":80", NULL);
+      const struct fleet_route *got = fleet_route_find (c, named, path);
+      size_t best = 0;
+
+      for (k = 0; k < c->routes->len; k++)
+        {
+          const struct fleet_route *o = c->routes->pdata[k];
+
+          if (strcmp (o->host, host) == 0 && g_str_has_prefix (path, o->prefix)
+              && strlen (o->prefix) > best)
+            best = strlen (o->prefix);
+        }
+      g_assert_cmpuint (got == NULL ? 0 : strlen (got->prefix), ==, best);
+    }
+  g_assert_null (fleet_route_find (c, "c.example", "/a/"));
+  fleet_conf_unref (c);
+  g_rand_free (r);
+}
+
+/* --- endpoints ------------------------------------------------------- */
+
+/*
+ * The list could not be read for a while, and entries of live endpoints
+ * lapsed meanwhile: they come back within two seconds.  Dropping them at once
+ * would leave callers without an endpoint; keeping one for ever would send
+ * work to one that is gone.  In calm a removal counts at once.
+ */
+static void
+test_missing (void)
+{
+  struct fleet f;
+  struct fleet_endpoint *a, *b;
+  struct fleet_listing l = listing ("a", 1);
+
+  fleet_init (&f);
+  a = add (&f, "a", 1);
+  b = add (&f, "b", 1);
+  fleet_list_back (&f, 10 * S);
+  fleet_take_missing (&f, a, 10 * S + 1);
+  fleet_take_missing (&f, b, 10 * S + 1);
+  fleet_sweep (&f, 11 * S);
+  g_assert_nonnull (g_hash_table_lookup (f.by_id, "a"));
+  fleet_take_listing (&f, &l, 11 * S);
+  fleet_sweep (&f, 13 * S);
+  g_assert_nonnull (g_hash_table_lookup (f.by_id, "a"));
+  g_assert_null (g_hash_table_lookup (f.by_id, "b"));
+  fleet_take_missing (&f, a, 20 * S);
+  g_assert_null (g_hash_table_lookup (f.by_id, "a"));
+  fleet_clear (&f);
+}
+
+/* An endpoint said that it leaves; an entry read late says "ready".  Work
+   sent there again would reach it after its last moment. */
+static void
+test_leaving_sticky (void)
+{
+  struct fleet f;
+  struct fleet_listing l = listing ("a", 1);
+  struct fleet_endpoint *a;
+
+  fleet_init (&f);
+  l.draining = true;
+  a = fleet_take_listing (&f, &l, 0);
+  l.draining = false;
+  fleet_take_listing (&f, &l, 1);
+  g_assert_true (a->draining);
+  fleet_clear (&f);
+}
+
+/* Version 3 is named while 2 is not in place: endpoints with 1 are outdated
+   since 2 was named, those with 2 since 3 was. */
+static void
+test_outdated (void)
+{
+  struct fleet f;
+  struct fleet_endpoint *a, *b;
+
+  fleet_init (&f);
+  a = add (&f, "a", 1);
+  b = add (&f, "b", 1);
+  g_assert_cmpint (fleet_outdated_us (&f, a), ==, 0);
+  g_assert_true (fleet_take_wanted (&f, "m", 2, 10 * S));
+  fleet_take_version (&f, b, 2, 11 * S);
+  g_assert_true (fleet_take_wanted (&f, "m", 3, 14 * S));
+  g_assert_false (fleet_take_wanted (&f, "m", 2, 15 * S));
+  g_assert_cmpint (fleet_outdated_us (&f, a), ==, 10 * S);
+  g_assert_cmpint (fleet_outdated_us (&f, b), ==, 14 * S);
+  fleet_take_version (&f, a, 3, 16 * S);
+  g_assert_cmpint (fleet_outdated_us (&f, a), ==, 0);
+  fleet_clear (&f);
+}
+
+/* --- choice ---------------------------------------------------------- */
+
+#define ENDPOINTS 9
+
+static void
+nine (struct fleet *f)
+{
+  char id[8];
+  int i;
+
+  fleet_init (f);
+  for (i = 0; i < ENDPOINTS; i++)
+    {
+      g_snprintf (id, sizeof id, "e%d", i);
+      add (f, id, 1);
+    }
+}
+
+static struct pick_query
+query (const char *affinity)
+{
+  struct pick_query q = { .service = "model", .domain = "d1" };
+
+  q.affinity = affinity;
+  q.random = 7;
+  return q;
+}
+
+/* Requests that share a part return to one endpoint while it has room; when
+   all want the same part, no endpoint gets more than the bound. */
+static void
+test_sticky_bounded (void)
+{
+  struct fleet f;
+  struct pick_query q = query ("part");
+  struct pick_choice c, first;
+  struct fleet_endpoint *e;
+  int i;
+
+  nine (&f);
+  first = pick_endpoint (&f, &q, S);
+  for (i = 0; i < 900; i++)
+    {
+      c = pick_endpoint (&f, &q, S);
+      g_assert_cmpint (c.code, ==, PICK_CHOSEN);
+      if (i < 3)
+        g_assert_true (c.endpoint == first.endpoint);
+      pick_sent (c.endpoint);
+    }
+  APR_RING_FOREACH (e, &f.endpoints, fleet_endpoint, link)
+  g_assert_cmpint (e->running, <=, 100 * 125 / 100 + 4);
+  fleet_clear (&f);
+}
+
+/*
+ * Two of nine endpoints have the weights named last.  If all work went to
+ * them they would be overloaded while seven stand idle; they get no more than
+ * the bound over all, and nothing new goes to those whose turn is next.
+ */
+static void
+test_new_weights_bounded (void)
+{
+  struct fleet f;
+  struct pick_query q;
+  struct pick_choice c;
+  struct fleet_endpoint *e;
+  char part[16];
+  int i, n = 0;
+  int new = 0;
+
+  nine (&f);
+  fleet_take_wanted (&f, "m", 2, S);
+  APR_RING_FOREACH (e, &f.endpoints, fleet_endpoint, link)
+  {
+    if (n++ < 2)
+      fleet_take_version (&f, e, 2, S);
+  }
+  for (i = 0; i < 700; i++)
+    {
+      g_snprintf (part, sizeof part, "p%d", i);
+      q = query (part);
+      c = pick_endpoint (&f, &q, S + 1);
+      g_assert_false (pick_reloading (&f, c.endpoint, S + 1));
+      new += c.version == 2;
+      pick_sent (c.endpoint);
+    }
+  /* Six endpoints take work: a quarter more than a sixth for each new one. */
+  g_assert_cmpint (new, >=, 2 * 700 / 6);
+  g_assert_cmpint (new, <=, 2 * (700 * 125 / 600 + 4));
+  fleet_clear (&f);
+}
+
+/* Nobody orders, since the VM that did was cut off: endpoints must not stand
+   idle until a successor comes. */
+static void
+test_no_idle_without_orders (void)
+{
+  struct fleet f;
+  struct fleet_endpoint *e;
+  int waiting = 0;
+
+  nine (&f);
+  fleet_take_wanted (&f, "m", 2, S);
+  APR_RING_FOREACH (e, &f.endpoints, fleet_endpoint, link)
+  waiting += pick_reloading (&f, e, S + 10 * MS);
+  g_assert_cmpint (waiting, ==, 3);
+  waiting = 0;
+  APR_RING_FOREACH (e, &f.endpoints, fleet_endpoint, link)
+  waiting += pick_reloading (&f, e, 5 * S);
+  g_assert_cmpint (waiting, ==, 0);
+  fleet_clear (&f);
+}
+
+/* Past the bound a request must not begin on old weights: rather none. */
+static void
+test_too_old (void)
+{
+  struct fleet f;
+  struct pick_query q = query (NULL);
+
+  nine (&f);
+  f.old_max_us = 9 * S;
+  fleet_take_wanted (&f, "m", 2, S);
+  g_assert_cmpint (pick_endpoint (&f, &q, 9 * S).code, ==, PICK_CHOSEN);
+  g_assert_cmpint (pick_endpoint (&f, &q, 10 * S).code, ==, PICK_RESTING);
+  fleet_clear (&f);
+}
+
+/* One failure may be the request's own; two in a row rest the endpoint, twice
+   as long each time, and an answer ends it. */
+static void
+test_rest (void)
+{
+  struct fleet f;
+  struct fleet_endpoint *e;
+
+  nine (&f);
+  e = APR_RING_FIRST (&f.endpoints);
+  pick_failed (e, S);
+  g_assert_cmpint (e->rest_until_us, <=, S);
+  pick_failed (e, S);
+  g_assert_cmpint (e->rest_until_us, ==, S + 300 * MS);
+  pick_failed (e, 2 * S);
+  g_assert_cmpint (e->rest_until_us, ==, 2 * S + 600 * MS);
+  pick_worked (e);
+  g_assert_cmpint (e->rest_until_us, ==, 0);
+  fleet_clear (&f);
+}
+
+/* --- streams --------------------------------------------------------- */
+
+/* Whatever the cuts, whole events come out in order, each once, though a run
+   that goes on repeats two of them. */
+static void
+test_events (void)
+{
+  GRand *r = g_rand_new_with_seed (9);
+  int round, i;
+
+  for (round = 0; round < 300; round++)
+    {
+      g_autoptr (GString) whole = g_string_new (NULL);
+      g_autoptr (GString) again = g_string_new (NULL);
+      g_autoptr (GString) out = g_string_new (NULL);
+      const char *nl = round % 2 ? "\r\n" : "\n";
+      struct evt e;
+      size_t at, n;
+
+      evt_init (&e, -1);
+      for (i = 0; i < 12; i++)
+        g_string_append_printf (whole, "id: %d%sdata: x%d%s%s", i * 3, nl, i,
+                                nl, nl);
+      for (at = 0; at < whole->len; at += n)
+        {
+          n = (size_t)g_rand_int_range (r, 1, 40);
+          if (n > whole->len - at)
+            n = whole->len - at;
+          g_assert_true (evt_feed (&e, whole->str + at, n, 4096, out));
+        }
+      g_assert_cmpstr (out->str, ==, whole->str);
+      g_assert_false (evt_in_part (&e));
+      g_assert_cmpint (e.last_id, ==, 33);
+      g_string_printf (again, "id: 30%sdata: a%s%sid: 36%sdata: b%s%s", nl, nl,
+                       nl, nl, nl, nl);
+      g_string_truncate (out, 0);
+      evt_feed (&e, "id: 3", 5, 4096, out);
+      evt_restart (&e);
+      evt_feed (&e, again->str, again->len, 4096, out);
+      g_assert_true (g_str_has_prefix (out->str, "id: 36"));
+      evt_clear (&e);
+    }
+  g_rand_free (r);
+}
+
+const struct unit fleet_units[] = {
+  { "/fleet/never-back", test_never_back },
+  { "/fleet/route-naive", test_route_naive },
+  { "/fleet/missing", test_missing },
+  { "/fleet/leaving-sticky", test_leaving_sticky },
+  { "/fleet/outdated", test_outdated },
+  { "/pick/sticky-bounded", test_sticky_bounded },
+  { "/pick/new-weights-bounded", test_new_weights_bounded },
+  { "/pick/no-idle-without-orders", test_no_idle_without_orders },
+  { "/pick/too-old", test_too_old },
+  { "/pick/rest", test_rest },
+  { "/evt/cuts", test_events },
+  { NULL, NULL },
+};
--- /dev/null
+++ b/regress/test-orders.c
@@ -0,0 +1,533 @@
+/*
+ * Unit tests of leases, of orders under them, and of following the platform:
+ * the test plays the platform and the endpoints, and brings each fault about
+ * at its moment.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "decide.h"
+#include "follow.h"
+#include "orders.h"
+#include "units.h"
+
+#define MS CQ_US_PER_MS
+#define GAP_MS 3000
+
+/* --- lease ----------------------------------------------------------- */
+
+/* Two readings of the store's clock bound it from both sides. */
+static void
+test_clock (void)
+{
+  struct lease_clock c = { 10 * MS, 30 * MS, 1000 };
+
+  g_assert_cmpint (lease_earliest_ms (&c, 130 * MS), ==, 1100);
+  g_assert_cmpint (lease_latest_ms (&c, 130 * MS), >=, 1120);
+}
+
+static struct lease_row
+row (const char *holder, int64_t expires_ms)
+{
+  struct lease_row r = { .expires_ms = expires_ms };
+
+  g_strlcpy (r.holder, holder, sizeof r.holder);
+  return r;
+}
+
+/*
+ * Endpoints that do not check fences carry out orders of both holders if they
+ * overlap.  Over all delays of both VMs' readings of the clock, the last
+ * order that the first may give and the first that the second may give are
+ * the gap apart.
+ */
+static void
+test_no_overlap (void)
+{
+  struct lease_row r = row ("a/1", 5000);
+  int64_t there, back, now, begin;
+  int64_t last_a = 0;
+  int64_t first_b = INT64_MAX;
+
+  begin = lease_begin_ms (&r, "b/1", GAP_MS);
+  for (there = 0; there <= 600; there += 50)
+    for (back = 0; back <= 600; back += 50)
+      for (now = 1200; now < 12000; now += 20)
+        {
+          /* True store time equals true time; the reading was at THERE. */
+          struct lease_clock c = { 0, (there + back) * MS, there };
+
+          if (c.store_ms == 0)
+            c.store_ms = 1;
+          if (lease_may_order (0, r.expires_ms, &c, now * MS) && now > last_a)
+            last_a = now;
+          if (lease_is_free (&r, "b/1", &c, now * MS)
+              && lease_may_order (begin, 20000, &c, now * MS) && now < first_b)
+            first_b = now;
+        }
+  g_assert_cmpint (last_a, >, 4000);
+  g_assert_cmpint (first_b, <, 9500);
+  g_assert_cmpint (first_b - last_a, >=, GAP_MS);
+}
+
+/* A holder that lets go says when it ordered last: its successor waits only
+   from then.  A later life of the same VM waits for nothing. */
+static void
+test_released (void)
+{
+  struct lease_row r = row ("a/1", 5000);
+  struct lease_clock c = { 0, 0, 1000 };
+
+  g_assert_false (lease_is_free (&r, "b/1", &c, 0));
+  g_assert_true (lease_is_free (&r, "a/2", &c, 0));
+  g_assert_false (lease_is_free (&r, "ab/1", &c, 0));
+  g_assert_cmpint (lease_begin_ms (&r, "a/2", GAP_MS), ==, 0);
+  r.released = true;
+  r.last_order_ms = 900;
+  g_assert_true (lease_is_free (&r, "b/1", &c, 0));
+  g_assert_cmpint (lease_begin_ms (&r, "b/1", GAP_MS), ==, 3900);
+  r.last_order_ms = 0;
+  g_assert_cmpint (lease_begin_ms (&r, "b/1", GAP_MS), ==, 0);
+}
+
+/* --- orders ---------------------------------------------------------- */
+
+/* A played store row, and one played endpoint. */
+struct stage
+{
+  struct loop *loop;       /* for timers */
+  struct fleet fleet;      /* beliefs */
+  struct orders *orders;   /* under test */
+  struct lease_row row;    /* in the store */
+  int64_t row_version;     /* 0: no row */
+  bool lose_write;         /* the next write is done, its reply lost */
+  bool lose_orders;        /* orders get no answer */
+  int64_t clock_offset_ms; /* the store's clock is so far ahead */
+  int64_t seq;             /* orders the endpoint took */
+  int64_t version;         /* its weights */
+  bool busy;               /* it carries one out */
+  int orders_sent;         /* that left */
+  int64_t last_seq;        /* precondition of the last one */
+  int64_t last_fence;      /* of the last one */
+};
+
+static int64_t
+store_ms (const struct stage *st)
+{
+  return loop_now_us () / MS + st->clock_offset_ms;
+}
+
+static void
+reply_row (struct stage *st, enum lease_code code, lease_done done, void *arg)
+{
+  struct lease_reply r = { .code = code };
+
+  r.exists = st->row_version > 0;
+  r.row = st->row;
+  r.version = st->row_version;
+  r.store_ms = store_ms (st);
+  done (arg, &r);
+}
+
+static void
+read_lease (void *ctx, lease_done done, void *arg)
+{
+  reply_row (ctx, LEASE_DONE, done, arg);
+}
+
+static void
+write_lease (void *ctx, const struct lease_row *r, int64_t expected,
+             lease_done done, void *arg)
+{
+  struct stage *st = ctx;
+
+  if (expected != st->row_version)
+    {
+      reply_row (st, LEASE_CONFLICT, done, arg);
+      return;
+    }
+  st->row = *r;
+  st->row_version += 7;
+  if (st->lose_write)
+    {
+      struct lease_reply lost = { .code = LEASE_UNKNOWN };
+
+      st->lose_write = false;
+      done (arg, &lost);
+    }
+  else
+    reply_row (st, LEASE_DONE, done, arg);
+}
+
+static void
+state (void *ctx, const struct fleet_endpoint *e, state_done done, void *arg)
+{
+  struct stage *st = ctx;
+  struct endpoint_state s = { .reached = true };
+
+  (void)e;
+  s.busy = st->busy;
+  s.seq = st->seq;
+  s.version = st->version;
+  done (arg, &s);
+}
+
+static void
+order (void *ctx, const struct fleet_endpoint *e, const struct load_order *o,
+       bool (*may_send) (void *arg), order_done done, void *arg)
+{
+  struct stage *st = ctx;
+
+  (void)e;
+  if (!may_send (arg))
+    {
+      done (arg, ORDER_REJECTED);
+      return;
+    }
+  st->orders_sent++;
+  st->last_seq = o->seq;
+  st->last_fence = o->fence;
+  if (!st->lose_orders)
+    {
+      st->seq++;
+      st->version = o->version;
+    }
+  done (arg, st->lose_orders ? ORDER_UNKNOWN : ORDER_ACCEPTED);
+}
+
+static struct stage *
+stage_new (void)
+{
+  struct stage *st = g_new0 (struct stage, 1);
+  struct orders_opts o = { .vm = "vm", .gap_us = GAP_MS * MS, .seed = 3 };
+  struct fleet_listing l = { .version = 1, .slots = 4 };
+
+  st->loop = loop_new ();
+  st->version = 1;
+  st->clock_offset_ms = 100000;
+  fleet_init (&st->fleet);
+  g_strlcpy (l.id, "e", sizeof l.id);
+  g_strlcpy (l.model, "m", sizeof l.model);
+  fleet_take_listing (&st->fleet, &l, 0);
+  o.loop = st->loop;
+  o.fleet = &st->fleet;
+  o.ops.read_lease = read_lease;
+  o.ops.write_lease = write_lease;
+  o.ops.state = state;
+  o.ops.order = order;
+  o.ops.ctx = st;
+  st->orders = orders_new (&o);
+  return st;
+}
+
+static void
+stage_free (struct stage *st)
+{
+  orders_free (st->orders);
+  fleet_clear (&st->fleet);
+  loop_free (st->loop);
+  g_free (st);
+}
+
+static void
+stop_loop (void *arg, int64_t now_us)
+{
+  (void)now_us;
+  loop_stop (arg);
+}
+
+/* Let time pass until DONE says so, or for at most twenty seconds. */
+struct wait
+{
+  struct stage *st;                      /* of the test */
+  bool (*done) (const struct stage *st); /* what is waited for */
+  struct loop_timer timer;               /* next look */
+  int64_t until_us;                      /* give up then */
+};
+
+static void
+look_again (void *arg, int64_t now_us)
+{
+  struct wait *w = arg;
+
+  if (w->done (w->st) || now_us > w->until_us)
+    stop_loop (w->st->loop, now_us);
+  else
+    loop_arm (w->st->loop, &w->timer, now_us + 10 * MS);
+}
+
+static void
+wait_until (struct stage *st, bool (*done) (const struct stage *st))
+{
+  struct wait w = { .st = st, .done = done };
+
+  w.until_us = loop_now_us () + 20 * CQ_US_PER_S;
+  w.timer.fire = look_again;
+  w.timer.arg = &w;
+  loop_arm (st->loop, &w.timer, loop_now_us ());
+  loop_run (st->loop);
+  g_assert_true (done (st));
+}
+
+static bool
+is_released (const struct stage *st)
+{
+  return st->row.released && st->row_version > 0;
+}
+
+static void
+name_version (struct stage *st)
+{
+  int64_t now = loop_now_us ();
+
+  fleet_take_wanted (&st->fleet, "m", 2, now);
+  orders_look (st->orders, now);
+}
+
+/* A version is named: the lease is taken, one order given, the effect read
+   back, the lease let go.  The reply to the first write is lost; a read tells
+   that it was done. */
+static void
+test_orders (void)
+{
+  struct stage *st = stage_new ();
+
+  st->lose_write = true;
+  name_version (st);
+  wait_until (st, is_released);
+  g_assert_cmpint (st->orders_sent, ==, 1);
+  g_assert_cmpint (st->last_seq, ==, 0);
+  g_assert_cmpint (st->last_fence, >, 0);
+  g_assert_cmpint (st->version, ==, 2);
+  g_assert_cmpint (st->row.last_order_ms, >, 0);
+  stage_free (st);
+}
+
+static bool
+sent_twice (const struct stage *st)
+{
+  return st->orders_sent >= 2;
+}
+
+/*
+ * An order gets no answer.  It may be carried out seconds later; sent again
+ * blindly, the endpoint would load twice and drop what it has read since.
+ * The second one carries the same number, so only one of both counts.
+ */
+static void
+test_order_unknown (void)
+{
+  struct stage *st = stage_new ();
+
+  st->lose_orders = true;
+  name_version (st);
+  wait_until (st, sent_twice);
+  g_assert_cmpint (st->last_seq, ==, 0);
+  /* The late one is carried out now: nothing more is sent. */
+  st->seq = 1;
+  st->version = 2;
+  wait_until (st, is_released);
+  g_assert_cmpint (st->orders_sent, ==, 2);
+  stage_free (st);
+}
+
+static bool
+row_is_ours (const struct stage *st)
+{
+  return strncmp (st->row.holder, "vm/", 3) == 0;
+}
+
+/*
+ * Another VM holds the lease and is frozen: it gives no orders and does not
+ * renew.  Its successor takes over when the lease has ended, and orders only
+ * after the gap, when none of the other's orders can be on its way.
+ */
+static void
+test_successor_waits (void)
+{
+  struct stage *st = stage_new ();
+  int64_t expires = store_ms (st) + 300;
+
+  st->row = row ("other/1", expires);
+  st->row_version = 5;
+  name_version (st);
+  wait_until (st, row_is_ours);
+  g_assert_cmpint (store_ms (st), >=, expires);
+  g_assert_cmpint (st->orders_sent, ==, 0);
+  wait_until (st, is_released);
+  g_assert_cmpint (st->orders_sent, ==, 1);
+  g_assert_cmpint (st->row.last_order_ms, >=, expires + GAP_MS);
+  stage_free (st);
+}
+
+/* A planned stop lets the lease go at once, so that the next VM need not wait
+   for its end. */
+static void
+test_stop_releases (void)
+{
+  struct stage *st = stage_new ();
+
+  st->busy = true;
+  name_version (st);
+  wait_until (st, row_is_ours);
+  orders_stop (st->orders);
+  g_assert_true (st->row.released);
+  stage_free (st);
+}
+
+/* --- following ------------------------------------------------------- */
+
+/* A played platform: the test hands out each answer. */
+struct source
+{
+  struct loop *loop;              /* for pauses */
+  struct fleet fleet;             /* beliefs */
+  struct follow *follow;          /* under test */
+  news_done done[FOLLOW_SOURCES]; /* waiting for news */
+  void *arg[FOLLOW_SOURCES];      /* for them */
+  bool reading[FOLLOW_SOURCES];   /* a read, not a wait */
+  int64_t after[FOLLOW_SOURCES];  /* version it waits after */
+};
+
+static void
+read_all (void *ctx, enum follow_source s, int64_t timeout_us, news_done done,
+          void *arg)
+{
+  struct source *p = ctx;
+
+  (void)timeout_us;
+  p->done[s] = done;
+  p->arg[s] = arg;
+  p->reading[s] = true;
+}
+
+static void
+wait_changes (void *ctx, enum follow_source s, int64_t version,
+              int64_t wait_us, int64_t timeout_us, news_done done, void *arg)
+{
+  struct source *p = ctx;
+
+  (void)wait_us;
+  (void)timeout_us;
+  p->done[s] = done;
+  p->arg[s] = arg;
+  p->reading[s] = false;
+  p->after[s] = version;
+}
+
+static struct source *
+source_new (void)
+{
+  struct source *p = g_new0 (struct source, 1);
+  struct follow_opts o = { .seed = 1 };
+
+  p->loop = loop_new ();
+  fleet_init (&p->fleet);
+  o.loop = p->loop;
+  o.fleet = &p->fleet;
+  o.ops.read = read_all;
+  o.ops.changes = wait_changes;
+  o.ops.ctx = p;
+  p->follow = follow_new (&o);
+  follow_start (p->follow);
+  return p;
+}
+
+static void
+source_free (struct source *p)
+{
+  follow_stop (p->follow);
+  follow_free (p->follow);
+  fleet_clear (&p->fleet);
+  loop_free (p->loop);
+  g_free (p);
+}
+
+static void
+tell (struct source *p, enum follow_source s, enum news_code code,
+      int64_t version, GArray *items)
+{
+  struct news n = { .code = code, .version = version, .items = items };
+  g_autoptr (GArray) none
+      = g_array_new (FALSE, TRUE, sizeof (struct news_item));
+
+  if (items == NULL)
+    n.items = none;
+  p->done[s](p->arg[s], &n);
+  if (items != NULL)
+    g_array_free (items, TRUE);
+}
+
+static GArray *
+endpoint_items (const char *const *ids, bool draining)
+{
+  GArray *a = g_array_new (FALSE, TRUE, sizeof (struct news_item));
+
+  for (; *ids != NULL; ids++)
+    {
+      struct news_item it = { .kind = NEWS_ENDPOINT };
+
+      g_strlcpy (it.listing.id, *ids, sizeof it.listing.id);
+      it.listing.draining = draining;
+      g_array_append_val (a, it);
+    }
+  return a;
+}
+
+/*
+ * An endpoint begins to leave, and another is removed, while the platform's
+ * history is dropped: no change tells of either.  The whole list, read again,
+ * does; else callers' requests would reach both after their last moment.
+ */
+static void
+test_drain_in_gap (void)
+{
+  static const char *const three[] = { "a", "b", "c", NULL };
+  static const char *const rest[] = { "a", NULL };
+  struct source *p = source_new ();
+  struct fleet_endpoint *e;
+
+  tell (p, FOLLOW_ENDPOINTS, NEWS_OK, 10, endpoint_items (three, false));
+  g_assert_false (p->reading[FOLLOW_ENDPOINTS]);
+  g_assert_cmpint (p->after[FOLLOW_ENDPOINTS], ==, 10);
+  tell (p, FOLLOW_ENDPOINTS, NEWS_HISTORY_LOST, 0, NULL);
+  g_assert_true (p->reading[FOLLOW_ENDPOINTS]);
+  tell (p, FOLLOW_ENDPOINTS, NEWS_OK, 30, endpoint_items (rest, true));
+  e = g_hash_table_lookup (p->fleet.by_id, "a");
+  g_assert_true (e->draining);
+  g_assert_null (g_hash_table_lookup (p->fleet.by_id, "b"));
+  g_assert_cmpint (p->after[FOLLOW_ENDPOINTS], ==, 30);
+  source_free (p);
+}
+
+/* Knowledge is as fresh as the moment at which the answered call was sent,
+   and an unanswered call makes nothing fresh. */
+static void
+test_freshness (void)
+{
+  struct source *p = source_new ();
+  int64_t before = loop_now_us ();
+  int64_t fresh;
+
+  g_usleep (20000);
+  tell (p, FOLLOW_OPERATOR, NEWS_OK, 10, NULL);
+  fresh = p->fleet.fresh_us;
+  g_assert_cmpint (fresh, <=, before);
+  g_assert_cmpint (fresh, >, 0);
+  tell (p, FOLLOW_OPERATOR, NEWS_SILENT, 0, NULL);
+  g_assert_cmpint (p->fleet.fresh_us, ==, fresh);
+  source_free (p);
+}
+
+const struct unit orders_units[] = {
+  { "/lease/clock", test_clock },
+  { "/lease/no-overlap", test_no_overlap },
+  { "/lease/released", test_released },
+  { "/orders/whole", test_orders },
+  { "/orders/unknown", test_order_unknown },
+  { "/orders/successor-waits", test_successor_waits },
+  { "/orders/stop-releases", test_stop_releases },
+  { "/follow/drain-in-gap", test_drain_in_gap },
+  { "/follow/freshness", test_freshness },
+  { NULL, NULL },
+};
--- /dev/null
+++ b/regress/test-relay.c
@@ -0,0 +1,586 @@
+/*
+ * Unit tests of requests that are passed on, between an engine and a caller
+ * that the test plays, so that each fault comes at its exact moment.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "relay.h"
+#include "units.h"
+
+#define STALE_US (4 * CQ_US_PER_S)
+
+/* What a test plays and sees. */
+struct play
+{
+  struct loop *loop;                /* for timers; not run unless said */
+  struct fleet fleet;               /* beliefs */
+  struct relays *relays;            /* under test */
+  struct relay *relay;              /* the request */
+  struct relay_desc desc;           /* as described */
+  const struct relay_events *event; /* of the attempt */
+  void *arg;                        /* for them */
+  int sends;                        /* attempts so far */
+  int cancels;                      /* attempts cancelled */
+  char to[4][FLEET_NAME_SIZE];      /* where each went */
+  int64_t resume_after;             /* of the last attempt */
+  int64_t left_us;                  /* of the last attempt */
+  char scope[64];                   /* cache scope of the last attempt */
+  GString *got;                     /* bytes the caller got */
+  int status;                       /* status it got, 0 for none */
+  int refused;                      /* enum relay_refusal, -1 for none */
+  int64_t retry_after_us;           /* with the refusal */
+  int ended;                        /* 1 whole, 0 broken, -1 not ended */
+  bool gone;                        /* the caller hung up */
+};
+
+static char *no_headers[] = { NULL };
+static char *seal[] = { (char *)"Seal: x", NULL };
+
+/* --- the played engine ----------------------------------------------- */
+
+static void *
+engine_send (void *ctx, const struct relay_send *s,
+             const struct relay_events *events, void *arg)
+{
+  struct play *p = ctx;
+
+  g_strlcpy (p->to[p->sends % 4], s->endpoint->is.id, FLEET_NAME_SIZE);
+  p->sends++;
+  p->event = events;
+  p->arg = arg;
+  p->resume_after = s->resume_after;
+  p->left_us = s->left_us;
+  g_strlcpy (p->scope, s->cache_scope ? s->cache_scope : "", sizeof p->scope);
+  return p;
+}
+
+static void
+engine_cancel (void *ctx, void *call)
+{
+  struct play *p = ctx;
+
+  (void)call;
+  p->cancels++;
+}
+
+static void
+engine_unpause (void *ctx, void *call)
+{
+  (void)ctx;
+  (void)call;
+}
+
+/* --- the played caller ----------------------------------------------- */
+
+static void
+on_answer (void *arg, int status, const char *const *lines, const char *body,
+           size_t len)
+{
+  struct play *p = arg;
+
+  (void)lines;
+  p->status = status;
+  p->ended = 1;
+  g_string_append_len (p->got, body, (gssize)len);
+}
+
+static void
+on_begin (void *arg, int status, const char *const *lines)
+{
+  struct play *p = arg;
+
+  (void)lines;
+  p->status = status;
+}
+
+static void
+on_write (void *arg, const char *data, size_t len)
+{
+  struct play *p = arg;
+
+  g_string_append_len (p->got, data, (gssize)len);
+}
+
+static void
+on_end (void *arg, bool whole)
+{
+  struct play *p = arg;
+
+  p->ended = whole;
+}
+
+static size_t
+on_pending (void *arg)
+{
+  (void)arg;
+  return 0;
+}
+
+static bool
+on_gone (void *arg)
+{
+  struct play *p = arg;
+
+  return p->gone;
+}
+
+static void
+on_refuse (void *arg, enum relay_refusal why, int64_t retry_after_us)
+{
+  struct play *p = arg;
+
+  p->refused = (int)why;
+  p->retry_after_us = retry_after_us;
+}
+
+static const struct relay_caller caller = {
+  .answer = on_answer,
+  .begin = on_begin,
+  .write = on_write,
+  .end = on_end,
+  .pending = on_pending,
+  .gone = on_gone,
+  .refuse = on_refuse,
+};
+
+/* --- setting up ------------------------------------------------------ */
+
+static struct fleet_conf *
+conf (int64_t version, enum fleet_kind kind, const char *key)
+{
+  struct fleet_conf *c = fleet_conf_new ();
+  struct fleet_route *r = g_new0 (struct fleet_route, 1);
+  struct fleet_workspace *w = g_new0 (struct fleet_workspace, 1);
+
+  c->version = version;
+  c->limits.body_bytes = 1000;
+  r->name = g_strdup ("r");
+  r->host = g_strdup ("h");
+  r->prefix = g_strdup ("/");
+  r->kind = kind;
+  r->timeout_us = 20 * CQ_US_PER_S;
+  r->max_attempts = 2;
+  r->resumable = kind == FLEET_STREAM;
+  r->nsplits = 1;
+  r->splits = g_new0 (struct fleet_split, 1);
+  r->splits[0].service = g_strdup ("s");
+  g_ptr_array_add (c->routes, r);
+  w->name = g_strdup ("ws");
+  w->priority = -1;
+  w->isolated = true;
+  g_ptr_array_add (c->workspaces, w);
+  g_hash_table_insert (c->keys, g_strdup (key), w);
+  fleet_conf_seal (c);
+  return c;
+}
+
+static struct fleet_route *
+route_of (struct play *p)
+{
+  return p->fleet.conf->routes->pdata[0];
+}
+
+static void
+add_endpoint (struct play *p, const char *id)
+{
+  struct fleet_listing l = { .version = 3 };
+
+  g_strlcpy (l.id, id, sizeof l.id);
+  g_strlcpy (l.service, "s", sizeof l.service);
+  g_strlcpy (l.model, "m", sizeof l.model);
+  fleet_take_listing (&p->fleet, &l, 0);
+}
+
+static struct play *
+play_new (enum fleet_kind kind)
+{
+  struct play *p = g_new0 (struct play, 1);
+  struct relays_opts o = { .domain = "d", .stale_us = STALE_US };
+
+  p->loop = loop_new ();
+  fleet_init (&p->fleet);
+  fleet_take_conf (&p->fleet, conf (1, kind, "key"), 1);
+  p->fleet.listed = true;
+  p->fleet.fresh_us = loop_now_us ();
+  add_endpoint (p, "a");
+  add_endpoint (p, "b");
+  o.loop = p->loop;
+  o.fleet = &p->fleet;
+  o.engine.send = engine_send;
+  o.engine.cancel = engine_cancel;
+  o.engine.unpause = engine_unpause;
+  o.engine.ctx = p;
+  o.retry_percent = 10;
+  o.retry_burst = 4;
+  o.stream_buffer = 4096;
+  o.answer_max = 4096;
+  o.seed = 1;
+  p->relays = relays_new (&o);
+  p->got = g_string_new (NULL);
+  p->refused = -1;
+  p->ended = -1;
+  p->desc = (struct relay_desc){ .id = "id",
+                                 .method = "GET",
+                                 .target = "/x",
+                                 .host = "h",
+                                 .headers = no_headers,
+                                 .key = "key",
+                                 .resume_after = -1,
+                                 .body = "",
+                                 .caller = &caller };
+  p->desc.arg = p;
+  return p;
+}
+
+static void
+play_start (struct play *p)
+{
+  p->relay = relay_start (p->relays, &p->desc, loop_now_us ());
+}
+
+static void
+play_free (struct play *p)
+{
+  g_assert_cmpint (relays_count (p->relays), ==, 0);
+  relays_free (p->relays);
+  fleet_clear (&p->fleet);
+  loop_free (p->loop);
+  g_string_free (p->got, TRUE);
+  g_free (p);
+}
+
+/* The engine's answer, told as far as the test wants. */
+static void
+head (struct play *p, int status)
+{
+  struct relay_head h = { .status = status, .genuine = true, .running = -1 };
+
+  h.lines = seal;
+  g_assert_true (p->event->head (p->arg, &h));
+}
+
+static void
+body (struct play *p, const char *text)
+{
+  p->event->body (p->arg, text, strlen (text));
+}
+
+static void
+end (struct play *p, bool handed_over, bool whole)
+{
+  struct relay_end e = { .handed_over = handed_over, .whole = whole };
+
+  e.error = "";
+  p->event->end (p->arg, &e);
+}
+
+/* --- freshness ------------------------------------------------------- */
+
+/*
+ * The VM is suspended after it placed a request and before the first byte
+ * left.  Meanwhile the key was taken away; the VM cannot know.  The last look
+ * finds its knowledge too old: the caller is told "not run", which is true.
+ */
+static void
+test_frozen_before_send (void)
+{
+  struct play *p = play_new (FLEET_IDEMPOTENT);
+
+  play_start (p);
+  g_assert_cmpint (p->sends, ==, 1);
+  p->fleet.fresh_us -= STALE_US + 1;
+  g_assert_false (p->event->before_send (p->arg));
+  end (p, false, false);
+  g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
+  g_assert_cmpint (p->retry_after_us, >, 0);
+  g_assert_cmpint (p->sends, ==, 1);
+  play_free (p);
+}
+
+/* The configuration that takes the key away arrives in the same gap. */
+static void
+test_revoked_before_send (void)
+{
+  struct play *p = play_new (FLEET_IDEMPOTENT);
+
+  play_start (p);
+  fleet_take_conf (&p->fleet, conf (2, FLEET_IDEMPOTENT, "other"), 2);
+  g_assert_false (p->event->before_send (p->arg));
+  end (p, false, false);
+  g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
+  play_free (p);
+}
+
+/* A key that this VM does not know may have been added while it could not
+   hear: it says "not run", not "no such key".  With fresh knowledge it is
+   sure. */
+static void
+test_unknown_key (void)
+{
+  struct play *p = play_new (FLEET_IDEMPOTENT);
+
+  p->desc.key = "new";
+  play_start (p);
+  g_assert_cmpint (p->refused, ==, RELAY_BAD_KEY);
+  p->fleet.fresh_us -= STALE_US + 1;
+  play_start (p);
+  g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
+  g_assert_cmpint (p->sends, ==, 0);
+  play_free (p);
+}
+
+/* --- at most once ---------------------------------------------------- */
+
+/*
+ * A truck is ordered; the connection breaks after the call was handed over.
+ * It may be on its way, so it is not ordered again, and the caller hears that
+ * nobody knows, not that it did not run.
+ */
+static void
+test_once (void)
+{
+  struct play *p = play_new (FLEET_ONCE);
+
+  play_start (p);
+  g_assert_true (p->event->before_send (p->arg));
+  end (p, true, false);
+  g_assert_cmpint (p->sends, ==, 1);
+  g_assert_cmpint (p->refused, ==, RELAY_UNKNOWN);
+  play_free (p);
+}
+
+/* No connection came about: nothing ran, another endpoint may have it. */
+static void
+test_once_unreached (void)
+{
+  struct play *p = play_new (FLEET_ONCE);
+
+  play_start (p);
+  end (p, false, false);
+  g_assert_cmpint (p->sends, ==, 2);
+  g_assert_cmpstr (p->to[0], !=, p->to[1]);
+  g_assert_true (p->event->before_send (p->arg));
+  head (p, 200);
+  body (p, "ok");
+  end (p, true, true);
+  g_assert_cmpstr (p->got->str, ==, "ok");
+  play_free (p);
+}
+
+/* Both endpoints say that they did not run it: so does the answer. */
+static void
+test_refused_by_all (void)
+{
+  struct play *p = play_new (FLEET_ONCE);
+  struct relay_head h = { .status = 503, .not_run = true, .running = -1 };
+  int i;
+
+  h.lines = seal;
+  play_start (p);
+  for (i = 0; i < 2; i++)
+    {
+      g_assert_true (p->event->before_send (p->arg));
+      g_assert_true (p->event->head (p->arg, &h));
+      end (p, true, true);
+    }
+  g_assert_cmpint (p->sends, ==, 2);
+  g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
+  play_free (p);
+}
+
+/* --- answers --------------------------------------------------------- */
+
+/*
+ * An answer to another request arrives late on a kept connection.  Showing it
+ * would hand one caller's data to another; the request is tried again.
+ */
+static void
+test_not_genuine (void)
+{
+  struct play *p = play_new (FLEET_IDEMPOTENT);
+  struct relay_head h = { .status = 200, .running = -1 };
+
+  h.lines = seal;
+  play_start (p);
+  g_assert_true (p->event->before_send (p->arg));
+  g_assert_false (p->event->head (p->arg, &h));
+  end (p, true, false);
+  g_assert_cmpint (p->sends, ==, 2);
+  g_assert_cmpint (p->status, ==, 0);
+  g_assert_true (p->event->before_send (p->arg));
+  head (p, 200);
+  body (p, "mine");
+  end (p, true, true);
+  g_assert_cmpstr (p->got->str, ==, "mine");
+  play_free (p);
+}
+
+/*
+ * A stream breaks in the middle of its third event.  The caller has two; the
+ * run goes on elsewhere behind the second, repeats it, and the caller sees
+ * one stream without a seam.
+ */
+static void
+test_resume (void)
+{
+  struct play *p = play_new (FLEET_STREAM);
+
+  play_start (p);
+  g_assert_true (p->event->before_send (p->arg));
+  head (p, 200);
+  body (p, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
+  end (p, true, false);
+  g_assert_cmpint (p->sends, ==, 2);
+  g_assert_cmpint (p->resume_after, ==, 2);
+  g_assert_cmpstr (p->to[0], !=, p->to[1]);
+  g_assert_true (p->event->before_send (p->arg));
+  head (p, 200);
+  body (p, "id: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+  end (p, true, true);
+  g_assert_cmpstr (p->got->str, ==,
+                   "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+  g_assert_cmpint (p->ended, ==, 1);
+  play_free (p);
+}
+
+/* A stream that may not resume breaks: it must not look finished. */
+static void
+test_no_resume (void)
+{
+  struct play *p = play_new (FLEET_STREAM);
+
+  route_of (p)->resumable = false;
+  play_start (p);
+  g_assert_true (p->event->before_send (p->arg));
+  head (p, 200);
+  body (p, "id: 1\ndata: a\n\n");
+  end (p, true, false);
+  g_assert_cmpint (p->sends, ==, 1);
+  g_assert_cmpint (p->ended, ==, 0);
+  play_free (p);
+}
+
+/* Work is found again only under its weights and, for a workspace that shares
+   nothing, its owner: both are in the scope's name. */
+static void
+test_scope (void)
+{
+  struct play *p = play_new (FLEET_STREAM);
+
+  play_start (p);
+  g_assert_cmpstr (p->scope, ==, "v3.ws");
+  relay_caller_gone (p->relay);
+  g_assert_cmpint (p->cancels, ==, 1);
+  play_free (p);
+}
+
+/* --- repeats and time ------------------------------------------------ */
+
+/* An outage must not be doubled by repeats: beyond the burst and the share
+   of requests, a failed request is answered at once. */
+static void
+test_budget (void)
+{
+  struct play *p = play_new (FLEET_IDEMPOTENT);
+  int i;
+
+  for (i = 0; i < 20; i++)
+    {
+      play_start (p);
+      while (p->refused < 0)
+        {
+          g_assert_true (p->event->before_send (p->arg));
+          end (p, true, false);
+        }
+      p->refused = -1;
+      pick_worked (APR_RING_FIRST (&p->fleet.endpoints));
+      pick_worked (APR_RING_LAST (&p->fleet.endpoints));
+    }
+  /* Twenty requests, a burst of four, a tenth of what came. */
+  g_assert_cmpint (p->sends, >=, 24);
+  g_assert_cmpint (p->sends, <=, 26);
+  play_free (p);
+}
+
+static void
+stop_loop (void *arg, int64_t now_us)
+{
+  struct play *p = arg;
+
+  (void)now_us;
+  loop_stop (p->loop);
+}
+
+static void
+run_for (struct play *p, int64_t us)
+{
+  struct loop_timer t = { .fire = stop_loop };
+
+  t.arg = p;
+  loop_arm (p->loop, &t, loop_now_us () + us);
+  loop_run (p->loop);
+}
+
+/* The endpoint never answers: at the route's own limit the caller hears so,
+   and the run is cancelled. */
+static void
+test_timeout (void)
+{
+  struct play *p = play_new (FLEET_IDEMPOTENT);
+
+  route_of (p)->timeout_us = 50 * CQ_US_PER_MS;
+  play_start (p);
+  g_assert_cmpint (p->left_us, <=, 50 * CQ_US_PER_MS);
+  g_assert_true (p->event->before_send (p->arg));
+  run_for (p, 400 * CQ_US_PER_MS);
+  g_assert_cmpint (p->refused, ==, RELAY_TIMED_OUT);
+  g_assert_cmpint (p->cancels, ==, 1);
+  play_free (p);
+}
+
+/* The caller hangs up while the endpoint works: the run is cancelled without
+   waiting for the endpoint. */
+static void
+test_hang_up (void)
+{
+  struct play *p = play_new (FLEET_STREAM);
+
+  play_start (p);
+  g_assert_true (p->event->before_send (p->arg));
+  p->gone = true;
+  run_for (p, 500 * CQ_US_PER_MS);
+  g_assert_cmpint (p->cancels, ==, 1);
+  g_assert_cmpint (p->refused, ==, -1);
+  play_free (p);
+}
+
+/* Nothing is known yet, as after a start without the platform: "not run". */
+static void
+test_nothing_known (void)
+{
+  struct play *p = play_new (FLEET_IDEMPOTENT);
+
+  p->fleet.listed = false;
+  play_start (p);
+  g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
+  play_free (p);
+}
+
+const struct unit relay_units[] = {
+  { "/relay/frozen-before-send", test_frozen_before_send },
+  { "/relay/revoked-before-send", test_revoked_before_send },
+  { "/relay/unknown-key", test_unknown_key },
+  { "/relay/once", test_once },
+  { "/relay/once-unreached", test_once_unreached },
+  { "/relay/refused-by-all", test_refused_by_all },
+  { "/relay/not-genuine", test_not_genuine },
+  { "/relay/resume", test_resume },
+  { "/relay/no-resume", test_no_resume },
+  { "/relay/scope", test_scope },
+  { "/relay/budget", test_budget },
+  { "/relay/timeout", test_timeout },
+  { "/relay/hang-up", test_hang_up },
+  { "/relay/nothing-known", test_nothing_known },
+  { NULL, NULL },
+};
--- a/regress/test-units.c
+++ b/regress/test-units.c
@@ -6,6 +6,8 @@
 #include <stdio.h>
 #include <string.h>
 
+#include <apr_general.h>
+
 #include "decide.h"
 #include "memb.h"
 #include "units.h"
@@ -736,15 +738,22 @@
   { "/member/neighbours", test_member_neighbours },
 };
 
+/* Of the other files; each ends with an entry without a path. */
+static const struct unit *const tables[]
+    = { wire_units, fleet_units, relay_units, orders_units };
+
 int
 main (int argc, char **argv)
 {
+  const struct unit *u;
   size_t i;
 
   g_test_init (&argc, &argv, NULL);
+  apr_initialize ();
   for (i = 0; i < G_N_ELEMENTS (units); i++)
     g_test_add_func (units[i].path, units[i].run);
-  for (i = 0; wire_units[i].path != NULL; i++)
-    g_test_add_func (wire_units[i].path, wire_units[i].run);
+  for (i = 0; i < G_N_ELEMENTS (tables); i++)
+    for (u = tables[i]; u->path != NULL; u++)
+      g_test_add_func (u->path, u->run);
   return g_test_run ();
 }
--- a/regress/units.h
+++ b/regress/units.h
@@ -11,5 +11,8 @@
 
 /* Ends with an entry without a path. */
 extern const struct unit wire_units[];
+extern const struct unit fleet_units[];
+extern const struct unit relay_units[];
+extern const struct unit orders_units[];
 
 #endif
