Stand-ins of the platform's store and endpoints; scripted runs; layers; logs

Found by the scripts: when all endpoints had failed lately, everything was refused until one had rested; resting endpoints are now the last choice instead of none (pick/all-resting, red before).

Logs go to standard output, bounded in lines a second, and a reader that stops reading stops no request: a pipe that is full loses the line, counted.

--- a/adopt.c
+++ b/adopt.c
@@ -187,6 +187,9 @@
   else if (!fits (s, cfg))
     return false;
   fill_tables (s, cfg);
+  __atomic_store_n (&s->body_bytes_max,
+                    cfg_vm (cfg)->body_memory_mb * 1024 * 1024,
+                    __ATOMIC_RELAXED);
   old = __atomic_exchange_n (&s->cfg, cfg, __ATOMIC_ACQ_REL);
   if (old != NULL && old != cfg)
     retire (s, old);
--- a/api.c
+++ b/api.c
@@ -135,7 +135,7 @@
 {
   const struct cfg *cfg = server_cfg (r->worker->server);
   enum cfg_group_id group
-      = r->route->auth == AUTH_OPERATOR ? CFG_OPERATOR : CFG_WORKSPACE;
+      = r->route->auth == KEY_OPERATOR ? CFG_OPERATOR : CFG_WORKSPACE;
   const char *secret = NULL;
   g_autofree char *name = auth_name (req_header (r, "Authorization"), &secret);
   char *const *hashes;
@@ -191,7 +191,7 @@
       return;
     }
   r->rest = r->path + strlen (r->route->path);
-  if (r->route->auth != AUTH_NONE && !authenticate (r))
+  if (r->route->auth != KEY_NONE && !authenticate (r))
     {
       refuse_early (r, "no_key", 0);
       return;
--- a/fleet.h
+++ b/fleet.h
@@ -235,9 +235,8 @@
 enum pick_code
 {
   PICK_CHOSEN,
-  PICK_NONE,       /* the service has no endpoint */
-  PICK_RESTING,    /* all failed lately, or were tried */
-  PICK_OLD_WEIGHTS /* only endpoints that still have old weights */
+  PICK_NONE, /* the service has no endpoint */
+  PICK_SPENT /* all were tried, or have weights that are too old */
 };
 
 struct pick_choice
--- a/hin.c
+++ b/hin.c
@@ -260,9 +260,8 @@
 static bool
 body_memory_left (struct server *s)
 {
-  int64_t max = cfg_vm (server_cfg (s))->body_memory_mb * 1024 * 1024;
-
-  return __atomic_load_n (&s->body_bytes, __ATOMIC_RELAXED) < max;
+  return __atomic_load_n (&s->body_bytes, __ATOMIC_RELAXED)
+         < __atomic_load_n (&s->body_bytes_max, __ATOMIC_RELAXED);
 }
 
 static enum MHD_Result
--- a/libserver.h
+++ b/libserver.h
@@ -103,6 +103,7 @@
   int phase;                    /* enum phase; atomic */
   int live;                     /* jobs of all workers; atomic */
   int64_t body_bytes;           /* request bodies held; atomic */
+  int64_t body_bytes_max;       /* their bound; atomic */
   GMutex lim_lock;              /* guards services and workspaces */
   struct service *services;     /* by place in the settings */
   int max_services;             /* entries allocated */
@@ -202,11 +203,11 @@
   EXCESS_MEMORY /* over what all bodies may take */
 };
 
-enum req_auth
+enum req_key
 {
-  AUTH_NONE,
-  AUTH_WORKSPACE,
-  AUTH_OPERATOR
+  KEY_NONE,
+  KEY_WORKSPACE,
+  KEY_OPERATOR
 };
 
 /* One entry of the table of paths. */
@@ -214,7 +215,7 @@
 {
   const char *method;            /* GET or POST */
   const char *path;              /* whole path, or prefix ending in "/" */
-  enum req_auth auth;            /* whose key is needed */
+  enum req_key auth;             /* whose key is needed */
   void (*start) (struct req *r); /* called when the request is whole */
 };
 
--- a/log.c
+++ b/log.c
@@ -2,16 +2,36 @@
 #include "log.h"
 
 #include <glib.h>
+#include <limits.h>
 #include <log4c.h>
-#include <stdio.h>
+#include <poll.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #define CATEGORY "camphorquay"
-#define LINE_MAX_LEN 2048
+#define LINE_MAX_LEN                                                          \
+  2048 /* of the pairs; with the identity under PIPE_BUF                      \
+        */
+#define US_PER_S INT64_C (1000000)
+
+/* Lines of one second; guarded by the lock. */
+struct window
+{
+  int64_t second; /* which */
+  int lines;      /* written in it */
+  int dropped;    /* over the bound */
+};
 
 /* Identity that every line carries; set once before the threads start. */
 static char identity[160];
 static log4c_category_t *category;
+static int lines_s;  /* bound on lines a second, 0 for none */
+static int64_t lost; /* lines that a full pipe did not take; atomic */
+static GMutex lock;
+static struct window window;
 
 static const int priorities[] = {
   [LOG_LEVEL_DEBUG] = LOG4C_PRIORITY_DEBUG,
@@ -35,32 +55,58 @@
   return event->evt_msg;
 }
 
-/* log4c's own stream appender puts its name before each line. */
+/*
+ * A reader of the log that stops reading must stop no request.  A pipe that
+ * polls as writable takes PIPE_BUF bytes at once, and no line is longer; one
+ * that is full loses the line, which is counted.
+ */
+static bool
+can_write (void)
+{
+  struct pollfd p = { .fd = STDOUT_FILENO, .events = POLLOUT };
+
+  return poll (&p, 1, 0) == 1 && (p.revents & POLLOUT) != 0;
+}
+
+/* log4c's own stream appender puts its name before each line, and blocks. */
 static int
 append_line (log4c_appender_t *appender, const log4c_logging_event_t *event)
 {
+  const char *line = event->evt_rendered_msg;
+  size_t len = strlen (line);
+
   (void)appender;
-  return fputs (event->evt_rendered_msg, stderr);
+  if (!can_write () || write (STDOUT_FILENO, line, len) != (ssize_t)len)
+    __atomic_fetch_add (&lost, 1, __ATOMIC_RELAXED);
+  return 0;
 }
 
 static const log4c_appender_type_t line_appender
-    = { "cq_stderr", NULL, append_line, NULL };
+    = { "cq_stdout", NULL, append_line, NULL };
 
 static const log4c_layout_type_t line_layout = { "cq_line", format_line };
 
+int64_t
+log_lost (void)
+{
+  return __atomic_load_n (&lost, __ATOMIC_RELAXED);
+}
+
 void
-log_open (const char *vm, const char *domain, enum log_level least)
+log_open (const char *vm, const char *domain, enum log_level least,
+          int max_lines_s)
 {
   log4c_appender_t *appender;
   log4c_layout_t *layout;
 
+  lines_s = max_lines_s;
   g_snprintf (identity, sizeof identity, "vm=%s domain=%s", vm, domain);
   log4c_init ();
   log4c_layout_type_set (&line_layout);
   layout = log4c_layout_get ("cq_line");
   log4c_layout_set_type (layout, &line_layout);
   log4c_appender_type_set (&line_appender);
-  appender = log4c_appender_get ("cq_stderr");
+  appender = log4c_appender_get ("cq_stdout");
   log4c_appender_set_type (appender, &line_appender);
   log4c_appender_set_layout (appender, layout);
   category = log4c_category_get (CATEGORY);
@@ -75,6 +121,29 @@
   log4c_fini ();
 }
 
+/* Count a line of this second; how many the last second dropped is told once
+   in *DROPPED.  False if it is over the bound. */
+static bool
+within_bound (int64_t second, int *dropped)
+{
+  bool within;
+
+  g_mutex_lock (&lock);
+  *dropped = 0;
+  if (second != window.second)
+    {
+      *dropped = window.dropped;
+      window = (struct window){ .second = second };
+    }
+  within = lines_s == 0 || window.lines < lines_s;
+  if (within)
+    window.lines++;
+  else
+    window.dropped++;
+  g_mutex_unlock (&lock);
+  return within;
+}
+
 static void
 format_time (char *to, size_t size)
 {
@@ -94,11 +163,23 @@
 {
   char when[48];
   char pairs[LINE_MAX_LEN];
+  int dropped;
+  bool within;
 
   if (category == NULL
       || !log4c_category_is_priority_enabled (category, priorities[level]))
     return;
+  /* Under load the volume stays bounded: plain events over the bound are
+     dropped, what warns never is. */
+  within = within_bound (g_get_monotonic_time () / US_PER_S, &dropped);
   format_time (when, sizeof when);
+  if (dropped > 0)
+    log4c_category_log (category, priorities[LOG_LEVEL_WARNING],
+                        "time=%s level=warning %s event=log_dropped "
+                        "lines=%d unread=%d\n",
+                        when, identity, dropped, (int)log_lost ());
+  if (!within && level <= LOG_LEVEL_INFO)
+    return;
   g_vsnprintf (pairs, sizeof pairs, fmt, ap);
   log4c_category_log (category, priorities[level],
                       "time=%s level=%s %s event=%s %s\n", when,
--- a/log.h
+++ b/log.h
@@ -7,6 +7,7 @@
 #define CQ_LOG_H
 
 #include <stdarg.h>
+#include <stdint.h>
 
 enum log_level
 {
@@ -16,8 +17,12 @@
   LOG_LEVEL_ERROR
 };
 
-/* Open the log on standard error; VM and DOMAIN stand in every line. */
-void log_open (const char *vm, const char *domain, enum log_level least);
+/* Open the log on standard output; VM and DOMAIN stand in every line, and of
+   debug and info lines at most MAX_LINES_S are written a second (0: all). */
+void log_open (const char *vm, const char *domain, enum log_level least,
+               int max_lines_s);
+/* Lines that nobody read in time. */
+int64_t log_lost (void);
 void log_close (void);
 
 /* Write "event=EVENT" and the pairs formatted by FMT. */
--- a/pick.c
+++ b/pick.c
@@ -37,8 +37,7 @@
   static const char *const names[] = {
     [PICK_CHOSEN] = "chosen",
     [PICK_NONE] = "no_endpoint",
-    [PICK_RESTING] = "all_failed",
-    [PICK_OLD_WEIGHTS] = "old_weights",
+    [PICK_SPENT] = "all_tried",
   };
 
   return names[code];
@@ -210,6 +209,7 @@
   TIER_OLD,       /* answers made by old weights are worth less */
   TIER_RELOADING, /* it is about to refuse */
   TIER_FULL,      /* it refused just now */
+  TIER_RESTING,   /* it failed lately; better than no endpoint at all */
   TIER_NEVER
 };
 
@@ -228,9 +228,10 @@
 tier_of (const struct fleet *f, const struct pick_query *q,
          const struct fleet_endpoint *e, int64_t now_us)
 {
-  if (e->draining || excluded (q, e) || now_us < e->rest_until_us
-      || too_old (f, e, now_us))
+  if (e->draining || excluded (q, e) || too_old (f, e, now_us))
     return TIER_NEVER;
+  if (now_us < e->rest_until_us)
+    return TIER_RESTING;
   if (now_us < e->full_until_us)
     return TIER_FULL;
   if (pick_reloading (f, e, now_us))
@@ -367,7 +368,7 @@
   c.candidates = s.count;
   if (s.count == 0)
     {
-      c.code = s.listed > 0 ? PICK_RESTING : PICK_NONE;
+      c.code = s.listed > 0 ? PICK_SPENT : PICK_NONE;
       return c;
     }
   if (q->affinity != NULL)
--- a/regress/config.sh
+++ b/regress/config.sh
@@ -86,7 +86,7 @@
 listen = 127.0.0.1:0
 peer_keys = $peer_key
 EOF
-$bin serve --base "$tmp/base.ini" --overlay "$tmp/alone.site.ini" 2>"$tmp/alone.log" &
+$bin serve --base "$tmp/base.ini" --overlay "$tmp/alone.site.ini" >"$tmp/alone.log" 2>&1 &
 pid_alone=$!
 pids="$pids $pid_alone"
 wait_for has_line "$tmp/alone.log" 'event=listen'
--- a/regress/fake.h
+++ b/regress/fake.h
@@ -35,6 +35,12 @@
 extern const struct fk_role fk_plain;
 extern const struct fk_role fk_table;
 extern const struct fk_role fk_store;
+extern const struct fk_role fk_rows;
+
+/* For roles that bring their own server. */
+void fk_init (void);
+void fk_set_port (int port);
+void fk_control (const char *text, size_t len);
 
 int fk_serve (const struct fk_role *role, int port);
 enum MHD_Result fk_reply (struct fk_req *r, int status, const char *type,
--- a/regress/fakehttp.c
+++ b/regress/fakehttp.c
@@ -77,15 +77,21 @@
   g_mutex_unlock (&lock);
 }
 
-static enum MHD_Result
-control (struct fk_req *r)
+void
+fk_control (const char *text, size_t len)
 {
-  json_t *doc = json_loadb (r->body->str, r->body->len, 0, NULL);
+  json_t *doc = json_loadb (text, len, 0, NULL);
   const char *key;
   json_t *value;
 
   json_object_foreach (doc, key, value) { set_one (key, value); }
   json_decref (doc);
+}
+
+static enum MHD_Result
+control (struct fk_req *r)
+{
+  fk_control (r->body->str, r->body->len);
   return fk_reply_json (r, 200, json_object ());
 }
 
@@ -172,6 +178,20 @@
   *con_cls = NULL;
 }
 
+void
+fk_init (void)
+{
+  settings = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void
+fk_set_port (int port)
+{
+  bound_port = port;
+  printf ("port=%d\n", port);
+  fflush (stdout);
+}
+
 int
 fk_serve (const struct fk_role *role, int port)
 {
@@ -179,7 +199,7 @@
   const union MHD_DaemonInfo *info;
   struct MHD_Daemon *d;
 
-  settings = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  fk_init ();
   sa.sin_port = htons ((uint16_t)port);
   sa.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   d = MHD_start_daemon (MHD_USE_THREAD_PER_CONNECTION
@@ -193,9 +213,7 @@
   if (d == NULL)
     return 1;
   info = MHD_get_daemon_info (d, MHD_DAEMON_INFO_BIND_PORT);
-  bound_port = info->port;
-  printf ("port=%d\n", info->port);
-  fflush (stdout);
+  fk_set_port (info->port);
   for (;;)
     pause ();
 }
--- /dev/null
+++ b/regress/fakesrv.c
@@ -0,0 +1,464 @@
+/*
+ * Stand-in for an endpoint of the users' platform, byte by byte: what it reads
+ * and writes is under its own control, so that every fault of a server can be
+ * played.
+ *
+ *   id           its id; a request that expects another gets 421
+ *   delay_ms     time a run takes
+ *   refuse       so many requests are refused as not executed
+ *   drop         so many runs are not answered: the connection closes
+ *   close_after  close the connection after each answer without saying so
+ *   other_id     so many answers bear another request's id
+ *   no_seal      so many answers bear no seal
+ *   extra        so many answers are followed by a second one
+ *   unframed     answers have no length and end with their connection
+ *   events       events of a stream; 0 answers with a whole body
+ *   event_ms     pause between them
+ *   break_after  so many streams break after two and a half events
+ *   status       of the answers
+ *   silent       read requests and never answer
+ *   late_order   so many orders get no answer and are carried out later
+ */
+#include "fake.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "fakesrv.h"
+
+#define HEAD_MAX 32768
+
+/* A request as it was read. */
+struct in
+{
+  int fd;            /* its connection */
+  char *head;        /* request line and headers */
+  char method[16];   /* as sent */
+  char target[4096]; /* as sent */
+  GString *body;     /* whole */
+  bool cut;          /* the peer closed meanwhile */
+};
+
+static GMutex lock;
+static int64_t version = 1; /* of the weights */
+static int64_t seq;         /* orders taken */
+static int64_t busy_until;  /* ms of the monotonic clock */
+
+static int64_t
+now_ms (void)
+{
+  return g_get_monotonic_time () / 1000;
+}
+
+/* --- reading --------------------------------------------------------- */
+
+static bool
+more (int fd, GString *s)
+{
+  char buf[4096];
+  ssize_t n = recv (fd, buf, sizeof buf, 0);
+
+  if (n <= 0)
+    return false;
+  g_string_append_len (s, buf, n);
+  return true;
+}
+
+/* A header's value, or NULL; freed by the caller. */
+static char *
+header (const struct in *in, const char *name)
+{
+  g_auto (GStrv) lines = g_strsplit (in->head, "\r\n", -1);
+  size_t n = strlen (name);
+  int i;
+
+  for (i = 0; lines[i] != NULL; i++)
+    if (strncasecmp (lines[i], name, n) == 0 && lines[i][n] == ':')
+      return g_strdup (g_strstrip (lines[i] + n + 1));
+  return NULL;
+}
+
+static bool
+read_chunks (int fd, GString *raw, GString *body)
+{
+  char *nl;
+  gsize size;
+
+  for (;;)
+    {
+      while ((nl = strstr (raw->str, "\r\n")) == NULL)
+        if (!more (fd, raw))
+          return false;
+      size = (gsize)strtoul (raw->str, NULL, 16);
+      g_string_erase (raw, 0, nl + 2 - raw->str);
+      while (raw->len < size + 2)
+        if (!more (fd, raw))
+          return false;
+      g_string_append_len (body, raw->str, (gssize)size);
+      g_string_erase (raw, 0, (gssize)size + 2);
+      if (size == 0)
+        return true;
+    }
+}
+
+/* Read one request from RAW and what follows on FD; false at the end. */
+static bool
+read_request (int fd, GString *raw, struct in *in)
+{
+  char *end;
+  g_autofree char *length = NULL;
+  g_autofree char *coding = NULL;
+  gsize n;
+
+  while ((end = strstr (raw->str, "\r\n\r\n")) == NULL)
+    if (raw->len > HEAD_MAX || !more (fd, raw))
+      return false;
+  in->fd = fd;
+  in->head = g_strndup (raw->str, (gsize)(end - raw->str));
+  g_string_erase (raw, 0, end + 4 - raw->str);
+  if (sscanf (in->head, "%15s %4095s", in->method, in->target) != 2)
+    return false;
+  in->body = g_string_new (NULL);
+  length = header (in, "Content-Length");
+  coding = header (in, "Transfer-Encoding");
+  if (coding != NULL)
+    return read_chunks (fd, raw, in->body);
+  n = length != NULL ? (gsize)strtoul (length, NULL, 10) : 0;
+  while (raw->len < n)
+    if (!more (fd, raw))
+      return false;
+  g_string_append_len (in->body, raw->str, (gssize)n);
+  g_string_erase (raw, 0, (gssize)n);
+  return true;
+}
+
+/* --- writing --------------------------------------------------------- */
+
+static void
+put (int fd, const char *data, size_t len)
+{
+  ssize_t n;
+
+  while (len > 0 && (n = send (fd, data, len, MSG_NOSIGNAL)) > 0)
+    {
+      data += n;
+      len -= (size_t)n;
+    }
+}
+
+static void
+put_text (int fd, const char *text)
+{
+  put (fd, text, strlen (text));
+}
+
+/* Headers that a server puts on its answers. */
+static char *
+marks (const struct in *in)
+{
+  g_autofree char *id = header (in, "X-Attempt-Id");
+  bool other = fk_take ("other_id");
+  bool bare = fk_take ("no_seal");
+  int64_t v;
+
+  g_mutex_lock (&lock);
+  v = version;
+  g_mutex_unlock (&lock);
+  return g_strdup_printf ("X-Attempt-Id: %s\r\nX-Server-Load: 1,0,8\r\n"
+                          "X-Weight-Versions: %" G_GINT64_FORMAT "\r\n%s",
+                          other ? "another" : (id != NULL ? id : ""),
+                          (gint64)v, bare ? "" : "X-Server-Seal: 3e1b.07\r\n");
+}
+
+static void
+answer (const struct in *in, int status, const char *body)
+{
+  g_autofree char *m = marks (in);
+  g_autofree char *text = NULL;
+  g_autofree char *length
+      = g_strdup_printf ("Content-Length: %zu\r\n", strlen (body));
+
+  text = g_strdup_printf ("HTTP/1.1 %d X\r\n%s%s\r\n%s", status, m,
+                          fk_number ("unframed", 0) ? "" : length, body);
+  put_text (in->fd, text);
+  if (fk_take ("extra"))
+    put_text (in->fd, text);
+}
+
+static void
+refuse (const struct in *in, int status)
+{
+  g_autofree char *id = fk_string ("id", "");
+  g_autofree char *text = g_strdup_printf (
+      "HTTP/1.1 %d X\r\nX-Not-Executed: 1\r\nX-Instance-Id: %s\r\n"
+      "Content-Length: 0\r\n\r\n",
+      status, id);
+
+  put_text (in->fd, text);
+}
+
+static bool
+peer_closed (int fd)
+{
+  char c;
+
+  return recv (fd, &c, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+/* Work for MS; false if the peer left. */
+static bool
+work (int fd, int64_t ms)
+{
+  int64_t until = now_ms () + ms;
+
+  while (now_ms () < until)
+    {
+      if (peer_closed (fd))
+        return false;
+      g_usleep (5000);
+    }
+  return true;
+}
+
+static void
+put_chunk (int fd, const char *text)
+{
+  g_autofree char *chunk
+      = g_strdup_printf ("%zx\r\n%s\r\n", strlen (text), text);
+
+  put_text (fd, chunk);
+}
+
+/* False if the connection must end. */
+static bool
+stream (const struct in *in)
+{
+  g_autofree char *m = marks (in);
+  g_autofree char *head = g_strdup_printf (
+      "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+      "Transfer-Encoding: chunked\r\n%s\r\n",
+      m);
+  g_autofree char *last = header (in, "Last-Event-Id");
+  int64_t i = last != NULL ? g_ascii_strtoll (last, NULL, 10) + 1 : 1;
+  int64_t n = fk_number ("events", 0);
+  bool breaks = fk_take ("break_after");
+  int told = 0;
+
+  put_text (in->fd, head);
+  for (; i <= n; i++)
+    {
+      g_autofree char *e
+          = g_strdup_printf ("id: %d\ndata: t%d\n\n", (int)i, (int)i);
+
+      if (!work (in->fd, fk_number ("event_ms", 1)))
+        {
+          fk_log ("cancelled", "target=%s", in->target);
+          return false;
+        }
+      if (breaks && told++ == 2)
+        {
+          put_chunk (in->fd, "id: ");
+          return false;
+        }
+      put_chunk (in->fd, e);
+    }
+  put_text (in->fd, "0\r\n\r\n");
+  return true;
+}
+
+/* --- requests -------------------------------------------------------- */
+
+static void
+log_run (const struct in *in)
+{
+  static const char *const names[] = {
+    "X-Attempt-Id",       "X-Tenant",      "X-Cache-Salt",  "X-Expect-Version",
+    "X-Request-Priority", "Last-Event-Id", "Authorization", "X-Hold",
+    "X-Kv-Fetch",         "Expect",        "Content-Type"
+  };
+  g_autoptr (GString) s = g_string_new (NULL);
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      g_autofree char *v = header (in, names[i]);
+
+      if (v != NULL)
+        g_string_append_printf (s, " %s=%s", names[i], v);
+    }
+  fk_log ("ran", "method=%s target=%s body=%zu%s", in->method, in->target,
+          in->body->len, s->str);
+}
+
+/* False if the connection must end. */
+static bool
+run (const struct in *in)
+{
+  g_autofree char *expected = header (in, "X-Expect-Instance");
+  g_autofree char *id = fk_string ("id", "");
+  g_autofree char *text = NULL;
+
+  if (expected != NULL && strcmp (expected, id) != 0)
+    {
+      refuse (in, 421);
+      return true;
+    }
+  if (fk_take ("refuse"))
+    {
+      refuse (in, 503);
+      return true;
+    }
+  log_run (in);
+  if (fk_number ("silent", 0))
+    {
+      while (!peer_closed (in->fd))
+        g_usleep (5000);
+      return false;
+    }
+  if (!work (in->fd, fk_number ("delay_ms", 0)))
+    {
+      fk_log ("cancelled", "target=%s", in->target);
+      return false;
+    }
+  if (fk_take ("drop"))
+    return false;
+  if (fk_number ("events", 0) > 0)
+    return stream (in);
+  text = g_strdup_printf ("%s ran %s %s", id, in->target, in->body->str);
+  answer (in, (int)fk_number ("status", 200), text);
+  return !fk_number ("unframed", 0) && !fk_number ("close_after", 0);
+}
+
+static void
+report (const struct in *in)
+{
+  g_autofree char *text = NULL;
+
+  g_mutex_lock (&lock);
+  text = g_strdup_printf (
+      "{\"Models\":[{\"Name\":\"m\",\"Version\":%d}],\"Busy\":%s,\"Seq\":%d,"
+      "\"Queued\":0,\"Active\":0}",
+      (int)version, now_ms () < busy_until ? "true" : "false", (int)seq);
+  g_mutex_unlock (&lock);
+  answer (in, 200, text);
+}
+
+/* Carry an order out if its precondition holds. */
+static int
+carry_out (json_t *doc)
+{
+  int64_t wanted = json_integer_value (json_object_get (doc, "Precondition"));
+  int status = 202;
+
+  g_mutex_lock (&lock);
+  if (wanted != seq)
+    status = 409;
+  else
+    {
+      seq++;
+      version = json_integer_value (json_object_get (doc, "Version"));
+      busy_until = now_ms () + fk_number ("load_ms", 50);
+    }
+  g_mutex_unlock (&lock);
+  fk_log ("order",
+          "holder=%s fence=%d precondition=%d version=%d mode=%s status=%d",
+          json_string_value (json_object_get (doc, "Holder")),
+          (int)json_integer_value (json_object_get (doc, "Fence")),
+          (int)wanted,
+          (int)json_integer_value (json_object_get (doc, "Version")),
+          json_string_value (json_object_get (doc, "SwitchMode")), status);
+  return status;
+}
+
+static gpointer
+carry_out_late (gpointer arg)
+{
+  g_usleep ((gulong)fk_number ("late_ms", 1500) * 1000);
+  carry_out (arg);
+  json_decref (arg);
+  return NULL;
+}
+
+static bool
+order (const struct in *in)
+{
+  json_t *doc = json_loadb (in->body->str, in->body->len, 0, NULL);
+
+  if (fk_take ("late_order"))
+    {
+      g_thread_unref (g_thread_new ("late", carry_out_late, doc));
+      return false;
+    }
+  answer (in, carry_out (doc), "");
+  json_decref (doc);
+  return true;
+}
+
+static bool
+handle (const struct in *in)
+{
+  if (strcmp (in->target, "/control") == 0)
+    {
+      fk_control (in->body->str, in->body->len);
+      put_text (in->fd, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+      return true;
+    }
+  if (fk_number ("down", 0))
+    return false;
+  if (strcmp (in->target, "/report") == 0)
+    {
+      report (in);
+      return true;
+    }
+  if (strcmp (in->target, "/order") == 0)
+    return order (in);
+  return run (in);
+}
+
+static gpointer
+serve (gpointer arg)
+{
+  int fd = GPOINTER_TO_INT (arg);
+  GString *raw = g_string_new (NULL);
+  bool go = true;
+
+  while (go)
+    {
+      struct in in = { 0 };
+
+      go = read_request (fd, raw, &in) && handle (&in);
+      g_free (in.head);
+      if (in.body != NULL)
+        g_string_free (in.body, TRUE);
+    }
+  g_string_free (raw, TRUE);
+  close (fd);
+  return NULL;
+}
+
+int
+fakesrv_main (int port)
+{
+  struct sockaddr_in sa = { .sin_family = AF_INET };
+  socklen_t len = sizeof sa;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  int on = 1;
+  int c;
+
+  fk_init ();
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  sa.sin_port = htons ((uint16_t)port);
+  sa.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  if (bind (fd, (struct sockaddr *)&sa, sizeof sa) != 0
+      || listen (fd, 128) != 0
+      || getsockname (fd, (struct sockaddr *)&sa, &len) != 0)
+    return 1;
+  fk_set_port (ntohs (sa.sin_port));
+  while ((c = accept (fd, NULL, NULL)) >= 0)
+    g_thread_unref (g_thread_new ("conn", serve, GINT_TO_POINTER (c)));
+  return 1;
+}
--- a/regress/lib.sh
+++ b/regress/lib.sh
@@ -66,7 +66,7 @@
 # control NAME JSON: switch faults of a stand-in on and off.
 control() {
 	eval "_port=\$port_$1"
-	curl -sf --noproxy '*' -d "$2" "http://127.0.0.1:$_port/control" >/dev/null || fail "control $1"
+	curl -sf --max-time 20 --noproxy '*' -d "$2" "http://127.0.0.1:$_port/control" >/dev/null || fail "control $1"
 }
 
 # stat NAME FIELD: a number from a stand-in's statistics.
@@ -99,7 +99,7 @@
 	[ -f "$tmp/$1.ini" ] && cat "$tmp/$1.ini" >>"$tmp/$1.site.ini"
 	[ -f "$tmp/$1.log" ] && mv "$tmp/$1.log" "$tmp/$1.log.$(ls "$tmp" | grep -c .)"
 	$bin serve --base "$tmp/base.ini" --overlay "$tmp/$1.site.ini" \
-		2>>"$tmp/$1.log" &
+		>>"$tmp/$1.log" 2>&1 &
 	eval "pid_$1=$!"
 	pids="$pids $!"
 	wait_for has_line "$tmp/$1.log" 'level=info.*event=listen'
--- /dev/null
+++ b/regress/site.sh
@@ -0,0 +1,97 @@
+# Functions for the scripted runs of the entry: a VM between callers, the
+# platform's store and its endpoints, all in the platform's own format.
+
+# row TABLE KEY VALUE: what the operator or an endpoint writes.
+row() {
+	curl -sf --max-time 20 --noproxy '*' -X PUT --data-binary "$3" \
+		"http://127.0.0.1:$port_rows/row/$1/$2" >/dev/null || fail "row $1/$2"
+}
+drop_row() {
+	curl -sf --max-time 20 --noproxy '*' -X DELETE "http://127.0.0.1:$port_rows/row/$1/$2" >/dev/null
+}
+
+# site_conf VERSION KEYS: routes of each kind, one workspace with the keys.
+site_conf() {
+	cat <<EOF
+{"Version":$1,"Routes":[
+{"Name":"safe","Host":"h.example","Prefix":"/safe/","Kind":"idempotent","TimeoutMs":3000,"Priority":2,"Service":"app","MaxAttempts":2},
+{"Name":"once","Host":"h.example","Prefix":"/once/","Kind":"non_idempotent","TimeoutMs":3000,"Priority":2,"Service":"app","MaxAttempts":2},
+{"Name":"tell","Host":"h.example","Prefix":"/tell/","Kind":"streaming","TimeoutMs":8000,"Priority":1,"Service":"llm","MaxAttempts":2,"Sticky":true,"Resumable":true},
+{"Name":"short","Host":"h.example","Prefix":"/safe/short/","Kind":"idempotent","TimeoutMs":300,"Priority":2,"Service":"app","MaxAttempts":1},
+{"Name":"open","Host":"h.example","Prefix":"/open/","Kind":"idempotent","TimeoutMs":3000,"Service":"app","MaxAttempts":1,"Anonymous":true}],
+"Services":[{"Name":"app","HealthPath":"/health"},{"Name":"llm","Engine":{"Slots":8,"Models":[{"Name":"m"}]}}],
+"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":20000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
+"Tenants":[{"Name":"weavers","ApiKeys":[$2],"Isolated":true}]}
+EOF
+}
+
+# server NAME SERVICE [MODEL VERSION]: a stand-in, listed as ready.
+server() {
+	start_fake "$1" server
+	control "$1" "{\"id\":\"i-$1\"}"
+	list_server "$@"
+}
+# list_server NAME SERVICE [MODEL VERSION [STATE]]
+list_server() {
+	eval "_port=\$port_$1"
+	_models=
+	[ -n "${3:-}" ] && _models="\"Models\":[{\"Name\":\"$3\",\"Version\":$4}],"
+	row servers "i-$1" "{\"Service\":\"$2\",\"Address\":\"127.0.0.1:$_port\",\"Zone\":\"d1\",\"Slots\":8,$_models\"State\":\"${5:-ready}\"}"
+}
+
+# entry NAME: a VM whose settings are rendered from the template.
+entry() {
+	sed -e "s/{{NodeName}}/$1/" -e 's/{{Zone}}/d1/' \
+		-e "s/{{Listen.[A-Za-z]*}}/127.0.0.1:0/" \
+		-e "s/{{Platform.Address}}/127.0.0.1:$port_rows/" \
+		-e "s/{{Bounds.RevokeMs}}/${revoke_ms:-5000}/" \
+		-e "s/{{Bounds.LeaseMs}}/${lease_ms:-3000}/" \
+		-e 's/{{Bounds.VersionMs}}/12000/' "$top/platform/vm.ini.tmpl" >"$tmp/$1.site.ini"
+	if grep -q '{{' "$tmp/$1.site.ini"; then fail "template: $(grep '{{' "$tmp/$1.site.ini")"; fi
+	sed "s/^drain_notice_ms.*/drain_notice_ms = 300/" "$top/deploy/base.ini" >"$tmp/$1.base.ini"
+	: >"$tmp/$1.log"
+	$bin serve --base "$tmp/$1.base.ini" --overlay "$tmp/$1.site.ini" >>"$tmp/$1.log" 2>&1 &
+	eval "pid_$1=$!"
+	pids="$pids $!"
+	wait_for has_line "$tmp/$1.log" 'event=phase phase=1'
+	# The product's own interface, callers, the balancer: in this order.
+	_n=0
+	for _a in $(sed -n 's/.*event=listen address=\([^ ]*\).*/\1/p' "$tmp/$1.log"); do
+		case $_n in
+		0) eval "vm_$1=$_a" ;;
+		1) eval "front_$1=$_a" ;;
+		2) eval "ready_$1=$_a" ;;
+		esac
+		_n=$((_n + 1))
+	done
+}
+
+ready() {
+	eval "_r=\$ready_$1"
+	curl -s --max-time 5 --noproxy '*' -o /dev/null -w '%{http_code}' "http://$_r/ready"
+}
+is_ready() { [ "$(ready "$1")" = 200 ]; }
+is_unready() { [ "$(ready "$1")" != 200 ]; }
+
+# ask VM PATH [curl options]: status; reply in $tmp/body, head in $tmp/head.
+ask() {
+	eval "_f=\$front_$1"
+	_path=$2
+	shift 2
+	curl -s --noproxy '*' --path-as-is --max-time 20 -o "${out:-$tmp/body}" -D "$tmp/head" -w '%{http_code}\n' \
+		-H 'Host: h.example' -H "Authorization: Token ${key:-k1}" \
+		-H "X-Attempt-Id: ${id:-a1}" -H 'X-Deadline-Ms: 5000' "$@" "http://$_f$_path"
+}
+
+# raw VM BYTES: what comes back on a connection of its own.
+raw() {
+	eval "_f=\$front_$1"
+	exec 9<>"/dev/tcp/${_f%:*}/${_f#*:}"
+	# shellcheck disable=SC2059
+	printf "$2" >&9
+	timeout 5 cat <&9
+	exec 9>&-
+}
+
+# runs PATTERN: how often endpoints ran a request that matches.
+runs() { cat "$tmp"/*.err | grep 'event=ran' | grep -c -- "$1"; }
--- a/regress/test-fleet.c
+++ b/regress/test-fleet.c
@@ -326,7 +326,7 @@
   f.old_max_us = 9 * S;
   fleet_take_wanted (&f, "m", 2, S);
   g_assert_cmpint (pick_endpoint (&f, &q, 9 * S).code, ==, PICK_CHOSEN);
-  g_assert_cmpint (pick_endpoint (&f, &q, 10 * S).code, ==, PICK_RESTING);
+  g_assert_cmpint (pick_endpoint (&f, &q, 10 * S).code, ==, PICK_SPENT);
   fleet_clear (&f);
 }
 
@@ -351,6 +351,28 @@
   fleet_clear (&f);
 }
 
+/* All endpoints failed lately, as after a cut that has just healed.  Refusing
+   everything until one has rested would be an outage of our own making. */
+static void
+test_all_resting (void)
+{
+  struct fleet f;
+  struct fleet_endpoint *e;
+  struct pick_query q = query ("part");
+
+  nine (&f);
+  APR_RING_FOREACH (e, &f.endpoints, fleet_endpoint, link)
+  {
+    pick_failed (e, S);
+    pick_failed (e, S);
+  }
+  g_assert_cmpint (pick_endpoint (&f, &q, S + 1).code, ==, PICK_CHOSEN);
+  pick_worked (APR_RING_LAST (&f.endpoints));
+  g_assert_true (pick_endpoint (&f, &q, S + 1).endpoint
+                 == APR_RING_LAST (&f.endpoints));
+  fleet_clear (&f);
+}
+
 /* --- streams --------------------------------------------------------- */
 
 /* Whatever the cuts, whole events come out in order, each once, though a run
@@ -407,6 +429,7 @@
   { "/pick/no-idle-without-orders", test_no_idle_without_orders },
   { "/pick/too-old", test_too_old },
   { "/pick/rest", test_rest },
+  { "/pick/all-resting", test_all_resting },
   { "/evt/cuts", test_events },
   { NULL, NULL },
 };
--- a/settings_gen.c
+++ b/settings_gen.c
@@ -64,6 +64,10 @@
     "Seed of random choices; 0 takes one from the system." },
   { "log_level", CFG_ENUM, offsetof (struct cfg_vm, log_level), "info", 0, 0,
     words_vm_log_level, "Least severe events that are logged." },
+  { "log_lines_s", CFG_INT, offsetof (struct cfg_vm, log_lines_s), "0", 0,
+    1000000, NULL,
+    "Debug and info lines written a second; the rest is counted; 0 writes "
+    "all." },
 };
 
 static const struct cfg_key keys_platform[] = {
@@ -251,7 +255,7 @@
 };
 
 const struct cfg_group cfg_groups[CFG_GROUPS] = {
-  { "vm", false, keys_vm, 24, sizeof (struct cfg_vm),
+  { "vm", false, keys_vm, 25, sizeof (struct cfg_vm),
     "This VM and its place." },
   { "platform", false, keys_platform, 8, sizeof (struct cfg_platform),
     "The platform's services." },
--- a/settings_gen.h
+++ b/settings_gen.h
@@ -53,6 +53,8 @@
   int64_t history;        /* Finished requests kept for explanation. */
   int64_t seed;  /* Seed of random choices; 0 takes one from the system. */
   int log_level; /* Least severe events that are logged. */
+  int64_t log_lines_s; /* Debug and info lines written a second; the rest is
+                          counted; 0 writes all. */
 };
 
 /* The platform's services. */
--- a/srv.c
+++ b/srv.c
@@ -34,21 +34,21 @@
 }
 
 const struct req_route req_routes[] = {
-  { "POST", "/v1/completions", AUTH_WORKSPACE, start_prompt },
-  { "POST", "/v1/chat/completions", AUTH_WORKSPACE, start_chat },
-  { "POST", "/v1/call/", AUTH_WORKSPACE, job_start_call },
-  { "GET", "/v1/requests/", AUTH_WORKSPACE, adm_own_request },
-  { "GET", "/healthz", AUTH_NONE, adm_health },
-  { "GET", "/metrics", AUTH_NONE, adm_metrics },
-  { "GET", "/admin/v1/status", AUTH_OPERATOR, adm_status },
-  { "GET", "/admin/v1/config", AUTH_OPERATOR, conf_get },
-  { "POST", "/admin/v1/config", AUTH_OPERATOR, conf_post },
-  { "GET", "/admin/v1/settings", AUTH_OPERATOR, adm_settings },
-  { "POST", "/admin/v1/cut/", AUTH_OPERATOR, adm_cut },
-  { "GET", "/admin/v1/requests/", AUTH_OPERATOR, adm_request },
-  { "GET", "/admin/v1/", AUTH_OPERATOR, adm_list },
-  { "POST", "/admin/v1/endpoints/", AUTH_OPERATOR, adm_change },
-  { NULL, NULL, AUTH_NONE, NULL },
+  { "POST", "/v1/completions", KEY_WORKSPACE, start_prompt },
+  { "POST", "/v1/chat/completions", KEY_WORKSPACE, start_chat },
+  { "POST", "/v1/call/", KEY_WORKSPACE, job_start_call },
+  { "GET", "/v1/requests/", KEY_WORKSPACE, adm_own_request },
+  { "GET", "/healthz", KEY_NONE, adm_health },
+  { "GET", "/metrics", KEY_NONE, adm_metrics },
+  { "GET", "/admin/v1/status", KEY_OPERATOR, adm_status },
+  { "GET", "/admin/v1/config", KEY_OPERATOR, conf_get },
+  { "POST", "/admin/v1/config", KEY_OPERATOR, conf_post },
+  { "GET", "/admin/v1/settings", KEY_OPERATOR, adm_settings },
+  { "POST", "/admin/v1/cut/", KEY_OPERATOR, adm_cut },
+  { "GET", "/admin/v1/requests/", KEY_OPERATOR, adm_request },
+  { "GET", "/admin/v1/", KEY_OPERATOR, adm_list },
+  { "POST", "/admin/v1/endpoints/", KEY_OPERATOR, adm_change },
+  { NULL, NULL, KEY_NONE, NULL },
 };
 
 /* --- phase ----------------------------------------------------------- */
@@ -454,7 +454,8 @@
 
   s.files[0] = base;
   s.files[1] = overlay;
-  log_open (vm->name, vm->domain, (enum log_level)vm->log_level);
+  log_open (vm->name, vm->domain, (enum log_level)vm->log_level,
+            (int)vm->log_lines_s);
   block_signals ();
   apr_initialize ();
   apr_pool_create (&s.pool, NULL);
