Jobs no longer know HTTP requests

Cause: struct job held struct req and called into the HTTP side, so jobs could not be asked for through another door.

--- a/api.c
+++ b/api.c
@@ -109,8 +109,143 @@
   req_stream_close (r, whole, "Camphorquay-Outcome", out_name (OUT_ANSWERED));
 }
 
+/* --- requests that become jobs --------------------------------------- */
+
+static void
+on_began (void *arg, struct job *j)
+{
+  struct req *r = arg;
+
+  r->job = j;
+}
+
+static void
+on_ended (void *arg)
+{
+  struct req *r = arg;
+
+  r->job = NULL;
+}
+
+static void
+on_reply (void *arg, const struct reply *reply)
+{
+  req_reply (arg, reply);
+}
+
+static void
+on_begin (void *arg, const char *content_type)
+{
+  req_stream_begin (arg, content_type);
+}
+
+static void
+on_write (void *arg, const char *data, size_t len)
+{
+  req_stream_write (arg, data, len);
+}
+
+static void
+on_end (void *arg, bool whole)
+{
+  req_stream_end (arg, whole);
+}
+
+static size_t
+on_pending (void *arg)
+{
+  return req_stream_pending (arg);
+}
+
+static void
+on_look (void *arg)
+{
+  struct req *r = arg;
+
+  if (req_caller_gone (r))
+    req_abandon (r);
+}
+
+static const struct job_caller job_caller = {
+  .began = on_began,
+  .ended = on_ended,
+  .reply = on_reply,
+  .begin = on_begin,
+  .write = on_write,
+  .end = on_end,
+  .pending = on_pending,
+  .look = on_look,
+};
+
+static struct job_desc
+describe (struct req *r)
+{
+  struct job_desc d = { .worker = r->worker, .workspace = r->workspace };
+
+  d.id = r->id;
+  d.arrived_us = r->arrived_us;
+  d.key = req_header (r, "Idempotency-Key");
+  d.priority = req_header (r, "Camphorquay-Priority");
+  d.deadline_ms = req_header (r, "Camphorquay-Deadline-Ms");
+  d.path = r->rest;
+  d.content_type = req_header (r, "Content-Type");
+  d.body = r->body->str;
+  d.body_len = r->body->len;
+  d.caller = &job_caller;
+  d.arg = r;
+  return d;
+}
+
+static void
+start_prompt (struct req *r)
+{
+  struct job_desc d = describe (r);
+  const char *code = job_start_prompt (&d, false);
+
+  if (code != NULL)
+    req_refuse (r, code, 0);
+}
+
+static void
+start_chat (struct req *r)
+{
+  struct job_desc d = describe (r);
+  const char *code = job_start_prompt (&d, true);
+
+  if (code != NULL)
+    req_refuse (r, code, 0);
+}
+
+static void
+start_call (struct req *r)
+{
+  struct job_desc d = describe (r);
+  const char *code = job_start_call (&d);
+
+  if (code != NULL)
+    req_refuse (r, code, 0);
+}
+
 /* --- heads ----------------------------------------------------------- */
 
+static const struct req_route req_routes[] = {
+  { "POST", "/v1/completions", KEY_WORKSPACE, start_prompt },
+  { "POST", "/v1/chat/completions", KEY_WORKSPACE, start_chat },
+  { "POST", "/v1/call/", KEY_WORKSPACE, start_call },
+  { "GET", "/v1/requests/", KEY_WORKSPACE, adm_own_request },
+  { "GET", "/healthz", KEY_NONE, adm_health },
+  { "GET", "/metrics", KEY_NONE, adm_metrics },
+  { "GET", "/admin/v1/status", KEY_OPERATOR, adm_status },
+  { "GET", "/admin/v1/config", KEY_OPERATOR, conf_get },
+  { "POST", "/admin/v1/config", KEY_OPERATOR, conf_post },
+  { "GET", "/admin/v1/settings", KEY_OPERATOR, adm_settings },
+  { "POST", "/admin/v1/cut/", KEY_OPERATOR, adm_cut },
+  { "GET", "/admin/v1/requests/", KEY_OPERATOR, adm_request },
+  { "GET", "/admin/v1/", KEY_OPERATOR, adm_list },
+  { "POST", "/admin/v1/endpoints/", KEY_OPERATOR, adm_change },
+  { NULL, NULL, KEY_NONE, NULL },
+};
+
 static const struct req_route *
 find_route (const char *method, const char *path)
 {
--- a/attempt.c
+++ b/attempt.c
@@ -165,7 +165,7 @@
   if (j->strm.done)
     return XFER_TAKEN;
   /* A reader that is slower than the engine must not fill the memory. */
-  if (req_stream_pending (j->req) > buffer_bytes (j))
+  if (j->caller->pending (j->caller_arg) > buffer_bytes (j))
     {
       j->paused = true;
       return XFER_PAUSE;
@@ -176,7 +176,7 @@
       note_first (j);
       if (!j->begun)
         jobreply_stream (j);
-      req_stream_write (j->req, events->str, events->len);
+      j->caller->write (j->caller_arg, events->str, events->len);
       met_add (MET_TOKENS, j->strm.tokens - before);
     }
   j->stopped = stream_fault (code);
@@ -207,7 +207,7 @@
   j->status = status;
   j->streaming = j->model && j->prompt.stream && status == 200
                  && g_str_has_prefix (j->answer_type, EVENT_STREAM);
-  if (j->streaming && j->req != NULL)
+  if (j->streaming && j->caller != NULL)
     return take_stream (j, data, len);
   return take_whole (j, data, len);
 }
@@ -460,7 +460,7 @@
 job_drained (struct job *j)
 {
   if (!j->paused || j->unpausing
-      || req_stream_pending (j->req) > buffer_bytes (j) / 2)
+      || j->caller->pending (j->caller_arg) > buffer_bytes (j) / 2)
     return;
   j->unpausing = true;
   j->unpause.run = on_unpause;
--- a/job.c
+++ b/job.c
@@ -78,25 +78,26 @@
 /* --- start ----------------------------------------------------------- */
 
 static struct job *
-job_new (struct req *r, int service)
+job_new (const struct job_desc *d, int service)
 {
-  struct worker *w = r->worker;
+  struct worker *w = d->worker;
   struct server *s = w->server;
   struct job *j = g_new0 (struct job, 1);
 
   j->worker = w;
-  j->req = r;
-  g_strlcpy (j->id, r->id, sizeof j->id);
-  j->workspace = &s->workspaces[r->workspace];
+  j->caller = d->caller;
+  j->caller_arg = d->arg;
+  g_strlcpy (j->id, d->id, sizeof j->id);
+  j->workspace = &s->workspaces[d->workspace];
   j->service = &s->services[service];
   j->cfg = cfg_ref (server_cfg (s));
   j->sc = cfg_service (j->cfg, service);
-  j->wc = cfg_workspace (j->cfg, r->workspace);
-  j->arrived_us = r->arrived_us;
+  j->wc = cfg_workspace (j->cfg, d->workspace);
+  j->arrived_us = d->arrived_us;
   j->deadline_us = j->arrived_us + j->sc->deadline_ms * CQ_US_PER_MS;
   j->trace = g_string_new (NULL);
   j->cost = 1;
-  j->key = g_strdup (req_header (r, "Idempotency-Key"));
+  j->key = g_strdup (d->key);
   APR_RING_ELEM_INIT (j, link);
   return j;
 }
@@ -110,23 +111,22 @@
 /* Index of the service if the caller may use it, or -1.  A service of others
    answers as one that does not exist. */
 static int
-find_service (struct req *r, const char *name, enum cfg_service_kind kind)
+find_service (const struct job_desc *d, const char *name,
+              enum cfg_service_kind kind)
 {
-  const struct cfg *cfg = server_cfg (r->worker->server);
+  const struct cfg *cfg = server_cfg (d->worker->server);
   int i = cfg_find (cfg, CFG_SERVICE, name);
 
   if (i < 0 || cfg_service (cfg, i)->removed
       || cfg_service (cfg, i)->kind != (int)kind)
     return -1;
-  return may_use (cfg_workspace (cfg, r->workspace), name) ? i : -1;
+  return may_use (cfg_workspace (cfg, d->workspace), name) ? i : -1;
 }
 
-/* Read the headers that set priority and deadline; NULL or a refusal. */
+/* What the caller wishes for priority and deadline; NULL or a refusal. */
 static const char *
-read_headers (struct job *j)
+read_wishes (struct job *j, const char *priority, const char *deadline)
 {
-  const char *priority = req_header (j->req, "Camphorquay-Priority");
-  const char *deadline = req_header (j->req, "Camphorquay-Deadline-Ms");
   guint64 ms;
 
   if (j->key != NULL && (j->key[0] == '\0' || strlen (j->key) > 255))
@@ -176,13 +176,13 @@
 }
 
 static void
-submit (struct job *j)
+submit (struct job *j, const struct job_desc *d)
 {
   int64_t now = loop_now_us ();
   int64_t retry_after = 0;
   const char *code = phase_refusal (j->worker->server);
 
-  j->req->job = j;
+  j->caller->began (j->caller_arg, j);
   enlist (j);
   job_log (j, "accept", "kind=%s urgent=%d keyed=%d cost=%" G_GINT64_FORMAT,
            j->model ? "model" : "plain", j->urgent, j->key != NULL,
@@ -192,7 +192,7 @@
       && conf_stale (j->worker->server->conf, now))
     code = "settings_stale";
   if (code == NULL)
-    code = read_headers (j);
+    code = read_wishes (j, d->priority, d->deadline_ms);
   else
     retry_after = CQ_US_PER_S;
   if (code == NULL)
@@ -215,64 +215,60 @@
   j->digests = g_renew (uint64_t, j->digests, j->ndigests + 1);
 }
 
-void
-job_start_prompt (struct req *r, bool chat)
+const char *
+job_start_prompt (const struct job_desc *d, bool chat)
 {
-  const struct cfg_vm *vm = cfg_vm (r->worker->server->cfg);
+  const struct cfg_vm *vm = cfg_vm (server_cfg (d->worker->server));
   struct prompt p;
   g_autoptr (GError) err = NULL;
   struct job *j;
   int service;
 
-  if (!prompt_read (r->body->str, r->body->len, chat, &p, &err))
+  if (!prompt_read (d->body, d->body_len, chat, &p, &err))
     {
       log_event (LOG_LEVEL_INFO, "refuse",
-                 "req=%s outcome=not-run reason=%s detail=\"%s\"", r->id,
+                 "req=%s outcome=not-run reason=%s detail=\"%s\"", d->id,
                  err->code == WIRE_ERROR_JSON ? "bad_json" : "bad_field",
                  err->message);
-      req_refuse (r, err->code == WIRE_ERROR_JSON ? "bad_json" : "bad_field",
-                  0);
-      return;
+      return err->code == WIRE_ERROR_JSON ? "bad_json" : "bad_field";
     }
-  service = find_service (r, p.service, CFG_SERVICE_KIND_MODEL);
+  service = find_service (d, p.service, CFG_SERVICE_KIND_MODEL);
   if (service < 0)
     {
       prompt_clear (&p);
-      req_refuse (r, "no_service", 0);
-      return;
+      return "no_service";
     }
-  j = job_new (r, service);
+  j = job_new (d, service);
   j->model = true;
   j->prompt = p;
   j->max_tokens = p.max_tokens ? p.max_tokens : j->sc->max_tokens;
   j->cost = p.prompt_tokens + j->max_tokens;
-  charge (j, (int64_t)r->body->len * PROMPT_COPIES);
+  charge (j, (int64_t)d->body_len * PROMPT_COPIES);
   strm_init (&j->strm, j->sc->version, (size_t)vm->resume_text_kb * 1024);
   digest_prompt (j);
-  submit (j);
+  submit (j, d);
+  return NULL;
 }
 
-void
-job_start_call (struct req *r)
+const char *
+job_start_call (const struct job_desc *d)
 {
-  const char *slash = strchr (r->rest, '/');
-  g_autofree char *name = slash ? g_strndup (r->rest, (gsize)(slash - r->rest))
-                                : g_strdup (r->rest);
-  int service = find_service (r, name, CFG_SERVICE_KIND_PLAIN);
-  const char *type = req_header (r, "Content-Type");
+  const char *slash = strchr (d->path, '/');
+  g_autofree char *name = slash ? g_strndup (d->path, (gsize)(slash - d->path))
+                                : g_strdup (d->path);
+  int service = find_service (d, name, CFG_SERVICE_KIND_PLAIN);
   struct job *j;
 
   if (service < 0)
-    {
-      req_refuse (r, "no_service", 0);
-      return;
-    }
-  j = job_new (r, service);
-  charge (j, (int64_t)r->body->len);
-  j->body = g_string_new_len (r->body->str, (gssize)r->body->len);
+    return "no_service";
+  j = job_new (d, service);
+  charge (j, (int64_t)d->body_len);
+  j->body = g_string_new_len (d->body, (gssize)d->body_len);
   j->call_path = g_strdup (slash ? slash : "/");
-  j->content_type = g_strdup (type ? type : "application/octet-stream");
-  submit (j);
+  j->content_type = g_strdup (d->content_type ? d->content_type
+                                              : "application/octet-stream");
+  submit (j, d);
+  return NULL;
 }
 
 /* --- end ------------------------------------------------------------- */
@@ -324,9 +320,9 @@
   count_outcome (j, outcome, now);
   history_add (s->history, j, outcome, reason, now);
   jobreply_outcome (j, outcome, reason, retry_after_us);
-  if (j->req != NULL)
-    j->req->job = NULL;
-  j->req = NULL;
+  if (j->caller != NULL)
+    j->caller->ended (j->caller_arg);
+  j->caller = NULL;
   jobclaim_forget (j);
   j->state = JOB_DONE;
   delist (j);
@@ -358,7 +354,7 @@
 void
 job_caller_gone (struct job *j)
 {
-  j->req = NULL;
+  j->caller = NULL;
   met_add (MET_CANCELS, 1);
   switch (j->state)
     {
@@ -422,8 +418,8 @@
 static void
 look_for_gone (struct job *j)
 {
-  if (j->req != NULL && req_caller_gone (j->req))
-    req_abandon (j->req);
+  if (j->caller != NULL)
+    j->caller->look (j->caller_arg);
 }
 
 /* Deadlines, stalls and callers that went away, for all jobs of a worker. */
--- a/jobclaim.c
+++ b/jobclaim.c
@@ -133,7 +133,7 @@
   j->claim_version = version;
   met_add (MET_CLAIMS, 1);
   log_claim (j, "own");
-  if (j->req == NULL)
+  if (j->caller == NULL)
     job_refuse (j, "caller_gone", 0);
   else
     attempt_start (j);
@@ -180,7 +180,7 @@
   bool run = j->sc->claim_outage == CFG_SERVICE_CLAIM_OUTAGE_RUN;
 
   log_claim (j, run ? "lost_run_anyway" : "lost");
-  if (run && j->req != NULL)
+  if (run && j->caller != NULL)
     {
       attempt_start (j);
       return;
@@ -328,7 +328,7 @@
       /* The run belongs to another; its place must not be held twice. */
       place_release (j, now);
     }
-  if (j->req == NULL)
+  if (j->caller == NULL)
     {
       job_finish (j, OUT_UNKNOWN, "caller_gone");
       return;
--- a/jobreply.c
+++ b/jobreply.c
@@ -29,7 +29,7 @@
 jobreply_stream (struct job *j)
 {
   j->begun = true;
-  req_stream_begin (j->req, "text/event-stream");
+  j->caller->begin (j->caller_arg, "text/event-stream");
 }
 
 /* A broken stream ends in an error event and without the last chunk, so that
@@ -44,9 +44,9 @@
     {
       text = error_text (outcome, reason);
       event = g_strdup_printf ("event: error\ndata: %s\n\n", text);
-      req_stream_write (j->req, event, strlen (event));
+      j->caller->write (j->caller_arg, event, strlen (event));
     }
-  req_stream_end (j->req, outcome == OUT_ANSWERED);
+  j->caller->end (j->caller_arg, outcome == OUT_ANSWERED);
 }
 
 /* Whether the endpoint's own reply is what the caller gets. */
@@ -69,7 +69,7 @@
   reply.body = j->answer->str;
   reply.len = j->answer->len;
   reply.outcome = out_name (outcome);
-  req_reply (j->req, &reply);
+  j->caller->reply (j->caller_arg, &reply);
 }
 
 static void
@@ -84,7 +84,7 @@
   reply.len = strlen (text);
   reply.outcome = out_name (outcome);
   reply.retry_after_s = whole_seconds (retry_after_us);
-  req_reply (j->req, &reply);
+  j->caller->reply (j->caller_arg, &reply);
 }
 
 /* Tell the caller what became of the request. */
@@ -92,7 +92,7 @@
 jobreply_outcome (struct job *j, enum outcome outcome, const char *reason,
                   int64_t retry_after_us)
 {
-  if (j->req == NULL)
+  if (j->caller == NULL)
     return;
   if (j->begun)
     end_stream (j, outcome, reason);
--- a/libserver.h
+++ b/libserver.h
@@ -219,8 +219,6 @@
   void (*start) (struct req *r); /* called when the request is whole */
 };
 
-extern const struct req_route req_routes[];
-
 /* A caller's request; belongs to its worker's thread. */
 struct req
 {
@@ -302,6 +300,47 @@
 bool auth_matches (char *const *hashes, const char *secret);
 char *auth_name (const char *bearer, const char **secret);
 
+/* --- who asks for a job ---------------------------------------------- */
+
+struct job;
+
+/* What goes back to a caller, however it came; all on its worker's thread. */
+struct job_caller
+{
+  /* The job was made; it may end before its start returns. */
+  void (*began) (void *arg, struct job *j);
+  /* The job is over: nothing more is said. */
+  void (*ended) (void *arg);
+  /* The whole reply. */
+  void (*reply) (void *arg, const struct reply *reply);
+  /* A reply in pieces, and its end. */
+  void (*begin) (void *arg, const char *content_type);
+  void (*write) (void *arg, const char *data, size_t len);
+  void (*end) (void *arg, bool whole);
+  /* Bytes of it that the caller has not taken yet. */
+  size_t (*pending) (void *arg);
+  /* Look whether the caller hung up, and let it go if so. */
+  void (*look) (void *arg);
+};
+
+/* A request as its door describes it; needed only while the job starts. */
+struct job_desc
+{
+  struct worker *worker;           /* where it runs */
+  int workspace;                   /* index of who asks */
+  const char *id;                  /* request id */
+  int64_t arrived_us;              /* when it was whole */
+  const char *key;                 /* idempotency key, or NULL */
+  const char *priority;            /* as the caller named it, or NULL */
+  const char *deadline_ms;         /* as the caller named it, or NULL */
+  const char *path;                /* of a plain call: SERVICE/PATH */
+  const char *content_type;        /* of its body, or NULL */
+  const char *body;                /* whole */
+  size_t body_len;                 /* bytes of body */
+  const struct job_caller *caller; /* callbacks */
+  void *arg;                       /* passed to them */
+};
+
 /* --- jobs: the life of one request to a service ---------------------- */
 
 enum job_state
@@ -316,29 +355,30 @@
 
 struct job
 {
-  APR_RING_ENTRY (job) link;      /* in its worker's list */
-  struct worker *worker;          /* where it runs */
-  struct req *req;                /* NULL once the caller is gone */
-  char id[ID_SIZE];               /* request id */
-  struct workspace *workspace;    /* whose */
-  struct service *service;        /* asked for */
-  struct cfg *cfg;                /* settings it started under; a reference */
-  const struct cfg_service *sc;   /* its service there */
-  const struct cfg_workspace *wc; /* its workspace there */
-  enum job_state state;           /* where it stands */
-  bool model;                     /* a prompt; else a plain call */
-  bool urgent;                    /* goes before other work */
-  struct prompt prompt;           /* of a model request */
-  GString *body;                  /* of a plain call */
-  char *call_path;                /* of a plain call */
-  char *content_type;             /* of a plain call */
-  int64_t charged;                /* bytes counted in body_bytes */
-  int64_t arrived_us;             /* when the request was whole */
-  int64_t deadline_us;            /* must have started by then */
-  int64_t cost;                   /* tokens reserved, 1 for a plain call */
-  int64_t max_tokens;             /* tokens to generate */
-  uint64_t *digests;              /* prefix digests of the prompt */
-  int ndigests;                   /* entries in digests */
+  APR_RING_ENTRY (job) link;       /* in its worker's list */
+  struct worker *worker;           /* where it runs */
+  const struct job_caller *caller; /* NULL once the caller is gone */
+  void *caller_arg;                /* passed to its callbacks */
+  char id[ID_SIZE];                /* request id */
+  struct workspace *workspace;     /* whose */
+  struct service *service;         /* asked for */
+  struct cfg *cfg;                 /* settings it started under; a reference */
+  const struct cfg_service *sc;    /* its service there */
+  const struct cfg_workspace *wc;  /* its workspace there */
+  enum job_state state;            /* where it stands */
+  bool model;                      /* a prompt; else a plain call */
+  bool urgent;                     /* goes before other work */
+  struct prompt prompt;            /* of a model request */
+  GString *body;                   /* of a plain call */
+  char *call_path;                 /* of a plain call */
+  char *content_type;              /* of a plain call */
+  int64_t charged;                 /* bytes counted in body_bytes */
+  int64_t arrived_us;              /* when the request was whole */
+  int64_t deadline_us;             /* must have started by then */
+  int64_t cost;                    /* tokens reserved, 1 for a plain call */
+  int64_t max_tokens;              /* tokens to generate */
+  uint64_t *digests;               /* prefix digests of the prompt */
+  int ndigests;                    /* entries in digests */
   char cache_salt[2 * PFX_KEY_BYTES + 1]; /* scope of its cached prefixes */
   struct fq_entry entry;                  /* in the service's queue */
   struct loop_msg msg;                    /* placed, or pushed out */
@@ -387,8 +427,10 @@
   GString *trace;                   /* its log lines, for explanation */
 };
 
-void job_start_prompt (struct req *r, bool chat);
-void job_start_call (struct req *r);
+/* Start a job for what DESC holds; NULL, or the code of a refusal where no
+   job was made. */
+const char *job_start_prompt (const struct job_desc *desc, bool chat);
+const char *job_start_call (const struct job_desc *desc);
 void job_caller_gone (struct job *j);
 void job_drained (struct job *j);
 void job_sweep (struct worker *w, int64_t now_us);
--- a/pump.c
+++ b/pump.c
@@ -366,7 +366,7 @@
   log_choice (j);
   if (j->attempts == 0)
     met_observe (MET_QUEUE_TIME, now - j->arrived_us);
-  if (j->req == NULL)
+  if (j->caller == NULL)
     job_refuse (j, "caller_gone", 0);
   else if (j->choice.code == ROUTE_BUSY)
     place_requeue (j, now);
--- a/srv.c
+++ b/srv.c
@@ -21,36 +21,6 @@
 #define QUIET_MAX_US (3 * CQ_US_PER_S) /* for our own calls to end */
 #define LINGER_MS 100                  /* for the last replies to leave */
 
-static void
-start_prompt (struct req *r)
-{
-  job_start_prompt (r, false);
-}
-
-static void
-start_chat (struct req *r)
-{
-  job_start_prompt (r, true);
-}
-
-const struct req_route req_routes[] = {
-  { "POST", "/v1/completions", KEY_WORKSPACE, start_prompt },
-  { "POST", "/v1/chat/completions", KEY_WORKSPACE, start_chat },
-  { "POST", "/v1/call/", KEY_WORKSPACE, job_start_call },
-  { "GET", "/v1/requests/", KEY_WORKSPACE, adm_own_request },
-  { "GET", "/healthz", KEY_NONE, adm_health },
-  { "GET", "/metrics", KEY_NONE, adm_metrics },
-  { "GET", "/admin/v1/status", KEY_OPERATOR, adm_status },
-  { "GET", "/admin/v1/config", KEY_OPERATOR, conf_get },
-  { "POST", "/admin/v1/config", KEY_OPERATOR, conf_post },
-  { "GET", "/admin/v1/settings", KEY_OPERATOR, adm_settings },
-  { "POST", "/admin/v1/cut/", KEY_OPERATOR, adm_cut },
-  { "GET", "/admin/v1/requests/", KEY_OPERATOR, adm_request },
-  { "GET", "/admin/v1/", KEY_OPERATOR, adm_list },
-  { "POST", "/admin/v1/endpoints/", KEY_OPERATOR, adm_change },
-  { NULL, NULL, KEY_NONE, NULL },
-};
-
 /* --- phase ----------------------------------------------------------- */
 
 enum phase
