Parts of prompts kept in the stores of KV cache

Change: parts.c (pure) is the directory of what each store holds whole, kept by partfeed.c from the stores' events; a request fetches what a store has and saves what none has, at the store that all VMs find for a part. Nothing is freed under a fetch without a word between VMs: a fetch needs knowledge of weights younger than 2.5 s, is void after a second on the stores' clock at the latest, and is given up 5 s after newer weights were named; what is outdated is freed 6.7 s after. Fetches are void after 250 ms and the endpoint's usual wait, since a store that turns slow held answers up.

Ruled out: the stores' room (no part found none).

--- a/entry.c
+++ b/entry.c
@@ -13,6 +13,9 @@
    at a busy endpoint before it begins. */
 #define VERSION_MARGIN_US (3000 * CQ_US_PER_MS)
 #define ORDER_GAP_SPARE_MS 150 /* orders travel, and clocks run unlike */
+/* The VM that gave orders last frees parts of outdated weights for this long:
+   endpoints on old weights may have had some more to save. */
+#define FREE_DUTY_US (10 * CQ_US_PER_S)
 #define SWEEP_US (500 * CQ_US_PER_MS) /* between looks at missing entries */
 #define READY_CONNECTIONS 16          /* the balancer needs one */
 #define READY_MEMORY 2048             /* bytes a connection */
@@ -27,6 +30,10 @@
   struct fleet fleet;          /* beliefs */
   struct follow *follow;       /* keeps them current */
   struct orders *orders;       /* weights of endpoints */
+  struct parts parts;          /* what stores keep */
+  struct partfeed *feed;       /* keeps that current */
+  int64_t conf_row;            /* configuration that the feed knows */
+  int64_t duty_us;             /* this VM gave orders last */
   struct relays *relays;       /* requests under way */
   struct door *front;          /* callers */
   struct door *ready;          /* the balancer */
@@ -89,6 +96,10 @@
   struct entry *e = arg;
 
   fleet_sweep (&e->fleet, now_us);
+  if (orders_held (e->orders))
+    e->duty_us = now_us;
+  if (e->duty_us != 0 && now_us - e->duty_us < FREE_DUTY_US)
+    partfeed_free_outdated (e->feed, &e->fleet, now_us);
   loop_arm (e->worker->loop, &e->sweep, now_us + SWEEP_US);
 }
 
@@ -108,6 +119,11 @@
   struct entry *e = arg;
 
   orders_look (e->orders, now_us);
+  if (e->fleet.conf != NULL && e->fleet.conf_row != e->conf_row)
+    {
+      e->conf_row = e->fleet.conf_row;
+      partfeed_take_conf (e->feed, e->fleet.conf);
+    }
 }
 
 static void
@@ -137,6 +153,16 @@
   follow_start (e->follow);
 }
 
+static void
+make_feed (struct entry *e)
+{
+  struct partfeed_opts o = { .loop = e->worker->loop, .parts = &e->parts };
+
+  parts_init (&e->parts);
+  entry_adapter.partfeed_ops (&o.ops, e->worker->pool);
+  e->feed = partfeed_new (&o);
+}
+
 static void
 make_relays (struct entry *e)
 {
@@ -144,6 +170,7 @@
   struct relays_opts o = { .loop = e->worker->loop, .fleet = &e->fleet };
 
   entry_adapter.engine_ops (&o.engine, e->worker->pool);
+  o.parts = &e->parts;
   o.domain = vm->domain;
   o.stale_us = e->cfg->revoke_ms * CQ_US_PER_MS - REVOKE_MARGIN_US;
   o.retry_percent = (int)e->cfg->retry_percent;
@@ -183,6 +210,7 @@
   e->cfg = cfg_entry (e->settings);
   fleet_init (&e->fleet);
   e->fleet.old_max_us = e->cfg->version_ms * CQ_US_PER_MS - VERSION_MARGIN_US;
+  make_feed (e);
   make_relays (e);
   if (!open_doors (e))
     return NULL;
@@ -208,6 +236,7 @@
 {
   orders_stop (e->orders);
   follow_stop (e->follow);
+  partfeed_stop (e->feed);
   loop_disarm (&e->sweep);
 }
 
@@ -223,7 +252,8 @@
 {
   if (e == NULL)
     return 0;
-  return follow_waiting (e->follow) + orders_waiting (e->orders);
+  return follow_waiting (e->follow) + orders_waiting (e->orders)
+         + partfeed_waiting (e->feed);
 }
 
 void
@@ -233,7 +263,9 @@
     return;
   follow_free (e->follow);
   orders_free (e->orders);
+  partfeed_free (e->feed);
   relays_free (e->relays);
+  parts_clear (&e->parts);
   fleet_clear (&e->fleet);
   entry_adapter.close (e->store);
   close (e->front_fd);
--- a/entry.h
+++ b/entry.h
@@ -8,6 +8,7 @@
 #include "follow.h"
 #include "libserver.h"
 #include "orders.h"
+#include "partfeed.h"
 #include "relay.h"
 
 /* What a platform's adapter offers; all on the first worker's thread. */
@@ -18,6 +19,7 @@
   void (*close) (void *store);
   void (*follow_ops) (void *store, struct follow_ops *ops);
   void (*orders_ops) (void *store, struct orders_ops *ops);
+  void (*partfeed_ops) (struct partfeed_ops *ops, struct xfer_pool *pool);
   void (*engine_ops) (struct relay_engine *ops, struct xfer_pool *pool);
   /* The door for callers. */
   struct door *(*door) (struct worker *w, int listen_fd, struct relays *relays,
--- a/fetch.c
+++ b/fetch.c
@@ -43,7 +43,8 @@
   static const struct xfer_events events
       = { .on_body = take_body, .on_end = finish };
   g_autofree char *type = NULL;
-  const char *headers[2] = { NULL, NULL };
+  const char *headers[3] = { NULL, NULL, NULL };
+  int n = 0;
   struct fetch *f = g_new0 (struct fetch, 1);
   struct xfer_opts o = { .method = opts->method, .url = opts->url };
 
@@ -59,8 +60,9 @@
   if (opts->content_type != NULL)
     {
       type = g_strconcat ("Content-Type: ", opts->content_type, NULL);
-      headers[0] = type;
+      headers[n++] = type;
     }
+  headers[n] = opts->header;
   o.headers = headers;
   o.body = f->body;
   o.body_len = opts->body_len;
--- a/fetch.h
+++ b/fetch.h
@@ -15,6 +15,7 @@
   const char *method;       /* GET, POST, PUT or DELETE */
   const char *url;          /* http://IP:PORT/path */
   const char *content_type; /* of the body, or NULL */
+  const char *header;       /* one more "Name: value" line, or NULL */
   const char *body;         /* copied; may be NULL */
   size_t body_len;          /* bytes of body */
   int64_t timeout_ms;       /* to connect, and for all of it */
--- a/fleet.c
+++ b/fleet.c
@@ -34,6 +34,7 @@
   g_free (s->model);
   g_free (s->health_path);
   g_free (s->store_address);
+  g_free (s->domain);
   g_free (s);
 }
 
@@ -244,9 +245,10 @@
 }
 
 static void
-add_named (struct fleet_wanted *w, int64_t version, int64_t now_us)
+add_named (struct fleet_wanted *w, int64_t version, int64_t early_us,
+           int64_t now_us)
 {
-  struct fleet_named n = { version, now_us };
+  struct fleet_named n = { version, now_us, early_us };
 
   if (w->nnamed == FLEET_NAMED_MAX)
     memmove (w->named, w->named + 1, sizeof n * --w->nnamed);
@@ -270,25 +272,34 @@
       g_array_append_val (f->wanted, new);
       w = find_wanted (f, model);
     }
-  add_named (w, version, now_us);
+  /* What was known until then was current at fresh_us, without it. */
+  add_named (w, version, f->fresh_us, now_us);
   return true;
 }
 
 /* A second version may be named before the first is in place; each counts
    from its own naming. */
-int64_t
-fleet_outdated_us (const struct fleet *f, const struct fleet_endpoint *e)
+const struct fleet_named *
+fleet_outdated_by (const struct fleet *f, const struct fleet_endpoint *e)
 {
   const struct fleet_wanted *w;
   int i;
 
   if (e->is.model[0] == '\0')
-    return 0;
+    return NULL;
   w = find_wanted (f, e->is.model);
   for (i = 0; w != NULL && i < w->nnamed; i++)
     if (w->named[i].version > e->version)
-      return w->named[i].heard_us;
-  return 0;
+      return &w->named[i];
+  return NULL;
+}
+
+int64_t
+fleet_outdated_us (const struct fleet *f, const struct fleet_endpoint *e)
+{
+  const struct fleet_named *n = fleet_outdated_by (f, e);
+
+  return n != NULL ? n->heard_us : 0;
 }
 
 void
--- a/fleet.h
+++ b/fleet.h
@@ -59,6 +59,7 @@
   int64_t max_connections; /* one endpoint takes, from all VMs */
   int64_t slots;           /* requests an engine runs at once, 0 if unknown */
   int64_t memory_tokens;   /* an engine's KV cache, 0 if unknown */
+  char *domain;            /* failure domain of a store, or NULL */
   char *store_address;     /* IP:PORT if it is a store of kept KV cache */
 };
 
@@ -140,6 +141,7 @@
   int64_t rest_until_us; /* gets nothing until then, after failures */
   int64_t full_until_us; /* it refused for want of room: last choice */
   int64_t reload_us;     /* when its weights were ordered, 0 if not */
+  int64_t first_us;      /* smoothed wait for the first piece of an answer */
 };
 
 /* --- beliefs --------------------------------------------------------- */
@@ -151,6 +153,7 @@
 {
   int64_t version;  /* its number */
   int64_t heard_us; /* when this VM heard of it */
+  int64_t early_us; /* it cannot have been named before; 0: not known */
 };
 
 /* Weight versions named for a model, oldest first. */
@@ -191,6 +194,9 @@
    newest. */
 int64_t fleet_outdated_us (const struct fleet *f,
                            const struct fleet_endpoint *e);
+/* That version itself, or NULL. */
+const struct fleet_named *fleet_outdated_by (const struct fleet *f,
+                                             const struct fleet_endpoint *e);
 /* E said, on any channel, that it has VERSION. */
 void fleet_take_version (struct fleet *f, struct fleet_endpoint *e,
                          int64_t version, int64_t now_us);
@@ -261,6 +267,8 @@
 void pick_ended (struct fleet_endpoint *e);
 void pick_reported (struct fleet_endpoint *e, int running, int64_t now_us);
 void pick_worked (struct fleet_endpoint *e);
+/* The first piece of an answer came after WAIT_US. */
+void pick_first (struct fleet_endpoint *e, int64_t wait_us);
 void pick_failed (struct fleet_endpoint *e, int64_t now_us);
 void pick_refused (struct fleet_endpoint *e, int64_t now_us);
 
--- a/orders.c
+++ b/orders.c
@@ -574,6 +574,12 @@
   o->held = false;
 }
 
+bool
+orders_held (const struct orders *o)
+{
+  return o->held;
+}
+
 int
 orders_waiting (const struct orders *o)
 {
--- a/orders.h
+++ b/orders.h
@@ -102,6 +102,8 @@
 /* Give no more orders, and let the lease go. */
 void orders_stop (struct orders *o);
 void orders_free (struct orders *o);
+/* Whether this VM is the one that gives orders. */
+bool orders_held (const struct orders *o);
 /* Calls under way. */
 int orders_waiting (const struct orders *o);
 
--- /dev/null
+++ b/partfeed.c
@@ -0,0 +1,314 @@
+/* Keeping the directory of stored parts current. */
+#include "partfeed.h"
+
+#include <string.h>
+
+#include "decide.h"
+#include "log.h"
+
+/* The longest that a store lets a poll wait. */
+#define WAIT_US (1000 * CQ_US_PER_MS)
+/* After a failed call: a store that restarts takes seconds. */
+#define PAUSE_US (500 * CQ_US_PER_MS)
+/* A call to free is void after this time on the store's clock. */
+#define FREE_VOID_MS 800
+/* Between calls to free at one store, for its events to tell. */
+#define FREE_EVERY_US (600 * CQ_US_PER_MS)
+
+/* One store that is followed. */
+struct watch
+{
+  APR_RING_ENTRY (watch) link; /* in the feed's list */
+  struct partfeed *feed;       /* whose */
+  struct parts_store *store;   /* in the directory */
+  struct loop_timer timer;     /* ends a pause */
+  bool busy;                   /* a call is under way */
+  bool listing;                /* that call lists all */
+  bool need_list;              /* what is known has a gap */
+  bool lost;                   /* the last call failed */
+  bool freeing;                /* a call to free is under way */
+  int64_t freed_us;            /* the last one was sent */
+  GArray *freed;               /* struct part_held that it names */
+};
+
+struct partfeed
+{
+  struct partfeed_opts opts;                 /* as made */
+  APR_RING_HEAD (watch_ring, watch) watches; /* by store */
+  bool stopped;                              /* asks nothing more */
+};
+
+static void ask (struct watch *w, int64_t now_us);
+
+static void
+on_timer (void *arg, int64_t now_us)
+{
+  ask (arg, now_us);
+}
+
+static void
+pause_then_ask (struct watch *w, int64_t now_us)
+{
+  loop_arm (w->feed->opts.loop, &w->timer, now_us + PAUSE_US);
+}
+
+static void
+take_events (struct watch *w, const struct part_news *n)
+{
+  const struct part_event *e;
+  guint i;
+
+  for (i = 0; i < n->events->len; i++)
+    {
+      e = &g_array_index (n->events, struct part_event, i);
+      if (e->added)
+        parts_added (w->store, &e->part);
+      else
+        parts_removed (w->store, e->part.scope, e->part.id);
+    }
+  w->store->next = n->next;
+}
+
+static void
+note_contact (struct watch *w, bool reached)
+{
+  if (w->lost != reached)
+    return;
+  w->lost = !reached;
+  log_event (reached ? LOG_LEVEL_INFO : LOG_LEVEL_WARNING, "store",
+             "store=%s outcome=%s epoch=%" G_GINT64_FORMAT
+             " held=%u used=%" G_GINT64_FORMAT,
+             w->store->address, reached ? "regained" : "lost",
+             (gint64)w->store->epoch, g_hash_table_size (w->store->held),
+             (gint64)w->store->used);
+}
+
+/* A restart empties a store, and a gap hides what was freed: a part believed
+   to be there would be a fetch in vain.  Both are followed by a list. */
+static void
+on_news (void *arg, const struct part_news *n)
+{
+  struct watch *w = arg;
+  int64_t now = loop_now_us ();
+
+  w->busy = false;
+  if (w->feed->stopped)
+    return;
+  note_contact (w, n->reached);
+  if (!n->reached)
+    {
+      pause_then_ask (w, now);
+      return;
+    }
+  parts_heard (w->store, n->clock_ms, now);
+  if (w->listing)
+    {
+      parts_forget (w->store, n->epoch, n->next);
+      w->need_list = false;
+    }
+  else if (n->epoch != w->store->epoch || n->lost)
+    {
+      log_event (LOG_LEVEL_INFO, "store",
+                 "store=%s outcome=%s epoch=%" G_GINT64_FORMAT
+                 " before=%" G_GINT64_FORMAT,
+                 w->store->address, n->lost ? "gap" : "restarted",
+                 (gint64)n->epoch, (gint64)w->store->epoch);
+      parts_forget (w->store, 0, 0);
+      w->need_list = true;
+    }
+  if (!w->need_list)
+    take_events (w, n);
+  ask (w, now);
+}
+
+static void
+ask (struct watch *w, int64_t now_us)
+{
+  const struct partfeed_ops *o = &w->feed->opts.ops;
+
+  (void)now_us;
+  if (w->busy || w->feed->stopped || !w->store->listed)
+    return;
+  w->busy = true;
+  w->listing = w->need_list;
+  if (w->listing)
+    o->list (o->ctx, w->store->address, on_news, w);
+  else
+    o->events (o->ctx, w->store->address, w->store->next, WAIT_US, on_news, w);
+}
+
+static struct watch *
+watch_of (struct partfeed *f, const struct parts_store *s)
+{
+  struct watch *w;
+
+  APR_RING_FOREACH (w, &f->watches, watch, link)
+  {
+    if (w->store == s)
+      return w;
+  }
+  return NULL;
+}
+
+void
+partfeed_take_conf (struct partfeed *f, const struct fleet_conf *c)
+{
+  struct parts_store *s;
+  struct watch *w;
+
+  parts_take_conf (f->opts.parts, c);
+  APR_RING_FOREACH (s, &f->opts.parts->stores, parts_store, link)
+  {
+    w = watch_of (f, s);
+    if (w == NULL)
+      {
+        w = g_new0 (struct watch, 1);
+        w->feed = f;
+        w->store = s;
+        w->need_list = true;
+        w->freed = g_array_new (FALSE, TRUE, sizeof (struct part_held));
+        w->timer.fire = on_timer;
+        w->timer.arg = w;
+        APR_RING_ELEM_INIT (w, link);
+        APR_RING_INSERT_TAIL (&f->watches, w, watch, link);
+      }
+    ask (w, loop_now_us ());
+  }
+}
+
+/* --- freeing --------------------------------------------------------- */
+
+/* Events tell of it too, but one in a hundred never comes. */
+static void
+forget_freed (struct watch *w)
+{
+  guint i;
+
+  for (i = 0; i < w->freed->len; i++)
+    {
+      struct part_held *h = &g_array_index (w->freed, struct part_held, i);
+
+      parts_removed (w->store, h->scope, h->id);
+    }
+}
+
+static void
+on_freed (void *arg, bool freed)
+{
+  struct watch *w = arg;
+
+  w->freeing = false;
+  if (freed)
+    forget_freed (w);
+  g_array_set_size (w->freed, 0);
+  if (!freed)
+    log_event (LOG_LEVEL_INFO, "free", "store=%s outcome=failed",
+               w->store->address);
+}
+
+/* Newest version of the model that nobody can have fetched older parts than,
+   at NOW_US; 0 if there is none. */
+static int64_t
+safe_version (const struct fleet_wanted *w, int64_t now_us)
+{
+  int64_t version = 0;
+  int i;
+
+  for (i = 0; i < w->nnamed; i++)
+    if (parts_may_free (w->named[i].heard_us, now_us))
+      version = w->named[i].version;
+  return version;
+}
+
+static void
+free_at (struct watch *w, const struct fleet_wanted *wanted, int64_t now_us)
+{
+  const struct partfeed_ops *o = &w->feed->opts.ops;
+  const struct part_held *list[PARTS_FREE_MAX];
+  int64_t version = safe_version (wanted, now_us);
+  int n = version == 0 ? 0
+                       : parts_outdated (w->store, wanted->model, version,
+                                         list, PARTS_FREE_MAX);
+  int i;
+
+  if (n == 0 || w->freeing || now_us - w->freed_us < FREE_EVERY_US
+      || w->store->clock_ms == 0)
+    return;
+  w->freeing = true;
+  w->freed_us = now_us;
+  for (i = 0; i < n; i++)
+    g_array_append_val (w->freed, *list[i]);
+  log_event (
+      LOG_LEVEL_INFO, "free",
+      "store=%s outcome=asked parts=%d model=%s before=%" G_GINT64_FORMAT
+      " epoch=%" G_GINT64_FORMAT,
+      w->store->address, n, wanted->model, (gint64)version,
+      (gint64)w->store->epoch);
+  o->free (o->ctx, w->store->address, w->store->epoch,
+           w->store->clock_ms + (now_us - w->store->heard_us) / CQ_US_PER_MS
+               + FREE_VOID_MS,
+           list, n, on_freed, w);
+}
+
+void
+partfeed_free_outdated (struct partfeed *f, const struct fleet *fleet,
+                        int64_t now_us)
+{
+  struct watch *w;
+  guint i;
+
+  if (f->stopped)
+    return;
+  APR_RING_FOREACH (w, &f->watches, watch, link)
+  {
+    for (i = 0; i < fleet->wanted->len; i++)
+      free_at (w, &g_array_index (fleet->wanted, struct fleet_wanted, i),
+               now_us);
+  }
+}
+
+/* --- life ------------------------------------------------------------ */
+
+struct partfeed *
+partfeed_new (const struct partfeed_opts *opts)
+{
+  struct partfeed *f = g_new0 (struct partfeed, 1);
+
+  f->opts = *opts;
+  APR_RING_INIT (&f->watches, watch, link);
+  return f;
+}
+
+void
+partfeed_stop (struct partfeed *f)
+{
+  struct watch *w;
+
+  f->stopped = true;
+  APR_RING_FOREACH (w, &f->watches, watch, link) loop_disarm (&w->timer);
+}
+
+int
+partfeed_waiting (const struct partfeed *f)
+{
+  const struct watch *w;
+  int n = 0;
+
+  APR_RING_FOREACH (w, &f->watches, watch, link) n += w->busy + w->freeing;
+  return n;
+}
+
+void
+partfeed_free (struct partfeed *f)
+{
+  struct watch *w;
+
+  while (!APR_RING_EMPTY (&f->watches, watch, link))
+    {
+      w = APR_RING_FIRST (&f->watches);
+      APR_RING_REMOVE (w, link);
+      g_array_free (w->freed, TRUE);
+      g_free (w);
+    }
+  g_free (f);
+}
--- a/pick.c
+++ b/pick.c
@@ -12,6 +12,9 @@
 #define FAILURES_MAX 2
 /* It refused for want of room: places come free within some tens of ms. */
 #define FULL_US INT64_C (150000)
+/* Share of one answer in the smoothed wait: an endpoint gives one VM some
+   answers a second, so it follows within about two seconds. */
+#define FIRST_WEIGHT 4
 /* A report older than this says little about requests of some hundred ms. */
 #define REPORT_MAX_US INT64_C (1000000)
 /* A request leaves its sticky endpoint when that has a quarter more than the
@@ -74,6 +77,12 @@
   e->rest_until_us = 0;
 }
 
+void
+pick_first (struct fleet_endpoint *e, int64_t wait_us)
+{
+  e->first_us += (wait_us - e->first_us) / FIRST_WEIGHT;
+}
+
 void
 pick_failed (struct fleet_endpoint *e, int64_t now_us)
 {
--- a/regress/entry.sh
+++ b/regress/entry.sh
@@ -32,9 +32,9 @@
 ask a /safe/ -H 'Last-Event-Id: x'
 
 echo "== two statements of a length, and what hides behind them"
-raw a 'POST /safe/ HTTP/1.1\r\nHost: h.example\r\nAuthorization: Token k1\r\nX-Attempt-Id: s1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /safe/hidden HTTP/1.1\r\nHost: h.example\r\nAuthorization: Token k1\r\nX-Attempt-Id: s2\r\n\r\n' | grep -a -e HTTP
-raw a 'POST /safe/ HTTP/1.1\r\nHost: h.example\r\nAuthorization: Token k1\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcde' | grep -a -e HTTP
-raw a 'POST /safe/ HTTP/1.1\r\nHost: h.example\r\nAuthorization: Token k1\r\nTransfer-Encoding: identity, chunked\r\n\r\n0\r\n\r\n' | grep -a -e HTTP
+raw a 'POST /safe/ HTTP/1.1\r\nHost: h.example\r\nAuthorization: Token k1\r\nX-Attempt-Id: s1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /safe/hidden HTTP/1.1\r\nHost: h.example\r\nAuthorization: Token k1\r\nX-Attempt-Id: s2\r\n\r\n' | grep -a -e HTTP | tr -d '\r'
+raw a 'POST /safe/ HTTP/1.1\r\nHost: h.example\r\nAuthorization: Token k1\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcde' | grep -a -e HTTP | tr -d '\r'
+raw a 'POST /safe/ HTTP/1.1\r\nHost: h.example\r\nAuthorization: Token k1\r\nTransfer-Encoding: identity, chunked\r\n\r\n0\r\n\r\n' | grep -a -e HTTP | tr -d '\r'
 echo "hidden ran $(runs hidden)"
 
 echo "== an idempotent call: dropped, answered for another, without a seal"
--- a/regress/fuzz-input.c
+++ b/regress/fuzz-input.c
@@ -83,6 +83,7 @@
 fuzz_platform (const char *data, size_t size)
 {
   struct news news = { 0 };
+  struct part_news parts = { 0 };
   struct fleet_conf *c = pdecode_conf (data, size);
   struct fleet_listing listing;
   char model[FLEET_NAME_SIZE];
@@ -105,6 +106,9 @@
   pdecode_rows (data, size, &news, &more, &last);
   g_free (last);
   pdecode_clear (&news);
+  parts.events = g_array_new (FALSE, TRUE, sizeof (struct part_event));
+  pdecode_parts (data, size, &parts);
+  g_array_free (parts.events, TRUE);
 }
 
 /* Events that are passed on, whatever the cut. */
--- a/regress/test-relay.c
+++ b/regress/test-relay.c
@@ -469,7 +469,7 @@
   struct play *p = play_new (FLEET_STREAM);
 
   play_start (p);
-  g_assert_cmpstr (p->scope, ==, "v3.ws");
+  g_assert_cmpstr (p->scope, ==, "m.v3.ws");
   relay_caller_gone (p->relay);
   g_assert_cmpint (p->cancels, ==, 1);
   play_free (p);
--- a/relay.c
+++ b/relay.c
@@ -49,7 +49,8 @@
   const struct fleet_endpoint *tried[PICK_EXCLUDE_MAX]; /* it failed there */
   int ntried;                                           /* entries in tried */
   struct fleet_endpoint *endpoint;                      /* of the attempt */
-  char *cache_scope;                                    /* of the attempt */
+  char cache_scope[PARTS_SCOPE_SIZE];                   /* of the attempt */
+  struct parts_plan kept;                               /* of the attempt */
   void *call;                                           /* at the adapter */
   bool handed_over;        /* a byte may have left */
   const char *stopped;     /* why a callback stopped the attempt, or NULL */
@@ -148,7 +149,6 @@
   evt_clear (&r->events);
   g_string_free (r->answer, TRUE);
   g_strfreev (r->lines);
-  g_free (r->cache_scope);
   fleet_conf_unref (r->conf);
   g_free (r);
 }
@@ -292,6 +292,7 @@
       r->begun = true;
       r->first_us = loop_now_us ();
       met_observe (MET_FIRST_TOKEN, r->first_us - r->arrived_us);
+      pick_first (r->endpoint, r->first_us - r->sent_us);
       r->desc.caller->begin (r->desc.arg, r->status,
                              (const char *const *)r->lines);
     }
@@ -481,13 +482,34 @@
  * workspace that shares nothing, by that workspace.  Both are in the scope's
  * name, so whatever an endpoint still holds, nothing else can be found.
  */
-static char *
-cache_scope (const struct relay *r, int64_t version)
+static void
+set_scope (struct relay *r, const struct pick_choice *c)
+{
+  bool alone = r->workspace != NULL && r->workspace->isolated;
+
+  parts_scope (r->cache_scope, c->endpoint->is.model, c->version,
+               alone ? r->workspace->name : NULL);
+}
+
+/* Parts that stores keep. */
+static void
+plan_parts (struct relay *r, const struct pick_choice *c, int64_t now_us)
 {
-  if (r->workspace != NULL && r->workspace->isolated)
-    return g_strdup_printf ("v%" G_GINT64_FORMAT ".%s", (gint64)version,
-                            r->workspace->name);
-  return g_strdup_printf ("v%" G_GINT64_FORMAT, (gint64)version);
+  const struct relays_opts *o = &r->rs->opts;
+
+  const struct fleet_named *newer = fleet_outdated_by (o->fleet, c->endpoint);
+  struct parts_query q = { .scope = r->cache_scope, .list = r->desc.parts };
+
+  memset (&r->kept, 0, sizeof r->kept);
+  if (o->parts == NULL || !r->route->sticky)
+    return;
+  q.n = r->desc.nparts;
+  q.domain = c->endpoint->is.domain;
+  q.fresh_us = o->fleet->fresh_us;
+  q.outdated = newer != NULL;
+  q.named_us = newer != NULL ? newer->early_us : 0;
+  q.wait_us = c->endpoint->first_us;
+  parts_plan (o->parts, &q, now_us, &r->kept);
 }
 
 static void
@@ -507,11 +529,15 @@
   r->paused = false;
   g_string_truncate (r->answer, 0);
   evt_restart (&r->events);
-  g_free (r->cache_scope);
-  r->cache_scope = model ? cache_scope (r, c->version) : NULL;
+  if (model)
+    {
+      set_scope (r, c);
+      plan_parts (r, c, now_us);
+    }
   r->sent_us = now_us;
   s.workspace = r->workspace != NULL ? r->workspace->name : NULL;
-  s.cache_scope = r->cache_scope;
+  s.cache_scope = model ? r->cache_scope : NULL;
+  s.kept = model && r->kept.nfetch + r->kept.nsave > 0 ? &r->kept : NULL;
   s.version = model ? c->version : 0;
   s.urgency = urgency_of (r);
   s.left_us = r->end_us - now_us;
@@ -520,15 +546,26 @@
   met_add (MET_ATTEMPTS, 1);
   log_event (LOG_LEVEL_INFO, "send",
              "req=%s route=%s endpoint=%s load=%d candidates=%d crowded=%d "
-             "version=%" G_GINT64_FORMAT " left_us=%" G_GINT64_FORMAT
+             "fetch=%d save=%d fetch_tokens=%" G_GINT64_FORMAT
+             " version=%" G_GINT64_FORMAT " left_us=%" G_GINT64_FORMAT
              " conf=%" G_GINT64_FORMAT " conf_age_us=%" G_GINT64_FORMAT,
              r->desc.id, r->route->name, c->endpoint->is.id, c->load,
-             c->candidates, c->crowded, (gint64)s.version, (gint64)s.left_us,
-             (gint64)r->conf->version,
+             c->candidates, c->crowded, r->kept.nfetch, r->kept.nsave,
+             (gint64)r->kept.fetch_tokens, (gint64)s.version,
+             (gint64)s.left_us, (gint64)r->conf->version,
              (gint64)fleet_age_us (o->fleet, now_us));
   r->call = o->engine.send (o->engine.ctx, &s, &events, r);
 }
 
+/* The last part that others share: a request returns to where that is. */
+static const char *
+affinity_of (const struct relay_desc *d)
+{
+  if (d->nparts == 0)
+    return NULL;
+  return d->parts[d->nparts > 1 ? d->nparts - 2 : 0].id;
+}
+
 /* Find an endpoint for the next attempt, or give up. */
 static void
 place (struct relay *r, int64_t now_us)
@@ -542,7 +579,7 @@
       give_up_unplaced (r, "settings_stale", RETRY_LATER_US, now_us);
       return;
     }
-  q.affinity = r->route->sticky ? r->desc.affinity : NULL;
+  q.affinity = r->route->sticky ? affinity_of (&r->desc) : NULL;
   memcpy (q.exclude, r->tried, sizeof q.exclude);
   q.nexclude = r->ntried;
   q.random = draw (r->rs);
--- a/relay.h
+++ b/relay.h
@@ -14,6 +14,7 @@
 #include "decide.h"
 #include "fleet.h"
 #include "loop.h"
+#include "parts.h"
 
 struct relay;
 struct relays;
@@ -53,17 +54,18 @@
    request ends. */
 struct relay_desc
 {
-  const char *id;       /* the caller's own id of this request */
-  const char *method;   /* as sent */
-  const char *target;   /* path and query, as sent */
-  const char *host;     /* as sent */
-  char **headers;       /* "Name: value" lines that are passed on */
-  const char *key;      /* the caller's key, or NULL */
-  const char *affinity; /* last part of its prompt that others share */
-  int64_t deadline_us;  /* the caller waits until then; 0 if unsaid */
-  int64_t resume_after; /* last event that the caller has, -1 for none */
-  const char *body;     /* whole */
-  size_t body_len;      /* bytes of body */
+  const char *id;           /* the caller's own id of this request */
+  const char *method;       /* as sent */
+  const char *target;       /* path and query, as sent */
+  const char *host;         /* as sent */
+  char **headers;           /* "Name: value" lines that are passed on */
+  const char *key;          /* the caller's key, or NULL */
+  const struct part *parts; /* of its prompt; the last one is its own */
+  int nparts;               /* entries in parts */
+  int64_t deadline_us;      /* the caller waits until then; 0 if unsaid */
+  int64_t resume_after;     /* last event that the caller has, -1 for none */
+  const char *body;         /* whole */
+  size_t body_len;          /* bytes of body */
   const struct relay_caller *caller; /* callbacks */
   void *arg;                         /* passed to them */
 };
@@ -81,7 +83,8 @@
   int urgency;             /* 0 goes first, to 9 */
   int64_t left_us;         /* time for it from now */
   int64_t resume_after;    /* go on after this event, -1 to start */
-  bool may_repeat;         /* a second run would do no harm */
+  const struct parts_plan *kept; /* parts to fetch and to save, or NULL */
+  bool may_repeat;               /* a second run would do no harm */
 };
 
 /* Head of an endpoint's answer, decoded. */
@@ -138,6 +141,7 @@
 {
   struct loop *loop;          /* whose thread runs it */
   struct fleet *fleet;        /* beliefs */
+  struct parts *parts;        /* what stores keep, or NULL */
   struct relay_engine engine; /* adapter */
   const char *domain;         /* of this VM */
   int64_t stale_us;           /* keys count for nothing once older */
