Refuse at once what would be answered after its caller has left

Change: each endpoint's wait for the first piece is smoothed on each VM, from answers and from callers that left, and halves without a word; a stream whose first piece is expected after its caller's patience or its end is refused as not run with a Retry-After.

--- a/fleet.h
+++ b/fleet.h
@@ -142,6 +142,7 @@
   int64_t full_until_us; /* it refused for want of room: last choice */
   int64_t reload_us;     /* when its weights were ordered, 0 if not */
   int64_t first_us;      /* smoothed wait for the first piece of an answer */
+  int64_t first_at_us;   /* when that was observed last */
 };
 
 /* --- beliefs --------------------------------------------------------- */
@@ -251,8 +252,9 @@
   struct fleet_endpoint *endpoint; /* chosen */
   int candidates;                  /* endpoints that could be chosen */
   int load;                        /* expected requests at the chosen one */
-  int crowded;                     /* endpoints passed over for load */
-  int64_t version;                 /* weights it is believed to have */
+  int64_t wait_us; /* expected there for the first piece of an answer */
+  int crowded;     /* endpoints passed over for load */
+  int64_t version; /* weights it is believed to have */
 };
 
 struct pick_choice pick_endpoint (const struct fleet *f,
@@ -267,8 +269,10 @@
 void pick_ended (struct fleet_endpoint *e);
 void pick_reported (struct fleet_endpoint *e, int running, int64_t now_us);
 void pick_worked (struct fleet_endpoint *e);
-/* The first piece of an answer came after WAIT_US. */
-void pick_first (struct fleet_endpoint *e, int64_t wait_us);
+/* The first piece of an answer came after WAIT_US, or had not come by then. */
+void pick_first (struct fleet_endpoint *e, int64_t wait_us, int64_t now_us);
+/* Expected wait for the first piece at E. */
+int64_t pick_wait (const struct fleet_endpoint *e, int64_t now_us);
 void pick_failed (struct fleet_endpoint *e, int64_t now_us);
 void pick_refused (struct fleet_endpoint *e, int64_t now_us);
 
--- a/pick.c
+++ b/pick.c
@@ -15,6 +15,8 @@
 /* Share of one answer in the smoothed wait: an endpoint gives one VM some
    answers a second, so it follows within about two seconds. */
 #define FIRST_WEIGHT 4
+/* The smoothed wait halves after so long without an answer. */
+#define FIRST_HALF_US INT64_C (700000)
 /* A report older than this says little about requests of some hundred ms. */
 #define REPORT_MAX_US INT64_C (1000000)
 /* A request leaves its sticky endpoint when that has a quarter more than the
@@ -78,9 +80,23 @@
 }
 
 void
-pick_first (struct fleet_endpoint *e, int64_t wait_us)
+pick_first (struct fleet_endpoint *e, int64_t wait_us, int64_t now_us)
 {
   e->first_us += (wait_us - e->first_us) / FIRST_WEIGHT;
+  e->first_at_us = now_us;
+}
+
+/* Without a word the wait is taken to shrink, or an endpoint that was slow
+   once would never be tried again. */
+int64_t
+pick_wait (const struct fleet_endpoint *e, int64_t now_us)
+{
+  int64_t silent = now_us - e->first_at_us;
+  int64_t wait = e->first_us;
+
+  for (; silent > FIRST_HALF_US && wait > 0; silent -= FIRST_HALF_US)
+    wait /= 2;
+  return wait;
 }
 
 void
@@ -386,6 +402,7 @@
     c.endpoint = choose_least (f, q, &s, now_us);
   c.code = PICK_CHOSEN;
   c.load = pick_load (c.endpoint, now_us);
+  c.wait_us = pick_wait (c.endpoint, now_us);
   c.version = c.endpoint->version;
   return c;
 }
--- a/relay.c
+++ b/relay.c
@@ -16,6 +16,10 @@
 /* Attempts that reach no endpoint at all do not count as sent; more than
    these in a row mean that waiting is no use. */
 #define UNSENT_MAX 4
+/* Callers leave a stream before its first piece after the longest of these. */
+#define PATIENCE_MIN_US (2000 * CQ_US_PER_MS)
+#define PATIENCE_TARGETS 4
+#define PATIENCE_GAPS 8
 /* Largest event of a stream that is held until it is whole. */
 #define EVENT_MAX 65536
 /* When to ask again: after a failure, and while nothing is known yet. */
@@ -292,7 +296,7 @@
       r->begun = true;
       r->first_us = loop_now_us ();
       met_observe (MET_FIRST_TOKEN, r->first_us - r->arrived_us);
-      pick_first (r->endpoint, r->first_us - r->sent_us);
+      pick_first (r->endpoint, r->first_us - r->sent_us, r->first_us);
       r->desc.caller->begin (r->desc.arg, r->status,
                              (const char *const *)r->lines);
     }
@@ -508,7 +512,7 @@
   q.fresh_us = o->fleet->fresh_us;
   q.outdated = newer != NULL;
   q.named_us = newer != NULL ? newer->early_us : 0;
-  q.wait_us = c->endpoint->first_us;
+  q.wait_us = c->wait_us;
   parts_plan (o->parts, &q, now_us, &r->kept);
 }
 
@@ -546,12 +550,13 @@
   met_add (MET_ATTEMPTS, 1);
   log_event (LOG_LEVEL_INFO, "send",
              "req=%s route=%s endpoint=%s load=%d candidates=%d crowded=%d "
-             "fetch=%d save=%d fetch_tokens=%" G_GINT64_FORMAT
+             "wait_us=%" G_GINT64_FORMAT
+             " fetch=%d save=%d fetch_tokens=%" G_GINT64_FORMAT
              " version=%" G_GINT64_FORMAT " left_us=%" G_GINT64_FORMAT
              " conf=%" G_GINT64_FORMAT " conf_age_us=%" G_GINT64_FORMAT,
              r->desc.id, r->route->name, c->endpoint->is.id, c->load,
-             c->candidates, c->crowded, r->kept.nfetch, r->kept.nsave,
-             (gint64)r->kept.fetch_tokens, (gint64)s.version,
+             c->candidates, c->crowded, (gint64)c->wait_us, r->kept.nfetch,
+             r->kept.nsave, (gint64)r->kept.fetch_tokens, (gint64)s.version,
              (gint64)s.left_us, (gint64)r->conf->version,
              (gint64)fleet_age_us (o->fleet, now_us));
   r->call = o->engine.send (o->engine.ctx, &s, &events, r);
@@ -566,6 +571,34 @@
   return d->parts[d->nparts > 1 ? d->nparts - 2 : 0].id;
 }
 
+/* How long a caller waits for the first piece of a stream before it leaves. */
+static int64_t
+patience_us (const struct relay *r)
+{
+  int64_t p = PATIENCE_MIN_US;
+
+  if (r->route->target_us * PATIENCE_TARGETS > p)
+    p = r->route->target_us * PATIENCE_TARGETS;
+  if (r->route->gap_us * PATIENCE_GAPS > p)
+    p = r->route->gap_us * PATIENCE_GAPS;
+  return p;
+}
+
+/*
+ * The answer would begin after its caller has left or its time is over.  Sent
+ * all the same, the endpoint reads its prompt for nobody, and those behind it
+ * become late too, until nobody is answered in time.
+ */
+static bool
+is_hopeless (const struct relay *r, const struct pick_choice *c,
+             int64_t now_us)
+{
+  if (r->route->kind != FLEET_STREAM || r->begun)
+    return false;
+  return now_us + c->wait_us > r->end_us
+         || now_us - r->arrived_us + c->wait_us > patience_us (r);
+}
+
 /* Find an endpoint for the next attempt, or give up. */
 static void
 place (struct relay *r, int64_t now_us)
@@ -584,7 +617,9 @@
   q.nexclude = r->ntried;
   q.random = draw (r->rs);
   c = pick_endpoint (o->fleet, &q, now_us);
-  if (c.code == PICK_CHOSEN)
+  if (c.code == PICK_CHOSEN && is_hopeless (r, &c, now_us))
+    give_up_unplaced (r, "too_late", c.wait_us / 2, now_us);
+  else if (c.code == PICK_CHOSEN)
     attempt (r, &c, now_us);
   else
     give_up_unplaced (r, pick_code_name (c.code), RETRY_SOON_US, now_us);
@@ -784,6 +819,9 @@
 
   r->desc.caller = NULL;
   met_add (MET_CANCELS, 1);
+  if (sent && r->endpoint != NULL && r->first_us == 0
+      && r->route->kind == FLEET_STREAM)
+    pick_first (r->endpoint, now - r->sent_us, now);
   if (r->call != NULL)
     e->cancel (e->ctx, r->call);
   r->call = NULL;
