Requests stay at their sticky endpoint up to twice the mean load

Cause: with a bound of a quarter over the mean, requests left the endpoint that held their parts in every burst, and the parts were read or moved again.

--- a/pick.c
+++ b/pick.c
@@ -19,9 +19,11 @@
 #define FIRST_HALF_US INT64_C (700000)
 /* A report older than this says little about requests of some hundred ms. */
 #define REPORT_MAX_US INT64_C (1000000)
-/* A request leaves its sticky endpoint when that has a quarter more than the
-   mean load, and some: the bound of consistent hashing with bounded loads. */
-#define BOUND_PERCENT 125
+/* A request leaves its sticky endpoint when that has twice the mean load, and
+   some: the bound of consistent hashing with bounded loads.  A tighter bound
+   evens the load out, and has more parts read anew (sum of worth over seven
+   days of trouble 2.36 at 125%, 2.44 at 150%, 2.58 at 200%, 2.52 at 300%). */
+#define BOUND_PERCENT 200
 #define BOUND_SPARE 3
 /* Endpoints that change weights at once: two load fastest each, and more take
    places away that the others need (with four at once on twelve endpoints a
--- a/regress/test-fleet.c
+++ b/regress/test-fleet.c
@@ -252,7 +252,7 @@
       pick_sent (c.endpoint);
     }
   APR_RING_FOREACH (e, &f.endpoints, fleet_endpoint, link)
-  g_assert_cmpint (e->running, <=, 100 * 125 / 100 + 4);
+  g_assert_cmpint (e->running, <=, 100 * 200 / 100 + 4);
   fleet_clear (&f);
 }
 
@@ -288,9 +288,9 @@
       new += c.version == 2;
       pick_sent (c.endpoint);
     }
-  /* Six endpoints take work: a quarter more than a sixth for each new one. */
+  /* Six endpoints take work: at most twice a sixth for each new one. */
   g_assert_cmpint (new, >=, 2 * 700 / 6);
-  g_assert_cmpint (new, <=, 2 * (700 * 125 / 600 + 4));
+  g_assert_cmpint (new, <=, 2 * (700 * 200 / 600 + 4));
   fleet_clear (&f);
 }
 
