--- a/Makefile
+++ b/Makefile
@@ -63,7 +63,7 @@
 	$(CC) $(CFLAGS) -o $@ regress/check.o $(LIBS)
 
 UNITS = regress/test-units.o regress/test-wire.o regress/test-fleet.o \
-	regress/test-relay.o regress/test-orders.o
+	regress/test-relay.o regress/test-orders.o regress/test-parts.o
 
 regress/test-units: $(UNITS) librelay.a libserver.a libwire.a libdecide.a
 	$(CC) $(CFLAGS) -o $@ $(UNITS) librelay.a log.o met.o loop.o \
--- /dev/null
+++ b/regress/test-parts.c
@@ -0,0 +1,236 @@
+/*
+ * Unit tests of the directory of stored parts: what is fetched, what is saved
+ * and where, and that nothing is freed while somebody may read it.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "decide.h"
+#include "parts.h"
+#include "units.h"
+
+#define S CQ_US_PER_S
+#define MS CQ_US_PER_MS
+
+static void
+add_store (struct fleet_conf *c, const char *address, int64_t capacity,
+           int64_t mbit_s, int64_t first_us)
+{
+  struct fleet_service *sv = g_new0 (struct fleet_service, 1);
+
+  sv->name = g_strdup (address);
+  sv->store_address = g_strdup (address);
+  sv->domain = g_strdup ("d");
+  sv->memory_tokens = capacity;
+  sv->link_mbit_s = mbit_s;
+  sv->first_us = first_us;
+  g_hash_table_replace (c->services, sv->name, sv);
+}
+
+/* Two stores: a small fast one and a roomy slow one, both known and empty. */
+static void
+two_stores (struct parts *p)
+{
+  struct fleet_conf *c = fleet_conf_new ();
+  struct parts_store *s;
+
+  add_store (c, "fast", 10000, 250000, 500);
+  add_store (c, "roomy", 100000, 160000, 6000);
+  parts_init (p);
+  parts_take_conf (p, c);
+  fleet_conf_unref (c);
+  APR_RING_FOREACH (s, &p->stores, parts_store, link)
+  {
+    parts_forget (s, 7, 0);
+    parts_heard (s, 50000, 10 * S);
+  }
+}
+
+static const struct part prompt[] = {
+  { "head", 512 },
+  { "draft", 8000 },
+  { "own", 2000 },
+};
+
+static struct parts_query
+query (void)
+{
+  struct parts_query q = { .scope = "m.v1", .list = prompt, .n = 3 };
+
+  q.domain = "d";
+  q.fresh_us = 10 * S;
+  return q;
+}
+
+static void
+keep (struct parts *p, const char *store, const char *id, int64_t tokens)
+{
+  struct part_held h = { .tokens = tokens };
+
+  g_strlcpy (h.scope, "m.v1", sizeof h.scope);
+  g_strlcpy (h.id, id, sizeof h.id);
+  parts_added (parts_find_store (p, store), &h);
+}
+
+/* Nothing is kept yet: shared parts are saved, small ones where a transfer
+   starts soon, large ones where there is room; the request's own is not.  The
+   next request does not save them again while that is under way. */
+static void
+test_saves (void)
+{
+  struct parts p;
+  struct parts_plan plan;
+  struct parts_query q = query ();
+
+  two_stores (&p);
+  parts_plan (&p, &q, 10 * S, &plan);
+  g_assert_cmpint (plan.nfetch, ==, 0);
+  g_assert_cmpstr (plan.save[0], ==, "fast");
+  g_assert_cmpstr (plan.save[1], ==, "roomy");
+  g_assert_null (plan.save[2]);
+  parts_plan (&p, &q, 10 * S + 100 * MS, &plan);
+  g_assert_cmpint (plan.nsave, ==, 0);
+  parts_clear (&p);
+}
+
+/* A part that is kept whole is fetched; one kept in part is not: its missing
+   end would be read as if it were there. */
+static void
+test_whole_only (void)
+{
+  struct parts p;
+  struct parts_plan plan;
+  struct parts_query q = query ();
+
+  two_stores (&p);
+  keep (&p, "fast", "head", 512);
+  keep (&p, "roomy", "draft", 7999);
+  parts_plan (&p, &q, 10 * S, &plan);
+  g_assert_cmpstr (plan.fetch[0], ==, "fast");
+  g_assert_null (plan.fetch[1]);
+  keep (&p, "roomy", "draft", 8000);
+  parts_plan (&p, &q, 10 * S, &plan);
+  g_assert_cmpstr (plan.fetch[1], ==, "roomy");
+  g_assert_cmpint (plan.fetch_tokens, ==, 8512);
+  /* Void a quarter second after now on the stores' clock. */
+  g_assert_cmpint (plan.until_ms, ==, 50250);
+  parts_clear (&p);
+}
+
+/* Another scope, of other weights or of a workspace that shares nothing, finds
+   nothing of it. */
+static void
+test_scopes (void)
+{
+  struct parts p;
+  struct parts_plan plan;
+  struct parts_query q = query ();
+  char scope[PARTS_SCOPE_SIZE];
+
+  two_stores (&p);
+  keep (&p, "fast", "head", 512);
+  parts_scope (scope, "m", 1, "weavers");
+  q.scope = scope;
+  parts_plan (&p, &q, 10 * S, &plan);
+  g_assert_cmpint (plan.nfetch, ==, 0);
+  parts_scope (scope, "m", 2, NULL);
+  parts_plan (&p, &q, 10 * S, &plan);
+  g_assert_cmpint (plan.nfetch, ==, 0);
+  parts_clear (&p);
+}
+
+/* A store restarts empty, or falls silent: nothing is fetched from it. */
+static void
+test_lost_store (void)
+{
+  struct parts p;
+  struct parts_plan plan;
+  struct parts_query q = query ();
+
+  two_stores (&p);
+  keep (&p, "fast", "head", 512);
+  q.fresh_us = 14 * S;
+  parts_plan (&p, &q, 14 * S, &plan);
+  g_assert_cmpint (plan.nfetch + plan.nsave, ==, 0);
+  parts_heard (parts_find_store (&p, "fast"), 54000, 14 * S);
+  parts_plan (&p, &q, 14 * S, &plan);
+  g_assert_cmpint (plan.nfetch, ==, 1);
+  parts_forget (parts_find_store (&p, "fast"), 8, 0);
+  parts_plan (&p, &q, 14 * S, &plan);
+  g_assert_cmpint (plan.nfetch, ==, 0);
+  parts_clear (&p);
+}
+
+/* A full store drops nothing by itself, and a save it has no room for is
+   lost: the other one gets it, or none. */
+static void
+test_full (void)
+{
+  struct parts p;
+  struct parts_plan plan;
+  struct parts_query q = query ();
+
+  two_stores (&p);
+  keep (&p, "fast", "x", 9400);
+  parts_plan (&p, &q, 10 * S, &plan);
+  g_assert_cmpstr (plan.save[0], ==, "roomy");
+  keep (&p, "roomy", "y", 90000);
+  parts_plan (&p, &q, 20 * S, &plan);
+  g_assert_null (plan.save[1]);
+  parts_clear (&p);
+}
+
+/*
+ * Newer weights are named at zero.  VMs hear of it at any time, or are cut off
+ * and hear nothing; one of them frees the old parts as soon as it may.  Over
+ * all of these, no fetch of an old part may still be running then.
+ */
+static void
+test_no_free_under_fetch (void)
+{
+  int64_t heard, fresh, now;
+  int64_t last_void = 0;
+  int64_t first_free = INT64_MAX;
+
+  for (heard = 0; heard <= 20 * S; heard += 250 * MS)
+    for (now = heard; now <= heard + 20 * S; now += 100 * MS)
+      if (parts_may_free (heard, now) && now < first_free)
+        first_free = now;
+  /* FRESH is when the VM's knowledge was current, HEARD when it heard, or
+     never; what it knew before the naming it knew at the latest at zero. */
+  for (fresh = -3 * S; fresh <= 0; fresh += 100 * MS)
+    for (heard = 0; heard <= 20 * S; heard += 250 * MS)
+      for (now = 0; now <= 20 * S; now += 100 * MS)
+        {
+          struct parts p;
+          struct parts_plan plan;
+          struct parts_query q = query ();
+          struct parts_store *s;
+
+          /* Times are shifted, so that none is zero. */
+          two_stores (&p);
+          keep (&p, "fast", "head", 512);
+          s = parts_find_store (&p, "fast");
+          parts_heard (s, (100 * S + now) / MS, 100 * S + now);
+          q.outdated = now >= heard;
+          q.named_us = 100 * S + fresh;
+          q.fresh_us = 100 * S + (now >= heard ? now : fresh);
+          q.wait_us = 20 * S;
+          parts_plan (&p, &q, 100 * S + now, &plan);
+          if (plan.nfetch > 0 && plan.until_ms * MS - 100 * S > last_void)
+            last_void = plan.until_ms * MS - 100 * S;
+          parts_clear (&p);
+        }
+  g_assert_cmpint (last_void, >, 4 * S);
+  g_assert_cmpint (last_void, <, first_free);
+}
+
+const struct unit parts_units[] = {
+  { "/parts/saves", test_saves },
+  { "/parts/whole-only", test_whole_only },
+  { "/parts/scopes", test_scopes },
+  { "/parts/lost-store", test_lost_store },
+  { "/parts/full", test_full },
+  { "/parts/no-free-under-fetch", test_no_free_under_fetch },
+  { NULL, NULL },
+};
--- a/regress/units.h
+++ b/regress/units.h
@@ -14,5 +14,6 @@
 extern const struct unit fleet_units[];
 extern const struct unit relay_units[];
 extern const struct unit orders_units[];
+extern const struct unit parts_units[];
 
 #endif
