--- a/regress/test-relay.c
+++ b/regress/test-relay.c
@@ -606,6 +606,36 @@
   play_free (p);
 }
 
+/*
+ * Both endpoints have fallen behind: answers began after 1.5 s lately.  The
+ * caller would leave after 2 s; it is told at once that the request was not
+ * run, and when to come back.  Without a word from an endpoint its wait is
+ * taken to shrink, so that soon one request is let through.
+ */
+static void
+test_too_late (void)
+{
+  struct play *p = play_new (FLEET_STREAM);
+  struct fleet_endpoint *e;
+  int64_t now = loop_now_us ();
+
+  APR_RING_FOREACH (e, &p->fleet.endpoints, fleet_endpoint, link)
+  {
+    e->first_us = 1500 * CQ_US_PER_MS;
+    e->first_at_us = now;
+  }
+  play_start (p);
+  g_assert_cmpint (p->sends, ==, 0);
+  g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
+  g_assert_cmpint (p->retry_after_us, >, 0);
+  APR_RING_FOREACH (e, &p->fleet.endpoints, fleet_endpoint, link)
+  e->first_at_us = now - 2 * CQ_US_PER_S;
+  play_start (p);
+  g_assert_cmpint (p->sends, ==, 1);
+  relay_caller_gone (p->relay);
+  play_free (p);
+}
+
 /* Nothing is known yet, as after a start without the platform: "not run". */
 static void
 test_nothing_known (void)
@@ -634,6 +664,7 @@
   { "/relay/budget", test_budget },
   { "/relay/timeout", test_timeout },
   { "/relay/hang-up", test_hang_up },
+  { "/relay/too-late", test_too_late },
   { "/relay/nothing-known", test_nothing_known },
   { NULL, NULL },
 };
