--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 RELAY = fleet.o pick.o evt.o relay.o follow.o \
 	lease.o orders.o parts.o partfeed.o
 # The users' platform; translates only.
-PLATFORM = platform/decode.o platform/duty.o platform/engine.o platform/ingress.o platform/kvstore.o \
+PLATFORM = platform/decode.o platform/duty.o platform/engine.o platform/ingress.o platform/json.o platform/kvstore.o \
 	platform/platform.o platform/store.o
 COMMANDS = main.o ctl.o ctlconf.o
 
@@ -94,7 +94,7 @@
 		regress/test-units
 
 # Coverage-guided inputs for all parsers; needs clang.
-FUZZED = prompt.c strm.c peer_xdr.c platform/decode.c platform/kvstore.c fleet.c evt.c fetch.c xfer.c loop.c
+FUZZED = prompt.c strm.c peer_xdr.c platform/decode.c platform/json.c platform/kvstore.c fleet.c evt.c fetch.c xfer.c loop.c
 regress/fuzz-input: regress/fuzz-input.c $(FUZZED) wire.h
 	clang -std=gnu11 -D_GNU_SOURCE -g -O1 $(LIB_CFLAGS) -I. \
 		-fsanitize=fuzzer,address,undefined -o $@ \
--- a/api.c
+++ b/api.c
@@ -10,7 +10,6 @@
 #define CONNECTION_MEMORY                                                     \
   12288                        /* bytes a connection, for head and buffers    \
                                 */
-#define RETRY_MAX_S 3600       /* longest Retry-After */
 #define CONTROL_BODY_MAX 65536 /* bytes of an operator's request */
 #define MAX_LINES 8            /* header lines of a reply */
 
@@ -54,14 +53,6 @@
   json_decref (doc);
 }
 
-static int
-whole_seconds (int64_t us)
-{
-  int64_t s = (us + CQ_US_PER_S - 1) / CQ_US_PER_S;
-
-  return (int)(s < RETRY_MAX_S ? s : RETRY_MAX_S);
-}
-
 /* Refuse before any work: nothing was run. */
 void
 req_refuse (struct req *r, const char *code, int64_t retry_after_us)
@@ -77,7 +68,7 @@
   reply.body = text;
   reply.len = strlen (text);
   reply.outcome = out_name (OUT_NOT_RUN);
-  reply.retry_after_s = whole_seconds (retry_after_us);
+  reply.retry_after_s = refusal_retry_s (retry_after_us);
   req_reply (r, &reply);
   free (text);
   json_decref (doc);
--- a/entry.c
+++ b/entry.c
@@ -23,24 +23,25 @@
 
 struct entry
 {
-  struct worker *worker;       /* where it runs */
-  struct cfg *settings;        /* a reference, for cfg */
-  const struct cfg_entry *cfg; /* declared */
-  void *store;                 /* of the adapter */
-  struct fleet fleet;          /* beliefs */
-  struct follow *follow;       /* keeps them current */
-  struct orders *orders;       /* weights of endpoints */
-  struct parts parts;          /* what stores keep */
-  struct partfeed *feed;       /* keeps that current */
-  int64_t conf_row;            /* configuration that the feed knows */
-  int64_t duty_us;             /* this VM gave orders last */
-  struct relays *relays;       /* requests under way */
-  struct door *front;          /* callers */
-  struct door *ready;          /* the balancer */
-  int front_fd;                /* listening socket */
-  int ready_fd;                /* listening socket */
-  struct loop_timer sweep;     /* missing entries */
-  bool was_ready;              /* as logged last */
+  struct worker *worker;         /* where it runs */
+  struct cfg *settings;          /* a reference, for cfg */
+  const struct cfg_entry *cfg;   /* declared */
+  void *store;                   /* of the adapter */
+  struct fleet fleet;            /* beliefs */
+  struct follow *follow;         /* keeps them current */
+  struct orders *orders;         /* weights of endpoints */
+  struct parts parts;            /* what stores keep */
+  struct partfeed *feed;         /* keeps that current */
+  int64_t conf_row;              /* configuration that the feed knows */
+  int64_t duty_us;               /* this VM gave orders last */
+  struct relays *relays;         /* requests under way */
+  struct entry_front front_with; /* what the next one works with */
+  struct door *front;            /* callers */
+  struct door *ready;            /* the balancer */
+  int front_fd;                  /* listening socket */
+  int ready_fd;                  /* listening socket */
+  struct loop_timer sweep;       /* missing entries */
+  bool was_ready;                /* as logged last */
 };
 
 /* --- readiness ------------------------------------------------------- */
@@ -196,7 +197,9 @@
   o.idle_s = READY_IDLE_S;
   o.connection_memory = READY_MEMORY;
   e->ready = door_open (e->worker, e->ready_fd, &o);
-  e->front = entry_adapter.door (e->worker, e->front_fd, e->relays, &e->fleet);
+  e->front_with.relays = e->relays;
+  e->front_with.fleet = &e->fleet;
+  e->front = entry_adapter.door (e->worker, e->front_fd, &e->front_with);
   return e->ready != NULL && e->front != NULL;
 }
 
--- a/entry.h
+++ b/entry.h
@@ -11,6 +11,13 @@
 #include "partfeed.h"
 #include "relay.h"
 
+/* What a door for callers works with; stays until the door is closed. */
+struct entry_front
+{
+  struct relays *relays; /* where requests go */
+  struct fleet *fleet;   /* for the limits in force */
+};
+
 /* What a platform's adapter offers; all on the first worker's thread. */
 struct entry_adapter
 {
@@ -22,8 +29,8 @@
   void (*partfeed_ops) (struct partfeed_ops *ops, struct xfer_pool *pool);
   void (*engine_ops) (struct relay_engine *ops, struct xfer_pool *pool);
   /* The door for callers. */
-  struct door *(*door) (struct worker *w, int listen_fd, struct relays *relays,
-                        struct fleet *fleet);
+  struct door *(*door) (struct worker *w, int listen_fd,
+                        struct entry_front *front);
 };
 
 /* The adapter that is built in. */
--- a/jobreply.c
+++ b/jobreply.c
@@ -3,12 +3,6 @@
 
 #include <string.h>
 
-static int
-whole_seconds (int64_t us)
-{
-  return (int)((us + CQ_US_PER_S - 1) / CQ_US_PER_S);
-}
-
 static char *
 error_text (enum outcome outcome, const char *reason)
 {
@@ -83,7 +77,7 @@
   reply.body = text;
   reply.len = strlen (text);
   reply.outcome = out_name (outcome);
-  reply.retry_after_s = whole_seconds (retry_after_us);
+  reply.retry_after_s = refusal_retry_s (retry_after_us);
   j->caller->reply (j->caller_arg, &reply);
 }
 
--- a/libserver.h
+++ b/libserver.h
@@ -154,6 +154,8 @@
 };
 
 const struct refusal *refusal_find (const char *code);
+/* A wait in whole seconds, for Retry-After; rounded up. */
+int refusal_retry_s (int64_t us);
 
 /* --- requests that come in (hin.c) ----------------------------------- */
 
--- a/refusal.c
+++ b/refusal.c
@@ -3,6 +3,8 @@
 
 #include <string.h>
 
+#define RETRY_MAX_S 3600 /* longest Retry-After */
+
 static const struct refusal refusals[] = {
   { "bad_json", 400, "The body is not a JSON object in UTF-8." },
   { "bad_field", 400, "A field is missing or of the wrong kind." },
@@ -68,3 +70,11 @@
       return &refusals[i];
   return &unlisted;
 }
+
+int
+refusal_retry_s (int64_t us)
+{
+  int64_t s = (us + CQ_US_PER_S - 1) / CQ_US_PER_S;
+
+  return (int)(s < RETRY_MAX_S ? s : RETRY_MAX_S);
+}
--- a/srv.c
+++ b/srv.c
@@ -391,6 +391,9 @@
 {
   int i;
 
+  /* Polls of the platform are still out; whom they belong to is freed next. */
+  for (i = 0; s->entry != NULL && i < s->nworkers; i++)
+    xfer_pool_abort (s->workers[i].pool);
   entry_free (s->entry);
   member_free (s->member);
   conf_free (s->conf);
--- a/xfer.c
+++ b/xfer.c
@@ -19,14 +19,16 @@
 
 struct xfer_pool
 {
-  struct loop *loop;       /* whose thread runs the transfers */
-  CURLM *multi;            /* all transfers */
-  struct loop_timer timer; /* libcurl's timer */
-  int count;               /* transfers under way; atomic */
+  struct loop *loop;                    /* whose thread runs the transfers */
+  CURLM *multi;                         /* all transfers */
+  struct loop_timer timer;              /* libcurl's timer */
+  int count;                            /* transfers under way; atomic */
+  APR_RING_HEAD (xfer_ring, xfer) live; /* these */
 };
 
 struct xfer
 {
+  APR_RING_ENTRY (xfer) link;  /* in the pool's list */
   struct xfer_pool *pool;      /* where it runs */
   CURL *easy;                  /* libcurl's handle */
   struct curl_slist *header;   /* request header lines */
@@ -105,6 +107,7 @@
   struct xfer_pool *p = g_new0 (struct xfer_pool, 1);
 
   p->loop = l;
+  APR_RING_INIT (&p->live, xfer, link);
   p->timer.fire = on_timer;
   p->timer.arg = p;
   p->multi = curl_multi_init ();
@@ -198,6 +201,7 @@
 static void
 xfer_release (struct xfer *x)
 {
+  APR_RING_REMOVE (x, link);
   __atomic_fetch_sub (&x->pool->count, 1, __ATOMIC_RELAXED);
   curl_easy_cleanup (x->easy);
   curl_slist_free_all (x->header);
@@ -225,6 +229,13 @@
   xfer_release (x);
 }
 
+void
+xfer_pool_abort (struct xfer_pool *p)
+{
+  while (!APR_RING_EMPTY (&p->live, xfer, link))
+    finish_one (APR_RING_FIRST (&p->live), CURLE_ABORTED_BY_CALLBACK);
+}
+
 static void
 finish_done (struct xfer_pool *p)
 {
@@ -353,6 +364,8 @@
   struct xfer *x = g_new0 (struct xfer, 1);
 
   x->pool = p;
+  APR_RING_ELEM_INIT (x, link);
+  APR_RING_INSERT_TAIL (&p->live, x, xfer, link);
   __atomic_fetch_add (&p->count, 1, __ATOMIC_RELAXED);
   x->events = *opts->events;
   x->arg = opts->arg;
--- a/xfer.h
+++ b/xfer.h
@@ -71,6 +71,8 @@
 
 struct xfer_pool *xfer_pool_new (struct loop *l);
 void xfer_pool_free (struct xfer_pool *p);
+/* End all transfers, as if their connections had broken. */
+void xfer_pool_abort (struct xfer_pool *p);
 
 /* Transfers under way. */
 int xfer_count (struct xfer_pool *p);
