--- a/regress/entry.sh
+++ b/regress/entry.sh
@@ -24,6 +24,9 @@
 cat "$tmp/body"
 sed -n 's/.*event=ran endpoint=[0-9]* \(.*x3.*\)/\1/p' "$tmp/e.err"
 
+echo "== a head of 15 KB, within the operator's limit"
+id=x4 ask a /safe/long -H "X-Long: $(head -c 15000 /dev/zero | tr '\0' y)"
+
 echo "== what leads nowhere"
 ask a /nowhere/
 key=bad ask a /safe/
--- a/regress/test-relay.c
+++ b/regress/test-relay.c
@@ -32,6 +32,8 @@
   int64_t retry_after_us;           /* with the refusal */
   int ended;                        /* 1 whole, 0 broken, -1 not ended */
   bool gone;                        /* the caller hung up */
+  size_t untaken;                   /* bytes that the caller has not taken */
+  int unpauses;                     /* attempts that were let go on */
 };
 
 static char *no_headers[] = { NULL };
@@ -67,8 +69,10 @@
 static void
 engine_unpause (void *ctx, void *call)
 {
-  (void)ctx;
+  struct play *p = ctx;
+
   (void)call;
+  p->unpauses++;
 }
 
 /* --- the played caller ----------------------------------------------- */
@@ -113,8 +117,9 @@
 static size_t
 on_pending (void *arg)
 {
-  (void)arg;
-  return 0;
+  struct play *p = arg;
+
+  return p->untaken;
 }
 
 static bool
@@ -250,6 +255,25 @@
   g_free (p);
 }
 
+static void
+stop_loop (void *arg, int64_t now_us)
+{
+  struct play *p = arg;
+
+  (void)now_us;
+  loop_stop (p->loop);
+}
+
+static void
+run_for (struct play *p, int64_t us)
+{
+  struct loop_timer t = { .fire = stop_loop };
+
+  t.arg = p;
+  loop_arm (p->loop, &t, loop_now_us () + us);
+  loop_run (p->loop);
+}
+
 /* The engine's answer, told as far as the test wants. */
 static void
 head (struct play *p, int status)
@@ -512,6 +536,38 @@
   play_free (p);
 }
 
+/*
+ * A caller reads slower than the engine writes.  Its bytes must not fill the
+ * VM's memory: the engine is held back above the bound, and goes on once half
+ * is taken, with the bytes that it had to keep.
+ */
+static void
+test_slow_reader (void)
+{
+  struct play *p = play_new (FLEET_STREAM);
+  static const char more[] = "id: 2\ndata: b\n\n";
+
+  play_start (p);
+  g_assert_true (p->event->before_send (p->arg));
+  head (p, 200);
+  body (p, "id: 1\ndata: a\n\n");
+  p->untaken = 4097;
+  g_assert_cmpint (p->event->body (p->arg, more, strlen (more)), ==,
+                   RELAY_PAUSE);
+  p->untaken = 3000;
+  relay_drained (p->relay);
+  run_for (p, 20 * CQ_US_PER_MS);
+  g_assert_cmpint (p->unpauses, ==, 0);
+  p->untaken = 2000;
+  relay_drained (p->relay);
+  run_for (p, 20 * CQ_US_PER_MS);
+  g_assert_cmpint (p->unpauses, ==, 1);
+  body (p, more);
+  end (p, true, true);
+  g_assert_cmpstr (p->got->str, ==, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  play_free (p);
+}
+
 /* Work is found again only under its weights and, for a workspace that shares
    nothing, its owner: both are in the scope's name. */
 static void
@@ -554,25 +610,6 @@
   play_free (p);
 }
 
-static void
-stop_loop (void *arg, int64_t now_us)
-{
-  struct play *p = arg;
-
-  (void)now_us;
-  loop_stop (p->loop);
-}
-
-static void
-run_for (struct play *p, int64_t us)
-{
-  struct loop_timer t = { .fire = stop_loop };
-
-  t.arg = p;
-  loop_arm (p->loop, &t, loop_now_us () + us);
-  loop_run (p->loop);
-}
-
 /* The endpoint never answers: at the route's own limit the caller hears so,
    and the run is cancelled. */
 static void
@@ -660,6 +697,7 @@
   { "/relay/not-genuine", test_not_genuine },
   { "/relay/resume", test_resume },
   { "/relay/no-resume", test_no_resume },
+  { "/relay/slow-reader", test_slow_reader },
   { "/relay/scope", test_scope },
   { "/relay/budget", test_budget },
   { "/relay/timeout", test_timeout },
