--- a/librelay.h
+++ b/librelay.h
@@ -47,19 +47,20 @@
   struct evt events;       /* of a stream */
   struct loop_msg unpause; /* posted when the reader caught up */
   int64_t sent_us;         /* when the attempt started */
-  int64_t first_us;        /* first piece passed on, 0 for none */
-  int ntried;              /* entries in tried */
-  int status;              /* of the attempt's answer, 0 if none */
-  int attempts;            /* that were handed over */
-  int unsent;              /* that were not */
-  bool handed_over;        /* a byte may have left */
-  bool not_run;            /* the endpoint said so */
-  bool streaming;          /* the answer goes on in pieces */
-  bool ran;                /* an earlier attempt may have run */
-  bool begun;              /* the caller has part of a stream */
-  bool paused;             /* the attempt waits for a slow reader */
-  bool unpausing;          /* that message is under way */
-  bool done;               /* freed when the message has come */
+  int64_t handed_us; /* when its first attempt was handed over; 0: never */
+  int64_t first_us;  /* first piece passed on, 0 for none */
+  int ntried;        /* entries in tried */
+  int status;        /* of the attempt's answer, 0 if none */
+  int attempts;      /* that were handed over */
+  int unsent;        /* that were not */
+  bool handed_over;  /* a byte may have left */
+  bool not_run;      /* the endpoint said so */
+  bool streaming;    /* the answer goes on in pieces */
+  bool ran;          /* an earlier attempt may have run */
+  bool begun;        /* the caller has part of a stream */
+  bool paused;       /* the attempt waits for a slow reader */
+  bool unpausing;    /* that message is under way */
+  bool done;         /* freed when the message has come */
 };
 
 /* Whether a second run would do no harm. */
--- a/met.c
+++ b/met.c
@@ -61,6 +61,9 @@
                        "Time from a request's last byte to its end." },
   [MET_QUEUE_TIME] = { "camphorquay_queue_seconds", "histogram",
                        "Time a request waited for a place." },
+  [MET_HANDOVER_TIME]
+  = { "camphorquay_handover_seconds", "histogram",
+      "Time from a request's last byte until it left for an endpoint." },
 };
 
 /* Upper bounds in microseconds; the last bucket has none. */
--- a/relay.c
+++ b/relay.c
@@ -119,10 +119,11 @@
     met_observe (MET_WHOLE_TIME, now_us - r->arrived_us);
   log_event (LOG_LEVEL_INFO, "finish",
              "req=%s route=%s outcome=%s reason=%s status=%d attempts=%d "
-             "unsent=%d first_us=%" G_GINT64_FORMAT
-             " whole_us=%" G_GINT64_FORMAT,
+             "unsent=%d handed_us=%" G_GINT64_FORMAT
+             " first_us=%" G_GINT64_FORMAT " whole_us=%" G_GINT64_FORMAT,
              r->desc.id, r->route->name, out_name (outcome), reason, r->status,
              r->attempts, r->unsent,
+             (gint64)(r->handed_us ? r->handed_us - r->arrived_us : 0),
              (gint64)(r->first_us ? r->first_us - r->arrived_us : 0),
              (gint64)(now_us - r->arrived_us));
   relay_leave (r);
--- a/relaytry.c
+++ b/relaytry.c
@@ -57,9 +57,15 @@
   else if (r->endpoint->draining || r->endpoint->gone)
     r->stopped = "endpoint_left";
   r->handed_over = r->stopped == NULL;
-  if (r->handed_over)
-    r->attempts++;
-  return r->handed_over;
+  if (!r->handed_over)
+    return false;
+  r->attempts++;
+  if (r->handed_us == 0)
+    {
+      r->handed_us = now;
+      met_observe (MET_HANDOVER_TIME, now - r->arrived_us);
+    }
+  return true;
 }
 
 static bool
