--- a/fleet.c
+++ b/fleet.c
@@ -32,7 +32,6 @@
 {
   g_free (s->name);
   g_free (s->model);
-  g_free (s->health_path);
   g_free (s->store_address);
   g_free (s->domain);
   g_free (s);
--- a/fleet.h
+++ b/fleet.h
@@ -53,16 +53,13 @@
 /* A service as the operator declared it. */
 struct fleet_service
 {
-  char *name;              /* named by splits and endpoints */
-  char *model;             /* of its engines; NULL for a plain service */
-  char *health_path;       /* asked for its health */
-  int64_t max_connections; /* one endpoint takes, from all VMs */
-  int64_t slots;           /* requests an engine runs at once, 0 if unknown */
-  int64_t memory_tokens;   /* an engine's KV cache, 0 if unknown */
-  char *domain;            /* failure domain of a store, or NULL */
-  int64_t link_mbit_s;     /* of a store, 0 if unknown */
-  int64_t first_us;        /* that each of its transfers waits in addition */
-  char *store_address;     /* IP:PORT if it is a store of kept KV cache */
+  char *name;            /* named by splits and endpoints */
+  char *model;           /* of its engines; NULL for a plain service */
+  int64_t memory_tokens; /* an engine's KV cache, 0 if unknown */
+  char *domain;          /* failure domain of a store, or NULL */
+  int64_t link_mbit_s;   /* of a store, 0 if unknown */
+  int64_t first_us;      /* that each of its transfers waits in addition */
+  char *store_address;   /* IP:PORT if it is a store of kept KV cache */
 };
 
 struct fleet_workspace
@@ -178,7 +175,6 @@
   bool listed;        /* endpoints were listed once */
   GArray *wanted;     /* struct fleet_wanted */
   int64_t fresh_us;   /* the configuration was current then; 0: never */
-  int64_t listed_us;  /* the list of endpoints was current then */
   int64_t back_us;    /* the list could be read again since */
   int64_t old_max_us; /* old weights take work this long after newer ones
                          were named; 0 for ever */
--- a/follow.c
+++ b/follow.c
@@ -183,8 +183,6 @@
     }
   if (s->source == FOLLOW_OPERATOR)
     f->fresh_us = s->asked_us;
-  else
-    f->listed_us = s->asked_us;
   if (n->version > s->version)
     s->version = n->version;
   s->known = true;
