--- a/regress/test-relay.c
+++ b/regress/test-relay.c
@@ -299,6 +299,26 @@
   p->event->end (p->arg, &e);
 }
 
+/* The attempt is let go, and a whole answer with this body comes. */
+static void
+answer_whole (struct play *p, const char *text)
+{
+  g_assert_true (p->event->before_send (p->arg));
+  head (p, 200);
+  body (p, text);
+  end (p, true, true);
+}
+
+/* The attempt is let go, and a whole answer with this head and no body comes.
+ */
+static void
+answer_head (struct play *p, const struct relay_head *h)
+{
+  g_assert_true (p->event->before_send (p->arg));
+  g_assert_true (p->event->head (p->arg, h));
+  end (p, true, true);
+}
+
 /* --- freshness ------------------------------------------------------- */
 
 /*
@@ -384,10 +404,7 @@
   end (p, false, false);
   g_assert_cmpint (p->sends, ==, 2);
   g_assert_cmpstr (p->to[0], !=, p->to[1]);
-  g_assert_true (p->event->before_send (p->arg));
-  head (p, 200);
-  body (p, "ok");
-  end (p, true, true);
+  answer_whole (p, "ok");
   g_assert_cmpstr (p->got->str, ==, "ok");
   play_free (p);
 }
@@ -428,14 +445,9 @@
   h.other_life = true;
   route_of (p)->max_attempts = 1;
   play_start (p);
-  g_assert_true (p->event->before_send (p->arg));
-  g_assert_true (p->event->head (p->arg, &h));
-  end (p, true, true);
+  answer_head (p, &h);
   g_assert_cmpint (p->sends, ==, 2);
-  g_assert_true (p->event->before_send (p->arg));
-  head (p, 200);
-  body (p, "ok");
-  end (p, true, true);
+  answer_whole (p, "ok");
   g_assert_cmpstr (p->got->str, ==, "ok");
   play_free (p);
 }
@@ -455,9 +467,7 @@
   h.lines = seal;
   route_of (p)->max_attempts = 1;
   play_start (p);
-  g_assert_true (p->event->before_send (p->arg));
-  g_assert_true (p->event->head (p->arg, &h));
-  end (p, true, true);
+  answer_head (p, &h);
   g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
   APR_RING_FOREACH (e, &p->fleet.endpoints, fleet_endpoint, link)
   g_assert_false (e->draining);
@@ -483,10 +493,7 @@
   end (p, true, false);
   g_assert_cmpint (p->sends, ==, 2);
   g_assert_cmpint (p->status, ==, 0);
-  g_assert_true (p->event->before_send (p->arg));
-  head (p, 200);
-  body (p, "mine");
-  end (p, true, true);
+  answer_whole (p, "mine");
   g_assert_cmpstr (p->got->str, ==, "mine");
   play_free (p);
 }
@@ -509,10 +516,7 @@
   g_assert_cmpint (p->sends, ==, 2);
   g_assert_cmpint (p->resume_after, ==, 2);
   g_assert_cmpstr (p->to[0], !=, p->to[1]);
-  g_assert_true (p->event->before_send (p->arg));
-  head (p, 200);
-  body (p, "id: 2\ndata: b\n\nid: 3\ndata: c\n\n");
-  end (p, true, true);
+  answer_whole (p, "id: 2\ndata: b\n\nid: 3\ndata: c\n\n");
   g_assert_cmpstr (p->got->str, ==,
                    "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
   g_assert_cmpint (p->ended, ==, 1);
