Weights do not order the choice of an endpoint; the oldest change first

Endpoints that had that version also changed first again, and their runs had to end before (3.5 s).

Change: a request goes where its affinity points among all endpoints that still count, and endpoints change in the order of their weights' age. /pick/new-weights-bounded asked for at least a third of the work at two new endpoints of six and at most two thirds; it now asks for about a third, which is as strict, since the old code fails it (471 of 700).

--- a/pick.c
+++ b/pick.c
@@ -139,10 +139,18 @@
   return XXH3_64bits (e->is.id, strlen (e->is.id));
 }
 
+/*
+ * The oldest weights go first: their bound is over first, and a second
+ * version may be named while some endpoints have the first one already.  These
+ * then get most of the work, and their runs would have to end before the
+ * change.
+ */
 bool
 pick_reload_before (const struct fleet_endpoint *a,
                     const struct fleet_endpoint *b)
 {
+  if (a->version != b->version)
+    return a->version < b->version;
   return order_of (a) < order_of (b);
 }
 
@@ -317,9 +325,10 @@
 
 /*
  * The endpoint where the affinity points, unless its load is over the bound;
- * then the next one.  New weights go first, but the bound is taken over old
- * and new ones together: just after the first endpoints have changed, all
- * work would else go to these two.
+ * then the next one.  Weights make no difference while old ones still count:
+ * sent to new weights first, all requests meet two endpoints that have to
+ * read every prompt anew, and answers take seconds (sum of worth over twelve
+ * days with changes of weights 5.14 with new weights first, 5.64 without).
  */
 static struct fleet_endpoint *
 choose_sticky (const struct fleet *f, const struct pick_query *q,
@@ -327,7 +336,6 @@
                struct pick_choice *choice)
 {
   struct fleet_endpoint *e, *best = NULL;
-  enum tier tier, best_tier = TIER_NEVER;
   uint64_t score, high = 0;
   int64_t bound;
 
@@ -336,10 +344,8 @@
   bound = s->load * BOUND_PERCENT / 100 / s->willing + BOUND_SPARE;
   APR_RING_FOREACH (e, &f->endpoints, fleet_endpoint, link)
   {
-    if (strcmp (e->is.service, q->service) != 0)
-      continue;
-    tier = tier_of (f, q, e, now_us);
-    if (!is_willing (tier))
+    if (strcmp (e->is.service, q->service) != 0
+        || !is_willing (tier_of (f, q, e, now_us)))
       continue;
     if (pick_load (e, now_us) >= bound)
       {
@@ -347,11 +353,9 @@
         continue;
       }
     score = affinity_of (q, e);
-    if (best == NULL || tier < best_tier
-        || (tier == best_tier && score > high))
+    if (best == NULL || score > high)
       {
         best = e;
-        best_tier = tier;
         high = score;
       }
   }
--- a/regress/test-fleet.c
+++ b/regress/test-fleet.c
@@ -258,8 +258,9 @@
 
 /*
  * Two of nine endpoints have the weights named last.  If all work went to
- * them they would be overloaded while seven stand idle; they get no more than
- * the bound over all, and nothing new goes to those whose turn is next.
+ * them, each prompt would be read anew at these two and callers would wait
+ * seconds; they get the share of any other endpoint, and nothing new goes to
+ * those whose turn is next.
  */
 static void
 test_new_weights_bounded (void)
@@ -288,9 +289,42 @@
       new += c.version == 2;
       pick_sent (c.endpoint);
     }
-  /* Six endpoints take work: at most twice a sixth for each new one. */
-  g_assert_cmpint (new, >=, 233);
-  g_assert_cmpint (new, <=, 474);
+  /* Six endpoints take work: a sixth for each new one, more or less. */
+  g_assert_cmpint (new, >=, 180);
+  g_assert_cmpint (new, <=, 290);
+  fleet_clear (&f);
+}
+
+/*
+ * Version 3 is named while two endpoints have 2 and the others 1.  These two
+ * change last: their bound is over last, and their runs are of the newest
+ * weights there are.
+ */
+static void
+test_oldest_weights_first (void)
+{
+  struct fleet f;
+  struct fleet_endpoint *e, *o;
+  int n = 0;
+
+  nine (&f);
+  fleet_take_wanted (&f, "m", 2, S);
+  APR_RING_FOREACH (e, &f.endpoints, fleet_endpoint, link)
+  {
+    if (n++ < 2)
+      fleet_take_version (&f, e, 2, S);
+  }
+  fleet_take_wanted (&f, "m", 3, 2 * S);
+  APR_RING_FOREACH (e, &f.endpoints, fleet_endpoint, link)
+  {
+    if (e->version == 2)
+      g_assert_false (pick_reloading (&f, e, 2 * S));
+    APR_RING_FOREACH (o, &f.endpoints, fleet_endpoint, link)
+    {
+      if (e->version == 1 && o->version == 2)
+        g_assert_true (pick_reload_before (e, o));
+    }
+  }
   fleet_clear (&f);
 }
 
@@ -426,6 +460,7 @@
   { "/fleet/outdated", test_outdated },
   { "/pick/sticky-bounded", test_sticky_bounded },
   { "/pick/new-weights-bounded", test_new_weights_bounded },
+  { "/pick/oldest-weights-first", test_oldest_weights_first },
   { "/pick/no-idle-without-orders", test_no_idle_without_orders },
   { "/pick/too-old", test_too_old },
   { "/pick/rest", test_rest },
