Runs go on while an endpoint changes weights; none is kept free ahead

Cause: an endpoint that was ordered to change waited for its runs to end: 2.3 s for the longest stream of four runs (reports of its state every 250 ms), then 0.9 s for the load. Two at a time, twelve endpoints took longer than the bound allows, and at its end four endpoints of twelve served everything.

With nothing to wait for, no endpoint is kept free before its turn.

--- a/orders.c
+++ b/orders.c
@@ -317,6 +317,13 @@
   t->order.holder = o->holder;
   t->order.fence = o->fence;
   t->order.seq = seq;
+  /*
+   * Runs that go on are whole, and what they make is found by nobody else.
+   * Waiting for them to end held an endpoint for three seconds, for a load of
+   * 1.3 s: the longest stream of the last ones takes two (sum of worth over
+   * twelve days 5.64 when runs end first, 6.49 when they go on).
+   */
+  t->order.runs_go_on = true;
   at = lease_latest_ms (&o->clock, now_us);
   if (at > o->last_order_ms)
     o->last_order_ms = at;
--- a/orders.h
+++ b/orders.h
@@ -56,6 +56,7 @@
   const char *holder; /* who orders */
   int64_t fence;      /* grows with each holder */
   int64_t seq;        /* orders that the endpoint must have taken */
+  bool runs_go_on;    /* under the new weights; else they end first */
 };
 
 enum order_code
--- a/pick.c
+++ b/pick.c
@@ -26,13 +26,11 @@
 #define BOUND_PERCENT 200
 #define BOUND_SPARE 3
 /* Endpoints that change weights at once: two load fastest each, and more take
-   places away that the others need (with four at once on twelve endpoints a
-   tenth less was served). */
+   places away that the others need (sum of worth over twelve days 6.78 with
+   two, 6.66 with three). */
 #define RELOAD_WIDTH 2
 /* Once old weights get no more work there is nothing to lose by more. */
 #define RELOAD_LATE 4
-/* The one after these is kept free too: its runs end meanwhile. */
-#define RELOAD_AHEAD 1
 /* A load takes 1.3 s and more; without one seen in this time nobody orders. */
 #define RELOAD_LIVE_US INT64_C (3500000)
 /* The first orders come within this time after a version was named. */
@@ -206,7 +204,7 @@
 
   if ((w->progress_us != 0 && now_us - w->progress_us < RELOAD_LIVE_US)
       || now_us - named < RELOAD_BEGIN_US)
-    return pick_reload_width (f, w->model, now_us) + RELOAD_AHEAD;
+    return pick_reload_width (f, w->model, now_us);
   return 0;
 }
 
--- a/regress/test-fleet.c
+++ b/regress/test-fleet.c
@@ -289,9 +289,9 @@
       new += c.version == 2;
       pick_sent (c.endpoint);
     }
-  /* Six endpoints take work: a sixth for each new one, more or less. */
-  g_assert_cmpint (new, >=, 180);
-  g_assert_cmpint (new, <=, 290);
+  /* Seven endpoints take work: a seventh for each new one, more or less. */
+  g_assert_cmpint (new, >=, 160);
+  g_assert_cmpint (new, <=, 240);
   fleet_clear (&f);
 }
 
@@ -341,7 +341,7 @@
   fleet_take_wanted (&f, "m", 2, S);
   APR_RING_FOREACH (e, &f.endpoints, fleet_endpoint, link)
   waiting += pick_reloading (&f, e, S + 10 * MS);
-  g_assert_cmpint (waiting, ==, 3);
+  g_assert_cmpint (waiting, ==, 2);
   waiting = 0;
   APR_RING_FOREACH (e, &f.endpoints, fleet_endpoint, link)
   waiting += pick_reloading (&f, e, 5 * S);
