Stores are polled at a pace that many VMs can share

A VM that is turned away took the store for lost, so most VMs knew of nothing that was stored, and fetched nothing.

Change: an answer that says "too many" is its own outcome; the VM pauses between short polls, twice as long after each such answer, a sixteenth less after each good one. A store that does not answer is left alone at once, so one that is heard of seldom may count as alive for longer (8 s, 3 s before). /parts/lost-store tells both: it now also asks that an unanswered poll counts at once.

--- a/entry.c
+++ b/entry.c
@@ -161,6 +161,7 @@
 
   parts_init (&e->parts);
   entry_adapter.partfeed_ops (&o.ops, e->worker->pool);
+  o.seed = seed_of (cfg_vm (e->settings));
   e->feed = partfeed_new (&o);
 }
 
--- a/partfeed.c
+++ b/partfeed.c
@@ -8,6 +8,16 @@
 
 /* The longest that a store lets a poll wait. */
 #define WAIT_US (1000 * CQ_US_PER_MS)
+/*
+ * A store holds some ten polls at once, and VMs may be many: with 78 of them
+ * most polls were turned away, and most VMs knew of nothing that was stored.
+ * One that is turned away pauses between short polls, twice as long each
+ * time, up to the longest; a sixteenth less after each answer.
+ */
+#define SHORT_WAIT_US (250 * CQ_US_PER_MS)
+#define PACE_FIRST_US (500 * CQ_US_PER_MS)
+#define PACE_MAX_US (4000 * CQ_US_PER_MS)
+#define PACE_EASE 16
 /* After a failed call: a store that restarts takes seconds. */
 #define PAUSE_US (500 * CQ_US_PER_MS)
 /* A call to free is void after this time on the store's clock. */
@@ -26,6 +36,7 @@
   bool listing;                /* that call lists all */
   bool need_list;              /* what is known has a gap */
   bool lost;                   /* the last call failed */
+  int64_t pace_us;             /* mean pause between polls, 0 for none */
   bool freeing;                /* a call to free is under way */
   int64_t freed_us;            /* the last one was sent */
   GArray *freed;               /* struct part_held that it names */
@@ -35,6 +46,7 @@
 {
   struct partfeed_opts opts;                 /* as made */
   APR_RING_HEAD (watch_ring, watch) watches; /* by store */
+  GRand *rand;                               /* for pauses */
   bool stopped;                              /* asks nothing more */
 };
 
@@ -47,9 +59,34 @@
 }
 
 static void
-pause_then_ask (struct watch *w, int64_t now_us)
+pause_then_ask (struct watch *w, int64_t pause_us, int64_t now_us)
 {
-  loop_arm (w->feed->opts.loop, &w->timer, now_us + PAUSE_US);
+  loop_arm (w->feed->opts.loop, &w->timer, now_us + pause_us);
+}
+
+/* Half to one and a half times the pace: VMs that were turned away together
+   must not return together. */
+static int64_t
+drawn_pause (struct watch *w)
+{
+  return w->pace_us / 2
+         + g_rand_int_range (w->feed->rand, 0, (gint32)w->pace_us + 1);
+}
+
+static void
+slow_down (struct watch *w)
+{
+  w->pace_us = w->pace_us == 0 ? PACE_FIRST_US : 2 * w->pace_us;
+  if (w->pace_us > PACE_MAX_US)
+    w->pace_us = PACE_MAX_US;
+}
+
+static void
+speed_up (struct watch *w)
+{
+  w->pace_us -= w->pace_us / PACE_EASE;
+  if (w->pace_us < PACE_FIRST_US / 2)
+    w->pace_us = 0;
 }
 
 static void
@@ -94,13 +131,21 @@
   w->busy = false;
   if (w->feed->stopped)
     return;
-  note_contact (w, n->reached);
-  if (!n->reached)
+  note_contact (w, n->code != PARTS_SILENT);
+  if (n->code == PARTS_SILENT)
     {
-      pause_then_ask (w, now);
+      parts_lost (w->store);
+      pause_then_ask (w, PAUSE_US, now);
       return;
     }
   parts_heard (w->store, n->clock_ms, now);
+  if (n->code == PARTS_CROWDED)
+    {
+      slow_down (w);
+      pause_then_ask (w, drawn_pause (w), now);
+      return;
+    }
+  speed_up (w);
   if (w->listing)
     {
       parts_forget (w->store, n->epoch, n->next);
@@ -118,7 +163,10 @@
     }
   if (!w->need_list)
     take_events (w, n);
-  ask (w, now);
+  if (w->pace_us == 0 || w->need_list)
+    ask (w, now);
+  else
+    pause_then_ask (w, drawn_pause (w), now);
 }
 
 static void
@@ -134,7 +182,8 @@
   if (w->listing)
     o->list (o->ctx, w->store->address, on_news, w);
   else
-    o->events (o->ctx, w->store->address, w->store->next, WAIT_US, on_news, w);
+    o->events (o->ctx, w->store->address, w->store->next,
+               w->pace_us == 0 ? WAIT_US : SHORT_WAIT_US, on_news, w);
 }
 
 static struct watch *
@@ -245,9 +294,8 @@
       w->store->address, n, wanted->model, (gint64)version,
       (gint64)w->store->epoch);
   o->free (o->ctx, w->store->address, w->store->epoch,
-           w->store->clock_ms + (now_us - w->store->heard_us) / CQ_US_PER_MS
-               + FREE_VOID_MS,
-           list, n, on_freed, w);
+           parts_clock_ms (w->store, now_us) + FREE_VOID_MS, list, n, on_freed,
+           w);
 }
 
 void
@@ -275,6 +323,7 @@
   struct partfeed *f = g_new0 (struct partfeed, 1);
 
   f->opts = *opts;
+  f->rand = g_rand_new_with_seed ((guint32)opts->seed);
   APR_RING_INIT (&f->watches, watch, link);
   return f;
 }
@@ -310,5 +359,6 @@
       g_array_free (w->freed, TRUE);
       g_free (w);
     }
+  g_rand_free (f->rand);
   g_free (f);
 }
--- a/partfeed.h
+++ b/partfeed.h
@@ -15,14 +15,21 @@
   struct part_held part; /* which */
 };
 
+enum part_code
+{
+  PARTS_ANSWERED, /* the rest of the news counts */
+  PARTS_CROWDED,  /* the store lives, and takes no more calls just now */
+  PARTS_SILENT    /* no answer, or none that can be read */
+};
+
 struct part_news
 {
-  bool reached;     /* the store answered; else nothing below counts */
-  bool lost;        /* events are missing before the first below */
-  int64_t epoch;    /* its life */
-  int64_t next;     /* number after the last event */
-  int64_t clock_ms; /* its clock, 0 if unsaid */
-  GArray *events;   /* struct part_event */
+  enum part_code code; /* whether the rest counts */
+  bool lost;           /* events are missing before the first below */
+  int64_t epoch;       /* its life */
+  int64_t next;        /* number after the last event */
+  int64_t clock_ms;    /* its clock, 0 if unsaid */
+  GArray *events;      /* struct part_event */
 };
 
 typedef void (*part_news_done) (void *arg, const struct part_news *news);
@@ -48,6 +55,7 @@
   struct loop *loop;       /* whose thread runs it */
   struct parts *parts;     /* directory to keep current */
   struct partfeed_ops ops; /* adapter */
+  uint64_t seed;           /* of pauses */
 };
 
 struct partfeed;
--- a/parts.c
+++ b/parts.c
@@ -26,9 +26,9 @@
    named, plus what clocks and calls may add. */
 #define FREE_AFTER_US                                                         \
   (FETCH_OLD_US + FETCH_VOID_MS * CQ_US_PER_MS + 700 * CQ_US_PER_MS)
-/* A store that has not answered for so long is left alone: its polls return
-   every second. */
-#define STORE_DEAD_US (3 * CQ_US_PER_S)
+/* A store that has not answered for so long is left alone: its polls are up
+   to six seconds apart where many VMs share it. */
+#define STORE_DEAD_US (8 * CQ_US_PER_S)
 /* A save that does not show after this time was lost, and is asked again. */
 #define SAVE_AGAIN_US (3 * CQ_US_PER_S)
 /* A transfer costs some ms at a store; fewer tokens are read in that time. */
@@ -159,8 +159,22 @@
 parts_heard (struct parts_store *s, int64_t clock_ms, int64_t now_us)
 {
   s->heard_us = now_us;
-  if (clock_ms > 0)
-    s->clock_ms = clock_ms;
+  if (clock_ms <= 0)
+    return;
+  s->clock_ms = clock_ms;
+  s->clock_us = now_us;
+}
+
+void
+parts_lost (struct parts_store *s)
+{
+  s->heard_us = 0;
+}
+
+int64_t
+parts_clock_ms (const struct parts_store *s, int64_t now_us)
+{
+  return s->clock_ms + (now_us - s->clock_us) / CQ_US_PER_MS;
 }
 
 void
@@ -201,17 +215,10 @@
 static bool
 is_alive (const struct parts_store *s, int64_t now_us)
 {
-  return s->listed && s->epoch != 0 && s->clock_ms > 0
+  return s->listed && s->epoch != 0 && s->clock_ms > 0 && s->heard_us != 0
          && now_us - s->heard_us < STORE_DEAD_US;
 }
 
-/* The store's clock now, at the earliest. */
-static int64_t
-clock_now (const struct parts_store *s, int64_t now_us)
-{
-  return s->clock_ms + (now_us - s->heard_us) / CQ_US_PER_MS;
-}
-
 /* A store that holds the part whole; one in DOMAIN before others, since a
    transfer takes half as long inside a failure domain. */
 static struct parts_store *
@@ -351,7 +358,7 @@
 plan_fetch (struct parts_plan *plan, int i, const struct parts_query *q,
             const struct parts_store *s, int64_t now_us)
 {
-  int64_t until = clock_now (s, now_us) + void_ms (q);
+  int64_t until = parts_clock_ms (s, now_us) + void_ms (q);
 
   plan->fetch[i] = s->address;
   plan->fetch_tokens += q->list[i].tokens;
--- a/parts.h
+++ b/parts.h
@@ -53,7 +53,8 @@
   int64_t next;                      /* number of its next event */
   int64_t used;                      /* tokens known or asked to be kept */
   int64_t heard_us;                  /* it answered last; 0 for never */
-  int64_t clock_ms;                  /* its clock then */
+  int64_t clock_ms;                  /* its clock, when it said so last */
+  int64_t clock_us;                  /* when that was */
   GHashTable *held;                  /* key to struct part_held */
   GHashTable *saving;                /* key to when a save was asked for */
   bool listed;                       /* still in the configuration */
@@ -84,8 +85,13 @@
 void parts_take_conf (struct parts *p, const struct fleet_conf *c);
 struct parts_store *parts_find_store (struct parts *p, const char *address);
 
-/* A store answered at NOW_US; what was asked was sent at SENT_US. */
+/* A store answered at NOW_US; CLOCK_MS is 0 if it said nothing of its clock.
+ */
 void parts_heard (struct parts_store *s, int64_t clock_ms, int64_t now_us);
+/* It did not answer: it is left alone until it does. */
+void parts_lost (struct parts_store *s);
+/* Its clock now, at the earliest. */
+int64_t parts_clock_ms (const struct parts_store *s, int64_t now_us);
 /* It restarted, or its history has a gap: nothing is known of it. */
 void parts_forget (struct parts_store *s, int64_t epoch, int64_t next);
 void parts_added (struct parts_store *s, const struct part_held *h);
--- a/regress/test-parts.c
+++ b/regress/test-parts.c
@@ -139,7 +139,8 @@
   parts_clear (&p);
 }
 
-/* A store restarts empty, or falls silent: nothing is fetched from it. */
+/* A store restarts empty, does not answer, or is not heard of: nothing is
+   fetched from it until it answers. */
 static void
 test_lost_store (void)
 {
@@ -149,14 +150,19 @@
 
   two_stores (&p);
   keep (&p, "fast", "head", 512);
-  q.fresh_us = 14 * S;
-  parts_plan (&p, &q, 14 * S, &plan);
+  parts_plan (&p, &q, 10 * S, &plan);
+  g_assert_cmpint (plan.nfetch, ==, 1);
+  parts_lost (parts_find_store (&p, "fast"));
+  parts_plan (&p, &q, 10 * S, &plan);
+  g_assert_cmpint (plan.nfetch, ==, 0);
+  q.fresh_us = 19 * S;
+  parts_plan (&p, &q, 19 * S, &plan);
   g_assert_cmpint (plan.nfetch + plan.nsave, ==, 0);
-  parts_heard (parts_find_store (&p, "fast"), 54000, 14 * S);
-  parts_plan (&p, &q, 14 * S, &plan);
+  parts_heard (parts_find_store (&p, "fast"), 54000, 19 * S);
+  parts_plan (&p, &q, 19 * S, &plan);
   g_assert_cmpint (plan.nfetch, ==, 1);
   parts_forget (parts_find_store (&p, "fast"), 8, 0);
-  parts_plan (&p, &q, 14 * S, &plan);
+  parts_plan (&p, &q, 19 * S, &plan);
   g_assert_cmpint (plan.nfetch, ==, 0);
   parts_clear (&p);
 }
