Nothing is saved to a store that restarted while others may believe it full

Cause: one VM heard of the restart and had parts saved there again; another had not heard, and fetched a part that was there by half. A store checks nothing. The gap was there before with polls of a second (a store counted as alive for 3 s after its last word), and grew with polls at a pace.

Ruled out: parts that were freed and saved again (no weights changed), saves that broke off (a part counts only when it is whole).

Change: a fetch needs knowledge of the store that is at most 5 s old, from the time the answered poll was sent; whoever hears of a new life of a store saves nothing there for 6.7 s, until older knowledge has ended everywhere with the fetches it began.

/parts/no-fetch-of-part-saved-again goes over all moments of both VMs; red without the age (8.9 s against 4.7 s) and without the wait (4.0 s against 0).

--- a/partfeed.c
+++ b/partfeed.c
@@ -37,6 +37,7 @@
   bool need_list;              /* what is known has a gap */
   bool lost;                   /* the last call failed */
   int64_t pace_us;             /* mean pause between polls, 0 for none */
+  int64_t asked_us;            /* the call under way was sent */
   bool freeing;                /* a call to free is under way */
   int64_t freed_us;            /* the last one was sent */
   GArray *freed;               /* struct part_held that it names */
@@ -148,7 +149,7 @@
   speed_up (w);
   if (w->listing)
     {
-      parts_forget (w->store, n->epoch, n->next);
+      parts_forget (w->store, n->epoch, n->next, now);
       w->need_list = false;
     }
   else if (n->epoch != w->store->epoch || n->lost)
@@ -158,11 +159,14 @@
                  " before=%" G_GINT64_FORMAT,
                  w->store->address, n->lost ? "gap" : "restarted",
                  (gint64)n->epoch, (gint64)w->store->epoch);
-      parts_forget (w->store, 0, 0);
+      parts_forget (w->store, 0, 0, now);
       w->need_list = true;
     }
   if (!w->need_list)
-    take_events (w, n);
+    {
+      take_events (w, n);
+      parts_known (w->store, w->asked_us);
+    }
   if (w->pace_us == 0 || w->need_list)
     ask (w, now);
   else
@@ -174,10 +178,10 @@
 {
   const struct partfeed_ops *o = &w->feed->opts.ops;
 
-  (void)now_us;
   if (w->busy || w->feed->stopped || !w->store->listed)
     return;
   w->busy = true;
+  w->asked_us = now_us;
   w->listing = w->need_list;
   if (w->listing)
     o->list (o->ctx, w->store->address, on_news, w);
--- a/parts.c
+++ b/parts.c
@@ -29,6 +29,17 @@
 /* A store that has not answered for so long is left alone: its polls are up
    to six seconds apart where many VMs share it. */
 #define STORE_DEAD_US (8 * CQ_US_PER_S)
+/*
+ * A store that restarts is empty, and does not refuse a fetch of a part that
+ * is just being saved again: the request would read half of it.  A VM that has
+ * not heard of the restart believes the part to be whole.  So a fetch needs
+ * knowledge of the store that is at most this old, and whoever hears of a new
+ * life saves nothing there until older knowledge has ended everywhere, with
+ * the fetches that it began and what clocks and calls may add.
+ */
+#define KNOWN_MAX_US (5 * CQ_US_PER_S)
+#define SETTLE_US                                                             \
+  (KNOWN_MAX_US + FETCH_VOID_MS * CQ_US_PER_MS + 700 * CQ_US_PER_MS)
 /* A save that does not show after this time was lost, and is asked again. */
 #define SAVE_AGAIN_US (3 * CQ_US_PER_S)
 /* A transfer costs some ms at a store; fewer tokens are read in that time. */
@@ -178,8 +189,20 @@
 }
 
 void
-parts_forget (struct parts_store *s, int64_t epoch, int64_t next)
+parts_known (struct parts_store *s, int64_t at_us)
 {
+  s->known_us = at_us;
+}
+
+void
+parts_forget (struct parts_store *s, int64_t epoch, int64_t next,
+              int64_t now_us)
+{
+  if (epoch != 0 && epoch != s->last_epoch)
+    {
+      s->last_epoch = epoch;
+      s->save_from_us = now_us + SETTLE_US;
+    }
   g_hash_table_remove_all (s->held);
   g_hash_table_remove_all (s->saving);
   s->used = 0;
@@ -230,7 +253,7 @@
 
   APR_RING_FOREACH (s, &p->stores, parts_store, link)
   {
-    if (!is_alive (s, now_us))
+    if (!is_alive (s, now_us) || now_us - s->known_us > KNOWN_MAX_US)
       continue;
     h = g_hash_table_lookup (s->held, &key);
     if (h == NULL || h->tokens < part->tokens)
@@ -321,7 +344,7 @@
   {
     if (is_alive (s, now_us) && is_saving (s, key, now_us))
       return NULL;
-    if (!is_alive (s, now_us)
+    if (!is_alive (s, now_us) || now_us < s->save_from_us
         || s->used + part->tokens > s->capacity * FILL_PERCENT / 100)
       continue;
     score = score_of (s, key);
--- a/parts.h
+++ b/parts.h
@@ -50,6 +50,9 @@
   int64_t link_mbit_s;               /* of its link */
   int64_t first_us;                  /* that each transfer waits in addition */
   int64_t epoch;                     /* its life; 0: not known */
+  int64_t last_epoch;                /* its last life that was known */
+  int64_t save_from_us;              /* nothing is saved before, see parts.c */
+  int64_t known_us;                  /* what it holds was current then */
   int64_t next;                      /* number of its next event */
   int64_t used;                      /* tokens known or asked to be kept */
   int64_t heard_us;                  /* it answered last; 0 for never */
@@ -93,7 +96,10 @@
 /* Its clock now, at the earliest. */
 int64_t parts_clock_ms (const struct parts_store *s, int64_t now_us);
 /* It restarted, or its history has a gap: nothing is known of it. */
-void parts_forget (struct parts_store *s, int64_t epoch, int64_t next);
+void parts_forget (struct parts_store *s, int64_t epoch, int64_t next,
+                   int64_t now_us);
+/* What is known of it was current at AT_US. */
+void parts_known (struct parts_store *s, int64_t at_us);
 void parts_added (struct parts_store *s, const struct part_held *h);
 void parts_removed (struct parts_store *s, const char *scope, const char *id);
 
--- a/regress/test-parts.c
+++ b/regress/test-parts.c
@@ -41,8 +41,9 @@
   fleet_conf_unref (c);
   APR_RING_FOREACH (s, &p->stores, parts_store, link)
   {
-    parts_forget (s, 7, 0);
+    parts_forget (s, 7, 0, 0);
     parts_heard (s, 50000, 10 * S);
+    parts_known (s, 10 * S);
   }
 }
 
@@ -159,9 +160,10 @@
   parts_plan (&p, &q, 19 * S, &plan);
   g_assert_cmpint (plan.nfetch + plan.nsave, ==, 0);
   parts_heard (parts_find_store (&p, "fast"), 54000, 19 * S);
+  parts_known (parts_find_store (&p, "fast"), 19 * S);
   parts_plan (&p, &q, 19 * S, &plan);
   g_assert_cmpint (plan.nfetch, ==, 1);
-  parts_forget (parts_find_store (&p, "fast"), 8, 0);
+  parts_forget (parts_find_store (&p, "fast"), 8, 0, 19 * S);
   parts_plan (&p, &q, 19 * S, &plan);
   g_assert_cmpint (plan.nfetch, ==, 0);
   parts_clear (&p);
@@ -218,6 +220,7 @@
           keep (&p, "fast", "head", 512);
           s = parts_find_store (&p, "fast");
           parts_heard (s, (100 * S + now) / MS, 100 * S + now);
+          parts_known (s, 100 * S + now);
           q.outdated = now >= heard;
           q.named_us = 100 * S + fresh;
           q.fresh_us = 100 * S + (now >= heard ? now : fresh);
@@ -231,6 +234,57 @@
   g_assert_cmpint (last_void, <, first_free);
 }
 
+/*
+ * A store restarts empty at zero.  One VM hears of it at once, or later, and
+ * has parts saved there again; another has not heard, and believes that the
+ * store still holds them whole.  It must have stopped reading, with the
+ * fetches that it began, before the first part can be there by half.
+ */
+static void
+test_no_fetch_of_part_saved_again (void)
+{
+  int64_t known, heard, now;
+  int64_t last_void = 0;
+  int64_t first_save = INT64_MAX;
+  struct parts p;
+  struct parts_plan plan;
+  struct parts_query q = query ();
+  struct parts_store *s;
+
+  for (known = -5 * S; known <= 0; known += 100 * MS)
+    for (now = 0; now <= 10 * S; now += 100 * MS)
+      {
+        two_stores (&p);
+        keep (&p, "fast", "head", 512);
+        s = parts_find_store (&p, "fast");
+        parts_heard (s, 100 * S / MS, 100 * S);
+        parts_known (s, 100 * S + known);
+        q.fresh_us = 100 * S + now;
+        q.wait_us = 20 * S;
+        parts_plan (&p, &q, 100 * S + now, &plan);
+        if (plan.nfetch > 0 && plan.until_ms * MS - 100 * S > last_void)
+          last_void = plan.until_ms * MS - 100 * S;
+        parts_clear (&p);
+      }
+  for (heard = 0; heard <= 3 * S; heard += 100 * MS)
+    for (now = heard; now <= 10 * S; now += 100 * MS)
+      {
+        two_stores (&p);
+        s = parts_find_store (&p, "fast");
+        parts_forget (s, 8, 0, 100 * S + heard);
+        parts_heard (s, (100 * S + now) / MS, 100 * S + now);
+        q.fresh_us = 100 * S + now;
+        parts_plan (&p, &q, 100 * S + now, &plan);
+        if (plan.save[0] != NULL && strcmp (plan.save[0], "fast") == 0
+            && now < first_save)
+          first_save = now;
+        parts_clear (&p);
+      }
+  g_assert_cmpint (last_void, >, 5 * S);
+  g_assert_cmpint (first_save, <, 8 * S);
+  g_assert_cmpint (last_void, <, first_save);
+}
+
 const struct unit parts_units[] = {
   { "/parts/saves", test_saves },
   { "/parts/whole-only", test_whole_only },
@@ -238,5 +292,6 @@
   { "/parts/lost-store", test_lost_store },
   { "/parts/full", test_full },
   { "/parts/no-free-under-fetch", test_no_free_under_fetch },
+  { "/parts/no-fetch-of-part-saved-again", test_no_fetch_of_part_saved_again },
   { NULL, NULL },
 };
