Settings that change without a signal are checked; header texts are fuzzed

Cause: files were looked at on SIGHUP only, so a fault in settings that the platform wrote without a signal showed at the next start. The lease's row, the parts of a prompt and an endpoint's load were decoded where they were used, out of the fuzzer's reach.

Change: while it waits for signals, a VM looks at the files' times, sizes and inodes every two seconds.

--- a/libserver.h
+++ b/libserver.h
@@ -26,6 +26,7 @@
 #define MAX_REFUSALS 8      /* refusal statuses of a service */
 #define ATTEMPT_ID_SIZE 100 /* bytes of a claim's attempt id */
 #define DIGEST_SIZE 33      /* bytes of a hex digest with its NUL */
+#define SETTINGS_FILES 2    /* base and overlay */
 
 struct claims;
 struct conf;
@@ -89,11 +90,11 @@
 
 struct server
 {
-  struct cfg *cfg;              /* settings in force; atomic, see adopt.c */
-  GList *retired;               /* settings before, freed after a while */
-  struct loop_timer old_timer;  /* when */
-  const char *files[2];         /* base and overlay */
-  struct member *member;        /* other VMs; NULL without peers */
+  struct cfg *cfg;             /* settings in force; atomic, see adopt.c */
+  GList *retired;              /* settings before, freed after a while */
+  struct loop_timer old_timer; /* when */
+  const char *files[SETTINGS_FILES]; /* base and overlay */
+  struct member *member;             /* other VMs; NULL without peers */
   struct conf *conf;            /* changes of settings; NULL without table */
   struct table_ops table;       /* adapter, on the first worker's thread */
   struct worker *workers;       /* all workers */
--- a/regress/fuzz-input.c
+++ b/regress/fuzz-input.c
@@ -111,6 +111,27 @@
   g_array_free (parts.events, TRUE);
 }
 
+/* Texts of headers and of the lease's row. */
+static void
+fuzz_texts (const char *data, size_t size)
+{
+  g_autofree char *text = g_strndup (data, size);
+  struct part parts[PARTS_MAX];
+  struct lease_row row;
+  int i, n = pdecode_prompt (text, parts, PARTS_MAX);
+
+  if (n < 0 || n > PARTS_MAX)
+    g_error ("more parts than there is room for");
+  for (i = 0; i < n; i++)
+    if (strlen (parts[i].id) >= sizeof parts[i].id)
+      g_error ("an id without an end");
+  if (pdecode_load (text) < -1)
+    g_error ("a load that is none");
+  pdecode_lease (text, &row);
+  if (memchr (row.holder, '\0', sizeof row.holder) == NULL)
+    g_error ("a holder without an end");
+}
+
 /* Events that are passed on, whatever the cut. */
 static void
 fuzz_events (const char *data, size_t size)
@@ -136,7 +157,7 @@
 
   if (size == 0)
     return 0;
-  switch (data[0] % 7)
+  switch (data[0] % 8)
     {
     case 0:
       fuzz_prompt (text, size - 1, false);
@@ -156,6 +177,9 @@
     case 5:
       fuzz_events (text, size - 1);
       break;
+    case 6:
+      fuzz_texts (text, size - 1);
+      break;
     default:
       answer_version (text, size - 1, version, sizeof version, &cached);
     }
--- a/regress/platform.sh
+++ b/regress/platform.sh
@@ -83,6 +83,15 @@
 key=k3 wait_for status_is a /safe/x 200
 ask a /safe/x
 
+echo "== the settings change without a signal: a fault is told, and its end"
+cp "$tmp/a.site.ini" "$tmp/a.whole"
+echo "nonsense = 1" >>"$tmp/a.site.ini"
+wait_for has_event a 'event=reload outcome=faulty'
+cp "$tmp/a.whole" "$tmp/a.new"
+mv "$tmp/a.new" "$tmp/a.site.ini"
+wait_for has_event a 'event=reload outcome=checked'
+echo "told"
+
 echo "== weights: ordered once each, read back, the lease let go"
 key=k3
 server e llm m 1
--- a/srv.c
+++ b/srv.c
@@ -8,6 +8,7 @@
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <apr_general.h>
@@ -20,6 +21,9 @@
 #define STOP_POLL_MS 20 /* between looks for the end of running work */
 #define QUIET_MAX_US (3 * CQ_US_PER_S) /* for our own calls to end */
 #define LINGER_MS 100                  /* for the last replies to leave */
+/* Between looks at the settings files: a fault in them shows soon, for a call
+   of some microseconds a file. */
+#define FILES_LOOK_S 2
 
 /* --- phase ----------------------------------------------------------- */
 
@@ -329,21 +333,67 @@
   cfg_free (cfg);
 }
 
+/* What tells that a file was written or replaced. */
+struct file_stamp
+{
+  struct timespec written; /* last change of its content */
+  ino_t inode;             /* another one if it was replaced */
+  off_t size;              /* bytes */
+};
+
+static struct file_stamp
+stamp_of (const char *path)
+{
+  struct file_stamp f = { .inode = 0 };
+  struct stat st;
+
+  if (path == NULL || stat (path, &st) != 0)
+    return f;
+  f.written = st.st_mtim;
+  f.inode = st.st_ino;
+  f.size = st.st_size;
+  return f;
+}
+
+/* Whether one of the settings files is another than in STAMPS, which are
+   renewed.  Files change without a signal too. */
+static bool
+files_changed (struct server *s, struct file_stamp *stamps)
+{
+  bool changed = false;
+  int i;
+
+  for (i = 0; i < SETTINGS_FILES; i++)
+    {
+      struct file_stamp f = stamp_of (s->files[i]);
+
+      changed |= f.inode != stamps[i].inode || f.size != stamps[i].size
+                 || f.written.tv_sec != stamps[i].written.tv_sec
+                 || f.written.tv_nsec != stamps[i].written.tv_nsec;
+      stamps[i] = f;
+    }
+  return changed;
+}
+
 static void
 wait_for_signal (struct server *s)
 {
+  static const struct timespec look = { .tv_sec = FILES_LOOK_S };
+  struct file_stamp stamps[SETTINGS_FILES] = { { .inode = 0 } };
   sigset_t set;
   int sig;
 
   stop_signals (&set);
+  files_changed (s, stamps);
   for (;;)
     {
-      if (sigwait (&set, &sig) != 0)
-        continue;
-      log_event (LOG_LEVEL_INFO, "signal", "signal=%d", sig);
-      if (sig != SIGHUP)
+      sig = sigtimedwait (&set, NULL, &look);
+      if (sig > 0)
+        log_event (LOG_LEVEL_INFO, "signal", "signal=%d", sig);
+      if (sig > 0 && sig != SIGHUP)
         return;
-      check_files (s);
+      if (files_changed (s, stamps) || sig == SIGHUP)
+        check_files (s);
     }
 }
 
