The lease's row says until when orders come; only what is acknowledged counts

Cause 1: a holder ordered under an expiry that it had asked for and not heard back of. If that write was lost, its successor counted from the old expiry, and the gap between two holders was up to 0.6 s short. Cause 2: a later life of a VM counted as the same holder and began at once, also when the earlier life still had to wait for a holder before both. Cause 3: a successor waited the gap from the end of the lease, although the holder had ordered nothing for a second (23.48 s where 22.38 s was safe). Cause 4, found on the way: when a newer version was named while an endpoint loaded, it was ordered again only 2.5 s after it was done, and held one of two places until then (22.4 to 26.3 s).

Change: the row has the times at which orders begin and end; the end is moved 0.4 s ahead just before orders are given, and the holder acts on the row as it was acknowledged. An endpoint that is done gives its place to one with older weights.

/lease/released, /lease/no-overlap and /orders/successor-waits know the new row; /orders/successor-waits-for-orders and /orders/named-while-loading are new, and the played endpoint checks at each order that the row announces it.

--- a/lease.c
+++ b/lease.c
@@ -42,17 +42,18 @@
 lease_begin_ms (const struct lease_row *row, const char *holder,
                 int64_t gap_ms)
 {
-  if (row == NULL || same_vm (row->holder, holder))
+  if (row == NULL)
     return 0;
-  if (!row->released)
-    return row->expires_ms + gap_ms;
-  return row->last_order_ms == 0 ? 0 : row->last_order_ms + gap_ms;
+  if (same_vm (row->holder, holder))
+    return row->begin_ms;
+  return row->order_until_ms == 0 ? 0 : row->order_until_ms + gap_ms;
 }
 
 bool
-lease_may_order (int64_t begin_ms, int64_t expires_ms,
-                 const struct lease_clock *c, int64_t now_us)
+lease_may_order (const struct lease_row *row, const struct lease_clock *c,
+                 int64_t now_us)
 {
-  return c->store_ms > 0 && lease_earliest_ms (c, now_us) >= begin_ms
-         && lease_latest_ms (c, now_us) + ORDER_TRAVEL_MS < expires_ms;
+  return c->store_ms > 0 && lease_earliest_ms (c, now_us) >= row->begin_ms
+         && lease_latest_ms (c, now_us) + ORDER_TRAVEL_MS
+                < row->order_until_ms;
 }
--- a/lease.h
+++ b/lease.h
@@ -1,10 +1,12 @@
 /*
  * A lease in the platform's store: which VM may give orders.
  *
- * Endpoints may not check fences, so safety rests on time: a holder stops
- * before its lease ends by the latest time the store's clock may show, and a
- * successor starts only when by the earliest time it may show the lease and
- * a pause after it are over.  Everything here is pure.
+ * Endpoints may not check fences, so safety rests on time.  The row says
+ * until when its holder may give orders; the holder stops before by the latest
+ * time the store's clock may show, and a successor starts only when by the
+ * earliest time it may show that and a pause after it are over.  A holder
+ * moves that time only just before it orders, so that a successor seldom waits
+ * for orders that never were.  Everything here is pure.
  */
 #ifndef CQ_LEASE_H
 #define CQ_LEASE_H
@@ -18,9 +20,11 @@
 struct lease_row
 {
   char holder[LEASE_HOLDER_SIZE]; /* VM and life, "VM/LIFE" */
-  int64_t expires_ms;             /* its orders end before */
-  int64_t last_order_ms;          /* its latest known order, 0 for none */
-  bool released;                  /* it gives no more orders */
+  int64_t expires_ms;             /* others may take over then */
+  int64_t begin_ms;               /* its orders begin then */
+  int64_t order_until_ms; /* its orders end before, and those of holders before
+                             it; 0: none was given */
+  bool released;          /* it gives no more orders */
 };
 
 /* One reading of the store's clock. */
@@ -41,14 +45,14 @@
                     const struct lease_clock *c, int64_t now_us);
 
 /* When orders may begin after taking over from ROW, in the store's
-   milliseconds: GAP_MS after the last one that the holder before may have
-   given.  A life of the same VM before this one is the same holder. */
+   milliseconds: GAP_MS after the last one that a holder before may have
+   given.  A life of the same VM before this one is the same holder, and goes
+   on when that would have begun. */
 int64_t lease_begin_ms (const struct lease_row *row, const char *holder,
                         int64_t gap_ms);
 
-/* Whether an order may leave now under a lease that ends at EXPIRES_MS and
-   may begin at BEGIN_MS. */
-bool lease_may_order (int64_t begin_ms, int64_t expires_ms,
-                      const struct lease_clock *c, int64_t now_us);
+/* Whether an order may leave now, under a row as it was acknowledged. */
+bool lease_may_order (const struct lease_row *row, const struct lease_clock *c,
+                      int64_t now_us);
 
 #endif
--- a/orders.c
+++ b/orders.c
@@ -10,6 +10,10 @@
    between two holders; it is renewed early enough for a second try. */
 #define LEASE_MS 1600
 #define RENEW_LEFT_MS 1000
+/* Orders may be given for so long after they were announced in the row: an
+   endpoint is asked for its state, and ordered, in some 20 ms.  A successor
+   waits from the end of it, not from the end of the lease. */
+#define ORDER_WINDOW_MS 400
 /* Between looks while there is something to do. */
 #define LOOK_US (100 * CQ_US_PER_MS)
 /* The first VM to reach for the lease is drawn by a pause of up to this; the
@@ -17,7 +21,7 @@
 #define DRAW_MAX_US (400 * CQ_US_PER_MS)
 /* Others look at the lease only when no endpoint has changed for this long:
    a load takes 1.3 s and more, after requests that run have ended. */
-#define PATIENCE_US (2500 * CQ_US_PER_MS)
+#define PATIENCE_US (1800 * CQ_US_PER_MS)
 /* Between questions to an endpoint that carries out an order. */
 #define ASK_US (250 * CQ_US_PER_MS)
 /* An order whose effect does not show is read back, not sent again blindly;
@@ -33,6 +37,7 @@
   TASK_ASKING,  /* its state is asked for */
   TASK_SENDING, /* an order is under way */
   TASK_LOADING, /* it accepted an order */
+  TASK_DONE,    /* its order was carried out */
   TASK_SKIPPED  /* it did not answer */
 };
 
@@ -58,12 +63,10 @@
   bool stopped;                          /* gives no more orders */
   bool held;                             /* the lease is this life's */
   bool calling;                          /* a call about the lease is on */
-  bool writing;                          /* that call takes or renews it */
-  struct lease_row row;                  /* as written last */
+  struct lease_row row;                  /* as acknowledged last */
+  struct lease_row asked;                /* as the call under way writes it */
   int64_t row_version;                   /* of the row */
   int64_t fence;                         /* row version when it was taken */
-  int64_t begin_ms;                      /* orders may begin, store's clock */
-  int64_t last_order_ms;                 /* of this holder, store's clock */
   struct lease_clock clock;              /* last reading */
   int64_t called_us;                     /* when the call was sent */
   int64_t patient_us;                    /* reach for the lease at */
@@ -110,8 +113,7 @@
 may_order (const struct orders *o, int64_t now_us)
 {
   return o->held && !o->stopped
-         && lease_may_order (o->begin_ms, o->row.expires_ms, &o->clock,
-                             now_us);
+         && lease_may_order (&o->row, &o->clock, now_us);
 }
 
 static void
@@ -145,7 +147,7 @@
                  "holder=%s outcome=taken fence=%" G_GINT64_FORMAT
                  " begin_ms=%" G_GINT64_FORMAT " store_ms=%" G_GINT64_FORMAT
                  " expires_ms=%" G_GINT64_FORMAT,
-                 o->holder, (gint64)o->fence, (gint64)o->begin_ms,
+                 o->holder, (gint64)o->fence, (gint64)o->row.begin_ms,
                  (gint64)r->store_ms, (gint64)o->row.expires_ms);
     }
   o->held = true;
@@ -163,6 +165,7 @@
   switch (r->code)
     {
     case LEASE_DONE:
+      o->row = o->asked;
       if (!o->row.released)
         take (o, r);
       break;
@@ -179,18 +182,35 @@
     look (o, now);
 }
 
+enum lease_aim
+{
+  LEASE_KEEP,    /* take it, or renew it */
+  LEASE_ORDER,   /* likewise, and give orders soon */
+  LEASE_RELEASE, /* let it go */
+};
+
+/* Only what is acknowledged counts for this VM; what may have been written
+   counts for others. */
 static void
-write_lease (struct orders *o, int64_t expected, bool release, int64_t now_us)
-{
-  g_strlcpy (o->row.holder, o->holder, sizeof o->row.holder);
-  o->row.expires_ms = release
-                          ? lease_earliest_ms (&o->clock, now_us)
-                          : lease_earliest_ms (&o->clock, now_us) + LEASE_MS;
-  o->row.last_order_ms = o->last_order_ms;
-  o->row.released = release;
+write_lease (struct orders *o, int64_t expected, enum lease_aim aim,
+             int64_t now_us)
+{
+  struct lease_row *w = &o->asked;
+  int64_t now_ms = lease_earliest_ms (&o->clock, now_us);
+
+  *w = o->row;
+  g_strlcpy (w->holder, o->holder, sizeof w->holder);
+  w->released = aim == LEASE_RELEASE;
+  w->expires_ms = w->released ? now_ms : now_ms + LEASE_MS;
+  if (aim == LEASE_ORDER)
+    w->order_until_ms = now_ms + ORDER_WINDOW_MS;
+  /* None leaves any more, so nobody need wait for the rest of the window. */
+  if (aim == LEASE_RELEASE)
+    w->order_until_ms
+        = MIN (w->order_until_ms, lease_latest_ms (&o->clock, now_us));
   o->calling = true;
   o->called_us = now_us;
-  o->opts.ops.write_lease (o->opts.ops.ctx, &o->row, expected, on_written, o);
+  o->opts.ops.write_lease (o->opts.ops.ctx, w, expected, on_written, o);
 }
 
 /* The row belongs to this life, though it did not hear so. */
@@ -201,6 +221,29 @@
          && strcmp (r->row.holder, o->holder) == 0;
 }
 
+/* What others' row leaves to its successor. */
+static void
+inherit (struct orders *o, const struct lease_row *row)
+{
+  int64_t begin
+      = lease_begin_ms (row, o->holder, o->opts.gap_us / CQ_US_PER_MS);
+
+  memset (&o->row, 0, sizeof o->row);
+  o->row.begin_ms = begin;
+  if (row != NULL)
+    o->row.order_until_ms = row->order_until_ms;
+}
+
+/* The holder is to be left alone until its lease ends. */
+static int64_t
+wait_for (struct orders *o, const struct lease_row *row, int64_t now_us)
+{
+  int64_t left_ms = row->expires_ms - lease_earliest_ms (&o->clock, now_us);
+
+  return MIN (left_ms * CQ_US_PER_MS, PATIENCE_US)
+         + g_rand_int_range (o->rand, 0, (gint32)DRAW_MAX_US);
+}
+
 static void
 on_read (void *arg, const struct lease_reply *r)
 {
@@ -216,18 +259,16 @@
   if (r->code != LEASE_DONE)
     return;
   read_clock (o, r, now);
-  if (!is_ours (o, r) && !lease_is_free (row, o->holder, &o->clock, now))
+  if (is_ours (o, r))
+    o->row = r->row;
+  else if (lease_is_free (row, o->holder, &o->clock, now))
+    inherit (o, row);
+  else
     {
-      o->patient_us = now + PATIENCE_US;
+      o->patient_us = now + wait_for (o, row, now);
       return;
     }
-  if (!is_ours (o, r))
-    {
-      o->begin_ms
-          = lease_begin_ms (row, o->holder, o->opts.gap_us / CQ_US_PER_MS);
-      o->last_order_ms = 0;
-    }
-  write_lease (o, r->exists ? r->version : 0, false, now);
+  write_lease (o, r->exists ? r->version : 0, LEASE_KEEP, now);
 }
 
 static void
@@ -249,7 +290,7 @@
   if (left <= 0 && !o->calling)
     lose (o, "expired");
   else if (left < RENEW_LEFT_MS && !o->calling)
-    write_lease (o, o->row_version, false, now_us);
+    write_lease (o, o->row_version, LEASE_KEEP, now_us);
 }
 
 /* --- tasks ----------------------------------------------------------- */
@@ -310,7 +351,6 @@
 send_order (struct task *t, int64_t seq, int64_t now_us)
 {
   struct orders *o = t->orders;
-  int64_t at;
 
   t->order.model = t->endpoint->is.model;
   t->order.version = wanted_version (o, t->endpoint);
@@ -324,9 +364,6 @@
    * twelve days 5.64 when runs end first, 6.49 when they go on).
    */
   t->order.runs_go_on = true;
-  at = lease_latest_ms (&o->clock, now_us);
-  if (at > o->last_order_ms)
-    o->last_order_ms = at;
   t->busy = true;
   t->endpoint->reload_us = now_us;
   task_set (t, TASK_SENDING, now_us);
@@ -361,6 +398,14 @@
     }
   if (!needs_order (o, t->endpoint))
     look (o, now);
+  else if (t->phase == TASK_LOADING && !s->busy
+           && s->version >= t->order.version)
+    {
+      /* A newer version was named meanwhile: others with older weights may
+         go first now, and this one must not hold a place until then. */
+      task_set (t, TASK_DONE, now);
+      loop_arm (o->opts.loop, &o->timer, now);
+    }
   else if (s->busy)
     task_set (t, TASK_LOADING, now);
   else if (may_order (o, now)
@@ -399,6 +444,7 @@
         task_set (t, TASK_IDLE, now_us);
       break;
     case TASK_SENDING:
+    case TASK_DONE:
       break;
     }
 }
@@ -425,7 +471,7 @@
        t != APR_RING_SENTINEL (&o->tasks, task, link); t = next)
     {
       next = APR_RING_NEXT (t, link);
-      if (!t->busy && !needs_order (o, t->endpoint))
+      if (!t->busy && (t->phase == TASK_DONE || !needs_order (o, t->endpoint)))
         task_free (t);
     }
 }
@@ -475,20 +521,43 @@
     }
 }
 
+/* An endpoint is to be ordered, now or again. */
+static bool
+has_to_order (const struct orders *o, int64_t now_us)
+{
+  const struct task *t;
+
+  APR_RING_FOREACH (t, &o->tasks, task, link)
+  {
+    if (t->phase == TASK_IDLE || t->phase == TASK_ASKING
+        || (t->phase == TASK_LOADING && now_us - t->since_us > ORDER_MAX_US))
+      return true;
+  }
+  return false;
+}
+
 static void
 step_tasks (struct orders *o, int64_t now_us)
 {
   struct task *t, *next;
 
   drop_finished (o);
-  if (!may_order (o, now_us))
+  if (!o->held || o->stopped
+      || lease_earliest_ms (&o->clock, now_us) < o->row.begin_ms)
     return;
   fill (o, now_us);
+  if (has_to_order (o, now_us) && !may_order (o, now_us) && !o->calling)
+    {
+      /* The answer brings the next look. */
+      write_lease (o, o->row_version, LEASE_ORDER, now_us);
+      return;
+    }
   for (t = APR_RING_FIRST (&o->tasks);
        t != APR_RING_SENTINEL (&o->tasks, task, link); t = next)
     {
       next = APR_RING_NEXT (t, link);
-      step_task (t, now_us);
+      if (t->phase != TASK_IDLE || may_order (o, now_us))
+        step_task (t, now_us);
     }
 }
 
@@ -524,7 +593,7 @@
           o->held = false;
           log_event (LOG_LEVEL_INFO, "lease", "holder=%s outcome=released",
                      o->holder);
-          write_lease (o, o->row_version, true, now_us);
+          write_lease (o, o->row_version, LEASE_RELEASE, now_us);
         }
       if (!o->held && o->ntasks == 0)
         return;
@@ -577,7 +646,7 @@
   loop_disarm (&o->timer);
   /* A successor then need not wait for the lease to end. */
   if (o->held && !o->calling)
-    write_lease (o, o->row_version, true, now);
+    write_lease (o, o->row_version, LEASE_RELEASE, now);
   o->held = false;
 }
 
--- a/regress/test-orders.c
+++ b/regress/test-orders.c
@@ -45,11 +45,15 @@
 test_no_overlap (void)
 {
   struct lease_row r = row ("a/1", 5000);
+  struct lease_row second = row ("b/1", 20000);
   int64_t there, back, now, begin;
   int64_t last_a = 0;
   int64_t first_b = INT64_MAX;
 
+  r.order_until_ms = 5000;
   begin = lease_begin_ms (&r, "b/1", GAP_MS);
+  second.begin_ms = begin;
+  second.order_until_ms = 20000;
   for (there = 0; there <= 600; there += 50)
     for (back = 0; back <= 600; back += 50)
       for (now = 1200; now < 12000; now += 20)
@@ -59,10 +63,10 @@
 
           if (c.store_ms == 0)
             c.store_ms = 1;
-          if (lease_may_order (0, r.expires_ms, &c, now * MS) && now > last_a)
+          if (lease_may_order (&r, &c, now * MS) && now > last_a)
             last_a = now;
           if (lease_is_free (&r, "b/1", &c, now * MS)
-              && lease_may_order (begin, 20000, &c, now * MS) && now < first_b)
+              && lease_may_order (&second, &c, now * MS) && now < first_b)
             first_b = now;
         }
   g_assert_cmpint (last_a, >, 4000);
@@ -71,7 +75,8 @@
 }
 
 /* A holder that lets go says when it ordered last: its successor waits only
-   from then.  A later life of the same VM waits for nothing. */
+   from then.  A later life of the same VM is bound by what the earlier one
+   was: nothing, or the orders of a holder before both. */
 static void
 test_released (void)
 {
@@ -83,10 +88,12 @@
   g_assert_false (lease_is_free (&r, "ab/1", &c, 0));
   g_assert_cmpint (lease_begin_ms (&r, "a/2", GAP_MS), ==, 0);
   r.released = true;
-  r.last_order_ms = 900;
+  r.order_until_ms = 900;
   g_assert_true (lease_is_free (&r, "b/1", &c, 0));
   g_assert_cmpint (lease_begin_ms (&r, "b/1", GAP_MS), ==, 3900);
-  r.last_order_ms = 0;
+  r.begin_ms = 4000;
+  g_assert_cmpint (lease_begin_ms (&r, "a/2", GAP_MS), ==, 4000);
+  r.order_until_ms = 0;
   g_assert_cmpint (lease_begin_ms (&r, "b/1", GAP_MS), ==, 0);
 }
 
@@ -106,6 +113,7 @@
   int64_t seq;             /* orders the endpoint took */
   int64_t version;         /* its weights */
   bool busy;               /* it carries one out */
+  bool hold_busy;          /* it does so until the test says */
   int orders_sent;         /* that left */
   int64_t last_seq;        /* precondition of the last one */
   int64_t last_fence;      /* of the last one */
@@ -184,13 +192,16 @@
       done (arg, ORDER_REJECTED);
       return;
     }
+  /* Whoever takes over now knows from the row how long to wait. */
+  g_assert_cmpint (st->row.order_until_ms, >, store_ms (st));
   st->orders_sent++;
   st->last_seq = o->seq;
   st->last_fence = o->fence;
   if (!st->lose_orders)
     {
       st->seq++;
-      st->version = o->version;
+      st->busy = st->hold_busy;
+      st->version = st->hold_busy ? st->version : o->version;
     }
   done (arg, st->lose_orders ? ORDER_UNKNOWN : ORDER_ACCEPTED);
 }
@@ -299,7 +310,8 @@
   g_assert_cmpint (st->last_seq, ==, 0);
   g_assert_cmpint (st->last_fence, >, 0);
   g_assert_cmpint (st->version, ==, 2);
-  g_assert_cmpint (st->row.last_order_ms, >, 0);
+  g_assert_cmpint (st->row.order_until_ms, >, 0);
+  g_assert_cmpint (st->row.order_until_ms, <=, store_ms (st) + 1);
   stage_free (st);
 }
 
@@ -349,6 +361,7 @@
   int64_t expires = store_ms (st) + 300;
 
   st->row = row ("other/1", expires);
+  st->row.order_until_ms = expires;
   st->row_version = 5;
   name_version (st);
   wait_until (st, row_is_ours);
@@ -356,7 +369,65 @@
   g_assert_cmpint (st->orders_sent, ==, 0);
   wait_until (st, is_released);
   g_assert_cmpint (st->orders_sent, ==, 1);
-  g_assert_cmpint (st->row.last_order_ms, >=, expires + GAP_MS);
+  g_assert_cmpint (st->row.order_until_ms, >=, expires + GAP_MS);
+  stage_free (st);
+}
+
+static bool
+is_busy (const struct stage *st)
+{
+  return st->busy;
+}
+
+static bool
+has_newest (const struct stage *st)
+{
+  return st->version == 3;
+}
+
+/*
+ * Version 3 is named while an endpoint loads 2.  When that is done it is
+ * ordered again at once: waiting as after an order without an answer, it would
+ * stand with weights that are outdated for two and a half seconds more.
+ */
+static void
+test_named_while_loading (void)
+{
+  struct stage *st = stage_new ();
+  int64_t done;
+
+  st->hold_busy = true;
+  name_version (st);
+  wait_until (st, is_busy);
+  fleet_take_wanted (&st->fleet, "m", 3, loop_now_us ());
+  st->busy = false;
+  st->version = 2;
+  st->hold_busy = false;
+  done = loop_now_us ();
+  wait_until (st, has_newest);
+  g_assert_cmpint (loop_now_us () - done, <, 1500 * MS);
+  stage_free (st);
+}
+
+/*
+ * The holder that is cut off gave its last order two seconds ago and announced
+ * no more.  Its lease has to end, but the gap counts from that order: an
+ * endpoint idle for longer is a place less for callers.
+ */
+static void
+test_successor_waits_for_orders (void)
+{
+  struct stage *st = stage_new ();
+  int64_t now = store_ms (st);
+
+  st->row = row ("other/1", now + 300);
+  st->row.order_until_ms = now - 2000;
+  st->row_version = 5;
+  name_version (st);
+  wait_until (st, is_released);
+  g_assert_cmpint (st->orders_sent, ==, 1);
+  g_assert_cmpint (st->row.order_until_ms, >=, now - 2000 + GAP_MS);
+  g_assert_cmpint (st->row.begin_ms, ==, now - 2000 + GAP_MS);
   stage_free (st);
 }
 
@@ -593,6 +664,8 @@
   { "/orders/whole", test_orders },
   { "/orders/unknown", test_order_unknown },
   { "/orders/successor-waits", test_successor_waits },
+  { "/orders/named-while-loading", test_named_while_loading },
+  { "/orders/successor-waits-for-orders", test_successor_waits_for_orders },
   { "/orders/stop-releases", test_stop_releases },
   { "/follow/drain-in-gap", test_drain_in_gap },
   { "/follow/paced", test_paced },
