--- a/regress/test-orders.c
+++ b/regress/test-orders.c
@@ -114,6 +114,7 @@
   int64_t version;         /* its weights */
   bool busy;               /* it carries one out */
   bool hold_busy;          /* it does so until the test says */
+  int asked;               /* questions for its state */
   int orders_sent;         /* that left */
   int64_t last_seq;        /* precondition of the last one */
   int64_t last_fence;      /* of the last one */
@@ -174,6 +175,7 @@
   struct endpoint_state s = { .reached = true };
 
   (void)e;
+  st->asked++;
   s.busy = st->busy;
   s.seq = st->seq;
   s.version = st->version;
@@ -394,7 +396,6 @@
 test_named_while_loading (void)
 {
   struct stage *st = stage_new ();
-  int64_t done;
 
   st->hold_busy = true;
   name_version (st);
@@ -403,9 +404,10 @@
   st->busy = false;
   st->version = 2;
   st->hold_busy = false;
-  done = loop_now_us ();
+  st->asked = 0;
   wait_until (st, has_newest);
-  g_assert_cmpint (loop_now_us () - done, <, 1500 * MS);
+  /* Once to see that it is done, once before the order. */
+  g_assert_cmpint (st->asked, <=, 3);
   stage_free (st);
 }
 
@@ -611,8 +613,8 @@
 static void
 test_freshness_by_clock (void)
 {
+  int64_t before = loop_now_us ();
   struct source *p = source_new ();
-  int64_t read_at = loop_now_us ();
   int64_t polled_at, answered_at;
 
   p->store_ms = 50000;
@@ -622,7 +624,7 @@
   /* Given 20 ms after the first answer, and 10 ms or more on its way. */
   p->store_ms = 50020;
   tell (p, FOLLOW_OPERATOR, NEWS_OK, 10, NULL);
-  g_assert_cmpint (p->fleet.fresh_us, >=, read_at - 5 * MS + 19 * MS);
+  g_assert_cmpint (p->fleet.fresh_us, >=, before + 19 * MS);
   g_assert_cmpint (p->fleet.fresh_us, <=, polled_at + 20 * MS);
   /* The clock jumps forward by an hour. */
   answered_at = loop_now_us ();
