A refusal as too late says its inputs; a crowded store is told and tested

A request that was refused since its first piece was expected too late had one line without the wait that decided it; it has its own line now, with the wait, what is little enough, the time left and the endpoint. The pace of polls at a store is logged when it begins and ends.

/partfeed/crowded-store plays a store that turns polls away: no poll at once, a short one after a pause, alive until it does not answer.

--- a/partfeed.c
+++ b/partfeed.c
@@ -74,20 +74,38 @@
          + g_rand_int_range (w->feed->rand, 0, (gint32)w->pace_us + 1);
 }
 
+static void
+note_pace (const struct watch *w, const char *outcome)
+{
+  log_event (LOG_LEVEL_INFO, "store",
+             "store=%s outcome=%s pace_us=%" G_GINT64_FORMAT
+             " held=%u known_us=%" G_GINT64_FORMAT,
+             w->store->address, outcome, (gint64)w->pace_us,
+             g_hash_table_size (w->store->held), (gint64)w->store->known_us);
+}
+
 static void
 slow_down (struct watch *w)
 {
+  bool first = w->pace_us == 0;
+
   w->pace_us = w->pace_us == 0 ? PACE_FIRST_US : 2 * w->pace_us;
   if (w->pace_us > PACE_MAX_US)
     w->pace_us = PACE_MAX_US;
+  if (first)
+    note_pace (w, "crowded");
 }
 
 static void
 speed_up (struct watch *w)
 {
+  if (w->pace_us == 0)
+    return;
   w->pace_us -= w->pace_us / PACE_EASE;
-  if (w->pace_us < PACE_FIRST_US / 2)
-    w->pace_us = 0;
+  if (w->pace_us >= PACE_FIRST_US / 2)
+    return;
+  w->pace_us = 0;
+  note_pace (w, "uncrowded");
 }
 
 static void
--- a/regress/test-parts.c
+++ b/regress/test-parts.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 #include "decide.h"
-#include "parts.h"
+#include "partfeed.h"
 #include "units.h"
 
 #define S CQ_US_PER_S
@@ -285,6 +285,103 @@
   g_assert_cmpint (last_void, <, first_save);
 }
 
+/* --- following a store ----------------------------------------------- */
+
+/* A played store: the test hands out each answer. */
+struct played
+{
+  struct loop *loop;     /* for pauses */
+  struct parts parts;    /* directory */
+  struct partfeed *feed; /* under test */
+  part_news_done done;   /* waiting for news */
+  void *arg;             /* for it */
+  int64_t wait_us;       /* that the last poll asked for */
+  int polls;             /* so far */
+  bool stop_at_poll;     /* the next one ends the loop */
+};
+
+static void
+ask_events (void *ctx, const char *address, int64_t since, int64_t wait_us,
+            part_news_done done, void *arg)
+{
+  struct played *p = ctx;
+
+  (void)address;
+  (void)since;
+  p->done = done;
+  p->arg = arg;
+  p->wait_us = wait_us;
+  p->polls++;
+  if (p->stop_at_poll)
+    loop_stop (p->loop);
+}
+
+static void
+ask_list (void *ctx, const char *address, part_news_done done, void *arg)
+{
+  struct played *p = ctx;
+
+  (void)address;
+  p->done = done;
+  p->arg = arg;
+}
+
+static void
+tell (struct played *p, enum part_code code)
+{
+  struct part_news n = { .code = code, .epoch = 7, .clock_ms = 50000 };
+
+  n.events = g_array_new (FALSE, TRUE, sizeof (struct part_event));
+  p->done (p->arg, &n);
+  g_array_free (n.events, TRUE);
+}
+
+/*
+ * A store that many VMs follow turns a poll away.  Asked again at once it
+ * would be turned away again, and the VM would know of nothing that is kept;
+ * it pauses, asks for a short poll, and goes on pausing after an answer.  The
+ * store counts as alive all the while, and as lost once it does not answer.
+ */
+static void
+test_crowded_store (void)
+{
+  struct played p = { .loop = loop_new () };
+  struct partfeed_opts o = { .loop = p.loop, .parts = &p.parts, .seed = 1 };
+  struct fleet_conf *c = fleet_conf_new ();
+  struct parts_store *s;
+  int64_t began;
+
+  o.ops.events = ask_events;
+  o.ops.list = ask_list;
+  o.ops.ctx = &p;
+  add_store (c, "fast", 10000, 250000, 500);
+  parts_init (&p.parts);
+  p.feed = partfeed_new (&o);
+  partfeed_take_conf (p.feed, c);
+  tell (&p, PARTS_ANSWERED);
+  g_assert_cmpint (p.polls, ==, 1);
+  g_assert_cmpint (p.wait_us, ==, S);
+  began = loop_now_us ();
+  tell (&p, PARTS_CROWDED);
+  g_assert_cmpint (p.polls, ==, 1);
+  p.stop_at_poll = true;
+  loop_run (p.loop);
+  g_assert_cmpint (loop_now_us () - began, >=, 240 * MS);
+  g_assert_cmpint (p.wait_us, <, S);
+  s = parts_find_store (&p.parts, "fast");
+  g_assert_cmpint (s->heard_us, >=, began);
+  tell (&p, PARTS_ANSWERED);
+  g_assert_cmpint (p.polls, ==, 2);
+  loop_run (p.loop);
+  tell (&p, PARTS_SILENT);
+  g_assert_cmpint (s->heard_us, ==, 0);
+  partfeed_stop (p.feed);
+  partfeed_free (p.feed);
+  parts_clear (&p.parts);
+  fleet_conf_unref (c);
+  loop_free (p.loop);
+}
+
 const struct unit parts_units[] = {
   { "/parts/saves", test_saves },
   { "/parts/whole-only", test_whole_only },
@@ -293,5 +390,6 @@
   { "/parts/full", test_full },
   { "/parts/no-free-under-fetch", test_no_free_under_fetch },
   { "/parts/no-fetch-of-part-saved-again", test_no_fetch_of_part_saved_again },
+  { "/partfeed/crowded-store", test_crowded_store },
   { NULL, NULL },
 };
--- a/relaytry.c
+++ b/relaytry.c
@@ -409,16 +409,24 @@
 is_hopeless (const struct relay *r, const struct pick_choice *c,
              int64_t now_us)
 {
-  int64_t waited = now_us - r->arrived_us;
-  int64_t wait = waited + c->wait_us;
+  int64_t wait = now_us - r->arrived_us + c->wait_us;
   int64_t enough = patience_us (r) / PATIENCE_SHARE;
+  bool hopeless;
 
   if (r->route->kind != FLEET_STREAM || r->begun)
     return false;
-  if (r->arrived_us + wait > r->end_us)
-    return true;
-  return wait > enough
-         && (int64_t)(relay_draw (r->rs) % (uint64_t)wait) >= enough;
+  hopeless = r->arrived_us + wait > r->end_us
+             || (wait > enough
+                 && (int64_t)(relay_draw (r->rs) % (uint64_t)wait) >= enough);
+  if (hopeless)
+    log_event (LOG_LEVEL_INFO, "too_late",
+               "req=%s route=%s endpoint=%s wait_us=%" G_GINT64_FORMAT
+               " enough_us=%" G_GINT64_FORMAT " left_us=%" G_GINT64_FORMAT
+               " candidates=%d crowded=%d",
+               r->desc.id, r->route->name, c->endpoint->is.id, (gint64)wait,
+               (gint64)enough, (gint64)(r->end_us - now_us), c->candidates,
+               c->crowded);
+  return hopeless;
 }
 
 /* Find an endpoint for the next attempt, or give up. */
