--- a/orders.c
+++ b/orders.c
@@ -265,7 +265,7 @@
     inherit (o, row);
   else
     {
-      o->patient_us = now + wait_for (o, row, now);
+      o->patient_us = now + wait_for (o, &r->row, now);
       return;
     }
   write_lease (o, r->exists ? r->version : 0, LEASE_KEEP, now);
