Orders are announced for longer while the store is slow

Change: an announcement lasts 0.4 s and twice the store's last answer, and a renewal carries it while an endpoint waits for its order.

/orders/slow-store (a store that answers after 0.4 s) is red without either.

--- a/orders.c
+++ b/orders.c
@@ -10,9 +10,10 @@
    between two holders; it is renewed early enough for a second try. */
 #define LEASE_MS 1600
 #define RENEW_LEFT_MS 1000
-/* Orders may be given for so long after they were announced in the row: an
-   endpoint is asked for its state, and ordered, in some 20 ms.  A successor
-   waits from the end of it, not from the end of the lease. */
+/* Orders may be given for so long after they were announced in the row, and
+   twice the store's last answer took: an endpoint is asked for its state, and
+   ordered, in some 20 ms.  A successor waits from the end of it, not from the
+   end of the lease. */
 #define ORDER_WINDOW_MS 400
 /* Between looks while there is something to do. */
 #define LOOK_US (100 * CQ_US_PER_MS)
@@ -202,8 +203,11 @@
   g_strlcpy (w->holder, o->holder, sizeof w->holder);
   w->released = aim == LEASE_RELEASE;
   w->expires_ms = w->released ? now_ms : now_ms + LEASE_MS;
+  /* A slow store's answer must not come when the time is over. */
   if (aim == LEASE_ORDER)
-    w->order_until_ms = now_ms + ORDER_WINDOW_MS;
+    w->order_until_ms
+        = now_ms + ORDER_WINDOW_MS
+          + 2 * (o->clock.got_us - o->clock.sent_us) / CQ_US_PER_MS;
   /* None leaves any more, so nobody need wait for the rest of the window. */
   if (aim == LEASE_RELEASE)
     w->order_until_ms
@@ -281,6 +285,21 @@
   o->opts.ops.read_lease (o->opts.ops.ctx, on_read, o);
 }
 
+/* An endpoint is to be ordered, now or again. */
+static bool
+has_to_order (const struct orders *o, int64_t now_us)
+{
+  const struct task *t;
+
+  APR_RING_FOREACH (t, &o->tasks, task, link)
+  {
+    if (t->phase == TASK_IDLE || t->phase == TASK_ASKING
+        || (t->phase == TASK_LOADING && now_us - t->since_us > ORDER_MAX_US))
+      return true;
+  }
+  return false;
+}
+
 /* Renew in time, and notice the end. */
 static void
 keep_lease (struct orders *o, int64_t now_us)
@@ -290,7 +309,9 @@
   if (left <= 0 && !o->calling)
     lose (o, "expired");
   else if (left < RENEW_LEFT_MS && !o->calling)
-    write_lease (o, o->row_version, LEASE_KEEP, now_us);
+    /* With a slow store there may be no call but renewals. */
+    write_lease (o, o->row_version,
+                 has_to_order (o, now_us) ? LEASE_ORDER : LEASE_KEEP, now_us);
 }
 
 /* --- tasks ----------------------------------------------------------- */
@@ -521,21 +542,6 @@
     }
 }
 
-/* An endpoint is to be ordered, now or again. */
-static bool
-has_to_order (const struct orders *o, int64_t now_us)
-{
-  const struct task *t;
-
-  APR_RING_FOREACH (t, &o->tasks, task, link)
-  {
-    if (t->phase == TASK_IDLE || t->phase == TASK_ASKING
-        || (t->phase == TASK_LOADING && now_us - t->since_us > ORDER_MAX_US))
-      return true;
-  }
-  return false;
-}
-
 static void
 step_tasks (struct orders *o, int64_t now_us)
 {
--- a/regress/test-orders.c
+++ b/regress/test-orders.c
@@ -108,6 +108,10 @@
   struct lease_row row;    /* in the store */
   int64_t row_version;     /* 0: no row */
   bool lose_write;         /* the next write is done, its reply lost */
+  int64_t slow_us;         /* replies to writes come so late */
+  struct loop_timer late;  /* one that is to come */
+  lease_done late_done;    /* whom to tell then */
+  void *late_arg;          /* passed to it */
   bool lose_orders;        /* orders get no answer */
   int64_t clock_offset_ms; /* the store's clock is so far ahead */
   int64_t seq;             /* orders the endpoint took */
@@ -144,6 +148,15 @@
   reply_row (ctx, LEASE_DONE, done, arg);
 }
 
+static void
+reply_late (void *arg, int64_t now_us)
+{
+  struct stage *st = arg;
+
+  (void)now_us;
+  reply_row (st, LEASE_DONE, st->late_done, st->late_arg);
+}
+
 static void
 write_lease (void *ctx, const struct lease_row *r, int64_t expected,
              lease_done done, void *arg)
@@ -164,6 +177,14 @@
       st->lose_write = false;
       done (arg, &lost);
     }
+  else if (st->slow_us > 0)
+    {
+      st->late.fire = reply_late;
+      st->late.arg = st;
+      st->late_done = done;
+      st->late_arg = arg;
+      loop_arm (st->loop, &st->late, loop_now_us () + st->slow_us);
+    }
   else
     reply_row (st, LEASE_DONE, done, arg);
 }
@@ -345,12 +366,36 @@
   stage_free (st);
 }
 
+static bool
+is_quiet (const struct stage *st)
+{
+  return orders_waiting (st->orders) == 0;
+}
+
 static bool
 row_is_ours (const struct stage *st)
 {
   return strncmp (st->row.holder, "vm/", 3) == 0;
 }
 
+/*
+ * The store answers after 0.4 s, as long as orders are announced ahead.  Each
+ * announcement would be over when its answer comes, and no endpoint would ever
+ * change its weights.
+ */
+static void
+test_slow_store (void)
+{
+  struct stage *st = stage_new ();
+
+  st->slow_us = 400 * MS;
+  name_version (st);
+  wait_until (st, is_released);
+  g_assert_cmpint (st->orders_sent, ==, 1);
+  wait_until (st, is_quiet);
+  stage_free (st);
+}
+
 /*
  * Another VM holds the lease and is frozen: it gives no orders and does not
  * renew.  Its successor takes over when the lease has ended, and orders only
@@ -665,6 +710,7 @@
   { "/lease/released", test_released },
   { "/orders/whole", test_orders },
   { "/orders/unknown", test_order_unknown },
+  { "/orders/slow-store", test_slow_store },
   { "/orders/successor-waits", test_successor_waits },
   { "/orders/named-while-loading", test_named_while_loading },
   { "/orders/successor-waits-for-orders", test_successor_waits_for_orders },
