Log: how old the newer naming is at each send; how much of an answer came

Cause: a send line said neither which version of the weights was wanted nor since when this VM knew, so a VM that counts from its own start could not be told from one that never heard. A lost source said "silent" both for no answer and for one that was given up half way.

Change: send has newer and newer_us, weights_named has the age of the knowledge before it, lost sources and settings have bytes and the time they took.

--- a/follow.c
+++ b/follow.c
@@ -78,7 +78,8 @@
 /* --- taking news ----------------------------------------------------- */
 
 static void
-take_conf (struct fleet *f, struct news_item *it)
+take_conf (struct fleet *f, const struct news *n, struct news_item *it,
+           int64_t took_us)
 {
   int64_t old = f->conf != NULL ? f->conf->version : 0;
   int64_t new = it->conf->version;
@@ -87,9 +88,10 @@
 
   log_event (LOG_LEVEL_INFO, "conf",
              "outcome=%s conf=%" G_GINT64_FORMAT " before=%" G_GINT64_FORMAT
-             " row=%" G_GINT64_FORMAT " routes=%u",
+             " row=%" G_GINT64_FORMAT " routes=%u bytes=%" G_GINT64_FORMAT
+             " took_us=%" G_GINT64_FORMAT,
              taken ? "in_force" : "older", (gint64) new, (gint64)old,
-             (gint64)it->row, routes);
+             (gint64)it->row, routes, (gint64)n->bytes, (gint64)took_us);
 }
 
 static void
@@ -97,8 +99,10 @@
 {
   if (fleet_take_wanted (f, it->model, it->version, now_us))
     log_event (LOG_LEVEL_INFO, "weights_named",
-               "model=%s version=%" G_GINT64_FORMAT " row=%" G_GINT64_FORMAT,
-               it->model, (gint64)it->version, (gint64)it->row);
+               "model=%s version=%" G_GINT64_FORMAT " row=%" G_GINT64_FORMAT
+               " known_without_us=%" G_GINT64_FORMAT,
+               it->model, (gint64)it->version, (gint64)it->row,
+               (gint64)(f->fresh_us ? now_us - f->fresh_us : -1));
 }
 
 static void
@@ -129,14 +133,16 @@
 }
 
 static void
-take_item (struct fleet *f, struct news_item *it, int64_t now_us)
+take_item (struct stream *s, const struct news *n, struct news_item *it,
+           int64_t now_us)
 {
+  struct fleet *f = s->follow->opts.fleet;
   struct fleet_endpoint *e;
 
   switch (it->kind)
     {
     case NEWS_CONF:
-      take_conf (f, it);
+      take_conf (f, n, it, now_us - s->asked_us);
       it->conf = NULL;
       break;
     case NEWS_WANTED:
@@ -216,7 +222,7 @@
   guint i;
 
   for (i = 0; i < n->items->len; i++)
-    take_item (f, &g_array_index (n->items, struct news_item, i), now_us);
+    take_item (s, n, &g_array_index (n->items, struct news_item, i), now_us);
   if (s->reading && s->source == FOLLOW_ENDPOINTS)
     {
       take_absent (f, n, now_us);
@@ -246,15 +252,16 @@
 }
 
 static void
-note_lost (struct stream *s, enum news_code code, int64_t now_us)
+note_lost (struct stream *s, const struct news *n, int64_t now_us)
 {
   if (s->lost_us == 0)
     {
       log_event (LOG_LEVEL_WARNING, "platform",
-                 "source=%s outcome=lost "
-                 "reason=%s",
+                 "source=%s outcome=lost reason=%s bytes=%" G_GINT64_FORMAT
+                 " took_us=%" G_GINT64_FORMAT,
                  source_names[s->source],
-                 code == NEWS_REFUSED ? "refused" : "silent");
+                 n->code == NEWS_REFUSED ? "refused" : "silent",
+                 (gint64)n->bytes, (gint64)(now_us - s->asked_us));
       /* It may have been gone since the call was sent. */
       s->lost_us = s->asked_us;
     }
@@ -286,7 +293,7 @@
     }
   if (n->code != NEWS_OK)
     {
-      note_lost (s, n->code, now);
+      note_lost (s, n, now);
       return;
     }
   note_back (s, now);
--- a/follow.h
+++ b/follow.h
@@ -48,6 +48,7 @@
   enum news_code code; /* whether the rest counts */
   int64_t version;     /* to ask for changes after */
   int64_t store_ms;    /* the platform's clock at that moment, 0 if unsaid */
+  int64_t bytes;       /* of the answer, also of one that did not end */
   GArray *items;       /* struct news_item */
 };
 
--- a/relaytry.c
+++ b/relaytry.c
@@ -335,6 +335,7 @@
 {
   const struct relays_opts *o = &r->rs->opts;
   bool model = c->endpoint->is.model[0] != '\0';
+  const struct fleet_named *newer = fleet_outdated_by (o->fleet, c->endpoint);
   struct relay_send s = { .desc = &r->desc, .endpoint = c->endpoint };
 
   r->endpoint = fleet_endpoint_ref (c->endpoint);
@@ -366,11 +367,14 @@
              "req=%s route=%s endpoint=%s load=%d candidates=%d crowded=%d "
              "wait_us=%" G_GINT64_FORMAT
              " fetch=%d save=%d fetch_tokens=%" G_GINT64_FORMAT
-             " version=%" G_GINT64_FORMAT " left_us=%" G_GINT64_FORMAT
+             " version=%" G_GINT64_FORMAT " newer=%" G_GINT64_FORMAT
+             " newer_us=%" G_GINT64_FORMAT " left_us=%" G_GINT64_FORMAT
              " conf=%" G_GINT64_FORMAT " conf_age_us=%" G_GINT64_FORMAT,
              r->desc.id, r->route->name, c->endpoint->is.id, c->load,
              c->candidates, c->crowded, (gint64)c->wait_us, r->kept.nfetch,
              r->kept.nsave, (gint64)r->kept.fetch_tokens, (gint64)s.version,
+             (gint64)(newer != NULL ? newer->version : 0),
+             (gint64)(newer != NULL ? now_us - newer->heard_us : 0),
              (gint64)s.left_us, (gint64)r->conf->version,
              (gint64)fleet_age_us (o->fleet, now_us));
   r->call = o->engine.send (o->engine.ctx, &s, &events, r);
