Two failing tests: old weights after a restart, settings that are never read

oldweights fails with 200 where 503 is right, twice; bigconf fails since a VM never serves the added route, nor starts. The store's stand-in can send answers at a pace.

--- a/regress/fake.h
+++ b/regress/fake.h
@@ -47,6 +47,10 @@
                           const char *body, size_t len);
 enum MHD_Result fk_reply_json (struct fk_req *r, int status, json_t *doc);
 
+/* The same, with the body at KB_S kilobytes a second. */
+enum MHD_Result fk_reply_paced (struct fk_req *r, int status, json_t *doc,
+                                int64_t kb_s);
+
 /* Close the connection without a reply. */
 enum MHD_Result fk_drop (struct fk_req *r);
 
--- a/regress/fakehttp.c
+++ b/regress/fakehttp.c
@@ -121,6 +121,53 @@
   return done;
 }
 
+/* A body that leaves piece by piece. */
+struct paced
+{
+  char *text;   /* whole */
+  size_t len;   /* its length */
+  int64_t kb_s; /* kilobytes a second */
+};
+
+static ssize_t
+paced_read (void *arg, uint64_t at, char *buf, size_t max)
+{
+  struct paced *p = arg;
+  size_t n = MIN (MIN (max, (size_t)1024), p->len - (size_t)at);
+
+  g_usleep ((gulong)(n * 1000 / (size_t)p->kb_s));
+  memcpy (buf, p->text + at, n);
+  return (ssize_t)n;
+}
+
+static void
+paced_free (void *arg)
+{
+  struct paced *p = arg;
+
+  free (p->text);
+  g_free (p);
+}
+
+enum MHD_Result
+fk_reply_paced (struct fk_req *r, int status, json_t *doc, int64_t kb_s)
+{
+  struct paced *p = g_new0 (struct paced, 1);
+  struct MHD_Response *reply;
+  enum MHD_Result done;
+
+  p->text = json_dumps (doc, JSON_COMPACT | JSON_SORT_KEYS);
+  p->len = strlen (p->text);
+  p->kb_s = kb_s;
+  json_decref (doc);
+  reply = MHD_create_response_from_callback (p->len, 1024, paced_read, p,
+                                             paced_free);
+  MHD_add_response_header (reply, "Content-Type", "application/json");
+  done = MHD_queue_response (r->conn, (unsigned)status, reply);
+  MHD_destroy_response (reply);
+  return done;
+}
+
 enum MHD_Result
 fk_drop (struct fk_req *r)
 {
--- a/regress/fakerows.c
+++ b/regress/fakerows.c
@@ -11,6 +11,7 @@
  *   lose         so many transactions are done and not answered
  *   compact      so many polls are told that the history is gone
  *   deaf         polls see no changes
+ *   kb_s         kilobytes of an answer that leave in a second, 0 for all
  */
 #include "fake.h"
 
@@ -87,11 +88,13 @@
 static enum MHD_Result
 reply_rows (struct fk_req *r, int status, json_t *list)
 {
-  return fk_reply_json (
-      r, status,
-      json_pack ("{s:o,s:b,s:I,s:I}", "Rows", list, "HasMore", 0, "Ver",
-                 (json_int_t)newest, "NowMs",
-                 (json_int_t)(g_get_monotonic_time () / 1000)));
+  json_t *doc = json_pack ("{s:o,s:b,s:I,s:I}", "Rows", list, "HasMore", 0,
+                           "Ver", (json_int_t)newest, "NowMs",
+                           (json_int_t)(g_get_monotonic_time () / 1000));
+  int64_t kb_s = fk_number ("kb_s", 0);
+
+  return kb_s > 0 ? fk_reply_paced (r, status, doc, kb_s)
+                  : fk_reply_json (r, status, doc);
 }
 
 static const char *
--- a/regress/site.sh
+++ b/regress/site.sh
@@ -3,8 +3,9 @@
 
 # row TABLE KEY VALUE: what the operator or an endpoint writes.
 row() {
-	curl -sf --max-time 20 --noproxy '*' -X PUT --data-binary "$3" \
-		"http://127.0.0.1:$port_rows/row/$1/$2" >/dev/null || fail "row $1/$2"
+	printf '%s' "$3" |
+		curl -sf --max-time 20 --noproxy '*' -X PUT --data-binary @- \
+			"http://127.0.0.1:$port_rows/row/$1/$2" >/dev/null || fail "row $1/$2"
 }
 drop_row() {
 	curl -sf --max-time 20 --noproxy '*' -X DELETE "http://127.0.0.1:$port_rows/row/$1/$2" >/dev/null
@@ -46,7 +47,7 @@
 		-e "s/{{Platform.Address}}/127.0.0.1:$port_rows/" \
 		-e "s/{{Bounds.RevokeMs}}/${revoke_ms:-5000}/" \
 		-e "s/{{Bounds.LeaseMs}}/${lease_ms:-3000}/" \
-		-e 's/{{Bounds.VersionMs}}/12000/' "$top/platform/vm.ini.tmpl" >"$tmp/$1.site.ini"
+		-e "s/{{Bounds.VersionMs}}/${version_ms:-12000}/" "$top/platform/vm.ini.tmpl" >"$tmp/$1.site.ini"
 	if grep -q '{{' "$tmp/$1.site.ini"; then fail "template: $(grep '{{' "$tmp/$1.site.ini")"; fi
 	sed "s/^drain_notice_ms.*/drain_notice_ms = 300/" "$top/deploy/base.ini" >"$tmp/$1.base.ini"
 	: >"$tmp/$1.log"
