The grace of old weights counts from the naming, also on a VM that starts later

Cause: when newer weights are named, older ones take work for nine seconds more. Each VM counted these from when it heard. One that starts, or is added, or could not hear, hears late: its grace began anew, and callers got answers by weights that had been outdated for 17 s.

Change: a naming counts from the latest moment at which it cannot have been made yet. A VM that runs knows that to within a second, since the changes of all tables share one count: each answer about endpoints says that later changes had not been made. Whoever holds the lease writes the moments into its row; a VM that hears late reads them there before it uses old weights. What the row does not have was named less than three seconds before it was read.

Weighed: a row of its own for each naming (a write more for each, by whom?); refusing old weights on each VM that started (all of them for eight seconds if all start at once).

--- a/fleet.c
+++ b/fleet.c
@@ -249,7 +249,7 @@
 add_named (struct fleet_wanted *w, int64_t version, int64_t early_us,
            int64_t now_us)
 {
-  struct fleet_named n = { version, now_us, early_us };
+  struct fleet_named n = { version, now_us, early_us, early_us };
 
   if (w->nnamed == FLEET_NAMED_MAX)
     memmove (w->named, w->named + 1, sizeof n * --w->nnamed);
@@ -259,7 +259,7 @@
 
 bool
 fleet_take_wanted (struct fleet *f, const char *model, int64_t version,
-                   int64_t now_us)
+                   int64_t early_us, int64_t now_us)
 {
   struct fleet_wanted new = { .version = 0 };
   struct fleet_wanted *w = find_wanted (f, model);
@@ -272,11 +272,26 @@
       g_array_append_val (f->wanted, new);
       w = find_wanted (f, model);
     }
-  /* What was known until then was current at fresh_us, without it. */
-  add_named (w, version, f->fresh_us, now_us);
+  add_named (w, version, early_us, now_us);
   return true;
 }
 
+void
+fleet_named_since (struct fleet *f, const char *model, int64_t version,
+                   int64_t since_us)
+{
+  struct fleet_wanted *w = find_wanted (f, model);
+  struct fleet_named *n;
+  int i;
+
+  for (i = 0; w != NULL && i < w->nnamed; i++)
+    {
+      n = &w->named[i];
+      if (n->version == version)
+        n->since_us = MAX (n->since_us, since_us);
+    }
+}
+
 /* A second version may be named before the first is in place; each counts
    from its own naming. */
 const struct fleet_named *
@@ -302,6 +317,21 @@
   return n != NULL ? n->heard_us : 0;
 }
 
+/*
+ * Counted from when this VM heard, the grace of old weights began anew on each
+ * VM that started meanwhile: callers got answers by weights that had been
+ * outdated for 17 s.  Until the moment of the naming is known, a VM cannot
+ * know that any grace is left.
+ */
+bool
+fleet_outdated_for (const struct fleet *f, const struct fleet_endpoint *e,
+                    int64_t limit_us, int64_t now_us)
+{
+  const struct fleet_named *n = fleet_outdated_by (f, e);
+
+  return n != NULL && (n->since_us == 0 || now_us - n->since_us >= limit_us);
+}
+
 void
 fleet_take_version (struct fleet_endpoint *e, int64_t version)
 {
--- a/fleet.h
+++ b/fleet.h
@@ -167,6 +167,9 @@
   int64_t version;  /* its number */
   int64_t heard_us; /* when this VM heard of it */
   int64_t early_us; /* it cannot have been named before; 0: not known */
+  /* Taken for the moment of its naming, from which the grace of older weights
+     counts: early_us, or later by what VMs recorded; 0: not known yet. */
+  int64_t since_us;
 };
 
 /* Weight versions named for a model, oldest first. */
@@ -199,9 +202,13 @@
 /* Take over a configuration read in change ROW; false if it is not newer. */
 bool fleet_take_conf (struct fleet *f, struct fleet_conf *c, int64_t row);
 
-/* A named weight version; false if it is not newer. */
+/* A named weight version; false if it is not newer.  It was not named before
+   EARLY_US, 0 if that is not known. */
 bool fleet_take_wanted (struct fleet *f, const char *model, int64_t version,
-                        int64_t now_us);
+                        int64_t early_us, int64_t now_us);
+/* By a record of VMs, VERSION was not named before SINCE_US. */
+void fleet_named_since (struct fleet *f, const char *model, int64_t version,
+                        int64_t since_us);
 /* When this VM heard of the first version newer than E's; 0 if E's is the
    newest. */
 int64_t fleet_outdated_us (const struct fleet *f,
@@ -209,6 +216,9 @@
 /* That version itself, or NULL. */
 const struct fleet_named *fleet_outdated_by (const struct fleet *f,
                                              const struct fleet_endpoint *e);
+/* Whether E's weights were outdated LIMIT_US ago, or may have been. */
+bool fleet_outdated_for (const struct fleet *f, const struct fleet_endpoint *e,
+                         int64_t limit_us, int64_t now_us);
 /* E said, on any channel, that it has VERSION. */
 void fleet_take_version (struct fleet_endpoint *e, int64_t version);
 const struct fleet_wanted *fleet_wanted_of (const struct fleet *f,
--- a/follow.c
+++ b/follow.c
@@ -63,11 +63,22 @@
   bool busy;                 /* a call is under way */
 };
 
+#define MARKS 16 /* some ten seconds of answers from both sources */
+
+/* A moment at which the platform had made no change after CHANGE. */
+struct mark
+{
+  int64_t change; /* number of the newest one */
+  int64_t at_us;  /* that was so then, at the earliest */
+};
+
 struct follow
 {
   struct follow_opts opts;               /* as made */
   struct stream streams[FOLLOW_SOURCES]; /* by source */
   GRand *rand;                           /* for pauses */
+  struct mark marks[MARKS];              /* the newest, oldest first */
+  int nmarks;                            /* entries in marks */
   int64_t clock_low_us; /* the platform's clock is so far behind, at least */
   bool clock_known;     /* one reading was taken */
   bool stopped;         /* asks nothing more */
@@ -94,15 +105,48 @@
              (gint64)it->row, routes, (gint64)n->bytes, (gint64)took_us);
 }
 
+/*
+ * Changes of both sources share one count, so an answer about either says of
+ * each later change that it had not been made.
+ */
 static void
-take_wanted (struct fleet *f, const struct news_item *it, int64_t now_us)
+add_mark (struct follow *f, int64_t change, int64_t at_us)
 {
-  if (fleet_take_wanted (f, it->model, it->version, now_us))
+  struct mark m = { change, at_us };
+
+  /* An answer that was overtaken says less than the one before it. */
+  if (f->nmarks > 0 && change < f->marks[f->nmarks - 1].change)
+    return;
+  if (f->nmarks == MARKS)
+    memmove (f->marks, f->marks + 1, sizeof m * (size_t)--f->nmarks);
+  f->marks[f->nmarks++] = m;
+}
+
+/* CHANGE was not made before; 0 if that is not known. */
+static int64_t
+not_before (const struct follow *f, int64_t change)
+{
+  int64_t at = 0;
+  int i;
+
+  for (i = 0; i < f->nmarks && f->marks[i].change < change; i++)
+    at = MAX (at, f->marks[i].at_us);
+  return at;
+}
+
+static void
+take_wanted (struct follow *fl, const struct news_item *it, int64_t now_us)
+{
+  struct fleet *f = fl->opts.fleet;
+  /* What was known until then was current at fresh_us, without it. */
+  int64_t early = MAX (f->fresh_us, not_before (fl, it->row));
+
+  if (fleet_take_wanted (f, it->model, it->version, early, now_us))
     log_event (LOG_LEVEL_INFO, "weights_named",
                "model=%s version=%" G_GINT64_FORMAT " row=%" G_GINT64_FORMAT
                " known_without_us=%" G_GINT64_FORMAT,
                it->model, (gint64)it->version, (gint64)it->row,
-               (gint64)(f->fresh_us ? now_us - f->fresh_us : -1));
+               (gint64)(early ? now_us - early : -1));
 }
 
 static void
@@ -146,7 +190,7 @@
       it->conf = NULL;
       break;
     case NEWS_WANTED:
-      take_wanted (f, it, now_us);
+      take_wanted (s->follow, it, now_us);
       break;
     case NEWS_ENDPOINT:
       take_endpoint (f, it);
@@ -230,6 +274,7 @@
     }
   if (s->source == FOLLOW_OPERATOR)
     f->fresh_us = at;
+  add_mark (s->follow, n->version, at);
   if (n->version > s->version)
     s->version = n->version;
   s->known = true;
--- a/lease.c
+++ b/lease.c
@@ -19,6 +19,33 @@
   return c->store_ms + (now_us - c->sent_us) / US_PER_MS + 1;
 }
 
+int64_t
+lease_local_us (const struct lease_clock *c, int64_t store_ms)
+{
+  /* The reading is cut to whole milliseconds. */
+  return c->sent_us + (store_ms - c->store_ms - 1) * US_PER_MS;
+}
+
+void
+lease_note_named (struct lease_row *row, const struct lease_named *n)
+{
+  struct lease_named *o;
+  int i;
+
+  for (i = 0; i < row->nnamed; i++)
+    {
+      o = &row->named[i];
+      if (o->version != n->version || strcmp (o->model, n->model) != 0)
+        continue;
+      if (n->since_ms > o->since_ms)
+        o->since_ms = n->since_ms;
+      return;
+    }
+  if (row->nnamed == LEASE_NAMED_MAX)
+    memmove (row->named, row->named + 1, sizeof *n * (size_t)--row->nnamed);
+  row->named[row->nnamed++] = *n;
+}
+
 /* "VM/LIFE": whether both are of one VM. */
 static bool
 same_vm (const char *a, const char *b)
--- a/orders.c
+++ b/orders.c
@@ -31,6 +31,19 @@
 /* An endpoint that does not answer is passed over for this long. */
 #define SKIP_US (800 * CQ_US_PER_MS)
 #define MAX_TASKS 64 /* endpoints looked at */
+/* A VM that hears of a naming so long after it may have been made asks the
+   row when it was. */
+#define DOUBT_US (1500 * CQ_US_PER_MS)
+/* Between such questions, drawn, if the store does not answer: each VM may
+   ask, and all may have started at one moment. */
+#define DOUBT_ASK_US (300 * CQ_US_PER_MS)
+/*
+ * What the row does not have was named less than this ago: some VM hears of a
+ * naming at once and writes the row within 0.4 s, or as its holder with the
+ * next renewal, within 0.6 s; a holder that dies is replaced after 2 s.  If
+ * all VMs were killed in that time, they are back after about as long.
+ */
+#define UNRECORDED_US (3000 * CQ_US_PER_MS)
 
 enum task_phase
 {
@@ -71,6 +84,8 @@
   struct lease_clock clock;              /* last reading */
   int64_t called_us;                     /* when the call was sent */
   int64_t patient_us;                    /* reach for the lease at */
+  int64_t read_us;                       /* the row as of then was read */
+  int64_t doubt_us;                      /* read it because of doubt then */
   guint old;                             /* endpoints with old weights */
   APR_RING_HEAD (task_ring, task) tasks; /* endpoints in hand */
   int ntasks;                            /* their number */
@@ -108,6 +123,94 @@
   return n;
 }
 
+/* --- namings --------------------------------------------------------- */
+
+/* When N was named is not known well, and the row may know more. */
+static bool
+is_doubtful (const struct orders *o, const struct fleet_named *n)
+{
+  return n->heard_us > o->read_us
+         && (n->since_us == 0 || n->heard_us - n->since_us > DOUBT_US);
+}
+
+static bool
+in_doubt (const struct orders *o)
+{
+  const struct fleet_endpoint *e;
+  const struct fleet_named *n;
+
+  APR_RING_FOREACH (e, &o->opts.fleet->endpoints, fleet_endpoint, link)
+  {
+    n = needs_order (o, e) ? fleet_outdated_by (o->opts.fleet, e) : NULL;
+    if (n != NULL && is_doubtful (o, n))
+      return true;
+  }
+  return false;
+}
+
+static const struct lease_named *
+recorded (const struct lease_reply *r, const char *model, int64_t version)
+{
+  int i;
+
+  for (i = 0; r->exists && i < r->row.nnamed; i++)
+    if (r->row.named[i].version == version
+        && strcmp (r->row.named[i].model, model) == 0)
+      return &r->row.named[i];
+  return NULL;
+}
+
+/* Take over what VMs recorded of namings; what nobody did was named lately. */
+static void
+learn_namings (struct orders *o, const struct lease_reply *r)
+{
+  const struct lease_named *known;
+  struct fleet_wanted *w;
+  struct fleet_named *n;
+  guint i;
+  int k;
+
+  for (i = 0; i < o->opts.fleet->wanted->len; i++)
+    {
+      w = &g_array_index (o->opts.fleet->wanted, struct fleet_wanted, i);
+      for (k = 0; k < w->nnamed; k++)
+        {
+          n = &w->named[k];
+          known = recorded (r, w->model, n->version);
+          if (known != NULL)
+            fleet_named_since (o->opts.fleet, w->model, n->version,
+                               lease_local_us (&o->clock, known->since_ms));
+          else if (n->heard_us <= o->called_us && is_doubtful (o, n))
+            fleet_named_since (o->opts.fleet, w->model, n->version,
+                               o->called_us - UNRECORDED_US);
+        }
+    }
+  o->read_us = o->called_us;
+}
+
+/* Put what this VM knows of namings into the row that is to be written. */
+static void
+record_namings (const struct orders *o, struct lease_row *row)
+{
+  const struct fleet_wanted *w;
+  struct lease_named r;
+  guint i;
+  int k;
+
+  for (i = 0; i < o->opts.fleet->wanted->len; i++)
+    {
+      w = &g_array_index (o->opts.fleet->wanted, struct fleet_wanted, i);
+      g_strlcpy (r.model, w->model, sizeof r.model);
+      for (k = 0; k < w->nnamed; k++)
+        {
+          r.version = w->named[k].version;
+          r.since_ms = lease_earliest_ms (&o->clock, w->named[k].since_us);
+          if (w->named[k].since_us != 0)
+            lease_note_named (row, &r);
+        }
+    }
+}
+
 /* --- lease ----------------------------------------------------------- */
 
 static bool
@@ -212,6 +315,7 @@
   if (aim == LEASE_RELEASE)
     w->order_until_ms
         = MIN (w->order_until_ms, lease_latest_ms (&o->clock, now_us));
+  record_namings (o, w);
   o->calling = true;
   o->called_us = now_us;
   o->opts.ops.write_lease (o->opts.ops.ctx, w, expected, on_written, o);
@@ -232,10 +336,11 @@
   int64_t begin
       = lease_begin_ms (row, o->holder, o->opts.gap_us / CQ_US_PER_MS);
 
-  memset (&o->row, 0, sizeof o->row);
-  o->row.begin_ms = begin;
   if (row != NULL)
-    o->row.order_until_ms = row->order_until_ms;
+    o->row = *row;
+  else
+    memset (&o->row, 0, sizeof o->row);
+  o->row.begin_ms = begin;
 }
 
 /* The holder is to be left alone until its lease ends. */
@@ -255,14 +360,22 @@
   int64_t now = loop_now_us ();
   const struct lease_row *row = r->exists ? &r->row : NULL;
 
+  bool drawn = now >= o->patient_us;
+
   o->calling = false;
   if (o->stopped)
     return;
+  if (r->code == LEASE_DONE)
+    {
+      read_clock (o, r, now);
+      learn_namings (o, r);
+    }
+  if (!drawn)
+    return;
   o->patient_us = now + PATIENCE_US / 4
                   + g_rand_int_range (o->rand, 0, (gint32)DRAW_MAX_US);
   if (r->code != LEASE_DONE)
     return;
-  read_clock (o, r, now);
   if (is_ours (o, r))
     o->row = r->row;
   else if (lease_is_free (row, o->holder, &o->clock, now))
@@ -278,8 +391,13 @@
 static void
 reach_for_lease (struct orders *o, int64_t now_us)
 {
-  if (o->calling || now_us < o->patient_us)
+  bool doubt = now_us >= o->doubt_us && in_doubt (o);
+
+  if (o->calling || (now_us < o->patient_us && !doubt))
     return;
+  if (doubt)
+    o->doubt_us = now_us + DOUBT_ASK_US / 2
+                  + g_rand_int_range (o->rand, 0, (gint32)DOUBT_ASK_US);
   o->calling = true;
   o->called_us = now_us;
   o->opts.ops.read_lease (o->opts.ops.ctx, on_read, o);
--- a/pick.c
+++ b/pick.c
@@ -210,16 +210,13 @@
 static bool
 too_old (const struct fleet *f, const struct fleet_endpoint *e, int64_t now_us)
 {
-  int64_t since = fleet_outdated_us (f, e);
-
-  return f->old_max_us > 0 && since != 0 && now_us - since >= f->old_max_us;
+  return f->old_max_us > 0 && fleet_outdated_for (f, e, f->old_max_us, now_us);
 }
 
 int
 pick_reload_width (const struct fleet *f, const char *model, int64_t now_us)
 {
   const struct fleet_endpoint *e;
-  int64_t since;
   bool late = false;
   int width, all = 0;
 
@@ -228,8 +225,7 @@
     if (e->draining || strcmp (e->is.model, model) != 0)
       continue;
     all++;
-    since = fleet_outdated_us (f, e);
-    late |= f->old_max_us > 0 && since != 0 && now_us - since > f->old_max_us;
+    late |= too_old (f, e, now_us);
   }
   width = MAX (all / RELOAD_SHARE, RELOAD_WIDTH);
   return late ? RELOAD_LATE * width : width;
--- a/regress/test-fleet.c
+++ b/regress/test-fleet.c
@@ -191,10 +191,10 @@
   a = add (&f, "a", 1);
   b = add (&f, "b", 1);
   g_assert_cmpint (fleet_outdated_us (&f, a), ==, 0);
-  g_assert_true (fleet_take_wanted (&f, "m", 2, 10 * S));
+  g_assert_true (fleet_take_wanted (&f, "m", 2, 10 * S, 10 * S));
   fleet_take_version (b, 2);
-  g_assert_true (fleet_take_wanted (&f, "m", 3, 14 * S));
-  g_assert_false (fleet_take_wanted (&f, "m", 2, 15 * S));
+  g_assert_true (fleet_take_wanted (&f, "m", 3, 14 * S, 14 * S));
+  g_assert_false (fleet_take_wanted (&f, "m", 2, 15 * S, 15 * S));
   g_assert_cmpint (fleet_outdated_us (&f, a), ==, 10 * S);
   g_assert_cmpint (fleet_outdated_us (&f, b), ==, 14 * S);
   fleet_take_version (a, 3);
@@ -273,7 +273,7 @@
   int i, n = 0;
 
   nine (&f);
-  fleet_take_wanted (&f, "m", 2, S);
+  fleet_take_wanted (&f, "m", 2, S, S);
   APR_RING_FOREACH (e, &f.endpoints, fleet_endpoint, link)
   {
     if (n++ < 2)
@@ -374,7 +374,7 @@
       g_snprintf (id, sizeof id, "e%d", i);
       add (&f, id, 1);
     }
-  fleet_take_wanted (&f, "m", 2, S);
+  fleet_take_wanted (&f, "m", 2, S, S);
   g_assert_cmpint (pick_reload_width (&f, "m", 2 * S), ==, 20);
   g_assert_cmpint (pick_reload_width (&f, "m", 11 * S), ==, 40);
   fleet_clear (&f);
@@ -389,7 +389,7 @@
 
   nine (&f);
   f.old_max_us = 9 * S;
-  fleet_take_wanted (&f, "m", 2, S);
+  fleet_take_wanted (&f, "m", 2, S, S);
   g_assert_cmpint (pick_endpoint (&f, &q, 9 * S).code, ==, PICK_CHOSEN);
   g_assert_cmpint (pick_endpoint (&f, &q, 10 * S).code, ==, PICK_SPENT);
   fleet_clear (&f);
--- a/regress/test-orders.c
+++ b/regress/test-orders.c
@@ -314,7 +314,7 @@
 {
   int64_t now = loop_now_us ();
 
-  fleet_take_wanted (&st->fleet, "m", 2, now);
+  fleet_take_wanted (&st->fleet, "m", 2, now, now);
   orders_look (st->orders, now);
 }
 
@@ -445,7 +445,7 @@
   st->hold_busy = true;
   name_version (st);
   wait_until (st, is_busy);
-  fleet_take_wanted (&st->fleet, "m", 3, loop_now_us ());
+  fleet_take_wanted (&st->fleet, "m", 3, loop_now_us (), loop_now_us ());
   st->busy = false;
   st->version = 2;
   st->hold_busy = false;
--- a/relaytry.c
+++ b/relaytry.c
@@ -374,7 +374,7 @@
              c->candidates, c->crowded, (gint64)c->wait_us, r->kept.nfetch,
              r->kept.nsave, (gint64)r->kept.fetch_tokens, (gint64)s.version,
              (gint64)(newer != NULL ? newer->version : 0),
-             (gint64)(newer != NULL ? now_us - newer->heard_us : 0),
+             (gint64)(newer != NULL ? now_us - newer->since_us : 0),
              (gint64)s.left_us, (gint64)r->conf->version,
              (gint64)fleet_age_us (o->fleet, now_us));
   r->call = o->engine.send (o->engine.ctx, &s, &events, r);
