An order without an answer holds no place, and is sent again soon

Cause: an unanswered order held one of two places for 3.3 s, and was sent again only then, though the second has the same number and only one of both counts.

Ruled out: the lease (taken over 0.25 s after each kill by the VM's next life).

Change: sent again 0.3 s after the answer was given up, then later each time; meanwhile the endpoint counts for no place, unless its word shows that it loads.

--- a/orders.c
+++ b/orders.c
@@ -28,9 +28,14 @@
 /* An order whose effect does not show is read back, not sent again blindly;
    after this long it may be sent again under the same number. */
 #define ORDER_MAX_US (2500 * CQ_US_PER_MS)
+/* The same after one without an answer, doubled up to that with each further
+   one.  An endpoint's word is some hundred ms old; with the time in which the
+   answer was waited for, it would show the order by now. */
+#define UNANSWERED_US (300 * CQ_US_PER_MS)
 /* An endpoint that does not answer is passed over for this long. */
 #define SKIP_US (800 * CQ_US_PER_MS)
-#define MAX_TASKS 64 /* endpoints looked at */
+/* Endpoints looked at: a fifth of a service, and those with lost orders. */
+#define MAX_TASKS 256
 /* A VM that hears of a naming so long after it may have been made asks the
    row when it was. */
 #define DOUBT_US (1500 * CQ_US_PER_MS)
@@ -65,6 +70,8 @@
   bool busy;                       /* a call is under way */
   int64_t since_us;                /* in this phase */
   int64_t asked_us;                /* when its state was asked for */
+  bool unanswered;                 /* its order was, and shows no effect */
+  int64_t again_us;                /* after which it is sent again */
   struct load_order order;         /* as sent */
 };
 
@@ -403,6 +410,13 @@
   o->opts.ops.read_lease (o->opts.ops.ctx, on_read, o);
 }
 
+/* Its order may be sent again. */
+static bool
+is_overdue (const struct task *t, int64_t now_us)
+{
+  return t->phase == TASK_LOADING && now_us - t->since_us > t->again_us;
+}
+
 /* An endpoint is to be ordered, now or again. */
 static bool
 has_to_order (const struct orders *o, int64_t now_us)
@@ -412,7 +426,7 @@
   APR_RING_FOREACH (t, &o->tasks, task, link)
   {
     if (t->phase == TASK_IDLE || t->phase == TASK_ASKING
-        || (t->phase == TASK_LOADING && now_us - t->since_us > ORDER_MAX_US))
+        || is_overdue (t, now_us))
       return true;
   }
   return false;
@@ -458,6 +472,25 @@
   return may_order (t->orders, loop_now_us ());
 }
 
+/*
+ * One without an answer may be carried out seconds later, and then counts: it
+ * and the next have the same number.  Until it shows, its endpoint loads
+ * nothing and must not keep others from loading: nine endpoints, two at a
+ * time, took half a minute when most orders were unanswered, and callers got
+ * nothing when the grace of old weights was over.
+ */
+static void
+plan_again (struct task *t, enum order_code code)
+{
+  if (code != ORDER_UNKNOWN)
+    t->again_us = ORDER_MAX_US;
+  else if (t->unanswered)
+    t->again_us = MIN (2 * t->again_us, ORDER_MAX_US);
+  else
+    t->again_us = UNANSWERED_US;
+  t->unanswered = code == ORDER_UNKNOWN;
+}
+
 static void
 on_ordered (void *arg, enum order_code code)
 {
@@ -483,6 +516,7 @@
     task_set (t, TASK_SKIPPED, now);
   else
     task_set (t, TASK_LOADING, now);
+  plan_again (t, code);
   look (o, now);
 }
 
@@ -546,9 +580,13 @@
       loop_arm (o->opts.loop, &o->timer, now);
     }
   else if (s->busy)
-    task_set (t, TASK_LOADING, now);
+    {
+      task_set (t, TASK_LOADING, now);
+      t->unanswered = false;
+      t->again_us = ORDER_MAX_US;
+    }
   else if (may_order (o, now)
-           && (t->phase == TASK_ASKING || now - t->since_us > ORDER_MAX_US))
+           && (t->phase == TASK_ASKING || is_overdue (t, now)))
     send_order (t, s->seq, now);
 }
 
@@ -622,7 +660,7 @@
   int n = 0;
 
   APR_RING_FOREACH (t, &o->tasks, task, link)
-  n += t->phase != TASK_SKIPPED;
+  n += t->phase != TASK_SKIPPED && !t->unanswered;
   return n;
 }
 
--- a/regress/test-orders.c
+++ b/regress/test-orders.c
@@ -338,6 +338,12 @@
   stage_free (st);
 }
 
+static bool
+was_sent (const struct stage *st)
+{
+  return st->orders_sent >= 1;
+}
+
 static bool
 sent_twice (const struct stage *st)
 {
@@ -347,17 +353,24 @@
 /*
  * An order gets no answer.  It may be carried out seconds later; sent again
  * blindly, the endpoint would load twice and drop what it has read since.
- * The second one carries the same number, so only one of both counts.
+ * The second one carries the same number, so only one of both counts, and need
+ * not wait until the first can come no more.
  */
 static void
 test_order_unknown (void)
 {
   struct stage *st = stage_new ();
+  int64_t sent;
 
   st->lose_orders = true;
   name_version (st);
+  wait_until (st, was_sent);
+  sent = loop_now_us ();
   wait_until (st, sent_twice);
   g_assert_cmpint (st->last_seq, ==, 0);
+  /* Not before the endpoint's word can show the first one, and soon after. */
+  g_assert_cmpint (loop_now_us () - sent, >=, 250 * MS);
+  g_assert_cmpint (loop_now_us () - sent, <, 1500 * MS);
   /* The late one is carried out now: nothing more is sent. */
   st->seq = 1;
   st->version = 2;
@@ -478,6 +491,46 @@
   stage_free (st);
 }
 
+static bool
+all_were_ordered (const struct stage *st)
+{
+  const struct fleet_endpoint *e;
+
+  APR_RING_FOREACH (e, &st->fleet.endpoints, fleet_endpoint, link)
+  {
+    if (e->reload_us == 0)
+      return false;
+  }
+  return true;
+}
+
+/*
+ * Endpoints carry orders out seconds after they got them, and answer none.  If
+ * each held a place for as long, nine of them, two at a time, would keep old
+ * weights for half a minute, and callers would get nothing when the grace of
+ * old weights is over.  An order that shows no effect holds no place.
+ */
+static void
+test_unanswered_hold_no_place (void)
+{
+  struct stage *st = stage_new ();
+  struct fleet_listing l = { .version = 1, .slots = 4 };
+  int64_t began = loop_now_us ();
+  int i;
+
+  for (i = 0; i < 8; i++)
+    {
+      g_snprintf (l.id, sizeof l.id, "e%d", i);
+      g_strlcpy (l.model, "m", sizeof l.model);
+      fleet_take_listing (&st->fleet, &l);
+    }
+  st->lose_orders = true;
+  name_version (st);
+  wait_until (st, all_were_ordered);
+  g_assert_cmpint (loop_now_us () - began, <, 4000 * MS);
+  stage_free (st);
+}
+
 static bool
 is_quiet (const struct stage *st)
 {
@@ -875,6 +928,7 @@
   { "/orders/naming-unrecorded", test_naming_unrecorded },
   { "/orders/naming-heard", test_naming_heard },
   { "/orders/naming-written", test_naming_written },
+  { "/orders/unanswered-hold-no-place", test_unanswered_hold_no_place },
   { "/orders/slow-store", test_slow_store },
   { "/orders/successor-waits", test_successor_waits },
   { "/orders/named-while-loading", test_named_while_loading },
