Nothing begins on old weights after their bound, however long it waited

Found on reading: a request that was sent while old weights took work may wait at a busy endpoint for longer than the three seconds that are kept for that (up to 10 s were seen at an overloaded one), and begins when the bound is over.

Change: what has not answered by 0.3 s before the bound is taken back: closed, so that it never begins, and placed again if it may repeat; else the caller hears at once that nothing is known. A connection that stands only when old weights take no more work carries nothing.

/relay/withdrawn-from-old-weights, -once and /relay/connected-too-late were red before; /relay/begun-on-old-weights keeps what has begun. 86 unit tests pass.

--- a/entry.c
+++ b/entry.c
@@ -12,6 +12,9 @@
 /* Likewise for requests that begin on old weights: one may wait some seconds
    at a busy endpoint before it begins. */
 #define VERSION_MARGIN_US (3000 * CQ_US_PER_MS)
+/* What has not begun by then is taken back so much before the bound: looks are
+   40 ms apart, and a closed connection reaches a busy endpoint late. */
+#define VERSION_END_MARGIN_US (300 * CQ_US_PER_MS)
 #define ORDER_GAP_SPARE_MS 150 /* orders travel, and clocks run unlike */
 /* The VM that gave orders last frees parts of outdated weights for this long:
    endpoints on old weights may have had some more to save. */
@@ -214,6 +217,8 @@
   e->cfg = cfg_entry (e->settings);
   fleet_init (&e->fleet);
   e->fleet.old_max_us = e->cfg->version_ms * CQ_US_PER_MS - VERSION_MARGIN_US;
+  e->fleet.old_end_us
+      = e->cfg->version_ms * CQ_US_PER_MS - VERSION_END_MARGIN_US;
   make_feed (e);
   make_relays (e);
   if (!open_doors (e))
--- a/fleet.h
+++ b/fleet.h
@@ -194,6 +194,8 @@
   int64_t back_us;    /* the list could be read again since */
   int64_t old_max_us; /* old weights take work this long after newer ones
                          were named; 0 for ever */
+  int64_t old_end_us; /* and nothing begins on them after so long; 0: it does
+                         for ever */
 };
 
 void fleet_init (struct fleet *f);
--- a/librelay.h
+++ b/librelay.h
@@ -56,6 +56,7 @@
   bool handed_over;  /* a byte may have left */
   bool not_run;      /* the endpoint said so */
   bool streaming;    /* the answer goes on in pieces */
+  bool answering;    /* some of the attempt's answer came */
   bool ran;          /* an earlier attempt may have run */
   bool begun;        /* the caller has part of a stream */
   bool paused;       /* the attempt waits for a slow reader */
@@ -85,6 +86,10 @@
 
 /* Find an endpoint for the next attempt, or give up. */
 void relay_place (struct relay *r, int64_t now_us);
+/* It waits at an endpoint with weights on which nothing may begin any more. */
+bool relay_waits_too_long (const struct relay *r, int64_t now_us);
+/* Take it back from there. */
+void relay_withdraw (struct relay *r, int64_t now_us);
 /* The time for an answer is over. */
 void relay_time_out (struct relay *r, int64_t now_us);
 
--- a/regress/test-relay.c
+++ b/regress/test-relay.c
@@ -716,6 +716,101 @@
   play_free (p);
 }
 
+/* --- old weights ----------------------------------------------------- */
+
+/* Weights of A become outdated now, B has newer ones; old ones take work for
+   100 ms more, and nothing may begin on them after 300 ms. */
+static void
+outdate (struct play *p)
+{
+  struct fleet_endpoint *a = g_hash_table_lookup (p->fleet.by_id, "a");
+  struct fleet_endpoint *b = g_hash_table_lookup (p->fleet.by_id, "b");
+  int64_t now = loop_now_us ();
+
+  p->fleet.old_max_us = 100000;
+  p->fleet.old_end_us = 300000;
+  b->draining = true;
+  fleet_take_wanted (&p->fleet, "m", 4, now, now);
+  play_start (p);
+  g_assert_cmpstr (p->to[0], ==, a->is.id);
+  b->draining = false;
+  fleet_take_version (b, 4);
+}
+
+/*
+ * A stream goes to an endpoint with old weights while these still take work,
+ * and waits there behind others.  Left alone, it would begin after the bound
+ * for old weights.  It is withdrawn, and goes to newer ones.
+ */
+static void
+test_withdrawn_from_old_weights (void)
+{
+  struct play *p = play_new (FLEET_STREAM);
+
+  outdate (p);
+  g_assert_true (p->event->before_send (p->arg));
+  run_for (p, 150000);
+  g_assert_cmpint (p->cancels, ==, 0);
+  run_for (p, 250000);
+  g_assert_cmpint (p->cancels, ==, 1);
+  g_assert_cmpint (p->sends, ==, 2);
+  g_assert_cmpstr (p->to[1], ==, "b");
+  answer_whole (p, "id: 0\ndata: x\n\n");
+  g_assert_cmpint (p->ended, ==, 1);
+  play_free (p);
+}
+
+/* The same, and the stream may not run twice: it may have begun, so the caller
+   is told at once that nothing is known, and nothing else is sent. */
+static void
+test_withdrawn_once (void)
+{
+  struct play *p = play_new (FLEET_STREAM);
+
+  route_of (p)->resumable = false;
+  outdate (p);
+  g_assert_true (p->event->before_send (p->arg));
+  run_for (p, 400000);
+  g_assert_cmpint (p->cancels, ==, 1);
+  g_assert_cmpint (p->sends, ==, 1);
+  g_assert_cmpint (p->refused, ==, RELAY_UNKNOWN);
+  play_free (p);
+}
+
+/* A stream that has begun is whole, whatever its weights. */
+static void
+test_begun_on_old_weights (void)
+{
+  struct play *p = play_new (FLEET_STREAM);
+
+  outdate (p);
+  g_assert_true (p->event->before_send (p->arg));
+  head (p, 200);
+  body (p, "id: 0\ndata: x\n\n");
+  run_for (p, 400000);
+  g_assert_cmpint (p->cancels, ==, 0);
+  end (p, true, true);
+  g_assert_cmpint (p->ended, ==, 1);
+  play_free (p);
+}
+
+/* The connection stands only when old weights take no more work: nothing
+   leaves, and newer ones are tried. */
+static void
+test_connected_too_late (void)
+{
+  struct play *p = play_new (FLEET_STREAM);
+
+  outdate (p);
+  run_for (p, 150000);
+  g_assert_false (p->event->before_send (p->arg));
+  end (p, false, false);
+  g_assert_cmpint (p->sends, ==, 2);
+  g_assert_cmpstr (p->to[1], ==, "b");
+  answer_whole (p, "id: 0\ndata: x\n\n");
+  play_free (p);
+}
+
 const struct unit relay_units[] = {
   { "/relay/frozen-before-send", test_frozen_before_send },
   { "/relay/revoked-before-send", test_revoked_before_send },
@@ -735,5 +830,9 @@
   { "/relay/hang-up", test_hang_up },
   { "/relay/too-late", test_too_late },
   { "/relay/nothing-known", test_nothing_known },
+  { "/relay/withdrawn-from-old-weights", test_withdrawn_from_old_weights },
+  { "/relay/withdrawn-once", test_withdrawn_once },
+  { "/relay/begun-on-old-weights", test_begun_on_old_weights },
+  { "/relay/connected-too-late", test_connected_too_late },
   { NULL, NULL },
 };
--- a/relay.c
+++ b/relay.c
@@ -176,6 +176,8 @@
         relay_caller_gone (r);
       else if (now_us >= r->end_us)
         relay_time_out (r, now_us);
+      else if (relay_waits_too_long (r, now_us))
+        relay_withdraw (r, now_us);
     }
   if (rs->count > 0)
     loop_arm (rs->opts.loop, &rs->sweep, now_us + SWEEP_US);
--- a/relaytry.c
+++ b/relaytry.c
@@ -42,6 +42,16 @@
 
 /* --- attempts -------------------------------------------------------- */
 
+/* Whether the endpoint's weights have been outdated for a limit, 0 for none.
+ */
+static bool
+is_outdated (const struct relay *r, int64_t limit_us, int64_t now_us)
+{
+  return limit_us > 0
+         && fleet_outdated_for (r->rs->opts.fleet, r->endpoint, limit_us,
+                                now_us);
+}
+
 static bool
 before_send (void *arg)
 {
@@ -56,6 +66,8 @@
     r->stopped = "deadline";
   else if (r->endpoint->draining || r->endpoint->gone)
     r->stopped = "endpoint_left";
+  else if (is_outdated (r, r->rs->opts.fleet->old_max_us, now))
+    r->stopped = "weights_outdated";
   r->handed_over = r->stopped == NULL;
   if (!r->handed_over)
     return false;
@@ -142,6 +154,7 @@
 {
   struct relay *r = arg;
 
+  r->answering = true;
   if (r->streaming)
     return take_stream (r, data, len);
   if (r->answer->len + len > r->rs->opts.answer_max)
@@ -185,7 +198,8 @@
 static bool
 attempts_left (const struct relay *r, enum send_state sent)
 {
-  bool ours = r->stopped != NULL && strcmp (r->stopped, "endpoint_left") != 0;
+  bool ours = r->stopped != NULL && strcmp (r->stopped, "endpoint_left") != 0
+              && strcmp (r->stopped, "weights_outdated") != 0;
 
   if (r->ntried >= PICK_EXCLUDE_MAX)
     return false;
@@ -345,6 +359,7 @@
   r->status = 0;
   r->not_run = false;
   r->streaming = false;
+  r->answering = false;
   r->paused = false;
   g_string_truncate (r->answer, 0);
   evt_restart (&r->events);
@@ -459,14 +474,40 @@
     give_up_unplaced (r, pick_code_name (c.code), RETRY_SOON_US, now_us);
 }
 
-void
-relay_time_out (struct relay *r, int64_t now_us)
+/* End the attempt without an answer. */
+static void
+abandon (struct relay *r, const char *reason, int64_t now_us)
 {
   const struct relay_engine *e = &r->rs->opts.engine;
 
   if (r->call != NULL)
     e->cancel (e->ctx, r->call);
   r->call = NULL;
-  r->stopped = "deadline";
+  r->stopped = reason;
   conclude (r, send_state_of (r, false), "", now_us);
 }
+
+void
+relay_time_out (struct relay *r, int64_t now_us)
+{
+  abandon (r, "deadline", now_us);
+}
+
+/*
+ * Sent while old weights took work, a request may wait at a busy endpoint
+ * longer than the margin that is left for that, and would begin when nobody
+ * may have answers by these weights.  Endpoints drop what waits when its
+ * connection closes, so it never begins.
+ */
+bool
+relay_waits_too_long (const struct relay *r, int64_t now_us)
+{
+  return r->call != NULL && !r->answering && r->endpoint->is.model[0] != '\0'
+         && is_outdated (r, r->rs->opts.fleet->old_end_us, now_us);
+}
+
+void
+relay_withdraw (struct relay *r, int64_t now_us)
+{
+  abandon (r, "weights_outdated", now_us);
+}
