Fair shares by workspace when some requests must be refused

Cause: when an endpoint has fallen behind, a part of the requests is refused as too late, drawn by chance. A workspace that asks ten times as much as each of the others so takes their places: all lose as large a part as it does.

Change: the same total is refused, from those who ask for more than an equal share; what one does not need goes to the others (share.c, pure). Each VM counts by itself the tokens that workspaces ask of a service, the last few seconds most. The line too_late has the workspace and the permille kept.

Weighed: a queue for each workspace in the VM (nothing waits there, and without the other VMs' queues it only hides the wait).

/relay/withdrawn-from-old-weights depended on a draw, since its second try came after 0.3 s of a quarter; the route's target is longer now.

--- a/decide.h
+++ b/decide.h
@@ -85,6 +85,34 @@
 /* Outcome of giving up before the next attempt. */
 enum outcome out_refused (bool may_have_run, bool repeatable);
 
+/* --- share: whose requests are refused when some must be -------------- */
+
+#define SHARE_MAX 64       /* workspaces that are told apart */
+#define SHARE_ALL 1000     /* permille that stand for all requests */
+#define SHARE_NAME_SIZE 64 /* bytes of a workspace's name with its NUL */
+
+/* What one workspace asked of a service lately. */
+struct share_entry
+{
+  char name[SHARE_NAME_SIZE]; /* of the workspace */
+  int64_t work;               /* asked for; old work counts for less */
+};
+
+/* What workspaces asked of a service lately. */
+struct share
+{
+  struct share_entry entries[SHARE_MAX]; /* the ones told apart */
+  int n;                                 /* entries in use */
+  int64_t aged_us;                       /* old work was last counted down */
+};
+
+/* WORKSPACE asks for WORK, in any unit that is the same for all. */
+void share_ask (struct share *s, const char *workspace, int64_t work,
+                int64_t now_us);
+/* Permille of the requests of WORKSPACE to keep, if KEEP of all work can be
+   kept: equal shares for all, and what one does not need for the others. */
+int share_keep (const struct share *s, const char *workspace, int keep);
+
 /* --- budget: retries as a share of requests -------------------------- */
 
 /* Retry budget of a service: an outage must not be doubled by retries. */
--- a/librelay.h
+++ b/librelay.h
@@ -20,6 +20,7 @@
   APR_RING_HEAD (relay_ring, relay) all; /* live requests */
   int count;                             /* their number */
   GHashTable *budgets;                   /* service to struct budget */
+  GHashTable *shares;                    /* service to struct share */
   struct loop_timer sweep;               /* deadlines and hang-ups */
   unsigned sweeps;                       /* done so far */
   uint64_t random;                       /* state of random choices */
@@ -72,6 +73,10 @@
 bool relay_key_is_gone (const struct relay *r);
 /* A random number of RS. */
 uint64_t relay_draw (struct relays *rs);
+/* Name of who asks, "" if nobody was named. */
+const char *relay_workspace (const struct relay *r);
+/* What workspaces ask of the service of R. */
+struct share *relay_share (struct relay *r);
 /* Repeats that the service of R may still have. */
 struct budget *relay_budget (struct relay *r);
 /* The request is no longer at its endpoint. */
--- a/regress/test-relay.c
+++ b/regress/test-relay.c
@@ -727,6 +727,8 @@
   struct fleet_endpoint *b = g_hash_table_lookup (p->fleet.by_id, "b");
   int64_t now = loop_now_us ();
 
+  /* Callers wait long enough for a second try not to be too late. */
+  route_of (p)->target_us = 10 * CQ_US_PER_S;
   p->fleet.old_max_us = 100000;
   p->fleet.old_end_us = 300000;
   b->draining = true;
--- a/relay.c
+++ b/relay.c
@@ -41,6 +41,38 @@
   return b;
 }
 
+const char *
+relay_workspace (const struct relay *r)
+{
+  return r->workspace != NULL ? r->workspace->name : "";
+}
+
+struct share *
+relay_share (struct relay *r)
+{
+  struct relays *rs = r->rs;
+  struct share *s = g_hash_table_lookup (rs->shares, r->service);
+
+  if (s == NULL)
+    {
+      s = g_new0 (struct share, 1);
+      g_hash_table_insert (rs->shares, g_strdup (r->service), s);
+    }
+  return s;
+}
+
+/* Work that a request asks for: tokens to be read, and one for the rest. */
+static int64_t
+work_of (const struct relay_desc *d)
+{
+  int64_t work = 1;
+  int i;
+
+  for (i = 0; i < d->nparts; i++)
+    work += MAX (d->parts[i].tokens, 0);
+  return work;
+}
+
 bool
 relay_repeatable (const struct relay *r)
 {
@@ -293,6 +325,7 @@
     }
   r = relay_new (rs, d, route, now_us);
   r->workspace = workspace;
+  share_ask (relay_share (r), relay_workspace (r), work_of (d), now_us);
   /* Held as if a message were under way, so that it outlives this call. */
   r->unpausing = true;
   relay_place (r, now_us);
@@ -366,6 +399,7 @@
   rs->sweep.arg = rs;
   rs->budgets
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  rs->shares = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   APR_RING_INIT (&rs->all, relay, link);
   return rs;
 }
@@ -375,6 +409,7 @@
 {
   loop_disarm (&rs->sweep);
   g_hash_table_destroy (rs->budgets);
+  g_hash_table_destroy (rs->shares);
   g_free (rs);
 }
 
--- a/relaytry.c
+++ b/relaytry.c
@@ -422,29 +422,32 @@
  * prompt for nobody, and those behind it become late too, until nobody is
  * answered in time.  The longer the wait, the larger the share that is
  * refused, so that what is left can be served: refusing all until the wait
- * is over leaves endpoints idle, and then all come at once.
+ * is over leaves endpoints idle, and then all come at once.  Whose requests
+ * these are follows from what each workspace asks for.
  */
 static bool
-is_hopeless (const struct relay *r, const struct pick_choice *c,
-             int64_t now_us)
+is_hopeless (struct relay *r, const struct pick_choice *c, int64_t now_us)
 {
   int64_t wait = now_us - r->arrived_us + c->wait_us;
   int64_t enough = patience_us (r) / PATIENCE_SHARE;
+  int keep = SHARE_ALL;
   bool hopeless;
 
   if (r->route->kind != FLEET_STREAM || r->begun)
     return false;
+  if (wait > enough)
+    keep = share_keep (relay_share (r), relay_workspace (r),
+                       (int)(enough * SHARE_ALL / wait));
   hopeless = r->arrived_us + wait > r->end_us
-             || (wait > enough
-                 && (int64_t)(relay_draw (r->rs) % (uint64_t)wait) >= enough);
+             || (int)(relay_draw (r->rs) % SHARE_ALL) >= keep;
   if (hopeless)
     log_event (LOG_LEVEL_INFO, "too_late",
-               "req=%s route=%s endpoint=%s wait_us=%" G_GINT64_FORMAT
-               " enough_us=%" G_GINT64_FORMAT " left_us=%" G_GINT64_FORMAT
-               " candidates=%d crowded=%d",
-               r->desc.id, r->route->name, c->endpoint->is.id, (gint64)wait,
-               (gint64)enough, (gint64)(r->end_us - now_us), c->candidates,
-               c->crowded);
+               "req=%s route=%s endpoint=%s workspace=%s keep=%d "
+               "wait_us=%" G_GINT64_FORMAT " enough_us=%" G_GINT64_FORMAT
+               " left_us=%" G_GINT64_FORMAT " candidates=%d crowded=%d",
+               r->desc.id, r->route->name, c->endpoint->is.id,
+               relay_workspace (r), keep, (gint64)wait, (gint64)enough,
+               (gint64)(r->end_us - now_us), c->candidates, c->crowded);
   return hopeless;
 }
 
