Answers that grow: limits by silence, not by size; a VM that is behind denies nothing

Cause: a call to the platform's store was limited as a whole (0.9 s for a read, a poll's wait and 0.5 s). The operators' settings grew until an answer took longer than that on a 10 Mbit/s link. Each try began with the first byte again, so the VM never had it: it went on by older settings, answered 404 for routes that were added, and a VM that started never became ready.

Ruled out: a slow or refusing store (all VMs would fail, and the next poll would succeed), the limit of size (4 MB, far away), the time to decode (0.05 s of a core for 4,200 routes). libcurl's low-speed option was no way: it has whole seconds.

Change. - stall.c (pure), xfer.c: limits until the first byte of a reply and without a further one, besides the one for the whole. fetch.c tells silent, stalled, broken and too large apart; follow.c sets the limits (0.5 s without a byte, 6.7 s over the first byte's for 4 MB over half of 10 Mbit/s) and logs the reason, again when it changes.

What remains possible: while a newer answer arrives, requests are served by the older settings, so one for a route that was moved or dropped may still go to its old service if the answer takes longer than the bound: over 3.6 MB at 10 Mbit/s for 3 s, half of it where a second change is made while the first one's answer arrives. Refusing everything meanwhile would make each large change an outage of all small VMs.

Red with the safeguard off, each tried: limits for the whole as before (follow/limits, bigconf), no stall limit (bigconf), bytes not counted (xfer/slow, stall/slow-progress, bigconf), first byte does not bring the end nearer (xfer/stalled), stall not told (xfer/stalled), denials by any age (relay/behind-denies-nothing, bigconf), wait not by age (follow/wait-by-age, follow/old-on-arrival), whole read after silence (follow/poll-goes-on, bigconf), poll after a too large answer (follow/poll-goes-on), too large told as silent (bigconf).

Conclusion: size costs time on a small link, and no longer the answer.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 # Deciding: pure, no I/O, no locks, no clock.
 DECIDE = out.o budget.o lim.o fq.o claim.o pfx.o route.o \
-	dir.o link.o plan.o keep.o memb.o
+	dir.o link.o plan.o keep.o memb.o stall.o
 # Reading what callers and engines send: pure.
 WIRE = prompt.o strm.o
 SETTINGS = cfg.o cfgval.o settings_gen.o
@@ -63,14 +63,15 @@
 	$(CC) $(CFLAGS) -o $@ regress/check.o $(LIBS)
 
 UNITS = regress/test-units.o regress/test-wire.o regress/test-fleet.o \
-	regress/test-relay.o regress/test-orders.o regress/test-parts.o
+	regress/test-relay.o regress/test-orders.o regress/test-parts.o \
+	regress/test-xfer.o
 
 regress/test-units: $(UNITS) librelay.a libserver.a libwire.a libdecide.a
-	$(CC) $(CFLAGS) -o $@ $(UNITS) librelay.a log.o met.o loop.o \
+	$(CC) $(CFLAGS) -o $@ $(UNITS) librelay.a log.o met.o loop.o xfer.o \
 		libwire.a libdecide.a $(LIBS)
 
-bench/load: bench/load.o loop.o xfer.o
-	$(CC) $(CFLAGS) -o $@ bench/load.o loop.o xfer.o $(LIBS)
+bench/load: bench/load.o loop.o xfer.o stall.o
+	$(CC) $(CFLAGS) -o $@ bench/load.o loop.o xfer.o stall.o $(LIBS)
 
 bench/replay: bench/replay.o bench/work.o bench/world.o libdecide.a
 	$(CC) $(CFLAGS) -o $@ bench/replay.o bench/work.o bench/world.o \
@@ -94,7 +95,7 @@
 		regress/test-units
 
 # Coverage-guided inputs for all parsers; needs clang.
-FUZZED = prompt.c strm.c peer_xdr.c platform/decode.c platform/json.c platform/kvstore.c fleet.c evt.c fetch.c xfer.c loop.c
+FUZZED = prompt.c strm.c peer_xdr.c platform/decode.c platform/json.c platform/kvstore.c fleet.c evt.c fetch.c xfer.c stall.c loop.c
 regress/fuzz-input: regress/fuzz-input.c $(FUZZED) wire.h
 	clang -std=gnu11 -D_GNU_SOURCE -g -O1 $(LIB_CFLAGS) -I. \
 		-fsanitize=fuzzer,address,undefined -o $@ \
--- a/entry.c
+++ b/entry.c
@@ -9,6 +9,10 @@
    passed; this much earlier covers what happens between the last look and
    the first byte. */
 #define REVOKE_MARGIN_US (300 * CQ_US_PER_MS)
+/* A denial must rest on knowledge younger than the time after which a change
+   counts; this much younger covers clocks that run unlike and the way of the
+   refusal through this VM. */
+#define APPLY_MARGIN_US (100 * CQ_US_PER_MS)
 /* Likewise for requests that begin on old weights: one may wait some seconds
    at a busy endpoint before it begins. */
 #define VERSION_MARGIN_US (3000 * CQ_US_PER_MS)
@@ -44,6 +48,12 @@
   bool was_ready;                /* as logged last */
 };
 
+static int64_t
+deny_us (const struct cfg_entry *cfg)
+{
+  return cfg->apply_ms * CQ_US_PER_MS - APPLY_MARGIN_US;
+}
+
 /* --- readiness ------------------------------------------------------- */
 
 /*
@@ -147,7 +157,7 @@
 
   o.changed = on_changed;
   o.arg = e;
-
+  o.current_us = deny_us (e->cfg);
   entry_adapter.follow_ops (e->store, &o.ops);
   o.seed = seed_of (cfg_vm (server_cfg (e->worker->server)));
   e->follow = follow_new (&o);
@@ -175,6 +185,7 @@
   o.parts = &e->parts;
   o.domain = vm->domain;
   o.stale_us = e->cfg->revoke_ms * CQ_US_PER_MS - REVOKE_MARGIN_US;
+  o.deny_us = deny_us (e->cfg);
   o.retry_percent = (int)e->cfg->retry_percent;
   o.retry_burst = (int)e->cfg->retry_burst;
   o.stream_buffer = (size_t)vm->stream_buffer_kb * 1024;
--- a/fetch.c
+++ b/fetch.c
@@ -25,13 +25,25 @@
   return XFER_TAKEN;
 }
 
+static int
+status_of (const struct xfer_end *end)
+{
+  if (end->whole)
+    return end->status;
+  if (end->stopped)
+    return FETCH_TOO_LARGE;
+  if (end->stalled)
+    return FETCH_STALLED;
+  return end->status != 0 ? FETCH_BROKEN : FETCH_NONE;
+}
+
 static void
 finish (void *arg, const struct xfer_end *end)
 {
   struct fetch *f = arg;
 
   if (f->done != NULL)
-    f->done (f->arg, end->whole ? end->status : 0, f->reply);
+    f->done (f->arg, status_of (end), f->reply);
   g_string_free (f->reply, TRUE);
   g_free (f->body);
   g_free (f);
@@ -68,6 +80,8 @@
   o.body_len = opts->body_len;
   o.connect_timeout_ms = opts->timeout_ms;
   o.timeout_ms = opts->timeout_ms;
+  o.first_ms = opts->first_ms;
+  o.stall_ms = opts->stall_ms;
   o.events = &events;
   o.arg = f;
   xfer_start (p, &o);
--- a/fetch.h
+++ b/fetch.h
@@ -6,7 +6,16 @@
 
 #include "xfer.h"
 
-/* The reply, whole or not; STATUS is 0 if none arrived whole. */
+/* Why a reply did not arrive whole; told in place of its status. */
+enum fetch_lack
+{
+  FETCH_NONE = 0,      /* nothing of it came */
+  FETCH_STALLED = -1,  /* part of it came, and then nothing for too long */
+  FETCH_BROKEN = -2,   /* part of it came; closed, or over the whole time */
+  FETCH_TOO_LARGE = -3 /* it is larger than what is taken */
+};
+
+/* The reply, whole or not; STATUS is a fetch_lack if it is not whole. */
 typedef void (*fetch_done) (void *arg, int status, const GString *body);
 
 /* What to ask for. */
@@ -19,7 +28,9 @@
   const char *body;         /* copied; may be NULL */
   size_t body_len;          /* bytes of body */
   int64_t timeout_ms;       /* to connect, and for all of it */
-  size_t reply_max;         /* a longer reply counts as none */
+  int64_t first_ms;         /* for the reply's first byte, 0 for none */
+  int64_t stall_ms;         /* without a further byte, 0 for no limit */
+  size_t reply_max;         /* a longer reply is not taken */
   fetch_done done;          /* may be NULL */
   void *arg;                /* passed to done */
 };
--- a/follow.c
+++ b/follow.c
@@ -8,13 +8,18 @@
 
 /*
  * Longest poll.  The wait is also how old knowledge gets in calm: it must stay
- * well under the bound past which keys count for nothing (seconds).
+ * well under the bound past which keys count for nothing (seconds), and under
+ * the one past which nothing is denied.
  */
 #define OPERATOR_WAIT_US (2200 * CQ_US_PER_MS)
+/* Shortest poll, after an answer that took so long that its news was old when
+   it came: one without a wait would say no more, and might be sent at once
+   again. */
+#define OPERATOR_WAIT_MIN_US (100 * CQ_US_PER_MS)
 #define ENDPOINTS_WAIT_US (2000 * CQ_US_PER_MS)
-/* For an answer to come, over the wait: sixty times the platform's usual
-   4 ms, twice.  With the wait, a poll that is lost is over after 2.7 s, and
-   a read may be tried twice before knowledge is too old for keys. */
+/* For an answer to begin, over the wait: sixty times the platform's usual
+   4 ms, twice.  With the wait, a poll that is lost is over after 2.7 s at
+   most, and two or three more before knowledge is too old for keys. */
 #define ANSWER_US (500 * CQ_US_PER_MS)
 /*
  * Some of 145 endpoints changes its entry every quarter of a second, and each
@@ -24,6 +29,23 @@
  */
 #define ENDPOINTS_GAP_US (1000 * CQ_US_PER_MS)
 #define READ_US (900 * CQ_US_PER_MS)
+/*
+ * Without a further byte of an answer that has begun.  On a link of 10 Mbit/s
+ * 4 KB take 3 ms, and ten times that where requests crowd it; a packet that is
+ * lost comes again after 200 ms.
+ */
+#define STALL_US (500 * CQ_US_PER_MS)
+/*
+ * Taken of an answer.  A route takes 260 to 400 bytes on the wire, so this
+ * holds 10,400 to 16,000.  A VM takes 13 MB at its peak without routes, 25 MB
+ * with 4,200 and 47 MB with 10,000; 20,000 would take 84 MB, and a VM of 88 MB
+ * with work to do would be ended by its platform, start, and read them again.
+ */
+#define ANSWER_MAX_BYTES 4194304
+/* The smallest VMs' link, 10 Mbit/s, of which requests may take half. */
+#define LINK_MIN_BYTES_S (10 * 1000 * 1000 / 8 / 2)
+/* For a whole answer: 6.7 s.  What trickles in for longer is given up. */
+#define WHOLE_US (ANSWER_MAX_BYTES * CQ_US_PER_S / LINK_MIN_BYTES_S)
 /* Pauses after a failed call, doubled up to the longest, with as much again
    at random: all VMs lose the platform at one moment, and must not return at
    one moment. */
@@ -37,9 +59,11 @@
   [FOLLOW_ENDPOINTS] = "endpoints",
 };
 
-static const int64_t waits[FOLLOW_SOURCES] = {
-  [FOLLOW_OPERATOR] = OPERATOR_WAIT_US,
-  [FOLLOW_ENDPOINTS] = ENDPOINTS_WAIT_US,
+/* As the log names what became of a call. */
+static const char *const lost_names[] = {
+  [NEWS_REFUSED] = "refused",     [NEWS_SILENT] = "silent",
+  [NEWS_STALLED] = "stalled",     [NEWS_BROKEN] = "broken",
+  [NEWS_TOO_LARGE] = "too_large", [NEWS_UNREADABLE] = "unreadable",
 };
 
 /* Between the starts of two polls. */
@@ -58,6 +82,7 @@
   int64_t asked_us;          /* when the call under way was sent */
   bool reading;              /* that call reads all */
   int64_t lost_us;           /* calls fail since then; 0 if they do not */
+  enum news_code lost_code;  /* how the last one failed, as logged */
   int64_t pause_us;          /* after the next failure */
   struct loop_timer timer;   /* ends a pause */
   bool busy;                 /* a call is under way */
@@ -296,22 +321,39 @@
   s->pause_us = PAUSE_FIRST_US;
 }
 
+/*
+ * Whether the next call may be a poll again.  A poll tells all changes after
+ * a version, or that it cannot, so one that stayed without its answer takes
+ * nothing away; reading the settings again would cost each VM 1.6 MB and more
+ * than a second of a small link after each moment of silence.  An answer that
+ * was too large may be smaller as a whole read, which holds each row once.
+ * Entries of endpoints lapse in an outage: only their whole list tells.
+ */
+static bool
+may_go_on (const struct stream *s, enum news_code code)
+{
+  return s->source == FOLLOW_OPERATOR
+         && (code == NEWS_SILENT || code == NEWS_STALLED
+             || code == NEWS_REFUSED);
+}
+
 static void
 note_lost (struct stream *s, const struct news *n, int64_t now_us)
 {
-  if (s->lost_us == 0)
+  /* What keeps an outage going may not be what began it. */
+  if (s->lost_us == 0 || s->lost_code != n->code)
     {
       log_event (LOG_LEVEL_WARNING, "platform",
                  "source=%s outcome=lost reason=%s bytes=%" G_GINT64_FORMAT
                  " took_us=%" G_GINT64_FORMAT,
-                 source_names[s->source],
-                 n->code == NEWS_REFUSED ? "refused" : "silent",
+                 source_names[s->source], lost_names[n->code],
                  (gint64)n->bytes, (gint64)(now_us - s->asked_us));
-      /* It may have been gone since the call was sent. */
-      s->lost_us = s->asked_us;
+      s->lost_code = n->code;
     }
-  /* Only a whole read tells for certain what is current after a fault. */
-  s->known = false;
+  /* It may have been gone since the call was sent. */
+  if (s->lost_us == 0)
+    s->lost_us = s->asked_us;
+  s->known = s->known && may_go_on (s, n->code);
   loop_arm (s->follow->opts.loop, &s->timer,
             now_us + s->pause_us
                 + (int64_t)g_rand_int_range (s->follow->rand, 0,
@@ -351,22 +393,42 @@
     loop_arm (f->opts.loop, &s->timer, s->asked_us + gaps[s->source]);
 }
 
+int64_t
+follow_wait_us (int64_t current_us, int64_t age_us)
+{
+  return CLAMP (current_us - ANSWER_US - age_us, OPERATOR_WAIT_MIN_US,
+                OPERATOR_WAIT_US);
+}
+
+static int64_t
+wait_of (const struct stream *s, int64_t now_us)
+{
+  const struct follow_opts *o = &s->follow->opts;
+
+  if (s->source == FOLLOW_ENDPOINTS)
+    return ENDPOINTS_WAIT_US;
+  return follow_wait_us (o->current_us, fleet_age_us (o->fleet, now_us));
+}
+
 static void
 ask (struct stream *s, int64_t now_us)
 {
   const struct follow_ops *o = &s->follow->opts.ops;
-  int64_t wait = waits[s->source];
+  struct follow_limits l = { .stall_us = STALL_US };
+  int64_t wait = wait_of (s, now_us);
 
   if (s->busy || s->follow->stopped)
     return;
   s->busy = true;
   s->asked_us = now_us;
   s->reading = !s->known;
+  l.first_us = s->reading ? READ_US : wait + ANSWER_US;
+  l.whole_us = l.first_us + WHOLE_US;
+  l.bytes_max = ANSWER_MAX_BYTES;
   if (s->reading)
-    o->read (o->ctx, s->source, READ_US, on_news, s);
+    o->read (o->ctx, s->source, &l, on_news, s);
   else
-    o->changes (o->ctx, s->source, s->version, wait, wait + ANSWER_US, on_news,
-                s);
+    o->changes (o->ctx, s->source, s->version, wait, &l, on_news, s);
 }
 
 static void
--- a/follow.h
+++ b/follow.h
@@ -40,7 +40,11 @@
   NEWS_OK,
   NEWS_HISTORY_LOST, /* changes since then are not to be had: read all */
   NEWS_REFUSED,      /* over a rate, or turned away */
-  NEWS_SILENT        /* no answer, or none that can be read */
+  NEWS_SILENT,       /* no byte of an answer */
+  NEWS_STALLED,      /* part of one, and then no byte for too long */
+  NEWS_BROKEN,       /* part of one, that ended or took too long as a whole */
+  NEWS_TOO_LARGE,    /* an answer over the limit of size */
+  NEWS_UNREADABLE    /* a whole one that says nothing that is known */
 };
 
 struct news
@@ -54,16 +58,25 @@
 
 typedef void (*news_done) (void *arg, const struct news *news);
 
+/* Limits of a call, or of each page of its answer. */
+struct follow_limits
+{
+  int64_t first_us; /* until the first byte of the answer */
+  int64_t stall_us; /* without a further byte */
+  int64_t whole_us; /* for all of it */
+  size_t bytes_max; /* taken of an answer */
+};
+
 /* The platform, as an adapter offers it; DONE is always called, once. */
 struct follow_ops
 {
   /* All there is now. */
-  void (*read) (void *ctx, enum follow_source source, int64_t timeout_us,
-                news_done done, void *arg);
+  void (*read) (void *ctx, enum follow_source source,
+                const struct follow_limits *limits, news_done done, void *arg);
   /* Changes after VERSION, waited for up to WAIT_US. */
   void (*changes) (void *ctx, enum follow_source source, int64_t version,
-                   int64_t wait_us, int64_t timeout_us, news_done done,
-                   void *arg);
+                   int64_t wait_us, const struct follow_limits *limits,
+                   news_done done, void *arg);
   void *ctx; /* passed to both */
 };
 
@@ -73,6 +86,8 @@
   struct fleet *fleet;   /* beliefs to keep current */
   struct follow_ops ops; /* adapter */
   uint64_t seed;         /* of pauses */
+  /* Knowledge of the operators' settings stays younger than this in calm. */
+  int64_t current_us;
   /* Something changed in what was followed; may be NULL. */
   void (*changed) (void *arg, int64_t now_us);
   void *arg; /* passed to changed */
@@ -85,6 +100,9 @@
 /* Ask nothing more; answers under way are dropped. */
 void follow_stop (struct follow *f);
 void follow_free (struct follow *f);
+/* How long a poll for the operators' changes may wait, by the age that their
+   knowledge has as it is sent and is to stay below. */
+int64_t follow_wait_us (int64_t current_us, int64_t age_us);
 /* Calls under way. */
 int follow_waiting (const struct follow *f);
 
--- a/regress/bigconf.sh
+++ b/regress/bigconf.sh
@@ -48,3 +48,23 @@
 control rows '{"silent":0}'
 wait_for is_ready a
 ask a /unheard/x
+
+# lost REASON: VM a's log tells what became of a call to the store.
+lost() { grep -q "event=platform source=operator outcome=lost reason=$1 " "$tmp/a.log"; }
+
+echo "== an answer falls silent midway: told, given up, and had from the next call"
+control rows '{"halt_kb":40}'
+row op config "$(big_conf 5 801)"
+wait_for lost stalled
+control rows '{"halt_kb":0}'
+grep 'outcome=lost reason=stalled ' "$tmp/a.log" | sed -n '1s/.* bytes=\([0-9]*\) .*/\1/p' |
+	awk '{ print ($1 >= 30000 && $1 <= 50000) ? "some 40 KB had come" : "bytes: " $1 }'
+wait_for has_line "$tmp/a.log" 'outcome=in_force conf=5 '
+echo "in force"
+
+echo "== an answer is over the limit: told as that, and nothing is denied"
+control rows '{"kb_s":0}'
+row op config "$(big_conf 6 18000)"
+wait_for lost too_large
+wait_for status_is a /unheard/x 503
+echo "told"
--- a/regress/fakehttp.c
+++ b/regress/fakehttp.c
@@ -135,6 +135,10 @@
   struct paced *p = arg;
   size_t n = MIN (MIN (max, (size_t)1024), p->len - (size_t)at);
 
+  int64_t halt = fk_number ("halt_kb", 0) * 1024;
+
+  while (halt > 0 && (int64_t)at >= halt && fk_number ("halt_kb", 0) > 0)
+    g_usleep (20000);
   g_usleep ((gulong)(n * 1000 / (size_t)p->kb_s));
   memcpy (buf, p->text + at, n);
   return (ssize_t)n;
--- a/regress/fakerows.c
+++ b/regress/fakerows.c
@@ -12,6 +12,7 @@
  *   compact      so many polls are told that the history is gone
  *   deaf         polls see no changes
  *   kb_s         kilobytes of an answer that leave in a second, 0 for all
+ *   halt_kb      kilobytes of such an answer after which no more leave
  */
 #include "fake.h"
 
--- a/regress/test-orders.c
+++ b/regress/test-orders.c
@@ -495,47 +495,55 @@
 
 /* --- following ------------------------------------------------------- */
 
+#define CURRENT_US (1900 * MS)
+
 /* A played platform: the test hands out each answer. */
 struct source
 {
-  struct loop *loop;              /* for pauses */
-  struct fleet fleet;             /* beliefs */
-  struct follow *follow;          /* under test */
-  news_done done[FOLLOW_SOURCES]; /* waiting for news */
-  void *arg[FOLLOW_SOURCES];      /* for them */
-  bool reading[FOLLOW_SOURCES];   /* a read, not a wait */
-  int64_t after[FOLLOW_SOURCES];  /* version it waits after */
-  int waits[FOLLOW_SOURCES];      /* for changes, so far */
-  bool stop_at_wait;              /* the next one ends the loop */
-  int64_t store_ms;               /* its clock, as answers say */
+  struct loop *loop;                           /* for pauses */
+  struct fleet fleet;                          /* beliefs */
+  struct follow *follow;                       /* under test */
+  news_done done[FOLLOW_SOURCES];              /* waiting for news */
+  void *arg[FOLLOW_SOURCES];                   /* for them */
+  bool reading[FOLLOW_SOURCES];                /* a read, not a wait */
+  int64_t after[FOLLOW_SOURCES];               /* version it waits after */
+  int waits[FOLLOW_SOURCES];                   /* for changes, so far */
+  int64_t wait_us[FOLLOW_SOURCES];             /* of the last one */
+  struct follow_limits limits[FOLLOW_SOURCES]; /* of the last call */
+  bool stop_at_wait;                           /* the next one ends the loop */
+  bool stop_at_call; /* the next call of any kind does */
+  int64_t store_ms;  /* its clock, as answers say */
 };
 
 static void
-read_all (void *ctx, enum follow_source s, int64_t timeout_us, news_done done,
-          void *arg)
+read_all (void *ctx, enum follow_source s, const struct follow_limits *limits,
+          news_done done, void *arg)
 {
   struct source *p = ctx;
 
-  (void)timeout_us;
+  p->limits[s] = *limits;
   p->done[s] = done;
   p->arg[s] = arg;
   p->reading[s] = true;
+  if (p->stop_at_call)
+    loop_stop (p->loop);
 }
 
 static void
 wait_changes (void *ctx, enum follow_source s, int64_t version,
-              int64_t wait_us, int64_t timeout_us, news_done done, void *arg)
+              int64_t wait_us, const struct follow_limits *limits,
+              news_done done, void *arg)
 {
   struct source *p = ctx;
 
-  (void)wait_us;
-  (void)timeout_us;
+  p->limits[s] = *limits;
+  p->wait_us[s] = wait_us;
   p->done[s] = done;
   p->arg[s] = arg;
   p->reading[s] = false;
   p->after[s] = version;
   p->waits[s]++;
-  if (p->stop_at_wait)
+  if (p->stop_at_wait || p->stop_at_call)
     loop_stop (p->loop);
 }
 
@@ -552,6 +560,7 @@
   o.ops.read = read_all;
   o.ops.changes = wait_changes;
   o.ops.ctx = p;
+  o.current_us = CURRENT_US;
   p->follow = follow_new (&o);
   follow_start (p->follow);
   return p;
@@ -704,6 +713,115 @@
   source_free (p);
 }
 
+#define ANSWER_US (500 * MS) /* for an answer to begin, over the wait */
+#define LINK_BYTES_S 1250000 /* of the smallest VMs: 10 Mbit/s */
+
+/*
+ * In calm, knowledge gets as old as a poll waits and its answer takes.  If
+ * that reached the bound past which nothing is denied, callers with a wrong
+ * path would hear 503 in each lull, and come back for nothing.
+ */
+static void
+test_wait_by_age (void)
+{
+  int64_t current, age, wait;
+
+  for (current = 900 * MS; current < 6000 * MS; current += 50 * MS)
+    for (age = 0; age < 9000 * MS; age += 30 * MS)
+      {
+        wait = follow_wait_us (current, age);
+        g_assert_cmpint (wait, >=, 100 * MS);
+        g_assert_cmpint (wait, <=, 2200 * MS);
+        if (wait > 100 * MS)
+          g_assert_cmpint (age + wait + ANSWER_US, <=, current);
+      }
+  /* Nothing is gained by asking more often than that. */
+  g_assert_cmpint (follow_wait_us (2900 * MS, 0), ==, 2200 * MS);
+  g_assert_cmpint (follow_wait_us (1900 * MS, 0), ==, 1400 * MS);
+}
+
+/*
+ * All settings take seconds to come over a small link, so they are old when
+ * they are there.  The next poll asks at once whether they still hold: with
+ * its usual wait the VM would deny nothing, and then refuse all keys, while
+ * the platform is well and nothing changes.
+ */
+static void
+test_old_on_arrival (void)
+{
+  struct source *p = source_new ();
+
+  p->store_ms = 50000;
+  tell (p, FOLLOW_OPERATOR, NEWS_OK, 10, NULL);
+  g_assert_cmpint (p->wait_us[FOLLOW_OPERATOR], >, 1300 * MS);
+  /* By its clock the answer was given when the call was sent. */
+  g_usleep (700000);
+  tell (p, FOLLOW_OPERATOR, NEWS_OK, 11, NULL);
+  g_assert_cmpint (p->wait_us[FOLLOW_OPERATOR], <, 800 * MS);
+  g_assert_cmpint (p->wait_us[FOLLOW_OPERATOR], >, 100 * MS);
+  source_free (p);
+}
+
+/*
+ * The largest answer that is taken must have the time that it needs on the
+ * smallest link: limited as a whole to less, it would never be had.  What
+ * shows a silent store is the wait for the first byte and for each further
+ * one, and both are short.
+ */
+static void
+test_limits (void)
+{
+  struct source *p = source_new ();
+  const struct follow_limits *l = &p->limits[FOLLOW_OPERATOR];
+  int64_t largest_us = (int64_t)l->bytes_max * CQ_US_PER_S / LINK_BYTES_S;
+
+  g_assert_cmpint (l->first_us, <, CQ_US_PER_S);
+  g_assert_cmpint (l->whole_us, >=, 2 * largest_us);
+  tell (p, FOLLOW_OPERATOR, NEWS_OK, 10, NULL);
+  g_assert_cmpint (l->first_us, ==, p->wait_us[FOLLOW_OPERATOR] + ANSWER_US);
+  g_assert_cmpint (l->stall_us, <=, ANSWER_US);
+  g_assert_cmpint (l->whole_us, >=, l->first_us + 2 * largest_us);
+  source_free (p);
+}
+
+/* A call fails; the next one is waited for, and whether it reads is told. */
+static bool
+reads_after (enum follow_source s, enum news_code code)
+{
+  struct source *p = source_new ();
+  bool reading;
+
+  tell (p, s, NEWS_OK, 10, NULL);
+  g_assert_false (p->reading[s]);
+  p->after[s] = 0;
+  p->stop_at_call = true;
+  tell (p, s, code, 0, NULL);
+  loop_run (p->loop);
+  reading = p->reading[s];
+  if (!reading)
+    g_assert_cmpint (p->after[s], ==, 10);
+  source_free (p);
+  return reading;
+}
+
+/*
+ * The platform is silent for a moment.  What was read before still holds, and
+ * a poll tells what changed since: each VM reading megabytes again would take
+ * the next seconds of a small link.  A poll whose answer is too large never
+ * gets anywhere, and a list of endpoints is only certain as a whole.
+ */
+static void
+test_poll_goes_on (void)
+{
+  g_assert_false (reads_after (FOLLOW_OPERATOR, NEWS_SILENT));
+  g_assert_false (reads_after (FOLLOW_OPERATOR, NEWS_STALLED));
+  g_assert_false (reads_after (FOLLOW_OPERATOR, NEWS_REFUSED));
+  g_assert_true (reads_after (FOLLOW_OPERATOR, NEWS_TOO_LARGE));
+  g_assert_true (reads_after (FOLLOW_OPERATOR, NEWS_BROKEN));
+  g_assert_true (reads_after (FOLLOW_OPERATOR, NEWS_UNREADABLE));
+  g_assert_true (reads_after (FOLLOW_ENDPOINTS, NEWS_SILENT));
+}
+
 const struct unit orders_units[] = {
   { "/lease/clock", test_clock },
   { "/lease/no-overlap", test_no_overlap },
@@ -717,6 +835,10 @@
   { "/orders/stop-releases", test_stop_releases },
   { "/follow/drain-in-gap", test_drain_in_gap },
   { "/follow/paced", test_paced },
+  { "/follow/wait-by-age", test_wait_by_age },
+  { "/follow/old-on-arrival", test_old_on_arrival },
+  { "/follow/limits", test_limits },
+  { "/follow/poll-goes-on", test_poll_goes_on },
   { "/follow/freshness", test_freshness },
   { "/follow/freshness-by-clock", test_freshness_by_clock },
   { NULL, NULL },
--- a/regress/test-relay.c
+++ b/regress/test-relay.c
@@ -9,6 +9,7 @@
 #include "units.h"
 
 #define STALE_US (4 * CQ_US_PER_S)
+#define DENY_US (2 * CQ_US_PER_S)
 
 /* What a test plays and sees. */
 struct play
@@ -203,6 +204,8 @@
   struct play *p = g_new0 (struct play, 1);
   struct relays_opts o = { .domain = "d", .stale_us = STALE_US };
 
+  o.deny_us = DENY_US;
+
   p->loop = loop_new ();
   fleet_init (&p->fleet);
   fleet_take_conf (&p->fleet, conf (1, kind, "key"), 1);
@@ -374,6 +377,68 @@
   play_free (p);
 }
 
+/*
+ * The operator added a route, a key, and room for larger bodies two seconds
+ * ago, and this VM has not heard of it: an answer is still on its way.  It
+ * answers 503 where it would have answered 404, 401 or 413, and the caller
+ * comes back; what it does know goes on.  Just before that its denials stand:
+ * what it has not heard of by then does not count yet.
+ */
+static void
+check_denial (struct play *p, int why)
+{
+  int64_t now = loop_now_us ();
+  int sends = p->sends;
+
+  p->fleet.fresh_us = now - DENY_US + 1;
+  g_assert_null (relay_start (p->relays, &p->desc, now));
+  g_assert_cmpint (p->refused, ==, why);
+  g_assert_cmpint (p->retry_after_us, ==, 0);
+  p->fleet.fresh_us = now - DENY_US;
+  g_assert_null (relay_start (p->relays, &p->desc, now));
+  g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
+  g_assert_cmpint (p->retry_after_us, >, 0);
+  g_assert_cmpint (p->sends, ==, sends);
+}
+
+static void
+test_behind_denies_nothing (void)
+{
+  struct play *p = play_new (FLEET_IDEMPOTENT);
+
+  p->desc.host = "new";
+  check_denial (p, RELAY_NO_ROUTE);
+  p->desc.host = "h";
+  p->desc.key = "new";
+  check_denial (p, RELAY_BAD_KEY);
+  p->desc.key = "key";
+  p->desc.body_len = 1001;
+  check_denial (p, RELAY_TOO_LARGE);
+  p->desc.body_len = 0;
+  p->refused = -1;
+  play_start (p);
+  g_assert_cmpint (p->refused, ==, -1);
+  answer_whole (p, "served");
+  g_assert_cmpint (p->status, ==, 200);
+  play_free (p);
+}
+
+/* The same for a body that its door stopped reading, and for a VM that knows
+   no settings yet: it denies nothing at all. */
+static void
+test_too_large_at_door (void)
+{
+  struct play *p = play_new (FLEET_IDEMPOTENT);
+  int64_t now = loop_now_us ();
+
+  relay_too_large (p->relays, &p->desc, now);
+  g_assert_cmpint (p->refused, ==, RELAY_TOO_LARGE);
+  p->fleet.fresh_us = 0;
+  relay_too_large (p->relays, &p->desc, now);
+  g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
+  play_free (p);
+}
+
 /* --- at most once ---------------------------------------------------- */
 
 /*
@@ -720,6 +785,8 @@
   { "/relay/frozen-before-send", test_frozen_before_send },
   { "/relay/revoked-before-send", test_revoked_before_send },
   { "/relay/unknown-key", test_unknown_key },
+  { "/relay/behind-denies-nothing", test_behind_denies_nothing },
+  { "/relay/too-large-at-door", test_too_large_at_door },
   { "/relay/once", test_once },
   { "/relay/once-unreached", test_once_unreached },
   { "/relay/refused-by-all", test_refused_by_all },
--- a/regress/test-units.c
+++ b/regress/test-units.c
@@ -10,10 +10,65 @@
 
 #include "decide.h"
 #include "memb.h"
+#include "stall.h"
 #include "units.h"
 
 #define ROUNDS 20000
 
+/* --- waits for an answer's bytes -------------------------------------- */
+
+#define FIRST_US 900000
+#define MORE_US 500000
+
+/*
+ * An answer of megabytes over a small link: its bytes come slowly, and for
+ * many times the limit on the first one, but they come.  Cut there, each try
+ * would be cut at the same point, and the answer never be had.
+ */
+static void
+test_stall_slow_progress (void)
+{
+  struct stall s = { .first_us = FIRST_US, .more_us = MORE_US };
+  int64_t now = 1000;
+  int i;
+
+  s.since_us = now;
+  for (i = 0; i < 1000; i++)
+    {
+      now += MORE_US - 1;
+      g_assert_cmpint (stall_state (&s, now), ==, STALL_COMING);
+      stall_byte (&s, now);
+      g_assert_cmpint (stall_due_us (&s), ==, now + MORE_US);
+    }
+}
+
+/* A sender that is silent from the beginning has the longer time, and one
+   that falls silent midway the shorter one; neither has more. */
+static void
+test_stall_silence (void)
+{
+  struct stall s = { .first_us = FIRST_US, .more_us = MORE_US };
+
+  s.since_us = 1000;
+  g_assert_cmpint (stall_due_us (&s), ==, 1000 + FIRST_US);
+  g_assert_cmpint (stall_state (&s, 999 + FIRST_US), ==, STALL_COMING);
+  g_assert_cmpint (stall_state (&s, 1000 + FIRST_US), ==, STALL_SILENT);
+  stall_byte (&s, 5000);
+  g_assert_cmpint (stall_state (&s, 4999 + MORE_US), ==, STALL_COMING);
+  g_assert_cmpint (stall_state (&s, 5000 + MORE_US), ==, STALL_MIDWAY);
+}
+
+/* Transfers without such limits wait for as long as they like. */
+static void
+test_stall_no_limit (void)
+{
+  struct stall s = { .since_us = 1000 };
+
+  g_assert_cmpint (stall_due_us (&s), ==, INT64_MAX);
+  stall_byte (&s, 2000);
+  g_assert_cmpint (stall_state (&s, INT64_MAX - 1), ==, STALL_COMING);
+}
+
 /* --- outcome --------------------------------------------------------- */
 
 /*
@@ -731,6 +786,9 @@
   { "/prefix/bounded", test_prefix_bounded },
   { "/kept/dir-naive", test_dir_naive },
   { "/kept/plan-naive", test_plan_naive },
+  { "/stall/slow-progress", test_stall_slow_progress },
+  { "/stall/silence", test_stall_silence },
+  { "/stall/no-limit", test_stall_no_limit },
   { "/member/leaving", test_member_leaving },
   { "/member/suspect", test_member_suspect },
   { "/member/address", test_member_address },
@@ -740,7 +798,8 @@
 
 /* Of the other files; each ends with an entry without a path. */
 static const struct unit *const tables[]
-    = { wire_units, fleet_units, relay_units, orders_units, parts_units };
+    = { wire_units,   fleet_units, relay_units,
+        orders_units, parts_units, xfer_units };
 
 int
 main (int argc, char **argv)
--- /dev/null
+++ b/regress/test-xfer.c
@@ -0,0 +1,152 @@
+/*
+ * Unit tests of transfers over a real connection, whose other end the test
+ * plays: when a wait for bytes is over, and what is told then.
+ */
+#include <glib.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "loop.h"
+#include "units.h"
+#include "xfer.h"
+
+#define HEAD "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n"
+#define LIMIT_MS 400   /* for the first byte, or for a further one */
+#define PIECE_US 60000 /* between bytes of a slow reply */
+
+/* What the other end does, and what was told. */
+struct far
+{
+  int fd;              /* listening socket */
+  const char *begin;   /* sent at once */
+  int more;            /* bytes sent after it, one by one */
+  struct loop *loop;   /* of the transfer */
+  struct xfer_end end; /* as told */
+};
+
+/* The other end: sends what it has, and is silent until we leave. */
+static gpointer
+play_far (gpointer arg)
+{
+  struct far *f = arg;
+  int fd = accept (f->fd, NULL, NULL);
+  char buf[1024];
+  int i;
+
+  g_assert_cmpint (read (fd, buf, sizeof buf), >, 0);
+  g_assert_cmpint (write (fd, f->begin, strlen (f->begin)), >=, 0);
+  for (i = 0; i < f->more; i++)
+    {
+      g_usleep (PIECE_US);
+      g_assert_cmpint (write (fd, "x", 1), ==, 1);
+    }
+  while (read (fd, buf, sizeof buf) > 0)
+    ;
+  close (fd);
+  return NULL;
+}
+
+static void
+on_end (void *arg, const struct xfer_end *end)
+{
+  struct far *f = arg;
+
+  f->end = *end;
+  loop_stop (f->loop);
+}
+
+static const struct xfer_events events = { .on_end = on_end };
+
+static int
+listen_at (struct sockaddr_in *sa)
+{
+  socklen_t len = sizeof *sa;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  memset (sa, 0, sizeof *sa);
+  sa->sin_family = AF_INET;
+  sa->sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  g_assert_cmpint (bind (fd, (struct sockaddr *)sa, len), ==, 0);
+  g_assert_cmpint (listen (fd, 1), ==, 0);
+  g_assert_cmpint (getsockname (fd, (struct sockaddr *)sa, &len), ==, 0);
+  return fd;
+}
+
+/* One transfer from F; returns how long it took, in milliseconds. */
+static int64_t
+transfer (struct far *f, int64_t first_ms, int64_t stall_ms)
+{
+  struct xfer_opts o = { .method = "GET", .events = &events, .arg = f };
+  struct sockaddr_in sa;
+  g_autofree char *url = NULL;
+  struct xfer_pool *p;
+  int64_t began = loop_now_us ();
+  GThread *t;
+
+  f->fd = listen_at (&sa);
+  f->loop = loop_new ();
+  p = xfer_pool_new (f->loop);
+  t = g_thread_new ("far", play_far, f);
+  url = g_strdup_printf ("http://127.0.0.1:%d/", ntohs (sa.sin_port));
+  o.url = url;
+  o.fresh = true;
+  o.first_ms = first_ms;
+  o.stall_ms = stall_ms;
+  xfer_start (p, &o);
+  loop_run (f->loop);
+  xfer_pool_free (p);
+  g_thread_join (t);
+  loop_free (f->loop);
+  close (f->fd);
+  return (loop_now_us () - began) / 1000;
+}
+
+/*
+ * The head and part of a reply come at once, and then nothing.  The transfer
+ * ends soon after its last byte, and says that it stalled; the time that was
+ * left for the first byte, here ten seconds, plays no part any more.
+ */
+static void
+test_stalled (void)
+{
+  struct far f = { .begin = HEAD "xx" };
+
+  g_assert_cmpint (transfer (&f, 10000, LIMIT_MS), <, 5000);
+  g_assert_true (f.end.stalled);
+  g_assert_false (f.end.whole);
+  g_assert_cmpint (f.end.status, ==, 200);
+}
+
+/* Nothing comes at all: over after the time for the first byte, and that is
+   no stall. */
+static void
+test_silent (void)
+{
+  struct far f = { .begin = "" };
+
+  g_assert_cmpint (transfer (&f, LIMIT_MS, 10000), <, 5000);
+  g_assert_false (f.end.stalled);
+  g_assert_false (f.end.whole);
+  g_assert_cmpint (f.end.status, ==, 0);
+}
+
+/* A reply comes byte by byte, for three times as long as either limit: it is
+   had whole. */
+static void
+test_slow (void)
+{
+  struct far f = { .begin = HEAD, .more = 20 };
+
+  g_assert_cmpint (transfer (&f, LIMIT_MS, LIMIT_MS), >, 2 * LIMIT_MS);
+  g_assert_true (f.end.whole);
+  g_assert_false (f.end.stalled);
+}
+
+const struct unit xfer_units[] = {
+  { "/xfer/stalled", test_stalled },
+  { "/xfer/silent", test_silent },
+  { "/xfer/slow", test_slow },
+  { NULL, NULL },
+};
--- a/relay.c
+++ b/relay.c
@@ -210,6 +210,29 @@
   d->caller->refuse (d->arg, why, wait);
 }
 
+/*
+ * A denial says that there is no such route or key, and the caller gives up.
+ * But a change counts for what is sent a certain time after the operator had
+ * its acknowledgement, and a VM whose knowledge is older than that time may
+ * have missed one.  With younger knowledge it cannot: a change that is not in
+ * it was acknowledged later, and so does not count yet.
+ */
+static void
+deny (struct relays *rs, const struct relay_desc *d, enum relay_refusal why,
+      const char *reason, int64_t now_us)
+{
+  if (fleet_age_us (rs->opts.fleet, now_us) < rs->opts.deny_us)
+    refuse_early (rs, d, why, reason, now_us);
+  else
+    refuse_early (rs, d, RELAY_NOT_RUN, "settings_behind", now_us);
+}
+
+void
+relay_too_large (struct relays *rs, const struct relay_desc *d, int64_t now_us)
+{
+  deny (rs, d, RELAY_TOO_LARGE, "body_too_large", now_us);
+}
+
 /* Who asks; a refusal if the key opens nothing. */
 static bool
 find_workspace (struct relays *rs, const struct relay_desc *d,
@@ -224,11 +247,10 @@
     *workspace = g_hash_table_lookup (f->conf->keys, d->key);
   if (route->anonymous || g_hash_table_size (f->conf->keys) == 0)
     return true;
-  /* A key that is not known here may have been added since. */
   if (stale)
     refuse_early (rs, d, RELAY_NOT_RUN, "settings_stale", now_us);
   else if (*workspace == NULL)
-    refuse_early (rs, d, RELAY_BAD_KEY, "no_key", now_us);
+    deny (rs, d, RELAY_BAD_KEY, "no_key", now_us);
   return !stale && *workspace != NULL;
 }
 
@@ -279,14 +301,14 @@
   route = fleet_route_find (f->conf, d->host, d->target);
   if (route == NULL)
     {
-      refuse_early (rs, d, RELAY_NO_ROUTE, "no_route", now_us);
+      deny (rs, d, RELAY_NO_ROUTE, "no_route", now_us);
       return NULL;
     }
   if (!find_workspace (rs, d, route, &workspace, now_us))
     return NULL;
   if ((int64_t)d->body_len > f->conf->limits.body_bytes)
     {
-      refuse_early (rs, d, RELAY_TOO_LARGE, "body_too_large", now_us);
+      relay_too_large (rs, d, now_us);
       return NULL;
     }
   r = relay_new (rs, d, route, now_us);
--- a/relay.h
+++ b/relay.h
@@ -144,6 +144,7 @@
   struct relay_engine engine; /* adapter */
   const char *domain;         /* of this VM */
   int64_t stale_us;           /* keys count for nothing once older */
+  int64_t deny_us;            /* nothing is denied for good once older */
   int retry_percent;          /* repeats, as a share of requests */
   int retry_burst;            /* repeats before any were earned */
   size_t stream_buffer;       /* bytes held for a slow reader */
@@ -158,6 +159,9 @@
 /* Start a request that was read whole; NULL if it was answered at once. */
 struct relay *relay_start (struct relays *rs, const struct relay_desc *desc,
                            int64_t now_us);
+/* Refuse a request whose body is over the limit. */
+void relay_too_large (struct relays *rs, const struct relay_desc *desc,
+                      int64_t now_us);
 /* The caller took bytes of the stream. */
 void relay_drained (struct relay *r);
 /* The caller is gone: nothing more is said to it. */
--- a/settings_gen.c
+++ b/settings_gen.c
@@ -105,6 +105,10 @@
   { "revoke_ms", CFG_INT, offsetof (struct cfg_entry, revoke_ms), "5000", 1000,
     600000, NULL,
     "Milliseconds after which a key that was taken away must open nothing." },
+  { "apply_ms", CFG_INT, offsetof (struct cfg_entry, apply_ms), "2000", 1000,
+    600000, NULL,
+    "Milliseconds after which a change of the operators' configuration must "
+    "be in force." },
   { "version_ms", CFG_INT, offsetof (struct cfg_entry, version_ms), "12000",
     2000, 600000, NULL,
     "Milliseconds after which no request may begin on weights older than "
@@ -259,7 +263,7 @@
     "This VM and its place." },
   { "platform", false, keys_platform, 8, sizeof (struct cfg_platform),
     "The platform's services." },
-  { "entry", false, keys_entry, 8, sizeof (struct cfg_entry),
+  { "entry", false, keys_entry, 9, sizeof (struct cfg_entry),
     "Requests that come through a platform's balancer." },
   { "workspace", true, keys_workspace, 9, sizeof (struct cfg_workspace),
     "A customer of the system." },
--- a/settings_gen.h
+++ b/settings_gen.h
@@ -86,6 +86,8 @@
   char *store;  /* Address and port of the platform's metadata store. */
   int64_t revoke_ms; /* Milliseconds after which a key that was taken away must
                         open nothing. */
+  int64_t apply_ms;  /* Milliseconds after which a change of the operators'
+                        configuration must be in force. */
   int64_t version_ms;   /* Milliseconds after which no request may begin on
                            weights older than those named. */
   int64_t order_gap_ms; /* Milliseconds between orders to endpoints from one VM
--- a/tabc.c
+++ b/tabc.c
@@ -107,7 +107,7 @@
   struct table_reply r = { .code = TABLE_LOST };
   json_t *doc = NULL;
 
-  if (status != 0)
+  if (status > 0)
     {
       doc = json_loadb (body->str, body->len, 0, NULL);
       read_reply (status, doc, &r);
--- a/xfer.c
+++ b/xfer.c
@@ -8,6 +8,8 @@
 #include <string.h>
 #include <strings.h>
 
+#include "stall.h"
+
 #define RECEIVE_BYTES 4096L  /* libcurl's receive buffer for each transfer */
 #define IDLE_CONNECTIONS 64L /* connections kept for reuse */
 /* Idle connections are used again for this long; other ends close theirs
@@ -37,6 +39,9 @@
   bool handed_over;            /* before_send let it go */
   bool stopped;                /* a callback refused */
   bool framed;                 /* the reply says where it ends */
+  bool stalled;                /* its bytes stopped coming */
+  struct stall wait;           /* for the reply's next byte */
+  struct loop_timer quiet;     /* looks whether that is over */
   char error[CURL_ERROR_SIZE]; /* libcurl's words */
 };
 
@@ -154,12 +159,34 @@
   return len >= n && strncasecmp (line, name, n) == 0;
 }
 
+static void
+arm_quiet (struct xfer *x)
+{
+  int64_t due = stall_due_us (&x->wait);
+
+  if (due < INT64_MAX)
+    loop_arm (x->pool->loop, &x->quiet, due);
+}
+
+/* Later bytes only move the end away, which the timer sees when it fires; the
+   first one may bring it nearer. */
+static void
+note_byte (struct xfer *x)
+{
+  bool first = !x->wait.begun;
+
+  stall_byte (&x->wait, loop_now_us ());
+  if (first)
+    arm_quiet (x);
+}
+
 static size_t
 take_header (char *line, size_t size, size_t count, void *arg)
 {
   struct xfer *x = arg;
   size_t len = size * count;
 
+  note_byte (x);
   if (starts_with (line, len, "content-length:")
       || starts_with (line, len, "transfer-encoding:"))
     x->framed = true;
@@ -183,6 +210,7 @@
   struct xfer *x = arg;
   size_t len = size * count;
 
+  note_byte (x);
   if (x->events.on_body == NULL)
     return len;
   switch (x->events.on_body (x->arg, status_of (x), data, len))
@@ -201,6 +229,7 @@
 static void
 xfer_release (struct xfer *x)
 {
+  loop_disarm (&x->quiet);
   APR_RING_REMOVE (x, link);
   __atomic_fetch_sub (&x->pool->count, 1, __ATOMIC_RELAXED);
   curl_easy_cleanup (x->easy);
@@ -215,6 +244,7 @@
 
   end.status = status_of (x);
   end.stopped = x->stopped;
+  end.stalled = x->stalled;
   /*
    * A reply that only the connection's end delimits looks whole when its
    * sender died half way, so it does not count as whole.
@@ -229,6 +259,30 @@
   xfer_release (x);
 }
 
+/*
+ * Armed again only when it fires, since bytes come far more often.  The loop
+ * reads sockets before it runs timers, so what came while this VM was
+ * suspended or busy has been counted by now.
+ */
+static void
+on_quiet (void *arg, int64_t now_us)
+{
+  struct xfer *x = arg;
+  enum stall_state state = stall_state (&x->wait, now_us);
+
+  if (state == STALL_COMING)
+    {
+      arm_quiet (x);
+      return;
+    }
+  x->stalled = state == STALL_MIDWAY;
+  g_strlcpy (x->error,
+             x->stalled ? "no further byte of the reply in time"
+                        : "no byte of the reply in time",
+             sizeof x->error);
+  finish_one (x, CURLE_OPERATION_TIMEDOUT);
+}
+
 void
 xfer_pool_abort (struct xfer_pool *p)
 {
@@ -373,7 +427,13 @@
   set_request (x, opts);
   set_transport (x, opts);
   set_callbacks (x);
+  x->wait.first_us = opts->first_ms * 1000;
+  x->wait.more_us = opts->stall_ms * 1000;
+  x->wait.since_us = loop_now_us ();
+  x->quiet.fire = on_quiet;
+  x->quiet.arg = x;
   curl_multi_add_handle (p->multi, x->easy);
+  arm_quiet (x);
   return x;
 }
 
--- a/xfer.h
+++ b/xfer.h
@@ -26,6 +26,7 @@
   bool whole;        /* the reply arrived whole, and says where it ends */
   bool clean;        /* it ended without an error, if need be by a close */
   bool stopped;      /* before_send or on_body stopped it */
+  bool stalled;      /* bytes of the reply came, and then none for too long */
   int status;        /* HTTP status, 0 if none arrived */
   const char *error; /* libcurl's words, "" if none */
 };
@@ -56,15 +57,19 @@
 /* What to send. */
 struct xfer_opts
 {
-  const char *method;               /* GET, POST, PUT or DELETE */
-  const char *url;                  /* http://IP:PORT/path */
-  const char *target;               /* sent in place of the URL's, or NULL */
-  const char *const *headers;       /* "Name: value" lines, NULL-terminated */
-  const char *body;                 /* must stay until the end; may be NULL */
-  size_t body_len;                  /* bytes of body */
-  bool fresh;                       /* a connection of its own, not reused */
-  int64_t connect_timeout_ms;       /* to establish the connection */
-  int64_t timeout_ms;               /* for the whole transfer, 0 for none */
+  const char *method;         /* GET, POST, PUT or DELETE */
+  const char *url;            /* http://IP:PORT/path */
+  const char *target;         /* sent in place of the URL's, or NULL */
+  const char *const *headers; /* "Name: value" lines, NULL-terminated */
+  const char *body;           /* must stay until the end; may be NULL */
+  size_t body_len;            /* bytes of body */
+  bool fresh;                 /* a connection of its own, not reused */
+  int64_t connect_timeout_ms; /* to establish the connection */
+  int64_t timeout_ms;         /* for the whole transfer, 0 for none */
+  int64_t first_ms;           /* for the reply's first byte, 0 for none */
+  /* Without a further byte of the reply, 0 for no limit.  Not for receivers
+     that pause: what they hold back would count as silence. */
+  int64_t stall_ms;
   const struct xfer_events *events; /* callbacks */
   void *arg;                        /* passed to the callbacks */
 };
