--- a/regress/test-orders.c
+++ b/regress/test-orders.c
@@ -1088,6 +1088,36 @@
   source_free (p);
 }
 
+/*
+ * The operators' table cannot be read for a while: versions 2 and 3 are named
+ * meanwhile, and the table then shows only 3.  The list of endpoints, which
+ * goes on, says that 3 was not made before its last answer; of 2, which the
+ * weights of 1 are outdated by, it says nothing.  What is known of both is
+ * when the table was read last.
+ */
+static void
+test_naming_time_of_unseen (void)
+{
+  struct source *p = source_new ();
+  GArray *one = g_array_new (FALSE, TRUE, sizeof (struct news_item));
+  GArray *three = g_array_new (FALSE, TRUE, sizeof (struct news_item));
+  int64_t read;
+
+  p->store_ms = loop_now_us () / MS;
+  tell (p, FOLLOW_OPERATOR, NEWS_OK, 10, naming_item (one, 3, 1));
+  read = p->fleet.fresh_us;
+  tell (p, FOLLOW_OPERATOR, NEWS_SILENT, 0, NULL);
+  /* Version 2 is named in change 25, and row 25 is overwritten by row 35. */
+  g_usleep (40000);
+  p->store_ms = loop_now_us () / MS;
+  tell (p, FOLLOW_ENDPOINTS, NEWS_OK, 30, NULL);
+  g_usleep (20000);
+  p->store_ms = loop_now_us () / MS;
+  tell (p, FOLLOW_OPERATOR, NEWS_OK, 40, naming_item (three, 35, 3));
+  g_assert_cmpint (early_of (p, 1), <=, read);
+  source_free (p);
+}
+
 /* Without a clock of the platform, knowledge is as fresh as the moment at
    which the answered call was sent; an unanswered call makes nothing fresh. */
 static void
@@ -1134,5 +1164,6 @@
   { "/follow/freshness", test_freshness },
   { "/follow/freshness-by-clock", test_freshness_by_clock },
   { "/follow/naming-time", test_naming_time },
+  { "/follow/naming-time-of-unseen", test_naming_time_of_unseen },
   { NULL, NULL },
 };
