--- a/regress/test-fleet.c
+++ b/regress/test-fleet.c
@@ -483,6 +483,29 @@
   g_rand_free (r);
 }
 
+/*
+ * A VM boots two seconds after newer weights were named, so on its clock that
+ * was before zero.  It reads when they were named, and old weights have six
+ * seconds left: refused meanwhile, callers get nothing while endpoints load.
+ */
+static void
+test_named_before_boot (void)
+{
+  struct fleet f;
+  struct fleet_listing l = { .version = 1, .slots = 4 };
+  struct fleet_endpoint *e;
+
+  fleet_init (&f);
+  g_strlcpy (l.id, "e", sizeof l.id);
+  g_strlcpy (l.model, "m", sizeof l.model);
+  e = fleet_take_listing (&f, &l);
+  fleet_take_wanted (&f, "m", 2, 0, 1000000);
+  fleet_named_since (&f, "m", 2, -2000000);
+  g_assert_false (fleet_outdated_for (&f, e, 9000000, 1100000));
+  g_assert_true (fleet_outdated_for (&f, e, 9000000, 7100000));
+  fleet_clear (&f);
+}
+
 const struct unit fleet_units[] = {
   { "/fleet/never-back", test_never_back },
   { "/fleet/route-naive", test_route_naive },
@@ -498,5 +521,6 @@
   { "/pick/rest", test_rest },
   { "/pick/all-resting", test_all_resting },
   { "/evt/cuts", test_events },
+  { "/fleet/named-before-boot", test_named_before_boot },
   { NULL, NULL },
 };
--- a/regress/test-relay.c
+++ b/regress/test-relay.c
@@ -794,6 +794,28 @@
   play_free (p);
 }
 
+/*
+ * A plain call to an endpoint with old weights, which take work.  It runs there
+ * since it was sent, and nothing is heard of it until its answer is whole.
+ * Taken for one that waits, it is broken off at the bound: the caller of a call
+ * that may run once gets no answer, though the endpoint is about to give it.
+ */
+static void
+test_running_on_old_weights (void)
+{
+  struct play *p = play_new (FLEET_ONCE);
+
+  outdate (p);
+  g_assert_true (p->event->before_send (p->arg));
+  run_for (p, 400000);
+  g_assert_cmpint (p->cancels, ==, 0);
+  head (p, 200);
+  body (p, "done");
+  end (p, true, true);
+  g_assert_cmpint (p->status, ==, 200);
+  play_free (p);
+}
+
 /* The connection stands only when old weights take no more work: nothing
    leaves, and newer ones are tried. */
 static void
@@ -833,6 +855,7 @@
   { "/relay/withdrawn-from-old-weights", test_withdrawn_from_old_weights },
   { "/relay/withdrawn-once", test_withdrawn_once },
   { "/relay/begun-on-old-weights", test_begun_on_old_weights },
+  { "/relay/running-on-old-weights", test_running_on_old_weights },
   { "/relay/connected-too-late", test_connected_too_late },
   { NULL, NULL },
 };
