--- a/regress/test-orders.c
+++ b/regress/test-orders.c
@@ -647,6 +647,26 @@
   stage_free (st);
 }
 
+/*
+ * A VM started twenty seconds ago and heard then that newer weights had been
+ * named; all endpoints had them, so it asked nobody.  One starts now with the
+ * old ones.  Nobody recorded the naming, but it was made before it was heard:
+ * nothing of the grace is left.
+ */
+static void
+test_naming_heard_long_ago (void)
+{
+  struct stage *st = stage_new ();
+  int64_t now = loop_now_us ();
+
+  st->row = row ("other/1", store_ms (st) + 60000);
+  st->row_version = 5;
+  fleet_take_wanted (&st->fleet, "m", 2, 0, now - 20 * CQ_US_PER_S);
+  orders_look (st->orders, now);
+  g_assert_false (has_grace (st, 9 * CQ_US_PER_S));
+  stage_free (st);
+}
+
 /*
  * All endpoints of a model were away when newer weights were named, so nobody
  * reached for the lease and nobody recorded it.  One comes back with old
@@ -1152,6 +1172,7 @@
   { "/orders/naming-between-cut-off", test_naming_between_cut_off },
   { "/orders/naming-not-crowded-out", test_naming_not_crowded_out },
   { "/orders/naming-not-after-heard", test_naming_not_after_heard },
+  { "/orders/naming-heard-long-ago", test_naming_heard_long_ago },
   { "/orders/naming-recorded-later", test_naming_recorded_later },
   { "/orders/lost-orders-keep-width", test_lost_orders_keep_width },
   { "/orders/slow-store", test_slow_store },
