Since when weights are outdated is known by facts that can only become truer

The operators' table shows only the newest, so a VM that starts after two namings, or missed the first, counted the grace of the oldest weights from the second; a mark of the endpoints' list, made between both, said nothing of the first; an assumption for what nobody recorded (three seconds) could come after the VM's own hearing, was handed on through the row, and was never corrected; and eight entries of one model pushed out the one that counts.

Ruled out: the arithmetic of both clocks, lost and late writes of the row, a killed or frozen holder (model check, review).

Change: what is kept, written and taken over is of one form: no version from V on was named before T. Such facts are never wrong, so the later T counts, whoever says it, but never after this VM heard of V or a newer one. An endpoint with version E is outdated since the latest T of V up to E + 1. A VM without such a fact gives old weights no work and asks the row until it has one; nothing is assumed any more. The holder writes the facts of the endpoints that it has to order, newest last; a row holds sixteen.

Weighed: keeping the assumption, bounded by how long all VMs can have been away. Nothing on the platform says that, and a heartbeat of the row would cost a write every few seconds for a case of half a second.

Three tests ask for the fact instead of the field that is gone. 114 unit tests pass.

--- a/fleet.c
+++ b/fleet.c
@@ -246,10 +246,9 @@
 }
 
 static void
-add_named (struct fleet_wanted *w, int64_t version, int64_t early_us,
-           int64_t now_us)
+add_named (struct fleet_wanted *w, int64_t version, int64_t now_us)
 {
-  struct fleet_named n = { version, now_us, early_us, early_us };
+  struct fleet_named n = { version, now_us };
 
   if (w->nnamed == FLEET_NAMED_MAX)
     memmove (w->named, w->named + 1, sizeof n * --w->nnamed);
@@ -257,6 +256,49 @@
   w->version = version;
 }
 
+static int64_t
+heard_from (const struct fleet_wanted *w, int64_t version)
+{
+  int i;
+
+  for (i = 0; i < w->nnamed; i++)
+    if (w->named[i].version >= version)
+      return w->named[i].heard_us;
+  return FLEET_NEVER;
+}
+
+/* Facts stay in the order of their versions; of the same one the later counts,
+   and of too many the oldest versions go. */
+static void
+add_fact (struct fleet_wanted *w, int64_t version, int64_t at_us)
+{
+  struct fleet_fact fact = { version, at_us };
+  int64_t heard = heard_from (w, version);
+  int i = w->nfacts;
+
+  /* It was named by then, whatever others say. */
+  if (heard != FLEET_NEVER)
+    fact.at_us = MIN (at_us, heard);
+  while (i > 0 && w->facts[i - 1].version > version)
+    i--;
+  if (i > 0 && w->facts[i - 1].version == version)
+    {
+      w->facts[i - 1].at_us = MAX (w->facts[i - 1].at_us, fact.at_us);
+      return;
+    }
+  if (w->nfacts == FLEET_FACTS_MAX && i == 0)
+    return;
+  if (w->nfacts == FLEET_FACTS_MAX)
+    {
+      memmove (w->facts, w->facts + 1, sizeof fact * (size_t)--w->nfacts);
+      i--;
+    }
+  memmove (w->facts + i + 1, w->facts + i,
+           sizeof fact * (size_t)(w->nfacts - i));
+  w->facts[i] = fact;
+  w->nfacts++;
+}
+
 bool
 fleet_take_wanted (struct fleet *f, const char *model, int64_t version,
                    int64_t early_us, int64_t now_us)
@@ -272,24 +314,60 @@
       g_array_append_val (f->wanted, new);
       w = find_wanted (f, model);
     }
-  add_named (w, version, early_us, now_us);
+  add_named (w, version, now_us);
+  if (early_us != 0)
+    add_fact (w, version, early_us);
   return true;
 }
 
+void
+fleet_wanted_current (struct fleet *f, int64_t at_us)
+{
+  struct fleet_wanted *w;
+  guint i;
+
+  for (i = 0; i < f->wanted->len; i++)
+    {
+      w = &g_array_index (f->wanted, struct fleet_wanted, i);
+      add_fact (w, w->version + 1, at_us);
+    }
+}
+
 void
 fleet_named_since (struct fleet *f, const char *model, int64_t version,
-                   int64_t since_us)
+                   int64_t at_us)
 {
   struct fleet_wanted *w = find_wanted (f, model);
-  struct fleet_named *n;
+
+  if (w != NULL)
+    add_fact (w, version, at_us);
+}
+
+int64_t
+fleet_not_before (const struct fleet *f, const char *model, int64_t version)
+{
+  const struct fleet_wanted *w = find_wanted (f, model);
+  int64_t at = FLEET_NEVER;
   int i;
 
-  for (i = 0; w != NULL && i < w->nnamed; i++)
-    {
-      n = &w->named[i];
-      if (n->version == version)
-        n->since_us = MAX (n->since_us, since_us);
-    }
+  for (i = 0; w != NULL && i < w->nfacts; i++)
+    if (w->facts[i].version <= version)
+      at = MAX (at, w->facts[i].at_us);
+  return at;
+}
+
+int64_t
+fleet_heard_from (const struct fleet *f, const char *model, int64_t version)
+{
+  const struct fleet_wanted *w = find_wanted (f, model);
+
+  return w != NULL ? heard_from (w, version) : FLEET_NEVER;
+}
+
+int64_t
+fleet_outdated_since (const struct fleet *f, const struct fleet_endpoint *e)
+{
+  return fleet_not_before (f, e->is.model, e->version + 1);
 }
 
 /* A second version may be named before the first is in place; each counts
@@ -320,16 +398,19 @@
 /*
  * Counted from when this VM heard, the grace of old weights began anew on each
  * VM that started meanwhile: callers got answers by weights that had been
- * outdated for 17 s.  Until the moment of the naming is known, a VM cannot
- * know that any grace is left.
+ * outdated for 17 s.  Until it is known when they can have become outdated, a
+ * VM cannot know that any grace is left.
  */
 bool
 fleet_outdated_for (const struct fleet *f, const struct fleet_endpoint *e,
                     int64_t limit_us, int64_t now_us)
 {
-  const struct fleet_named *n = fleet_outdated_by (f, e);
+  int64_t since;
 
-  return n != NULL && (n->since_us == 0 || now_us - n->since_us >= limit_us);
+  if (fleet_outdated_by (f, e) == NULL)
+    return false;
+  since = fleet_outdated_since (f, e);
+  return since == FLEET_NEVER || now_us - since >= limit_us;
 }
 
 void
--- a/fleet.h
+++ b/fleet.h
@@ -166,10 +166,18 @@
 {
   int64_t version;  /* its number */
   int64_t heard_us; /* when this VM heard of it */
-  int64_t early_us; /* it cannot have been named before; 0: not known */
-  /* Taken for the moment of its naming, from which the grace of older weights
-     counts: early_us, or later by what VMs recorded; 0: not known yet. */
-  int64_t since_us;
+};
+
+#define FLEET_FACTS_MAX 8     /* of one model */
+#define FLEET_NEVER INT64_MIN /* as a time: not known */
+
+/* No version from VERSION on had been named at AT_US.  Named versions grow,
+   and one may be named and replaced unseen: so nothing is said of a single
+   one. */
+struct fleet_fact
+{
+  int64_t version; /* the lowest of them */
+  int64_t at_us;   /* then */
 };
 
 /* Weight versions named for a model, oldest first. */
@@ -179,6 +187,8 @@
   int64_t version;                           /* newest version named */
   struct fleet_named named[FLEET_NAMED_MAX]; /* the newest ones */
   int nnamed;                                /* entries in named */
+  struct fleet_fact facts[FLEET_FACTS_MAX];  /* by version */
+  int nfacts;                                /* entries in facts */
 };
 
 struct fleet
@@ -204,13 +214,25 @@
 /* Take over a configuration read in change ROW; false if it is not newer. */
 bool fleet_take_conf (struct fleet *f, struct fleet_conf *c, int64_t row);
 
-/* A named weight version; false if it is not newer.  It was not named before
-   EARLY_US, 0 if that is not known. */
+/* A named weight version; false if it is not newer.  Neither it nor a newer
+   one was named before EARLY_US, 0 if that is not known. */
 bool fleet_take_wanted (struct fleet *f, const char *model, int64_t version,
                         int64_t early_us, int64_t now_us);
-/* By a record of VMs, VERSION was not named before SINCE_US. */
+/* What was named of all models was the newest at AT_US. */
+void fleet_wanted_current (struct fleet *f, int64_t at_us);
+/* No version of MODEL from VERSION on was named before AT_US. */
 void fleet_named_since (struct fleet *f, const char *model, int64_t version,
-                        int64_t since_us);
+                        int64_t at_us);
+/* The latest such moment that is known, or FLEET_NEVER. */
+int64_t fleet_not_before (const struct fleet *f, const char *model,
+                          int64_t version);
+/* When this VM first heard of VERSION or a newer one; FLEET_NEVER if not. */
+int64_t fleet_heard_from (const struct fleet *f, const char *model,
+                          int64_t version);
+/* When E's weights can have become outdated at the earliest, or FLEET_NEVER if
+   that is not known. */
+int64_t fleet_outdated_since (const struct fleet *f,
+                              const struct fleet_endpoint *e);
 /* When this VM heard of the first version newer than E's; 0 if E's is the
    newest. */
 int64_t fleet_outdated_us (const struct fleet *f,
--- a/follow.c
+++ b/follow.c
@@ -163,8 +163,7 @@
 take_wanted (struct follow *fl, const struct news_item *it, int64_t now_us)
 {
   struct fleet *f = fl->opts.fleet;
-  /* What was known until then was current at fresh_us, without it. */
-  int64_t early = MAX (f->fresh_us, not_before (fl, it->row));
+  int64_t early = not_before (fl, it->row);
 
   if (fleet_take_wanted (f, it->model, it->version, early, now_us))
     log_event (LOG_LEVEL_INFO, "weights_named",
@@ -298,7 +297,10 @@
       f->listed = true;
     }
   if (s->source == FOLLOW_OPERATOR)
-    f->fresh_us = at;
+    {
+      f->fresh_us = at;
+      fleet_wanted_current (f, at);
+    }
   add_mark (s->follow, n->version, at);
   if (n->version > s->version)
     s->version = n->version;
--- a/lease.c
+++ b/lease.c
@@ -36,21 +36,24 @@
 void
 lease_note_named (struct lease_row *row, const struct lease_named *n)
 {
-  struct lease_named *o;
+  struct lease_named new = *n;
+  const struct lease_named *o;
   int i;
 
   for (i = 0; i < row->nnamed; i++)
     {
       o = &row->named[i];
-      if (o->version != n->version || strcmp (o->model, n->model) != 0)
-        continue;
-      if (n->since_ms > o->since_ms)
-        o->since_ms = n->since_ms;
-      return;
+      if (o->version == n->version && strcmp (o->model, n->model) == 0)
+        break;
     }
-  if (row->nnamed == LEASE_NAMED_MAX)
-    memmove (row->named, row->named + 1, sizeof *n * (size_t)--row->nnamed);
-  row->named[row->nnamed++] = *n;
+  if (i < row->nnamed && row->named[i].since_ms > new.since_ms)
+    new.since_ms = row->named[i].since_ms;
+  if (i == row->nnamed && row->nnamed == LEASE_NAMED_MAX)
+    i = 0;
+  if (i < row->nnamed)
+    memmove (row->named + i, row->named + i + 1,
+             sizeof new *(size_t)(--row->nnamed - i));
+  row->named[row->nnamed++] = new;
 }
 
 /* "VM/LIFE": whether both are of one VM. */
--- a/lease.h
+++ b/lease.h
@@ -16,14 +16,15 @@
 
 #define LEASE_HOLDER_SIZE 96 /* bytes of a holder with its NUL */
 #define LEASE_MODEL_SIZE 64  /* bytes of a model's name with its NUL */
-#define LEASE_NAMED_MAX 8    /* namings of weights that a row holds */
+#define LEASE_NAMED_MAX 16   /* namings of weights that a row holds */
 
-/* When weights were named, for VMs that did not hear it then. */
+/* When weights were named, for VMs that did not hear it then: none of a model
+   from a version on before a moment. */
 struct lease_named
 {
   char model[LEASE_MODEL_SIZE]; /* whose weights */
-  int64_t version;              /* their number */
-  int64_t since_ms;             /* they were not named before */
+  int64_t version;              /* the lowest of them */
+  int64_t since_ms;             /* the moment */
 };
 
 /* The lease as its row says, in the store's milliseconds. */
@@ -54,8 +55,8 @@
 /* The moment on our clock before which the store's did not show STORE_MS. */
 int64_t lease_local_us (const struct lease_clock *c, int64_t store_ms);
 
-/* Put a naming into the row, in place of the oldest if it is full; what the
-   row knows of it already can only become later. */
+/* Put a naming into the row as its newest, in place of the oldest if it is
+   full; what the row knows of it already can only become later. */
 void lease_note_named (struct lease_row *row, const struct lease_named *n);
 
 /* Whether HOLDER may try to take the lease over; ROW is NULL if there is
--- a/orders.c
+++ b/orders.c
@@ -39,16 +39,12 @@
 /* A VM that hears of a naming so long after it may have been made asks the
    row when it was. */
 #define DOUBT_US (1500 * CQ_US_PER_MS)
-/* Between such questions, drawn, if the store does not answer: each VM may
-   ask, and all may have started at one moment. */
-#define DOUBT_ASK_US (300 * CQ_US_PER_MS)
-/*
- * What the row does not have was named less than this ago: some VM hears of a
- * naming at once and writes the row within 0.4 s, or as its holder with the
- * next renewal, within 0.6 s; a holder that dies is replaced after 2 s.  If
- * all VMs were killed in that time, they are back after about as long.
- */
-#define UNRECORDED_US (3000 * CQ_US_PER_MS)
+/* Between such questions, drawn: each VM may ask, and all may have started at
+   one moment. */
+#define DOUBT_ASK_US (400 * CQ_US_PER_MS)
+/* Some VM hears of a naming at once and writes the row within 0.4 s, or as its
+   holder with the next renewal, within 0.6 s. */
+#define RECORD_US (1000 * CQ_US_PER_MS)
 
 enum task_phase
 {
@@ -132,90 +128,86 @@
 
 /* --- namings --------------------------------------------------------- */
 
-/* When N was named is not known well, and the row may know more. */
+/* Not known well since when the endpoint's weights are outdated, and the row
+   may know more. */
 static bool
-is_doubtful (const struct orders *o, const struct fleet_named *n)
+is_doubtful (const struct orders *o, const struct fleet_endpoint *e)
 {
-  return n->heard_us > o->read_us
-         && (n->since_us == 0 || n->heard_us - n->since_us > DOUBT_US);
+  int64_t since = fleet_outdated_since (o->opts.fleet, e);
+  int64_t heard
+      = fleet_heard_from (o->opts.fleet, e->is.model, e->version + 1);
+
+  return since == FLEET_NEVER
+         || (heard - since > DOUBT_US && o->read_us < heard + RECORD_US);
 }
 
 static bool
 in_doubt (const struct orders *o)
 {
   const struct fleet_endpoint *e;
-  const struct fleet_named *n;
 
   APR_RING_FOREACH (e, &o->opts.fleet->endpoints, fleet_endpoint, link)
   {
-    n = needs_order (o, e) ? fleet_outdated_by (o->opts.fleet, e) : NULL;
-    if (n != NULL && is_doubtful (o, n))
+    if (needs_order (o, e) && is_doubtful (o, e))
       return true;
   }
   return false;
 }
 
-static const struct lease_named *
-recorded (const struct lease_reply *r, const char *model, int64_t version)
+/* Take over what VMs recorded of namings, also of such as this one cannot have
+   heard: the operators' table shows only the newest. */
+static void
+learn_namings (struct orders *o, const struct lease_reply *r)
 {
+  const struct lease_named *n;
   int i;
 
   for (i = 0; r->exists && i < r->row.nnamed; i++)
-    if (r->row.named[i].version == version
-        && strcmp (r->row.named[i].model, model) == 0)
-      return &r->row.named[i];
-  return NULL;
+    {
+      n = &r->row.named[i];
+      fleet_named_since (o->opts.fleet, n->model, n->version,
+                         lease_local_us (&o->clock, n->since_ms));
+    }
+  o->read_us = o->called_us;
 }
 
-/* Take over what VMs recorded of namings; what nobody did was named lately. */
+/* What was named when this VM heard of it was not named later, whatever the
+   row says. */
 static void
-learn_namings (struct orders *o, const struct lease_reply *r)
+correct_row (const struct orders *o, struct lease_row *row)
 {
-  const struct lease_named *known;
-  struct fleet_wanted *w;
-  struct fleet_named *n;
-  guint i;
-  int k;
+  struct lease_named *n;
+  int64_t heard;
 
-  for (i = 0; i < o->opts.fleet->wanted->len; i++)
+  for (n = row->named; n < row->named + row->nnamed; n++)
     {
-      w = &g_array_index (o->opts.fleet->wanted, struct fleet_wanted, i);
-      for (k = 0; k < w->nnamed; k++)
-        {
-          n = &w->named[k];
-          known = recorded (r, w->model, n->version);
-          if (known != NULL)
-            fleet_named_since (o->opts.fleet, w->model, n->version,
-                               lease_local_us (&o->clock, known->since_ms));
-          else if (n->heard_us <= o->called_us && is_doubtful (o, n))
-            fleet_named_since (o->opts.fleet, w->model, n->version,
-                               o->called_us - UNRECORDED_US);
-        }
+      heard = fleet_heard_from (o->opts.fleet, n->model, n->version);
+      if (heard != FLEET_NEVER)
+        n->since_ms = MIN (n->since_ms, lease_earliest_ms (&o->clock, heard));
     }
-  o->read_us = o->called_us;
 }
 
-/* Put what this VM knows of namings into the row that is to be written. */
+/* Put what this VM knows into the row that is to be written: since when the
+   weights of the endpoints that it knows are outdated. */
 static void
 record_namings (const struct orders *o, struct lease_row *row)
 {
-  const struct fleet_wanted *w;
-  struct lease_named r;
-  guint i;
-  int k;
+  const struct fleet_endpoint *e;
+  struct lease_named n;
+  int64_t since;
 
-  for (i = 0; i < o->opts.fleet->wanted->len; i++)
-    {
-      w = &g_array_index (o->opts.fleet->wanted, struct fleet_wanted, i);
-      g_strlcpy (r.model, w->model, sizeof r.model);
-      for (k = 0; k < w->nnamed; k++)
-        {
-          r.version = w->named[k].version;
-          r.since_ms = lease_earliest_ms (&o->clock, w->named[k].since_us);
-          if (w->named[k].since_us != 0)
-            lease_note_named (row, &r);
-        }
-    }
+  correct_row (o, row);
+  APR_RING_FOREACH (e, &o->opts.fleet->endpoints, fleet_endpoint, link)
+  {
+    since = needs_order (o, e) ? fleet_outdated_since (o->opts.fleet, e)
+                               : FLEET_NEVER;
+    if (since == FLEET_NEVER)
+      continue;
+    g_strlcpy (n.model, e->is.model, sizeof n.model);
+    n.version = e->version + 1;
+    n.since_ms = lease_earliest_ms (&o->clock, since);
+    lease_note_named (row, &n);
+  }
 }
 
 /* --- lease ----------------------------------------------------------- */
@@ -314,10 +306,13 @@
   w->released = aim == LEASE_RELEASE;
   w->expires_ms = w->released ? now_ms : now_ms + LEASE_MS;
   /* A slow store's answer must not come when the time is over. */
+  /* Nor may a time that was announced be taken back: until this is
+     acknowledged, orders leave by what was. */
   if (aim == LEASE_ORDER)
     w->order_until_ms
-        = now_ms + ORDER_WINDOW_MS
-          + 2 * (o->clock.got_us - o->clock.sent_us) / CQ_US_PER_MS;
+        = MAX (w->order_until_ms,
+               now_ms + ORDER_WINDOW_MS
+                   + 2 * (o->clock.got_us - o->clock.sent_us) / CQ_US_PER_MS);
   /* None leaves any more, so nobody need wait for the rest of the window. */
   if (aim == LEASE_RELEASE)
     w->order_until_ms
@@ -410,11 +405,32 @@
   o->opts.ops.read_lease (o->opts.ops.ctx, on_read, o);
 }
 
-/* Its order may be sent again. */
+static int
+tasks_in_hand (const struct orders *o)
+{
+  const struct task *t;
+  int n = 0;
+
+  APR_RING_FOREACH (t, &o->tasks, task, link)
+  n += t->phase != TASK_SKIPPED && !t->unanswered;
+  return n;
+}
+
+/* A place is free for one more endpoint of the model. */
+static bool
+has_place (const struct orders *o, const char *model, int64_t now_us)
+{
+  return tasks_in_hand (o) < pick_reload_width (o->opts.fleet, model, now_us);
+}
+
+/* Its order may be sent again.  One that held no place needs one for that: if
+   orders get through again, all endpoints would load at one moment. */
 static bool
 is_overdue (const struct task *t, int64_t now_us)
 {
-  return t->phase == TASK_LOADING && now_us - t->since_us > t->again_us;
+  return t->phase == TASK_LOADING && now_us - t->since_us > t->again_us
+         && (!t->unanswered
+             || has_place (t->orders, t->endpoint->is.model, now_us));
 }
 
 /* An endpoint is to be ordered, now or again. */
@@ -482,13 +498,13 @@
 static void
 plan_again (struct task *t, enum order_code code)
 {
-  if (code != ORDER_UNKNOWN)
+  t->unanswered = code == ORDER_UNKNOWN;
+  if (!t->unanswered)
     t->again_us = ORDER_MAX_US;
-  else if (t->unanswered)
-    t->again_us = MIN (2 * t->again_us, ORDER_MAX_US);
-  else
+  else if (t->again_us == 0)
     t->again_us = UNANSWERED_US;
-  t->unanswered = code == ORDER_UNKNOWN;
+  else
+    t->again_us = MIN (2 * t->again_us, ORDER_MAX_US);
 }
 
 static void
@@ -538,6 +554,7 @@
    */
   t->order.runs_go_on = true;
   t->busy = true;
+  t->unanswered = false;
   t->endpoint->reload_us = now_us;
   task_set (t, TASK_SENDING, now_us);
   o->opts.ops.order (o->opts.ops.ctx, t->endpoint, &t->order, may_send,
@@ -653,17 +670,6 @@
     }
 }
 
-static int
-tasks_in_hand (const struct orders *o)
-{
-  const struct task *t;
-  int n = 0;
-
-  APR_RING_FOREACH (t, &o->tasks, task, link)
-  n += t->phase != TASK_SKIPPED && !t->unanswered;
-  return n;
-}
-
 /* The endpoint whose turn is next, by the order that all VMs know. */
 static struct fleet_endpoint *
 next_endpoint (struct orders *o)
@@ -686,8 +692,7 @@
   struct task *t;
 
   while (o->ntasks < MAX_TASKS && (e = next_endpoint (o)) != NULL
-         && tasks_in_hand (o)
-                < pick_reload_width (o->opts.fleet, e->is.model, now_us))
+         && has_place (o, e->is.model, now_us))
     {
       t = g_new0 (struct task, 1);
       t->orders = o;
--- a/regress/test-orders.c
+++ b/regress/test-orders.c
@@ -402,10 +402,11 @@
   orders_look (st->orders, now);
 }
 
-static const struct fleet_named *
-naming (const struct stage *st)
+/* Version 2 was not named before. */
+static int64_t
+not_before (const struct stage *st)
 {
-  return &fleet_wanted_of (&st->fleet, "m")->named[0];
+  return fleet_not_before (&st->fleet, "m", 2);
 }
 
 /* Whether old weights that take work for LIMIT_US would take some now. */
@@ -442,24 +443,50 @@
   stage_free (st);
 }
 
+static bool
+has_four_seconds (const struct stage *st)
+{
+  return has_grace (st, 4 * CQ_US_PER_S);
+}
+
 /*
- * All VMs were killed just after a naming, before one could write it down.
- * Each of them would refuse all work for old weights until endpoints have new
- * ones; but what nobody recorded was named a short while ago.
+ * A VM starts just after a naming, before another has written it down, or when
+ * all were away.  How long ago it was nobody can tell: old weights take no
+ * work, and the row is read again until it tells.
  */
 static void
 test_naming_unrecorded (void)
 {
   struct stage *st = stage_new ();
+  struct lease_named n = { "m", 2, store_ms (st) - 1000 };
+  int64_t began = loop_now_us ();
 
   st->row = row ("other/1", store_ms (st) + 60000);
   st->row_version = 5;
+  hear_late (st);
+  g_assert_false (has_grace (st, INT64_MAX));
+  lease_note_named (&st->row, &n);
+  st->row_version++;
+  wait_until (st, has_four_seconds);
+  g_assert_cmpint (loop_now_us () - began, <, 900 * MS);
+  g_assert_false (has_grace (st, 1000 * MS));
+  stage_free (st);
+}
+
+/* All VMs may have that question at one moment; it is no attempt to take the
+   lease, for which each waits a drawn while. */
+static void
+test_question_takes_nothing (void)
+{
+  struct stage *st = stage_new ();
+
+  st->row = row ("other/1", store_ms (st) - 1);
   st->row.released = true;
+  st->row_version = 5;
   hear_late (st);
-  /* The question is no attempt: all VMs may ask at one moment. */
   g_assert_cmpstr (st->row.holder, ==, "other/1");
-  g_assert_true (has_grace (st, 4 * CQ_US_PER_S));
-  g_assert_false (has_grace (st, 3 * CQ_US_PER_S));
+  wait_until (st, was_sent);
+  g_assert_cmpint (st->orders_sent, ==, 1);
   stage_free (st);
 }
 
@@ -474,7 +501,7 @@
   st->row_version = 5;
   fleet_take_wanted (&st->fleet, "m", 2, now - 1000 * MS, now);
   orders_look (st->orders, now);
-  g_assert_cmpint (naming (st)->since_us, ==, now - 1000 * MS);
+  g_assert_cmpint (not_before (st), ==, now - 1000 * MS);
   stage_free (st);
 }
 
@@ -641,7 +668,7 @@
   fleet_take_wanted (&st->fleet, "m", 2, now - 10100 * MS, now - 10000 * MS);
   orders_look (st->orders, now);
   wait_until (st, is_released);
-  g_assert_cmpint (naming (st)->since_us, <=, naming (st)->heard_us);
+  g_assert_cmpint (not_before (st), <=, now - 10000 * MS);
   /* Nor does this VM hand the error on. */
   g_assert_cmpint (st->row.named[0].since_ms, <=, store_ms (st) - 10000);
   stage_free (st);
@@ -1079,10 +1106,11 @@
   return a;
 }
 
+/* No version from VERSION on was named before, 0 if that is not known. */
 static int64_t
-early_of (const struct source *p, int i)
+early_of (const struct source *p, int64_t version)
 {
-  return fleet_wanted_of (&p->fleet, "m")->named[i].early_us;
+  return MAX (fleet_not_before (&p->fleet, "m", version), 0);
 }
 
 /*
@@ -1100,7 +1128,7 @@
 
   p->store_ms = loop_now_us () / MS;
   tell (p, FOLLOW_OPERATOR, NEWS_OK, 10, naming_item (one, 3, 1));
-  g_assert_cmpint (early_of (p, 0), ==, 0);
+  g_assert_cmpint (early_of (p, 1), ==, 0);
   g_usleep (20000);
   p->store_ms = loop_now_us () / MS;
   tell (p, FOLLOW_ENDPOINTS, NEWS_OK, 20, NULL);
@@ -1112,8 +1140,8 @@
   p->store_ms = loop_now_us () / MS;
   naming_item (two, 25, 2);
   tell (p, FOLLOW_OPERATOR, NEWS_OK, 40, naming_item (two, 35, 3));
-  g_assert_cmpint (early_of (p, 1), <, listed - 10 * MS);
-  g_assert_cmpint (early_of (p, 2), >, listed - 10 * MS);
+  g_assert_cmpint (early_of (p, 2), <, listed - 10 * MS);
+  g_assert_cmpint (early_of (p, 3), >, listed - 10 * MS);
   source_free (p);
 }
 
@@ -1143,7 +1171,7 @@
   g_usleep (20000);
   p->store_ms = loop_now_us () / MS;
   tell (p, FOLLOW_OPERATOR, NEWS_OK, 40, naming_item (three, 35, 3));
-  g_assert_cmpint (early_of (p, 1), <=, read);
+  g_assert_cmpint (early_of (p, 2), <=, read);
   source_free (p);
 }
 
@@ -1283,6 +1311,7 @@
   { "/orders/unknown", test_order_unknown },
   { "/orders/naming-recorded", test_naming_recorded },
   { "/orders/naming-unrecorded", test_naming_unrecorded },
+  { "/orders/question-takes-nothing", test_question_takes_nothing },
   { "/orders/naming-heard", test_naming_heard },
   { "/orders/naming-written", test_naming_written },
   { "/orders/unanswered-hold-no-place", test_unanswered_hold_no_place },
--- a/relaytry.c
+++ b/relaytry.c
@@ -339,11 +339,24 @@
   q.domain = c->endpoint->is.domain;
   q.fresh_us = o->fleet->fresh_us;
   q.outdated = newer != NULL;
-  q.named_us = newer != NULL ? newer->early_us : 0;
+  q.named_us = MAX (fleet_outdated_since (o->fleet, c->endpoint), 0);
   q.wait_us = c->wait_us;
   parts_plan (o->parts, &q, now_us, &r->kept);
 }
 
+/* For how long newer weights may have been named: 0 if none were, -1 if that
+   is not known. */
+static int64_t
+newer_us (const struct fleet *f, const struct fleet_endpoint *e,
+          int64_t now_us)
+{
+  int64_t since = fleet_outdated_since (f, e);
+
+  if (fleet_outdated_by (f, e) == NULL)
+    return 0;
+  return since != FLEET_NEVER ? now_us - since : -1;
+}
+
 static void
 attempt (struct relay *r, const struct pick_choice *c, int64_t now_us)
 {
@@ -389,7 +402,7 @@
              c->candidates, c->crowded, (gint64)c->wait_us, r->kept.nfetch,
              r->kept.nsave, (gint64)r->kept.fetch_tokens, (gint64)s.version,
              (gint64)(newer != NULL ? newer->version : 0),
-             (gint64)(newer != NULL ? now_us - newer->since_us : 0),
+             (gint64)newer_us (o->fleet, c->endpoint, now_us),
              (gint64)s.left_us, (gint64)r->conf->version,
              (gint64)fleet_age_us (o->fleet, now_us));
   r->call = o->engine.send (o->engine.ctx, &s, &events, r);
@@ -500,12 +513,13 @@
  * Sent while old weights took work, a request may wait at a busy endpoint
  * longer than the margin that is left for that, and would begin when nobody
  * may have answers by these weights.  Endpoints drop what waits when its
- * connection closes, so it never begins.
+ * connection closes, so it never begins.  Of a call that is answered as a
+ * whole nothing is heard while it runs, so that is left alone.
  */
 bool
 relay_waits_too_long (const struct relay *r, int64_t now_us)
 {
-  return r->call != NULL && !r->answering && r->endpoint->is.model[0] != '\0'
+  return r->call != NULL && !r->answering && r->route->kind == FLEET_STREAM
          && is_outdated (r, r->rs->opts.fleet->old_end_us, now_us);
 }
 
