A model check of lease, orders, namings and freshness, on the real code

Purpose: each rule about time was shown by single tests of single faults. What two faults do together, at any step, was argued on paper.

Ruled out: a model of its own beside the code (a copy that goes its own way);

Change: regress/model links lease.o, orders.o, follow.o, fleet.o and relay.o with a loop of its own, whose time is played, and plays every run with up to so many faults again from its beginning: calls refused, lost, done without an answer, done or answered late; VMs that stand still before and after each call, or end and begin a new life; jumps of the platform's clock. No product code changed. Each safeguard is switched off in the test, and must be missed.

--- a/Makefile
+++ b/Makefile
@@ -69,6 +69,14 @@
 	$(CC) $(CFLAGS) -o $@ $(UNITS) librelay.a log.o met.o loop.o \
 		libwire.a libdecide.a $(LIBS)
 
+MODEL = regress/model.o regress/modelworld.o regress/modelstore.o \
+	regress/modellease.o regress/modelnamed.o regress/modelkeys.o
+
+# The deciding code in played time: regress/modelworld.c stands for loop and
+# log.
+regress/model: $(MODEL) met.o librelay.a libdecide.a
+	$(CC) $(CFLAGS) -o $@ $(MODEL) librelay.a met.o libdecide.a $(LIBS)
+
 bench/load: bench/load.o loop.o xfer.o
 	$(CC) $(CFLAGS) -o $@ bench/load.o loop.o xfer.o $(LIBS)
 
@@ -79,7 +87,8 @@
 bench/slopes: bench/slopes.o libsettings.a libdecide.a
 	$(CC) $(CFLAGS) -o $@ bench/slopes.o libsettings.a libdecide.a $(LIBS)
 
-tests: camphorquay regress/fake regress/drive regress/check regress/test-units bench/load
+tests: camphorquay regress/fake regress/drive regress/check regress/test-units \
+	regress/model bench/load
 
 # The same sources with the sanitizers, in a directory of their own.
 SANITIZE = -O1 -g -fno-omit-frame-pointer -fsanitize=address,undefined \
@@ -91,7 +100,7 @@
 	cp -p regress/*.c regress/*.h build-asan/regress
 	cp -p bench/*.c build-asan/bench
 	$(MAKE) -s -C build-asan CFLAGS="$(SANITIZE)" camphorquay \
-		regress/test-units
+		regress/test-units regress/model
 
 # Coverage-guided inputs for all parsers; needs clang.
 FUZZED = prompt.c strm.c peer_xdr.c platform/decode.c platform/json.c platform/kvstore.c fleet.c evt.c fetch.c xfer.c loop.c
@@ -121,7 +130,7 @@
 clean:
 	rm -f *.o *.d *.a platform/*.o platform/*.d regress/*.o regress/*.d bench/*.o bench/*.d \
 		camphorquay regress/fake regress/drive regress/check regress/test-units \
-		bench/load bench/slopes regress/fuzz-input
+		regress/model bench/load bench/slopes regress/fuzz-input
 	rm -rf build-asan
 
 
--- /dev/null
+++ b/regress/modelstore.c
@@ -0,0 +1,339 @@
+/* The store of a model check: one row under its version, and namings. */
+#include <string.h>
+
+#include "modelworld.h"
+
+#define START_MS 100000        /* of a run, by the store's clock */
+#define CALL_US (4 * MS)       /* a call and its answer */
+#define SLOW_US (400 * MS)     /* the same, slow */
+#define TIMEOUT_US (1000 * MS) /* a VM waits so long for an answer */
+#define LATE_WRITE_US                                                         \
+  (2500 * MS)                     /* a write without an answer is done then   \
+                                   */
+#define POLL_ANSWER_US (500 * MS) /* over a poll's wait */
+
+/* --- the row --------------------------------------------------------- */
+
+static int64_t
+clock_ms (int vm)
+{
+  return world.now_us / MS + (world_is_off (OFF_STORE_CLOCK) ? vm * 1500 : 0);
+}
+
+static void
+answer_lease (struct event *e)
+{
+  e->lease (e->arg, &e->reply);
+}
+
+/* What the store has at this moment. */
+static void
+fill_reply (struct lease_reply *r, int vm)
+{
+  r->code = LEASE_DONE;
+  r->exists = world.row_version > 0;
+  r->row = world.row;
+  r->version = world.row_version;
+  r->store_ms = clock_ms (vm);
+  if (world_is_off (OFF_UNTIL))
+    r->row.order_until_ms = 0;
+  if (world_is_off (OFF_BEGIN))
+    r->row.begin_ms = 0;
+  if (world_is_off (OFF_RECORD))
+    r->row.nnamed = 0;
+}
+
+static struct event *
+answer_after (struct vm *v, int64_t after_us, lease_done done, void *arg)
+{
+  struct event *e = world_at (world.now_us + after_us, v->index, answer_lease);
+
+  e->lease = done;
+  e->arg = arg;
+  return e;
+}
+
+static void
+no_reply (struct event *e, enum lease_code code, int64_t after_us)
+{
+  memset (&e->reply, 0, sizeof e->reply);
+  e->reply.code = code;
+  e->at_us = world.now_us + after_us;
+}
+
+enum read_way
+{
+  READ_REFUSED = WORLD_LEAVE_WAYS, /* not done */
+  READ_LOST,                       /* no answer */
+  READ_SLOW,                       /* done, answered late */
+  READ_WAYS
+};
+
+static void
+read_lease (void *ctx, lease_done done, void *arg)
+{
+  struct vm *v = ctx;
+  int way = world_fault (v, READ_WAYS);
+  struct event *e;
+
+  if (!world_leaves (v, way < WORLD_LEAVE_WAYS ? way : 0))
+    return;
+  e = answer_after (v, CALL_US, done, arg);
+  fill_reply (&e->reply, v->index);
+  if (way == READ_REFUSED)
+    no_reply (e, LEASE_REFUSED, CALL_US);
+  else if (way == READ_LOST)
+    no_reply (e, LEASE_UNKNOWN, TIMEOUT_US);
+  else if (way == READ_SLOW)
+    e->at_us = world.now_us + SLOW_US;
+}
+
+static bool
+write_row (const struct lease_row *row, int64_t expected)
+{
+  if (expected != world.row_version && !world_is_off (OFF_PRECONDITION))
+    return false;
+  model_note ("%5d the row is written for %c: expires %d, begin %d, orders "
+              "until %d%s\n",
+              world_ms (), row->holder[0], (int)(row->expires_ms - START_MS),
+              (int)MAX (row->begin_ms - START_MS, 0),
+              (int)MAX (row->order_until_ms - START_MS, 0),
+              row->released ? ", released" : "");
+  world.row = *row;
+  world.row_version = ++world.changes;
+  return true;
+}
+
+static void
+write_late (struct event *e)
+{
+  write_row (&e->row, e->expected);
+}
+
+enum write_way
+{
+  WRITE_REFUSED = WORLD_LEAVE_WAYS, /* not done */
+  WRITE_LOST,                       /* not done, no answer */
+  WRITE_UNTOLD,                     /* done, no answer */
+  WRITE_LATE,                       /* done later if it still can be */
+  WRITE_SLOW,                       /* done, answered late */
+  WRITE_WAYS
+};
+
+static void
+no_answer (struct event *e, enum lease_code code, int64_t after_us)
+{
+  no_reply (e, code, after_us);
+  /* Switched off: what may have been written counts for its writer. */
+  if (world_is_off (OFF_ACKNOWLEDGED))
+    {
+      fill_reply (&e->reply, e->vm);
+      e->at_us = world.now_us + CALL_US;
+    }
+}
+
+static void
+write_lease (void *ctx, const struct lease_row *row, int64_t expected,
+             lease_done done, void *arg)
+{
+  static const char *const names[]
+      = { "refused", "lost", "done, its answer lost", "done late",
+          "answered late" };
+  struct vm *v = ctx;
+  int way = world_fault (v, WRITE_WAYS);
+  struct event *e, *late;
+
+  if (way >= WORLD_LEAVE_WAYS)
+    model_note ("%5d vm %c's write is %s\n", world_ms (), 'a' + v->index,
+                names[way - WORLD_LEAVE_WAYS]);
+  if (!world_leaves (v, way < WORLD_LEAVE_WAYS ? way : 0))
+    return;
+  e = answer_after (v, way == WRITE_SLOW ? SLOW_US : CALL_US, done, arg);
+  if (way == WRITE_REFUSED)
+    no_answer (e, LEASE_REFUSED, CALL_US);
+  else if (way == WRITE_LOST || way == WRITE_LATE)
+    no_answer (e, LEASE_UNKNOWN, TIMEOUT_US);
+  else
+    {
+      bool done_now = write_row (row, expected);
+
+      fill_reply (&e->reply, v->index);
+      e->reply.code = done_now ? LEASE_DONE : LEASE_CONFLICT;
+      if (way == WRITE_UNTOLD)
+        no_answer (e, LEASE_UNKNOWN, TIMEOUT_US);
+    }
+  if (way != WRITE_LATE)
+    return;
+  late = world_at (world.now_us + LATE_WRITE_US, -1, write_late);
+  late->row = *row;
+  late->expected = expected;
+}
+
+void
+world_lease_ops (struct orders_ops *ops)
+{
+  ops->read_lease = read_lease;
+  ops->write_lease = write_lease;
+}
+
+/* --- namings --------------------------------------------------------- */
+
+/* The newest naming, if it came after what the VM knows. */
+static void
+add_naming (const struct event *e, GArray *items)
+{
+  struct news_item it = { .kind = NEWS_WANTED };
+  const struct world_naming *last;
+
+  if (e->naming < 0)
+    return;
+  last = &world.namings[e->naming];
+  if (last->change <= e->after)
+    return;
+  it.row = last->change;
+  it.version = last->version;
+  g_strlcpy (it.model, "m", sizeof it.model);
+  g_array_append_val (items, it);
+}
+
+static void
+add_endpoints (GArray *items)
+{
+  struct news_item it = { .kind = NEWS_ENDPOINT };
+  int i;
+
+  for (i = 0; i < world.nendpoints; i++)
+    {
+      world_list (i, &it.listing);
+      g_array_append_val (items, it);
+    }
+}
+
+static void
+answer_news (struct event *e)
+{
+  struct news n = { .code = NEWS_SILENT };
+  g_autoptr (GArray) items
+      = g_array_new (FALSE, TRUE, sizeof (struct news_item));
+
+  n.items = items;
+  if (e->reply.code == LEASE_DONE)
+    {
+      n.code = NEWS_OK;
+      n.version = e->reply.version;
+      n.store_ms = e->reply.store_ms;
+      if (e->source == FOLLOW_OPERATOR)
+        add_naming (e, items);
+      else if (e->after < 0)
+        add_endpoints (items);
+    }
+  e->news (e->arg, &n);
+}
+
+/* What the answer says, as of now. */
+static void
+give_news (struct event *e, int64_t late_us)
+{
+  struct event *a = world_at (world.now_us + CALL_US / 2 + late_us,
+                              e->is.running, answer_news);
+
+  a->life = e->life;
+  a->news = e->news;
+  a->arg = e->arg;
+  a->source = e->source;
+  a->after = e->after;
+  a->reply.code = LEASE_DONE;
+  a->reply.version = world.changes;
+  a->reply.store_ms = world.now_us / MS;
+  a->naming = world.nnamings - 1;
+}
+
+/* A poll is over, or was woken by a naming. */
+static void
+end_poll (struct event *e)
+{
+  give_news (e, e->late_us);
+}
+
+static bool
+is_news (const struct event *e)
+{
+  return e->source == FOLLOW_OPERATOR && world.nnamings > 0
+         && world.namings[world.nnamings - 1].change > e->after;
+}
+
+void
+world_wake_polls (void)
+{
+  struct event *e;
+  guint i;
+
+  for (i = 0; i < world.events->len; i++)
+    {
+      e = world.events->pdata[i];
+      if (e->run == end_poll && is_news (e))
+        e->at_us = MAX (MIN (e->at_us, world.now_us), e->came_us);
+    }
+}
+
+enum poll_way
+{
+  POLL_LOST = 1, /* its answer */
+  POLL_LATE,     /* its answer comes late */
+  POLL_WAYS
+};
+
+static void
+ask_news (struct vm *v, enum follow_source source, int64_t after,
+          int64_t wait_us, news_done done, void *arg)
+{
+  int way = source == FOLLOW_OPERATOR ? world_fault (v, POLL_WAYS) : 0;
+  struct event *e;
+
+  if (v->dying)
+    return;
+  if (way == POLL_LOST)
+    {
+      model_note ("%5d vm %c: the answer to a poll is lost\n", world_ms (),
+                  'a' + v->index);
+      e = world_at (world.now_us + wait_us + POLL_ANSWER_US, v->index,
+                    answer_news);
+      e->reply.code = LEASE_UNKNOWN;
+    }
+  else
+    {
+      e = world_at (world.now_us + CALL_US / 2 + wait_us, -1, end_poll);
+      e->is.running = v->index;
+      e->life = v->life;
+      e->came_us = world.now_us + CALL_US / 2;
+      e->late_us = way == POLL_LATE ? SLOW_US : 0;
+    }
+  e->news = done;
+  e->arg = arg;
+  e->source = source;
+  e->after = after;
+  world_wake_polls ();
+}
+
+static void
+read_all (void *ctx, enum follow_source source, int64_t timeout_us,
+          news_done done, void *arg)
+{
+  (void)timeout_us;
+  ask_news (ctx, source, -1, 0, done, arg);
+}
+
+static void
+changes (void *ctx, enum follow_source source, int64_t version,
+         int64_t wait_us, int64_t timeout_us, news_done done, void *arg)
+{
+  (void)timeout_us;
+  ask_news (ctx, source, version, wait_us, done, arg);
+}
+
+void
+world_follow_ops (struct follow_ops *ops)
+{
+  ops->read = read_all;
+  ops->changes = changes;
+}
