--- a/regress/test-orders.c
+++ b/regress/test-orders.c
@@ -112,6 +112,9 @@
   struct loop_timer late;  /* one that is to come */
   lease_done late_done;    /* whom to tell then */
   void *late_arg;          /* passed to it */
+  bool mute;               /* the endpoint does not tell its state */
+  bool lowered;            /* the row forgot an order that may still leave */
+  int writes;              /* of the row, so far */
   bool lose_orders;        /* orders get no answer */
   int64_t clock_offset_ms; /* the store's clock is so far ahead */
   int64_t seq;             /* orders the endpoint took */
@@ -168,6 +171,8 @@
       reply_row (st, LEASE_CONFLICT, done, arg);
       return;
     }
+  st->lowered |= !r->released && r->order_until_ms < st->row.order_until_ms;
+  st->writes++;
   st->row = *r;
   st->row_version += 7;
   if (st->lose_write)
@@ -197,6 +202,8 @@
 
   (void)e;
   st->asked++;
+  if (st->mute)
+    return;
   s.busy = st->busy;
   s.seq = st->seq;
   s.version = st->version;
@@ -396,6 +403,42 @@
   stage_free (st);
 }
 
+static bool
+wrote_three (const struct stage *st)
+{
+  return st->writes >= 3;
+}
+
+static bool
+wrote_five (const struct stage *st)
+{
+  return st->writes >= 5;
+}
+
+/*
+ * The store is slow, so orders are announced far ahead; then it is fast, and
+ * the next announcement ends sooner.  Until that one is acknowledged the
+ * holder goes by the one before.  If the answer is lost, it orders for longer
+ * than the row says, and the orders of its successor, which waits by the row,
+ * come too soon after.
+ */
+static void
+test_announced_stays (void)
+{
+  struct stage *st = stage_new ();
+
+  st->mute = true;
+  st->slow_us = 400 * MS;
+  name_version (st);
+  wait_until (st, wrote_three);
+  st->slow_us = 0;
+  wait_until (st, wrote_five);
+  /* Not an assertion, which would end the tests after this one too. */
+  if (st->lowered)
+    g_test_fail ();
+  stage_free (st);
+}
+
 /*
  * Another VM holds the lease and is frozen: it gives no orders and does not
  * renew.  Its successor takes over when the lease has ended, and orders only
@@ -711,6 +754,7 @@
   { "/orders/whole", test_orders },
   { "/orders/unknown", test_order_unknown },
   { "/orders/slow-store", test_slow_store },
+  { "/orders/announced-stays", test_announced_stays },
   { "/orders/successor-waits", test_successor_waits },
   { "/orders/named-while-loading", test_named_while_loading },
   { "/orders/successor-waits-for-orders", test_successor_waits_for_orders },
