A VM that was busy: callers who hung up are found before the first byte, calls are not given up unread

Cause: decoding 4,249 routes (1.1 MB) holds the loop of a VM with 0.12 of a core for 0.9 s. And the other calls to the store, whose answers had come in time, were given up as silent: the loop had asked for ready sockets before the long turn, and its timers ran right after it.

Change: the last look before the first byte of a request also asks whether its caller is there. A limit for bytes that fires lets the loop read its sockets once more before it counts.

Tests: relay/gone-before-send, xfer/busy; each red with its safeguard off.

Conclusion: nothing is sent on for a caller who left. The 0.9 s itself stay: all requests of such a VM wait that long at each change of 4,200 routes.

--- a/regress/test-relay.c
+++ b/regress/test-relay.c
@@ -696,6 +696,26 @@
   play_free (p);
 }
 
+/*
+ * The VM was busy; the caller hung up before its request was sent on.  Sent
+ * all the same, it would run for nobody; the caller hears nothing, since it
+ * is not there.
+ */
+static void
+test_gone_before_send (void)
+{
+  struct play *p = play_new (FLEET_IDEMPOTENT);
+
+  play_start (p);
+  p->gone = true;
+  g_assert_false (p->event->before_send (p->arg));
+  end (p, false, false);
+  g_assert_cmpint (p->sends, ==, 1);
+  g_assert_cmpint (p->refused, ==, -1);
+  g_assert_cmpint (p->ended, ==, -1);
+  play_free (p);
+}
+
 /* The caller hangs up while the endpoint works: the run is cancelled without
    waiting for the endpoint. */
 static void
@@ -799,6 +819,7 @@
   { "/relay/scope", test_scope },
   { "/relay/budget", test_budget },
   { "/relay/timeout", test_timeout },
+  { "/relay/gone-before-send", test_gone_before_send },
   { "/relay/hang-up", test_hang_up },
   { "/relay/too-late", test_too_late },
   { "/relay/nothing-known", test_nothing_known },
--- a/regress/test-xfer.c
+++ b/regress/test-xfer.c
@@ -16,11 +16,15 @@
 #define LIMIT_MS 400   /* for the first byte, or for a further one */
 #define PIECE_US 60000 /* between bytes of a slow reply */
 
+#define LATE_US 400000  /* until the first byte of a late reply */
+#define BUSY_US 1200000 /* that the loop cannot read it */
+
 /* What the other end does, and what was told. */
 struct far
 {
   int fd;              /* listening socket */
-  const char *begin;   /* sent at once */
+  int64_t late_us;     /* time until the first byte */
+  const char *begin;   /* sent then */
   int more;            /* bytes sent after it, one by one */
   struct loop *loop;   /* of the transfer */
   struct xfer_end end; /* as told */
@@ -36,6 +40,7 @@
   int i;
 
   g_assert_cmpint (read (fd, buf, sizeof buf), >, 0);
+  g_usleep ((gulong)f->late_us);
   g_assert_cmpint (write (fd, f->begin, strlen (f->begin)), >=, 0);
   for (i = 0; i < f->more; i++)
     {
@@ -86,7 +91,8 @@
   GThread *t;
 
   f->fd = listen_at (&sa);
-  f->loop = loop_new ();
+  if (f->loop == NULL)
+    f->loop = loop_new ();
   p = xfer_pool_new (f->loop);
   t = g_thread_new ("far", play_far, f);
   url = g_strdup_printf ("http://127.0.0.1:%d/", ntohs (sa.sin_port));
@@ -144,9 +150,62 @@
   g_assert_false (f.end.stalled);
 }
 
+/* Another socket of the loop, which takes long. */
+struct busy
+{
+  int fds[2];              /* a pipe */
+  struct loop_timer begin; /* makes it readable */
+};
+
+static void
+on_begin (void *arg, int64_t now_us)
+{
+  struct busy *b = arg;
+
+  (void)now_us;
+  g_assert_cmpint (write (b->fds[1], "x", 1), ==, 1);
+}
+
+static void
+be_busy (void *arg, int fd, bool readable, bool writable)
+{
+  char byte;
+
+  (void)arg;
+  (void)readable;
+  (void)writable;
+  g_assert_cmpint (read (fd, &byte, 1), ==, 1);
+  g_usleep (BUSY_US);
+}
+
+/*
+ * The VM decodes a large answer for a second.  Meanwhile the reply to another
+ * call comes, in time; it is only read late, and must not count as silence.
+ */
+static void
+test_busy (void)
+{
+  struct far f = { .begin = HEAD "12345678901234567890", .late_us = LATE_US };
+  struct busy b = { .begin = { .fire = on_begin } };
+  struct loop_fd *fd;
+
+  g_assert_cmpint (pipe (b.fds), ==, 0);
+  b.begin.arg = &b;
+  f.loop = loop_new ();
+  fd = loop_add_fd (f.loop, b.fds[0], be_busy, &b);
+  loop_watch (f.loop, fd, true, false);
+  loop_arm (f.loop, &b.begin, loop_now_us () + LATE_US / 2);
+  g_assert_cmpint (transfer (&f, 2 * LATE_US / 1000, LIMIT_MS), >=,
+                   BUSY_US / 1000);
+  g_assert_true (f.end.whole);
+  close (b.fds[0]);
+  close (b.fds[1]);
+}
+
 const struct unit xfer_units[] = {
   { "/xfer/stalled", test_stalled },
   { "/xfer/silent", test_silent },
   { "/xfer/slow", test_slow },
+  { "/xfer/busy", test_busy },
   { NULL, NULL },
 };
--- a/relaytry.c
+++ b/relaytry.c
@@ -42,6 +42,22 @@
 
 /* --- attempts -------------------------------------------------------- */
 
+/*
+ * A VM that was busy for most of a second, say with decoding megabytes of
+ * settings, reads requests whose callers have hung up meanwhile.  The sweep
+ * finds that out too, but some tenths of a second later, when an endpoint is
+ * at work for nobody.
+ */
+static bool
+caller_left (struct relay *r)
+{
+  if (r->desc.caller == NULL || !r->desc.caller->gone (r->desc.arg))
+    return false;
+  r->desc.caller = NULL;
+  met_add (MET_CANCELS, 1);
+  return true;
+}
+
 static bool
 before_send (void *arg)
 {
@@ -56,6 +72,8 @@
     r->stopped = "deadline";
   else if (r->endpoint->draining || r->endpoint->gone)
     r->stopped = "endpoint_left";
+  else if (caller_left (r))
+    r->stopped = "caller_gone";
   r->handed_over = r->stopped == NULL;
   if (!r->handed_over)
     return false;
--- a/xfer.c
+++ b/xfer.c
@@ -40,6 +40,7 @@
   bool stopped;                /* a callback refused */
   bool framed;                 /* the reply says where it ends */
   bool stalled;                /* its bytes stopped coming */
+  bool doubted;                /* so it seems: sockets are read once more */
   struct stall wait;           /* for the reply's next byte */
   struct loop_timer quiet;     /* looks whether that is over */
   char error[CURL_ERROR_SIZE]; /* libcurl's words */
@@ -175,6 +176,7 @@
 {
   bool first = !x->wait.begun;
 
+  x->doubted = false;
   stall_byte (&x->wait, loop_now_us ());
   if (first)
     arm_quiet (x);
@@ -260,9 +262,10 @@
 }
 
 /*
- * Armed again only when it fires, since bytes come far more often.  The loop
- * reads sockets before it runs timers, so what came while this VM was
- * suspended or busy has been counted by now.
+ * Armed again only when it fires, since bytes come far more often.  What came
+ * while the VM was busy with another socket, or suspended, has not been read
+ * when the timer fires late: the loop reads all sockets once more first.  A
+ * large answer that took a second to decode ended all other calls otherwise.
  */
 static void
 on_quiet (void *arg, int64_t now_us)
@@ -275,6 +278,13 @@
       arm_quiet (x);
       return;
     }
+  if (!x->doubted)
+    {
+      x->doubted = true;
+      /* Later than this turn of the loop. */
+      loop_arm (x->pool->loop, &x->quiet, now_us + 1);
+      return;
+    }
   x->stalled = state == STALL_MIDWAY;
   g_strlcpy (x->error,
              x->stalled ? "no further byte of the reply in time"
