--- a/regress/test-xfer.c
+++ b/regress/test-xfer.c
@@ -13,11 +13,11 @@
 #include "xfer.h"
 
 #define HEAD "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n"
-#define LIMIT_MS 400   /* for the first byte, or for a further one */
-#define PIECE_US 60000 /* between bytes of a slow reply */
+#define LIMIT_MS INT64_C (400) /* for the first byte, or for a further one */
+#define PIECE_US 60000         /* between bytes of a slow reply */
 
-#define LATE_US 400000  /* until the first byte of a late reply */
-#define BUSY_US 1200000 /* that the loop cannot read it */
+#define LATE_US INT64_C (400000)  /* until the first byte of a late reply */
+#define BUSY_US INT64_C (1200000) /* that the loop cannot read it */
 
 /* What the other end does, and what was told. */
 struct far
@@ -175,7 +175,7 @@
   (void)readable;
   (void)writable;
   g_assert_cmpint (read (fd, &byte, 1), ==, 1);
-  g_usleep (BUSY_US);
+  g_usleep ((gulong)BUSY_US);
 }
 
 /*
