Two failing tests: an older naming that is not learnt, work that waits on old weights

older-naming: a VM that starts after a second naming hears of the newest only, since the operator's row holds one. The lease's row has the older one, but learn_namings looks there only for versions that the VM knows; so endpoints that have neither count from the newest naming, and take work for 9 s from then.

old-weights-wait: a request that waits at an endpoint with old weights is told the caller's time, up to 15 s. If its VM stands still, or falls silent, nobody calls it back, and it begins after the bound; with a VM that runs it does so when its caller waits 3.2 s, since the margin is 3 s.

--- a/regress/test-orders.c
+++ b/regress/test-orders.c
@@ -493,6 +493,39 @@
   stage_free (st);
 }
 
+/*
+ * Version 2 is named, ten seconds later version 3, and a VM starts then: it
+ * hears of 3 only, since the operator's row holds the newest one.  Its
+ * endpoint has version 1, which is outdated since 2 was named; the lease's
+ * row tells so.  Counted from when 3 was named, callers get answers by weights
+ * that have been outdated for 19 s.
+ */
+static void
+test_older_naming (void)
+{
+  struct stage *st = stage_new ();
+  int64_t now = loop_now_us ();
+  struct lease_named two = { .model = "m", .version = 2 };
+  struct lease_named three = { .model = "m", .version = 3 };
+  const struct fleet_endpoint *e = APR_RING_FIRST (&st->fleet.endpoints);
+
+  two.since_ms = store_ms (st) - 12000;
+  three.since_ms = store_ms (st) - 2000;
+  st->row = row ("other/1", store_ms (st) + 1600);
+  lease_note_named (&st->row, &two);
+  lease_note_named (&st->row, &three);
+  st->row_version = 7;
+  fleet_take_wanted (&st->fleet, "m", 3, 0, now);
+  orders_look (st->orders, now);
+  g_assert_true (
+      fleet_outdated_for (&st->fleet, e, 9 * CQ_US_PER_S, loop_now_us ()));
+  /* What has version 2 already is outdated since 3 was named. */
+  fleet_take_version (APR_RING_FIRST (&st->fleet.endpoints), 2);
+  g_assert_false (
+      fleet_outdated_for (&st->fleet, e, 9 * CQ_US_PER_S, loop_now_us ()));
+  stage_free (st);
+}
+
 /* --- following ------------------------------------------------------- */
 
 /* A played platform: the test hands out each answer. */
@@ -715,6 +748,7 @@
   { "/orders/named-while-loading", test_named_while_loading },
   { "/orders/successor-waits-for-orders", test_successor_waits_for_orders },
   { "/orders/stop-releases", test_stop_releases },
+  { "/orders/older-naming", test_older_naming },
   { "/follow/drain-in-gap", test_drain_in_gap },
   { "/follow/paced", test_paced },
   { "/follow/freshness", test_freshness },
--- a/regress/test-relay.c
+++ b/regress/test-relay.c
@@ -631,6 +631,30 @@
   play_free (p);
 }
 
+/*
+ * Work may begin on old weights until twelve seconds after newer ones were
+ * named; old_max_us, after which none is sent, is three seconds less.  A
+ * request that waits at its endpoint when its VM stands still, or falls
+ * silent, is not called back: only the time that the endpoint was told can
+ * end its waiting before the bound.
+ */
+static void
+test_old_weights_wait (void)
+{
+  struct play *p = play_new (FLEET_STREAM);
+  int64_t now = loop_now_us ();
+
+  p->fleet.old_max_us = 9 * CQ_US_PER_S;
+  fleet_take_wanted (&p->fleet, "m", 4, now - 8 * CQ_US_PER_S,
+                     now - 8 * CQ_US_PER_S);
+  play_start (p);
+  g_assert_cmpint (p->sends, ==, 1);
+  g_assert_cmpint (p->left_us, >, 0);
+  g_assert_cmpint (p->left_us, <=, 4 * CQ_US_PER_S);
+  relay_caller_gone (p->relay);
+  play_free (p);
+}
+
 /* The caller hangs up while the endpoint works: the run is cancelled without
    waiting for the endpoint. */
 static void
@@ -732,6 +756,7 @@
   { "/relay/scope", test_scope },
   { "/relay/budget", test_budget },
   { "/relay/timeout", test_timeout },
+  { "/relay/old-weights-wait", test_old_weights_wait },
   { "/relay/hang-up", test_hang_up },
   { "/relay/too-late", test_too_late },
   { "/relay/nothing-known", test_nothing_known },
