--- a/regress/test-orders.c
+++ b/regress/test-orders.c
@@ -122,6 +122,7 @@
   int orders_sent;         /* that left */
   int64_t last_seq;        /* precondition of the last one */
   int64_t last_fence;      /* of the last one */
+  int64_t later_us;        /* what is_later waits for */
 };
 
 static int64_t
@@ -526,6 +527,40 @@
   stage_free (st);
 }
 
+static bool
+is_later (const struct stage *st)
+{
+  return loop_now_us () >= st->later_us;
+}
+
+/*
+ * A version is named while no endpoint is listed: all of the service's have
+ * crashed.  Nobody has anything to order, so nobody writes the row.  Some
+ * seconds later a VM starts, and the endpoints come back with their old
+ * weights.  It must not take the naming for a later one than it was.
+ */
+static void
+test_named_without_endpoints (void)
+{
+  struct stage *running = stage_new ();
+  struct stage *started = stage_new ();
+  int64_t named_us = loop_now_us ();
+  const struct fleet_wanted *w;
+
+  APR_RING_FIRST (&running->fleet.endpoints)->draining = true;
+  name_version (running);
+  running->later_us = named_us + 3200 * MS;
+  wait_until (running, is_later);
+  started->row = running->row;
+  started->row_version = running->row_version;
+  fleet_take_wanted (&started->fleet, "m", 2, 0, loop_now_us ());
+  orders_look (started->orders, loop_now_us ());
+  w = fleet_wanted_of (&started->fleet, "m");
+  g_assert_cmpint (w->named[0].since_us, <=, named_us);
+  stage_free (started);
+  stage_free (running);
+}
+
 /* --- following ------------------------------------------------------- */
 
 /* A played platform: the test hands out each answer. */
@@ -749,6 +784,7 @@
   { "/orders/successor-waits-for-orders", test_successor_waits_for_orders },
   { "/orders/stop-releases", test_stop_releases },
   { "/orders/older-naming", test_older_naming },
+  { "/orders/named-without-endpoints", test_named_without_endpoints },
   { "/follow/drain-in-gap", test_drain_in_gap },
   { "/follow/paced", test_paced },
   { "/follow/freshness", test_freshness },
