--- a/entry.c
+++ b/entry.c
@@ -9,9 +9,16 @@
    passed; this much earlier covers what happens between the last look and
    the first byte. */
 #define REVOKE_MARGIN_US (300 * CQ_US_PER_MS)
+/* A denial must rest on knowledge younger than the time after which a change
+   counts; this much younger covers clocks that run unlike and the way of the
+   refusal through this VM. */
+#define APPLY_MARGIN_US (100 * CQ_US_PER_MS)
 /* Likewise for requests that begin on old weights: one may wait some seconds
    at a busy endpoint before it begins. */
 #define VERSION_MARGIN_US (3000 * CQ_US_PER_MS)
+/* What has not begun by then is taken back so much before the bound: looks are
+   40 ms apart, and a closed connection reaches a busy endpoint late. */
+#define VERSION_END_MARGIN_US (300 * CQ_US_PER_MS)
 #define ORDER_GAP_SPARE_MS 150 /* orders travel, and clocks run unlike */
 /* The VM that gave orders last frees parts of outdated weights for this long:
    endpoints on old weights may have had some more to save. */
@@ -44,6 +51,12 @@
   bool was_ready;                /* as logged last */
 };
 
+static int64_t
+deny_us (const struct cfg_entry *cfg)
+{
+  return cfg->apply_ms * CQ_US_PER_MS - APPLY_MARGIN_US;
+}
+
 /* --- readiness ------------------------------------------------------- */
 
 /*
@@ -147,7 +160,7 @@
 
   o.changed = on_changed;
   o.arg = e;
-
+  o.current_us = deny_us (e->cfg);
   entry_adapter.follow_ops (e->store, &o.ops);
   o.seed = seed_of (cfg_vm (server_cfg (e->worker->server)));
   e->follow = follow_new (&o);
@@ -175,6 +188,7 @@
   o.parts = &e->parts;
   o.domain = vm->domain;
   o.stale_us = e->cfg->revoke_ms * CQ_US_PER_MS - REVOKE_MARGIN_US;
+  o.deny_us = deny_us (e->cfg);
   o.retry_percent = (int)e->cfg->retry_percent;
   o.retry_burst = (int)e->cfg->retry_burst;
   o.stream_buffer = (size_t)vm->stream_buffer_kb * 1024;
@@ -214,6 +228,8 @@
   e->cfg = cfg_entry (e->settings);
   fleet_init (&e->fleet);
   e->fleet.old_max_us = e->cfg->version_ms * CQ_US_PER_MS - VERSION_MARGIN_US;
+  e->fleet.old_end_us
+      = e->cfg->version_ms * CQ_US_PER_MS - VERSION_END_MARGIN_US;
   make_feed (e);
   make_relays (e);
   if (!open_doors (e))
--- a/librelay.h
+++ b/librelay.h
@@ -20,6 +20,7 @@
   APR_RING_HEAD (relay_ring, relay) all; /* live requests */
   int count;                             /* their number */
   GHashTable *budgets;                   /* service to struct budget */
+  GHashTable *shares;                    /* service to struct share */
   struct loop_timer sweep;               /* deadlines and hang-ups */
   unsigned sweeps;                       /* done so far */
   uint64_t random;                       /* state of random choices */
@@ -56,6 +57,7 @@
   bool handed_over;  /* a byte may have left */
   bool not_run;      /* the endpoint said so */
   bool streaming;    /* the answer goes on in pieces */
+  bool answering;    /* some of the attempt's answer came */
   bool ran;          /* an earlier attempt may have run */
   bool begun;        /* the caller has part of a stream */
   bool paused;       /* the attempt waits for a slow reader */
@@ -71,6 +73,10 @@
 bool relay_key_is_gone (const struct relay *r);
 /* A random number of RS. */
 uint64_t relay_draw (struct relays *rs);
+/* Name of who asks, "" if nobody was named. */
+const char *relay_workspace (const struct relay *r);
+/* What workspaces ask of the service of R. */
+struct share *relay_share (struct relay *r);
 /* Repeats that the service of R may still have. */
 struct budget *relay_budget (struct relay *r);
 /* The request is no longer at its endpoint. */
@@ -85,6 +91,10 @@
 
 /* Find an endpoint for the next attempt, or give up. */
 void relay_place (struct relay *r, int64_t now_us);
+/* It waits at an endpoint with weights on which nothing may begin any more. */
+bool relay_waits_too_long (const struct relay *r, int64_t now_us);
+/* Take it back from there. */
+void relay_withdraw (struct relay *r, int64_t now_us);
 /* The time for an answer is over. */
 void relay_time_out (struct relay *r, int64_t now_us);
 
--- a/regress/test-orders.c
+++ b/regress/test-orders.c
@@ -339,6 +339,12 @@
   stage_free (st);
 }
 
+static bool
+was_sent (const struct stage *st)
+{
+  return st->orders_sent >= 1;
+}
+
 static bool
 sent_twice (const struct stage *st)
 {
@@ -348,17 +354,24 @@
 /*
  * An order gets no answer.  It may be carried out seconds later; sent again
  * blindly, the endpoint would load twice and drop what it has read since.
- * The second one carries the same number, so only one of both counts.
+ * The second one carries the same number, so only one of both counts, and need
+ * not wait until the first can come no more.
  */
 static void
 test_order_unknown (void)
 {
   struct stage *st = stage_new ();
+  int64_t sent;
 
   st->lose_orders = true;
   name_version (st);
+  wait_until (st, was_sent);
+  sent = loop_now_us ();
   wait_until (st, sent_twice);
   g_assert_cmpint (st->last_seq, ==, 0);
+  /* Not before the endpoint's word can show the first one, and soon after. */
+  g_assert_cmpint (loop_now_us () - sent, >=, 250 * MS);
+  g_assert_cmpint (loop_now_us () - sent, <, 1500 * MS);
   /* The late one is carried out now: nothing more is sent. */
   st->seq = 1;
   st->version = 2;
@@ -367,6 +380,158 @@
   stage_free (st);
 }
 
+/* A naming that this VM hears when it starts: it cannot know when it was. */
+static void
+hear_late (struct stage *st)
+{
+  int64_t now = loop_now_us ();
+
+  fleet_take_wanted (&st->fleet, "m", 2, 0, now);
+  orders_look (st->orders, now);
+}
+
+static const struct fleet_named *
+naming (const struct stage *st)
+{
+  return &fleet_wanted_of (&st->fleet, "m")->named[0];
+}
+
+/* Whether old weights that take work for LIMIT_US would take some now. */
+static bool
+has_grace (const struct stage *st, int64_t limit_us)
+{
+  return !fleet_outdated_for (&st->fleet,
+                              APR_RING_FIRST (&st->fleet.endpoints), limit_us,
+                              loop_now_us ());
+}
+
+/*
+ * Callers get answers by weights that were outdated long ago, from a VM that
+ * started since: it hears of the newer ones when it starts.  The row says when
+ * they were named, and this VM reads it before it uses the old ones, though
+ * another holds the lease.
+ */
+static void
+test_naming_recorded (void)
+{
+  struct stage *st = stage_new ();
+  struct lease_named n = { "m", 2, store_ms (st) - 10000 };
+
+  st->row = row ("other/1", store_ms (st) + 60000);
+  st->row_version = 5;
+  lease_note_named (&st->row, &n);
+  fleet_take_wanted (&st->fleet, "m", 2, 0, loop_now_us ());
+  g_assert_false (has_grace (st, INT64_MAX));
+  orders_look (st->orders, loop_now_us ());
+  g_assert_true (has_grace (st, 12 * CQ_US_PER_S));
+  g_assert_false (has_grace (st, 9900 * MS));
+  /* That was a question, not an attempt to take the lease. */
+  g_assert_cmpstr (st->row.holder, ==, "other/1");
+  stage_free (st);
+}
+
+/*
+ * All VMs were killed just after a naming, before one could write it down.
+ * Each of them would refuse all work for old weights until endpoints have new
+ * ones; but what nobody recorded was named a short while ago.
+ */
+static void
+test_naming_unrecorded (void)
+{
+  struct stage *st = stage_new ();
+
+  st->row = row ("other/1", store_ms (st) + 60000);
+  st->row_version = 5;
+  st->row.released = true;
+  hear_late (st);
+  /* The question is no attempt: all VMs may ask at one moment. */
+  g_assert_cmpstr (st->row.holder, ==, "other/1");
+  g_assert_true (has_grace (st, 4 * CQ_US_PER_S));
+  g_assert_false (has_grace (st, 3 * CQ_US_PER_S));
+  stage_free (st);
+}
+
+/* A VM that heard a naming as it was made trusts that, and asks nobody. */
+static void
+test_naming_heard (void)
+{
+  struct stage *st = stage_new ();
+  int64_t now = loop_now_us ();
+
+  st->row = row ("other/1", store_ms (st) + 60000);
+  st->row_version = 5;
+  fleet_take_wanted (&st->fleet, "m", 2, now - 1000 * MS, now);
+  orders_look (st->orders, now);
+  g_assert_cmpint (naming (st)->since_us, ==, now - 1000 * MS);
+  stage_free (st);
+}
+
+/* Whoever takes the lease writes into the row what it knows of namings; what
+   the row had of others stays. */
+static void
+test_naming_written (void)
+{
+  struct stage *st = stage_new ();
+  struct lease_named other = { "n", 7, 1234 };
+  int64_t now = loop_now_us ();
+
+  st->row = row ("other/1", store_ms (st) - 1);
+  st->row_version = 5;
+  lease_note_named (&st->row, &other);
+  fleet_take_wanted (&st->fleet, "m", 2, now - 700 * MS, now);
+  orders_look (st->orders, now);
+  wait_until (st, is_released);
+  g_assert_cmpint (st->row.nnamed, ==, 2);
+  g_assert_cmpstr (st->row.named[0].model, ==, "n");
+  g_assert_cmpint (st->row.named[0].since_ms, ==, 1234);
+  g_assert_cmpint (st->row.named[1].version, ==, 2);
+  g_assert_cmpint (st->row.named[1].since_ms, >=,
+                   now / MS - 700 + st->clock_offset_ms - 2);
+  g_assert_cmpint (st->row.named[1].since_ms, <=,
+                   now / MS - 700 + st->clock_offset_ms);
+  stage_free (st);
+}
+
+static bool
+all_were_ordered (const struct stage *st)
+{
+  const struct fleet_endpoint *e;
+
+  APR_RING_FOREACH (e, &st->fleet.endpoints, fleet_endpoint, link)
+  {
+    if (e->reload_us == 0)
+      return false;
+  }
+  return true;
+}
+
+/*
+ * Endpoints carry orders out seconds after they got them, and answer none.  If
+ * each held a place for as long, nine of them, two at a time, would keep old
+ * weights for half a minute, and callers would get nothing when the grace of
+ * old weights is over.  An order that shows no effect holds no place.
+ */
+static void
+test_unanswered_hold_no_place (void)
+{
+  struct stage *st = stage_new ();
+  struct fleet_listing l = { .version = 1, .slots = 4 };
+  int64_t began = loop_now_us ();
+  int i;
+
+  for (i = 0; i < 8; i++)
+    {
+      g_snprintf (l.id, sizeof l.id, "e%d", i);
+      g_strlcpy (l.model, "m", sizeof l.model);
+      fleet_take_listing (&st->fleet, &l);
+    }
+  st->lose_orders = true;
+  name_version (st);
+  wait_until (st, all_were_ordered);
+  g_assert_cmpint (loop_now_us () - began, <, 4000 * MS);
+  stage_free (st);
+}
+
 static bool
 is_quiet (const struct stage *st)
 {
@@ -563,47 +728,55 @@
 
 /* --- following ------------------------------------------------------- */
 
+#define CURRENT_US (1900 * MS)
+
 /* A played platform: the test hands out each answer. */
 struct source
 {
-  struct loop *loop;              /* for pauses */
-  struct fleet fleet;             /* beliefs */
-  struct follow *follow;          /* under test */
-  news_done done[FOLLOW_SOURCES]; /* waiting for news */
-  void *arg[FOLLOW_SOURCES];      /* for them */
-  bool reading[FOLLOW_SOURCES];   /* a read, not a wait */
-  int64_t after[FOLLOW_SOURCES];  /* version it waits after */
-  int waits[FOLLOW_SOURCES];      /* for changes, so far */
-  bool stop_at_wait;              /* the next one ends the loop */
-  int64_t store_ms;               /* its clock, as answers say */
+  struct loop *loop;                           /* for pauses */
+  struct fleet fleet;                          /* beliefs */
+  struct follow *follow;                       /* under test */
+  news_done done[FOLLOW_SOURCES];              /* waiting for news */
+  void *arg[FOLLOW_SOURCES];                   /* for them */
+  bool reading[FOLLOW_SOURCES];                /* a read, not a wait */
+  int64_t after[FOLLOW_SOURCES];               /* version it waits after */
+  int waits[FOLLOW_SOURCES];                   /* for changes, so far */
+  int64_t wait_us[FOLLOW_SOURCES];             /* of the last one */
+  struct follow_limits limits[FOLLOW_SOURCES]; /* of the last call */
+  bool stop_at_wait;                           /* the next one ends the loop */
+  bool stop_at_call; /* the next call of any kind does */
+  int64_t store_ms;  /* its clock, as answers say */
 };
 
 static void
-read_all (void *ctx, enum follow_source s, int64_t timeout_us, news_done done,
-          void *arg)
+read_all (void *ctx, enum follow_source s, const struct follow_limits *limits,
+          news_done done, void *arg)
 {
   struct source *p = ctx;
 
-  (void)timeout_us;
+  p->limits[s] = *limits;
   p->done[s] = done;
   p->arg[s] = arg;
   p->reading[s] = true;
+  if (p->stop_at_call)
+    loop_stop (p->loop);
 }
 
 static void
 wait_changes (void *ctx, enum follow_source s, int64_t version,
-              int64_t wait_us, int64_t timeout_us, news_done done, void *arg)
+              int64_t wait_us, const struct follow_limits *limits,
+              news_done done, void *arg)
 {
   struct source *p = ctx;
 
-  (void)wait_us;
-  (void)timeout_us;
+  p->limits[s] = *limits;
+  p->wait_us[s] = wait_us;
   p->done[s] = done;
   p->arg[s] = arg;
   p->reading[s] = false;
   p->after[s] = version;
   p->waits[s]++;
-  if (p->stop_at_wait)
+  if (p->stop_at_wait || p->stop_at_call)
     loop_stop (p->loop);
 }
 
@@ -620,6 +793,7 @@
   o.ops.read = read_all;
   o.ops.changes = wait_changes;
   o.ops.ctx = p;
+  o.current_us = CURRENT_US;
   p->follow = follow_new (&o);
   follow_start (p->follow);
   return p;
@@ -753,6 +927,55 @@
   source_free (p);
 }
 
+static GArray *
+naming_item (GArray *a, int64_t row, int64_t version)
+{
+  struct news_item it = { .kind = NEWS_WANTED, .row = row };
+
+  g_strlcpy (it.model, "m", sizeof it.model);
+  it.version = version;
+  g_array_append_val (a, it);
+  return a;
+}
+
+static int64_t
+early_of (const struct source *p, int i)
+{
+  return fleet_wanted_of (&p->fleet, "m")->named[i].early_us;
+}
+
+/*
+ * A poll for the operators' changes goes silent while weights are named.  What
+ * the list of endpoints said meanwhile tells how old the naming can be: its
+ * changes share the count.  An answer that was overtaken tells nothing.
+ */
+static void
+test_naming_time (void)
+{
+  struct source *p = source_new ();
+  GArray *two = g_array_new (FALSE, TRUE, sizeof (struct news_item));
+  GArray *one = g_array_new (FALSE, TRUE, sizeof (struct news_item));
+  int64_t listed;
+
+  p->store_ms = loop_now_us () / MS;
+  tell (p, FOLLOW_OPERATOR, NEWS_OK, 10, naming_item (one, 3, 1));
+  g_assert_cmpint (early_of (p, 0), ==, 0);
+  g_usleep (20000);
+  p->store_ms = loop_now_us () / MS;
+  tell (p, FOLLOW_ENDPOINTS, NEWS_OK, 20, NULL);
+  g_usleep (20000);
+  listed = loop_now_us ();
+  p->store_ms = listed / MS;
+  tell (p, FOLLOW_ENDPOINTS, NEWS_OK, 30, NULL);
+  g_usleep (20000);
+  p->store_ms = loop_now_us () / MS;
+  naming_item (two, 25, 2);
+  tell (p, FOLLOW_OPERATOR, NEWS_OK, 40, naming_item (two, 35, 3));
+  g_assert_cmpint (early_of (p, 1), <, listed - 10 * MS);
+  g_assert_cmpint (early_of (p, 2), >, listed - 10 * MS);
+  source_free (p);
+}
+
 /* Without a clock of the platform, knowledge is as fresh as the moment at
    which the answered call was sent; an unanswered call makes nothing fresh. */
 static void
@@ -772,12 +995,126 @@
   source_free (p);
 }
 
+#define ANSWER_US (500 * MS) /* for an answer to begin, over the wait */
+#define LINK_BYTES_S 1250000 /* of the smallest VMs: 10 Mbit/s */
+
+/*
+ * In calm, knowledge gets as old as a poll waits and its answer takes.  If
+ * that reached the bound past which nothing is denied, callers with a wrong
+ * path would hear 503 in each lull, and come back for nothing.
+ */
+static void
+test_wait_by_age (void)
+{
+  int64_t current, age, wait;
+
+  for (current = 900 * MS; current < 6000 * MS; current += 50 * MS)
+    for (age = 0; age < 9000 * MS; age += 30 * MS)
+      {
+        wait = follow_wait_us (current, age);
+        g_assert_cmpint (wait, >=, 100 * MS);
+        g_assert_cmpint (wait, <=, 2200 * MS);
+        if (wait > 100 * MS)
+          g_assert_cmpint (age + wait + ANSWER_US, <=, current);
+      }
+  /* Nothing is gained by asking more often than that. */
+  g_assert_cmpint (follow_wait_us (2900 * MS, 0), ==, 2200 * MS);
+  g_assert_cmpint (follow_wait_us (1900 * MS, 0), ==, 1400 * MS);
+}
+
+/*
+ * All settings take seconds to come over a small link, so they are old when
+ * they are there.  The next poll asks at once whether they still hold: with
+ * its usual wait the VM would deny nothing, and then refuse all keys, while
+ * the platform is well and nothing changes.
+ */
+static void
+test_old_on_arrival (void)
+{
+  struct source *p = source_new ();
+
+  p->store_ms = 50000;
+  tell (p, FOLLOW_OPERATOR, NEWS_OK, 10, NULL);
+  g_assert_cmpint (p->wait_us[FOLLOW_OPERATOR], >, 1300 * MS);
+  /* By its clock the answer was given when the call was sent. */
+  g_usleep (700000);
+  tell (p, FOLLOW_OPERATOR, NEWS_OK, 11, NULL);
+  g_assert_cmpint (p->wait_us[FOLLOW_OPERATOR], <, 800 * MS);
+  g_assert_cmpint (p->wait_us[FOLLOW_OPERATOR], >, 100 * MS);
+  source_free (p);
+}
+
+/*
+ * The largest answer that is taken must have the time that it needs on the
+ * smallest link: limited as a whole to less, it would never be had.  What
+ * shows a silent store is the wait for the first byte and for each further
+ * one, and both are short.
+ */
+static void
+test_limits (void)
+{
+  struct source *p = source_new ();
+  const struct follow_limits *l = &p->limits[FOLLOW_OPERATOR];
+  int64_t largest_us = (int64_t)l->bytes_max * CQ_US_PER_S / LINK_BYTES_S;
+
+  g_assert_cmpint (l->first_us, <, CQ_US_PER_S);
+  g_assert_cmpint (l->whole_us, >=, 2 * largest_us);
+  tell (p, FOLLOW_OPERATOR, NEWS_OK, 10, NULL);
+  g_assert_cmpint (l->first_us, ==, p->wait_us[FOLLOW_OPERATOR] + ANSWER_US);
+  g_assert_cmpint (l->stall_us, <=, ANSWER_US);
+  g_assert_cmpint (l->whole_us, >=, l->first_us + 2 * largest_us);
+  source_free (p);
+}
+
+/* A call fails; the next one is waited for, and whether it reads is told. */
+static bool
+reads_after (enum follow_source s, enum news_code code)
+{
+  struct source *p = source_new ();
+  bool reading;
+
+  tell (p, s, NEWS_OK, 10, NULL);
+  g_assert_false (p->reading[s]);
+  p->after[s] = 0;
+  p->stop_at_call = true;
+  tell (p, s, code, 0, NULL);
+  loop_run (p->loop);
+  reading = p->reading[s];
+  if (!reading)
+    g_assert_cmpint (p->after[s], ==, 10);
+  source_free (p);
+  return reading;
+}
+
+/*
+ * The platform is silent for a moment.  What was read before still holds, and
+ * a poll tells what changed since: each VM reading megabytes again would take
+ * the next seconds of a small link.  A poll whose answer is too large never
+ * gets anywhere, and a list of endpoints is only certain as a whole.
+ */
+static void
+test_poll_goes_on (void)
+{
+  g_assert_false (reads_after (FOLLOW_OPERATOR, NEWS_SILENT));
+  g_assert_false (reads_after (FOLLOW_OPERATOR, NEWS_STALLED));
+  g_assert_false (reads_after (FOLLOW_OPERATOR, NEWS_REFUSED));
+  g_assert_true (reads_after (FOLLOW_OPERATOR, NEWS_TOO_LARGE));
+  g_assert_true (reads_after (FOLLOW_OPERATOR, NEWS_BROKEN));
+  g_assert_true (reads_after (FOLLOW_OPERATOR, NEWS_UNREADABLE));
+  g_assert_true (reads_after (FOLLOW_ENDPOINTS, NEWS_SILENT));
+}
+
 const struct unit orders_units[] = {
   { "/lease/clock", test_clock },
   { "/lease/no-overlap", test_no_overlap },
   { "/lease/released", test_released },
   { "/orders/whole", test_orders },
   { "/orders/unknown", test_order_unknown },
+  { "/orders/naming-recorded", test_naming_recorded },
+  { "/orders/naming-unrecorded", test_naming_unrecorded },
+  { "/orders/naming-heard", test_naming_heard },
+  { "/orders/naming-written", test_naming_written },
+  { "/orders/unanswered-hold-no-place", test_unanswered_hold_no_place },
   { "/orders/slow-store", test_slow_store },
   { "/orders/successor-waits", test_successor_waits },
   { "/orders/named-while-loading", test_named_while_loading },
@@ -787,7 +1124,12 @@
   { "/orders/named-without-endpoints", test_named_without_endpoints },
   { "/follow/drain-in-gap", test_drain_in_gap },
   { "/follow/paced", test_paced },
+  { "/follow/wait-by-age", test_wait_by_age },
+  { "/follow/old-on-arrival", test_old_on_arrival },
+  { "/follow/limits", test_limits },
+  { "/follow/poll-goes-on", test_poll_goes_on },
   { "/follow/freshness", test_freshness },
   { "/follow/freshness-by-clock", test_freshness_by_clock },
+  { "/follow/naming-time", test_naming_time },
   { NULL, NULL },
 };
--- a/regress/test-relay.c
+++ b/regress/test-relay.c
@@ -9,6 +9,7 @@
 #include "units.h"
 
 #define STALE_US (4 * CQ_US_PER_S)
+#define DENY_US (2 * CQ_US_PER_S)
 
 /* What a test plays and sees. */
 struct play
@@ -203,6 +204,8 @@
   struct play *p = g_new0 (struct play, 1);
   struct relays_opts o = { .domain = "d", .stale_us = STALE_US };
 
+  o.deny_us = DENY_US;
+
   p->loop = loop_new ();
   fleet_init (&p->fleet);
   fleet_take_conf (&p->fleet, conf (1, kind, "key"), 1);
@@ -374,6 +377,68 @@
   play_free (p);
 }
 
+/*
+ * The operator added a route, a key, and room for larger bodies two seconds
+ * ago, and this VM has not heard of it: an answer is still on its way.  It
+ * answers 503 where it would have answered 404, 401 or 413, and the caller
+ * comes back; what it does know goes on.  Just before that its denials stand:
+ * what it has not heard of by then does not count yet.
+ */
+static void
+check_denial (struct play *p, int why)
+{
+  int64_t now = loop_now_us ();
+  int sends = p->sends;
+
+  p->fleet.fresh_us = now - DENY_US + 1;
+  g_assert_null (relay_start (p->relays, &p->desc, now));
+  g_assert_cmpint (p->refused, ==, why);
+  g_assert_cmpint (p->retry_after_us, ==, 0);
+  p->fleet.fresh_us = now - DENY_US;
+  g_assert_null (relay_start (p->relays, &p->desc, now));
+  g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
+  g_assert_cmpint (p->retry_after_us, >, 0);
+  g_assert_cmpint (p->sends, ==, sends);
+}
+
+static void
+test_behind_denies_nothing (void)
+{
+  struct play *p = play_new (FLEET_IDEMPOTENT);
+
+  p->desc.host = "new";
+  check_denial (p, RELAY_NO_ROUTE);
+  p->desc.host = "h";
+  p->desc.key = "new";
+  check_denial (p, RELAY_BAD_KEY);
+  p->desc.key = "key";
+  p->desc.body_len = 1001;
+  check_denial (p, RELAY_TOO_LARGE);
+  p->desc.body_len = 0;
+  p->refused = -1;
+  play_start (p);
+  g_assert_cmpint (p->refused, ==, -1);
+  answer_whole (p, "served");
+  g_assert_cmpint (p->status, ==, 200);
+  play_free (p);
+}
+
+/* The same for a body that its door stopped reading, and for a VM that knows
+   no settings yet: it denies nothing at all. */
+static void
+test_too_large_at_door (void)
+{
+  struct play *p = play_new (FLEET_IDEMPOTENT);
+  int64_t now = loop_now_us ();
+
+  relay_too_large (p->relays, &p->desc, now);
+  g_assert_cmpint (p->refused, ==, RELAY_TOO_LARGE);
+  p->fleet.fresh_us = 0;
+  relay_too_large (p->relays, &p->desc, now);
+  g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
+  play_free (p);
+}
+
 /* --- at most once ---------------------------------------------------- */
 
 /*
@@ -740,10 +805,109 @@
   play_free (p);
 }
 
+/* --- old weights ----------------------------------------------------- */
+
+/* Weights of A become outdated now, B has newer ones; old ones take work for
+   100 ms more, and nothing may begin on them after 300 ms. */
+static void
+outdate (struct play *p)
+{
+  struct fleet_endpoint *a = g_hash_table_lookup (p->fleet.by_id, "a");
+  struct fleet_endpoint *b = g_hash_table_lookup (p->fleet.by_id, "b");
+  int64_t now = loop_now_us ();
+
+  /* Callers wait long enough for a second try not to be too late. */
+  route_of (p)->target_us = 10 * CQ_US_PER_S;
+  p->fleet.old_max_us = 100000;
+  p->fleet.old_end_us = 300000;
+  b->draining = true;
+  fleet_take_wanted (&p->fleet, "m", 4, now, now);
+  play_start (p);
+  g_assert_cmpstr (p->to[0], ==, a->is.id);
+  b->draining = false;
+  fleet_take_version (b, 4);
+}
+
+/*
+ * A stream goes to an endpoint with old weights while these still take work,
+ * and waits there behind others.  Left alone, it would begin after the bound
+ * for old weights.  It is withdrawn, and goes to newer ones.
+ */
+static void
+test_withdrawn_from_old_weights (void)
+{
+  struct play *p = play_new (FLEET_STREAM);
+
+  outdate (p);
+  g_assert_true (p->event->before_send (p->arg));
+  run_for (p, 150000);
+  g_assert_cmpint (p->cancels, ==, 0);
+  run_for (p, 250000);
+  g_assert_cmpint (p->cancels, ==, 1);
+  g_assert_cmpint (p->sends, ==, 2);
+  g_assert_cmpstr (p->to[1], ==, "b");
+  answer_whole (p, "id: 0\ndata: x\n\n");
+  g_assert_cmpint (p->ended, ==, 1);
+  play_free (p);
+}
+
+/* The same, and the stream may not run twice: it may have begun, so the caller
+   is told at once that nothing is known, and nothing else is sent. */
+static void
+test_withdrawn_once (void)
+{
+  struct play *p = play_new (FLEET_STREAM);
+
+  route_of (p)->resumable = false;
+  outdate (p);
+  g_assert_true (p->event->before_send (p->arg));
+  run_for (p, 400000);
+  g_assert_cmpint (p->cancels, ==, 1);
+  g_assert_cmpint (p->sends, ==, 1);
+  g_assert_cmpint (p->refused, ==, RELAY_UNKNOWN);
+  play_free (p);
+}
+
+/* A stream that has begun is whole, whatever its weights. */
+static void
+test_begun_on_old_weights (void)
+{
+  struct play *p = play_new (FLEET_STREAM);
+
+  outdate (p);
+  g_assert_true (p->event->before_send (p->arg));
+  head (p, 200);
+  body (p, "id: 0\ndata: x\n\n");
+  run_for (p, 400000);
+  g_assert_cmpint (p->cancels, ==, 0);
+  end (p, true, true);
+  g_assert_cmpint (p->ended, ==, 1);
+  play_free (p);
+}
+
+/* The connection stands only when old weights take no more work: nothing
+   leaves, and newer ones are tried. */
+static void
+test_connected_too_late (void)
+{
+  struct play *p = play_new (FLEET_STREAM);
+
+  outdate (p);
+  run_for (p, 150000);
+  g_assert_false (p->event->before_send (p->arg));
+  end (p, false, false);
+  g_assert_cmpint (p->sends, ==, 2);
+  g_assert_cmpstr (p->to[1], ==, "b");
+  answer_whole (p, "id: 0\ndata: x\n\n");
+  play_free (p);
+}
+
 const struct unit relay_units[] = {
   { "/relay/frozen-before-send", test_frozen_before_send },
   { "/relay/revoked-before-send", test_revoked_before_send },
   { "/relay/unknown-key", test_unknown_key },
+  { "/relay/behind-denies-nothing", test_behind_denies_nothing },
+  { "/relay/too-large-at-door", test_too_large_at_door },
   { "/relay/once", test_once },
   { "/relay/once-unreached", test_once_unreached },
   { "/relay/refused-by-all", test_refused_by_all },
@@ -760,5 +924,9 @@
   { "/relay/hang-up", test_hang_up },
   { "/relay/too-late", test_too_late },
   { "/relay/nothing-known", test_nothing_known },
+  { "/relay/withdrawn-from-old-weights", test_withdrawn_from_old_weights },
+  { "/relay/withdrawn-once", test_withdrawn_once },
+  { "/relay/begun-on-old-weights", test_begun_on_old_weights },
+  { "/relay/connected-too-late", test_connected_too_late },
   { NULL, NULL },
 };
--- a/relay.c
+++ b/relay.c
@@ -41,6 +41,38 @@
   return b;
 }
 
+const char *
+relay_workspace (const struct relay *r)
+{
+  return r->workspace != NULL ? r->workspace->name : "";
+}
+
+struct share *
+relay_share (struct relay *r)
+{
+  struct relays *rs = r->rs;
+  struct share *s = g_hash_table_lookup (rs->shares, r->service);
+
+  if (s == NULL)
+    {
+      s = g_new0 (struct share, 1);
+      g_hash_table_insert (rs->shares, g_strdup (r->service), s);
+    }
+  return s;
+}
+
+/* Work that a request asks for: tokens to be read, and one for the rest. */
+static int64_t
+work_of (const struct relay_desc *d)
+{
+  int64_t work = 1;
+  int i;
+
+  for (i = 0; i < d->nparts; i++)
+    work += MAX (d->parts[i].tokens, 0);
+  return work;
+}
+
 bool
 relay_repeatable (const struct relay *r)
 {
@@ -176,6 +208,8 @@
         relay_caller_gone (r);
       else if (now_us >= r->end_us)
         relay_time_out (r, now_us);
+      else if (relay_waits_too_long (r, now_us))
+        relay_withdraw (r, now_us);
     }
   if (rs->count > 0)
     loop_arm (rs->opts.loop, &rs->sweep, now_us + SWEEP_US);
@@ -210,6 +244,29 @@
   d->caller->refuse (d->arg, why, wait);
 }
 
+/*
+ * A denial says that there is no such route or key, and the caller gives up.
+ * But a change counts for what is sent a certain time after the operator had
+ * its acknowledgement, and a VM whose knowledge is older than that time may
+ * have missed one.  With younger knowledge it cannot: a change that is not in
+ * it was acknowledged later, and so does not count yet.
+ */
+static void
+deny (struct relays *rs, const struct relay_desc *d, enum relay_refusal why,
+      const char *reason, int64_t now_us)
+{
+  if (fleet_age_us (rs->opts.fleet, now_us) < rs->opts.deny_us)
+    refuse_early (rs, d, why, reason, now_us);
+  else
+    refuse_early (rs, d, RELAY_NOT_RUN, "settings_behind", now_us);
+}
+
+void
+relay_too_large (struct relays *rs, const struct relay_desc *d, int64_t now_us)
+{
+  deny (rs, d, RELAY_TOO_LARGE, "body_too_large", now_us);
+}
+
 /* Who asks; a refusal if the key opens nothing. */
 static bool
 find_workspace (struct relays *rs, const struct relay_desc *d,
@@ -224,11 +281,10 @@
     *workspace = g_hash_table_lookup (f->conf->keys, d->key);
   if (route->anonymous || g_hash_table_size (f->conf->keys) == 0)
     return true;
-  /* A key that is not known here may have been added since. */
   if (stale)
     refuse_early (rs, d, RELAY_NOT_RUN, "settings_stale", now_us);
   else if (*workspace == NULL)
-    refuse_early (rs, d, RELAY_BAD_KEY, "no_key", now_us);
+    deny (rs, d, RELAY_BAD_KEY, "no_key", now_us);
   return !stale && *workspace != NULL;
 }
 
@@ -279,18 +335,19 @@
   route = fleet_route_find (f->conf, d->host, d->target);
   if (route == NULL)
     {
-      refuse_early (rs, d, RELAY_NO_ROUTE, "no_route", now_us);
+      deny (rs, d, RELAY_NO_ROUTE, "no_route", now_us);
       return NULL;
     }
   if (!find_workspace (rs, d, route, &workspace, now_us))
     return NULL;
   if ((int64_t)d->body_len > f->conf->limits.body_bytes)
     {
-      refuse_early (rs, d, RELAY_TOO_LARGE, "body_too_large", now_us);
+      relay_too_large (rs, d, now_us);
       return NULL;
     }
   r = relay_new (rs, d, route, now_us);
   r->workspace = workspace;
+  share_ask (relay_share (r), relay_workspace (r), work_of (d), now_us);
   /* Held as if a message were under way, so that it outlives this call. */
   r->unpausing = true;
   relay_place (r, now_us);
@@ -364,6 +421,7 @@
   rs->sweep.arg = rs;
   rs->budgets
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  rs->shares = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   APR_RING_INIT (&rs->all, relay, link);
   return rs;
 }
@@ -373,6 +431,7 @@
 {
   loop_disarm (&rs->sweep);
   g_hash_table_destroy (rs->budgets);
+  g_hash_table_destroy (rs->shares);
   g_free (rs);
 }
 
