--- a/regress/test-orders.c
+++ b/regress/test-orders.c
@@ -128,6 +128,7 @@
   int orders_sent;         /* that left */
   int64_t last_seq;        /* precondition of the last one */
   int64_t last_fence;      /* of the last one */
+  int64_t later_us;        /* what is_later waits for */
 };
 
 static int64_t
@@ -937,6 +938,75 @@
   stage_free (st);
 }
 
+/*
+ * Version 2 is named, ten seconds later version 3, and a VM starts then: it
+ * hears of 3 only, since the operator's row holds the newest one.  Its
+ * endpoint has version 1, which is outdated since 2 was named; the lease's
+ * row tells so.  Counted from when 3 was named, callers get answers by weights
+ * that have been outdated for 19 s.
+ */
+static void
+test_older_naming (void)
+{
+  struct stage *st = stage_new ();
+  int64_t now = loop_now_us ();
+  struct lease_named two = { .model = "m", .version = 2 };
+  struct lease_named three = { .model = "m", .version = 3 };
+  const struct fleet_endpoint *e = APR_RING_FIRST (&st->fleet.endpoints);
+
+  two.since_ms = store_ms (st) - 12000;
+  three.since_ms = store_ms (st) - 2000;
+  st->row = row ("other/1", store_ms (st) + 1600);
+  lease_note_named (&st->row, &two);
+  lease_note_named (&st->row, &three);
+  st->row_version = 7;
+  fleet_take_wanted (&st->fleet, "m", 3, 0, now);
+  orders_look (st->orders, now);
+  g_assert_true (
+      fleet_outdated_for (&st->fleet, e, 9 * CQ_US_PER_S, loop_now_us ()));
+  /* What has version 2 already is outdated since 3 was named. */
+  fleet_take_version (APR_RING_FIRST (&st->fleet.endpoints), 2);
+  g_assert_false (
+      fleet_outdated_for (&st->fleet, e, 9 * CQ_US_PER_S, loop_now_us ()));
+  stage_free (st);
+}
+
+static bool
+is_later (const struct stage *st)
+{
+  return loop_now_us () >= st->later_us;
+}
+
+/*
+ * A version is named while no endpoint is listed: all of the service's have
+ * crashed.  Nobody has anything to order, so nobody writes the row.  Some
+ * seconds later a VM starts, and the endpoints come back with their old
+ * weights.  It must not take the naming for a later one than it was.
+ */
+static void
+test_named_without_endpoints (void)
+{
+  struct stage *running = stage_new ();
+  struct stage *started = stage_new ();
+  int64_t named_us = loop_now_us ();
+  int64_t now;
+
+  APR_RING_FIRST (&running->fleet.endpoints)->draining = true;
+  name_version (running);
+  running->later_us = named_us + 3200 * MS;
+  wait_until (running, is_later);
+  started->row = running->row;
+  started->row_version = running->row_version;
+  fleet_take_wanted (&started->fleet, "m", 2, 0, loop_now_us ());
+  orders_look (started->orders, loop_now_us ());
+  now = loop_now_us ();
+  g_assert_true (fleet_outdated_for (
+      &started->fleet, APR_RING_FIRST (&started->fleet.endpoints),
+      now - named_us, now));
+  stage_free (started);
+  stage_free (running);
+}
+
 /* --- following ------------------------------------------------------- */
 
 #define CURRENT_US (1900 * MS)
@@ -1371,6 +1441,8 @@
   { "/orders/named-while-loading", test_named_while_loading },
   { "/orders/successor-waits-for-orders", test_successor_waits_for_orders },
   { "/orders/stop-releases", test_stop_releases },
+  { "/orders/older-naming", test_older_naming },
+  { "/orders/named-without-endpoints", test_named_without_endpoints },
   { "/follow/drain-in-gap", test_drain_in_gap },
   { "/follow/paced", test_paced },
   { "/follow/wait-by-age", test_wait_by_age },
