--- a/regress/fakestore.c
+++ b/regress/fakestore.c
@@ -6,6 +6,7 @@
  *   capacity       bytes; a put over it is answered 507
  *   corrupt        so many reads return altered bytes
  *   truncate       so many reads return half of the bytes
+ *   kb_s           kilobytes a second of a listing (0: no limit)
  */
 #include "fake.h"
 
@@ -192,6 +193,8 @@
                    (json_int_t)used, "capacity",
                    (json_int_t)fk_number ("capacity", 0), "changes", out);
   g_mutex_unlock (&lock);
+  if (fk_number ("kb_s", 0) > 0)
+    return fk_reply_paced (r, 200, doc, fk_number ("kb_s", 0));
   return fk_reply_json (r, 200, doc);
 }
 
