A store's list is limited by silence, not by size

Cause: the listing of a store of kept work had 2 s for its whole transfer, and each try begins with the first change. A store whose list takes longer over its link was never learnt by a VM that starts: it counted as silent, and callers waited for work that is kept.

Ruled out: the store itself (it answered each try), the limit of size (16 MB; the list had 4.5 KB).

Change: storec.c gives 2 s until the first byte, as before for all of it, 2 s without a further one, and 27 s for the whole once it began (16 MB, the most that is taken, over half of 10 Mbit/s). 2 s without a byte where the platform's calls have 0.5 s: a try that is given up costs the whole list, and nobody waits for a hint; it is what a silent store had before. The connect limit of a fetch is the one for the whole; the limit for the first byte counts from the start and ends it before.

Conclusion: size costs time on a small link, and no longer the list.

--- a/regress/fakestore.c
+++ b/regress/fakestore.c
@@ -7,6 +7,7 @@
  *   corrupt        so many reads return altered bytes
  *   truncate       so many reads return half of the bytes
  *   kb_s           kilobytes a second of a listing (0: no limit)
+ *   halt_kb        such a listing goes silent after so many (0: it does not)
  */
 #include "fake.h"
 
--- a/storec.c
+++ b/storec.c
@@ -12,8 +12,27 @@
 
 #include "fetch.h"
 
-#define TIMEOUT_MS 2000
-#define LISTING_MAX_BYTES (16UL * 1024 * 1024)
+/* For a listing to begin: the store gathers it first.  A silent store counts
+   as down after three of these. */
+#define FIRST_MS 2000
+/*
+ * Without a further byte of a listing that has begun: three packets in a row
+ * may be lost, which come again after 200, 400 and 800 ms.  A try that is
+ * given up costs the whole listing, and a listing is a hint that nobody waits
+ * for, so this is four times what the platform's calls have.
+ */
+#define STALL_MS 2000
+/* Taken of a listing: 450,000 changes of 37 bytes. */
+#define LISTING_MAX_BYTES INT64_C (16777216)
+/* The smallest VMs' link, 10 Mbit/s, of which requests may take half. */
+#define LINK_MIN_BYTES_S (INT64_C (10) * 1000 * 1000 / 8 / 2)
+/*
+ * For all of a listing once it began: 27 s.  Each try begins with the first
+ * change, so a limit that a large listing meets once it meets always, and a VM
+ * that starts would never learn what the store holds.
+ */
+#define WHOLE_MS (LISTING_MAX_BYTES * 1000 / LINK_MIN_BYTES_S)
+#define DROP_MS 2000 /* a store answers within some ms */
 
 /* A listing under way. */
 struct list_call
@@ -108,7 +127,9 @@
 
   c->done = done;
   c->arg = arg;
-  o.timeout_ms = TIMEOUT_MS;
+  o.first_ms = FIRST_MS;
+  o.stall_ms = STALL_MS;
+  o.timeout_ms = FIRST_MS + WHOLE_MS;
   o.reply_max = LISTING_MAX_BYTES;
   o.done = on_list;
   o.arg = c;
@@ -121,7 +142,7 @@
 {
   char name[SEGMENT_NAME_SIZE];
   g_autofree char *url = NULL;
-  struct fetch_opts o = { .method = "DELETE", .timeout_ms = TIMEOUT_MS };
+  struct fetch_opts o = { .method = "DELETE", .timeout_ms = DROP_MS };
 
   segment_name (digest, write_id, name);
   url = g_strdup_printf ("http://%s/segments/%s", address, name);
