Settings count as confirmed from when that was true, not from when it was heard

Cause: a confirmation of the settings was dated by this VM's own doings. A VM that started counted its settings as confirmed from its start, also when it took them from a VM that was itself stale: it served for fresh_within_s more by settings that may have been taken back. And the head, or a commit, counted from when its reply was handled: a VM that was suspended served for another fresh_within_s by a reply of before its sleep. Besides, a head that was newer than what is in force here confirmed what is in force.

Ruled out: dating by the settings' revision alone (two VMs of one revision may be hours behind, and a VM that was never changed has revision 0 like all); the age in the question to a neighbour as well (nothing shows its receiver how long it was on its way); the answer with changes as its carrier (none is asked for where the revisions are equal, which is the usual case).

Change. - fresh.c (pure): what was said to be the newest, when; an older revision confirms nothing, a newer one when it is in force here. - conf.c, confpost.c: dated by when the call was sent; nothing at the start. - peer.x, member.c: an answer to a ping tells revision and age of the last confirmation, rounded up; it counts from when the question was sent, less that age. Passed on it never gets younger. So VMs that do not look at the head have a confirmation all the time, where they had to wait to be stale first, and refused meanwhile. - confirmed_ms_ago is -1 where there was none.

What remains possible: a replica of the table that lags where nobody else knows better, as before.

Conclusion: nobody's settings are younger than what they were heard from.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 # Deciding: pure, no I/O, no locks, no clock.
 DECIDE = out.o budget.o share.o lim.o fq.o claim.o pfx.o route.o \
-	dir.o link.o plan.o keep.o memb.o stall.o
+	dir.o link.o plan.o keep.o memb.o stall.o fresh.o
 # Reading what callers and engines send: pure.
 WIRE = prompt.o strm.o
 SETTINGS = cfg.o cfgval.o settings_gen.o
@@ -64,7 +64,7 @@
 
 UNITS = regress/test-units.o regress/test-wire.o regress/test-fleet.o \
 	regress/test-relay.o regress/test-orders.o regress/test-parts.o \
-	regress/test-xfer.o regress/test-share.o
+	regress/test-xfer.o regress/test-share.o regress/test-fresh.o
 
 regress/test-units: $(UNITS) librelay.a libserver.a libwire.a libdecide.a
 	$(CC) $(CFLAGS) -o $@ $(UNITS) librelay.a log.o met.o loop.o xfer.o \
--- a/conf.c
+++ b/conf.c
@@ -148,6 +148,7 @@
   g_mutex_lock (&c->lock);
   g_ptr_array_add (c->changes, ch);
   c->revision = revision;
+  fresh_reached (&c->fresh, revision, c->wanted);
   g_mutex_unlock (&c->lock);
   return true;
 }
@@ -178,9 +179,23 @@
 }
 
 void
-conf_confirmed (struct conf *c, int64_t now_us)
+conf_confirmed (struct conf *c, uint64_t revision, int64_t at_us)
 {
-  c->confirmed_us = now_us;
+  g_mutex_lock (&c->lock);
+  fresh_said (&c->fresh, revision, c->revision, c->wanted, at_us);
+  g_mutex_unlock (&c->lock);
+}
+
+int64_t
+conf_age_ms (struct conf *c, uint64_t *revision, int64_t now_us)
+{
+  int64_t age;
+
+  g_mutex_lock (&c->lock);
+  *revision = c->revision;
+  age = fresh_age_ms (&c->fresh, now_us);
+  g_mutex_unlock (&c->lock);
+  return age;
 }
 
 bool
@@ -188,8 +203,12 @@
 {
   int64_t limit
       = cfg_vm (server_cfg (c->server))->fresh_within_s * CQ_US_PER_S;
+  bool over;
 
-  return now_us - c->confirmed_us > limit;
+  g_mutex_lock (&c->lock);
+  over = fresh_over (&c->fresh, limit, now_us);
+  g_mutex_unlock (&c->lock);
+  return over;
 }
 
 /*
@@ -274,9 +293,9 @@
   if (r->nrows > 0)
     head = (uint64_t)json_integer_value (
         json_object_get (r->rows[0].value, "revision"));
-  /* A replica that lags shows an older head: it confirms nothing. */
-  if (head >= c->revision && head >= c->wanted)
-    conf_confirmed (c, loop_now_us ());
+  /* It was read after it was asked for; the answer may be handled much later,
+     by a VM that was suspended meanwhile. */
+  conf_confirmed (c, head, c->head_asked_us);
   c->table_read = true;
   conf_hear_revision (c, head);
 }
@@ -299,6 +318,7 @@
   if (!c->reading && reads_head (c))
     {
       c->reading = true;
+      c->head_asked_us = now_us;
       c->server->table.read (c->server->table.ctx, CONF_HEAD_KEY, on_head, c);
     }
   loop_arm (c->server->workers[0].loop, &c->timer, now_us + pause);
@@ -315,7 +335,6 @@
   g_mutex_init (&c->lock);
   c->changes = g_ptr_array_new_with_free_func (change_free);
   c->started_us = loop_now_us ();
-  c->confirmed_us = c->started_us;
   g_queue_init (&c->waiting);
   c->timer.fire = on_timer;
   c->timer.arg = c;
--- a/confpost.c
+++ b/confpost.c
@@ -23,6 +23,7 @@
   uint64_t revision;      /* accepted as */
   json_t *head_row;       /* being written */
   uint64_t looking_at;    /* number of the change that is being read */
+  int64_t sent_us;        /* when the commit under way was sent */
 };
 
 static void commit_next (struct conf *c);
@@ -229,7 +230,8 @@
       m->revision = m->looking_at;
       conf_hear_change (c, m->revision, text);
       free (text);
-      conf_confirmed (c, loop_now_us ());
+      /* The head moved to it after that. */
+      conf_confirmed (c, m->revision, m->sent_us);
       commit_end (m, NULL, NULL);
       return;
     case TABLE_CONFLICT:
@@ -274,6 +276,7 @@
   m->head_row = json_pack ("{s:I}", "revision", (json_int_t)m->looking_at);
   w[0].put = m->head_row;
   w[1].put = m->row;
+  m->sent_us = loop_now_us ();
   t->commit (t->ctx, w, 2, on_committed, m);
 }
 
@@ -394,6 +397,9 @@
   struct server *s = r->worker->server;
   struct conf *c = s->conf;
   json_t *changes = json_array ();
+  int64_t now = loop_now_us ();
+  uint64_t revision;
+  int64_t age_ms;
   guint i;
 
   if (c == NULL)
@@ -412,11 +418,11 @@
                                                  "change", ch->row));
     }
   g_mutex_unlock (&c->lock);
+  age_ms = conf_age_ms (c, &revision, now);
   req_reply_json (
       r, 200,
-      json_pack ("{s:I,s:I,s:b,s:o,s:o}", "revision",
-                 (json_int_t)conf_revision (c), "confirmed_ms_ago",
-                 (json_int_t)((loop_now_us () - c->confirmed_us) / 1000),
-                 "stale", conf_stale (c, loop_now_us ()), "changes", changes,
-                 "vms", s->member ? member_list (s->member) : json_array ()));
+      json_pack ("{s:I,s:I,s:b,s:o,s:o}", "revision", (json_int_t)revision,
+                 "confirmed_ms_ago", (json_int_t)age_ms, "stale",
+                 conf_stale (c, now), "changes", changes, "vms",
+                 s->member ? member_list (s->member) : json_array ()));
 }
--- a/libconf.h
+++ b/libconf.h
@@ -3,6 +3,7 @@
 #ifndef CQ_LIBCONF_H
 #define CQ_LIBCONF_H
 
+#include "fresh.h"
 #include "libserver.h"
 
 #define CONF_HEAD_KEY "config/head"
@@ -20,7 +21,7 @@
 struct conf
 {
   struct server *server;     /* whose */
-  GMutex lock;               /* guards changes and revision */
+  GMutex lock;               /* guards changes, revision and fresh */
   GPtrArray *changes;        /* from revision 1 on */
   uint64_t revision;         /* in force here */
   uint64_t wanted;           /* heard of */
@@ -29,7 +30,8 @@
   uint64_t reading_revision; /* number of the change that is being read */
   int64_t asked_us;          /* when other VMs were last asked for changes */
   bool table_read;           /* the head was read at least once */
-  int64_t confirmed_us;      /* when the head was last known to be ours */
+  int64_t head_asked_us;     /* when the head was asked for */
+  struct fresh fresh;        /* until when this is the newest */
   int64_t started_us;        /* when this VM started */
   struct commit *commits;    /* none, or the one under way; others wait */
   GQueue waiting;            /* commits that wait */
--- a/libserver.h
+++ b/libserver.h
@@ -588,7 +588,11 @@
 /* On the first worker's thread. */
 void conf_hear_change (struct conf *c, uint64_t revision, const char *text);
 void conf_hear_revision (struct conf *c, uint64_t revision);
-void conf_confirmed (struct conf *c, int64_t now_us);
+/* Somebody says that REVISION was the newest at AT_US. */
+void conf_confirmed (struct conf *c, uint64_t revision, int64_t at_us);
+/* Any thread: the revision in force, and for how long it is not confirmed; -1
+   if it never was. */
+int64_t conf_age_ms (struct conf *c, uint64_t *revision, int64_t now_us);
 bool conf_ready (struct conf *c);
 bool conf_stale (struct conf *c, int64_t now_us);
 void conf_post (struct req *r);
--- a/member.c
+++ b/member.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #include "fetch.h"
+#include "fresh.h"
 #include "memb.h"
 #include "peers.h"
 
@@ -40,6 +41,7 @@
 {
   struct member *member;     /* whose */
   char name[MEMB_NAME_SIZE]; /* whom */
+  int64_t asked_us;          /* when, or before */
 };
 
 /* --- words and messages --- */
@@ -68,29 +70,49 @@
   w->revision = p->revision;
 }
 
+static bool
+read_fresh (struct member *m, peer_fresh *fresh)
+{
+  struct conf *c = m->server->conf;
+  uint64_t revision;
+  int64_t age = c != NULL ? conf_age_ms (c, &revision, loop_now_us ()) : -1;
+
+  if (age < 0)
+    return false;
+  fresh->revision = revision;
+  fresh->age_ms = (u_quad_t)age;
+  return true;
+}
+
 /* The own word, what is new, and what is said of the VM that is asked: so it
-   learns that it was given up, and can refute it. */
+   learns that it was given up, and can refute it.  An answer has more: how old
+   the last confirmation of the settings here is.  A question has not, since
+   nothing shows its receiver how long it was on its way. */
 static GByteArray *
-make_ping (struct member *m, const char *receiver)
+make_ping (struct member *m, const char *receiver, bool answer)
 {
   struct memb_word words[PEER_RUMORS_MAX];
   peer_member wire[PEER_RUMORS_MAX];
-  peer_ping ping = { 0 };
+  peer_pong pong = { 0 };
+  peer_fresh fresh;
   const struct memb *about;
   GByteArray *out;
   int n, i;
 
+  if (answer && read_fresh (m, &fresh))
+    pong.fresh = &fresh;
   g_mutex_lock (&m->lock);
-  to_wire (memb_self (m->table), &ping.self);
+  to_wire (memb_self (m->table), &pong.ping.self);
   n = memb_rumors (m->table, words, PEER_RUMORS_MAX - 1);
   about = memb_find (m->table, receiver);
   if (about != NULL && about->word.state != MEMB_ALIVE)
     words[n++] = about->word;
   for (i = 0; i < n; i++)
     to_wire (&words[i], &wire[i]);
-  ping.rumors.rumors_len = (u_int)n;
-  ping.rumors.rumors_val = wire;
-  out = peers_encode ((xdrproc_t)xdr_peer_ping, &ping);
+  pong.ping.rumors.rumors_len = (u_int)n;
+  pong.ping.rumors.rumors_val = wire;
+  out = answer ? peers_encode ((xdrproc_t)xdr_peer_pong, &pong)
+               : peers_encode ((xdrproc_t)xdr_peer_ping, &pong.ping);
   g_mutex_unlock (&m->lock);
   return out;
 }
@@ -114,25 +136,52 @@
                (guint64)w.incarnation, (guint64)w.revision);
 }
 
+static void
+hear_words (struct member *m, const peer_ping *ping)
+{
+  u_int i;
+
+  hear_one (m, &ping->self);
+  for (i = 0; i < ping->rumors.rumors_len; i++)
+    hear_one (m, &ping->rumors.rumors_val[i]);
+}
+
 /* Returns the sender's revision. */
 static uint64_t
 hear_ping (struct member *m, const peer_envelope *e)
 {
   peer_ping ping = { 0 };
   uint64_t revision;
-  u_int i;
 
   if (!peers_decode ((xdrproc_t)xdr_peer_ping, e->body.body_val,
                      e->body.body_len, &ping))
     return 0;
-  hear_one (m, &ping.self);
-  for (i = 0; i < ping.rumors.rumors_len; i++)
-    hear_one (m, &ping.rumors.rumors_val[i]);
+  hear_words (m, &ping);
   revision = ping.self.revision;
   xdr_free ((xdrproc_t)xdr_peer_ping, &ping);
   return revision;
 }
 
+/* A VM that sends no ages answers with a ping. */
+static uint64_t
+hear_pong (struct member *m, const peer_envelope *e, int64_t asked_us)
+{
+  peer_pong pong = { 0 };
+  uint64_t revision;
+  int64_t at;
+
+  if (!peers_decode ((xdrproc_t)xdr_peer_pong, e->body.body_val,
+                     e->body.body_len, &pong))
+    return hear_ping (m, e);
+  hear_words (m, &pong.ping);
+  revision = pong.ping.self.revision;
+  if (m->server->conf != NULL && pong.fresh != NULL
+      && fresh_told (asked_us, pong.fresh->age_ms, &at))
+    conf_confirmed (m->server->conf, pong.fresh->revision, at);
+  xdr_free ((xdrproc_t)xdr_peer_pong, &pong);
+  return revision;
+}
+
 /* --- answers, on the peers' thread --- */
 
 /* A revision that was heard, on its way to the first worker's loop. */
@@ -184,7 +233,7 @@
 
   if (m->server->conf != NULL && revision > conf_revision (m->server->conf))
     post_revision (m, revision);
-  return take_body (make_ping (m, call->sender), reply);
+  return take_body (make_ping (m, call->sender, true), reply);
 }
 
 static bool
@@ -237,7 +286,7 @@
 {
   struct asked *a = arg;
   struct member *m = a->member;
-  uint64_t revision = reply != NULL ? hear_ping (m, reply) : 0;
+  uint64_t revision = reply != NULL ? hear_pong (m, reply, a->asked_us) : 0;
   int64_t now = loop_now_us ();
   struct memb *who;
 
@@ -261,9 +310,10 @@
 
   a->member = m;
   g_strlcpy (a->name, name, sizeof a->name);
+  a->asked_us = loop_now_us ();
   __atomic_fetch_add (&m->waiting, 1, __ATOMIC_RELAXED);
-  peers_ask (m->peers, address, name, PEER_PING, make_ping (m, name), m->loop,
-             on_pong, a);
+  peers_ask (m->peers, address, name, PEER_PING, make_ping (m, name, false),
+             m->loop, on_pong, a);
 }
 
 /* Names and addresses of those to ask now.  Other domains are asked more
--- a/peer.h
+++ b/peer.h
@@ -39,6 +39,18 @@
 };
 typedef struct peer_ping peer_ping;
 
+struct peer_fresh {
+	u_quad_t revision;
+	u_quad_t age_ms;
+};
+typedef struct peer_fresh peer_fresh;
+
+struct peer_pong {
+	peer_ping ping;
+	peer_fresh *fresh;
+};
+typedef struct peer_pong peer_pong;
+
 struct peer_change {
 	u_quad_t revision;
 	char *text;
@@ -103,6 +115,8 @@
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_peer_member (XDR *, peer_member*);
 extern  bool_t xdr_peer_ping (XDR *, peer_ping*);
+extern  bool_t xdr_peer_fresh (XDR *, peer_fresh*);
+extern  bool_t xdr_peer_pong (XDR *, peer_pong*);
 extern  bool_t xdr_peer_change (XDR *, peer_change*);
 extern  bool_t xdr_peer_changes (XDR *, peer_changes*);
 extern  bool_t xdr_peer_proc (XDR *, peer_proc*);
@@ -112,6 +126,8 @@
 #else /* K&R C */
 extern bool_t xdr_peer_member ();
 extern bool_t xdr_peer_ping ();
+extern bool_t xdr_peer_fresh ();
+extern bool_t xdr_peer_pong ();
 extern bool_t xdr_peer_change ();
 extern bool_t xdr_peer_changes ();
 extern bool_t xdr_peer_proc ();
--- a/peer.x
+++ b/peer.x
@@ -28,6 +28,21 @@
   peer_member rumors<PEER_RUMORS_MAX>;
 };
 
+/* Settings that were the newest when this was said, but for AGE_MS. */
+struct peer_fresh
+{
+  unsigned hyper revision;
+  unsigned hyper age_ms;
+};
+
+/* Answered to a ping.  What follows the ping is sent if the settings were ever
+   confirmed; a program that knows no ages neither reads nor sends it. */
+struct peer_pong
+{
+  peer_ping ping;
+  peer_fresh *fresh;
+};
+
 /* A change of settings, as its row in the table. */
 struct peer_change
 {
--- a/peer_xdr.c
+++ b/peer_xdr.c
@@ -40,6 +40,30 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_fresh (XDR *xdrs, peer_fresh *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_pong (XDR *xdrs, peer_pong *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_peer_ping (xdrs, &objp->ping))
+		 return FALSE;
+	 if (!xdr_pointer (xdrs, (char **)&objp->fresh, sizeof (peer_fresh), (xdrproc_t) xdr_peer_fresh))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_change (XDR *xdrs, peer_change *objp)
 {
--- a/regress/fuzz-input.c
+++ b/regress/fuzz-input.c
@@ -68,11 +68,13 @@
 fuzz_peers (const char *data, size_t size)
 {
   peer_ping ping = { 0 };
+  peer_pong pong = { 0 };
   peer_changes changes = { 0 };
   peer_sealed sealed = { 0 };
   peer_envelope envelope = { 0 };
 
   fuzz_peer (data, size, (xdrproc_t)xdr_peer_ping, &ping);
+  fuzz_peer (data, size, (xdrproc_t)xdr_peer_pong, &pong);
   fuzz_peer (data, size, (xdrproc_t)xdr_peer_changes, &changes);
   fuzz_peer (data, size, (xdrproc_t)xdr_peer_sealed, &sealed);
   fuzz_peer (data, size, (xdrproc_t)xdr_peer_envelope, &envelope);
--- a/regress/units.h
+++ b/regress/units.h
@@ -16,6 +16,7 @@
 extern const struct unit orders_units[];
 extern const struct unit parts_units[];
 extern const struct unit share_units[];
+extern const struct unit fresh_units[];
 extern const struct unit xfer_units[];
 
 #endif
