--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 # The users' platform; translates only.
 PLATFORM = platform/answered.o platform/asked.o platform/decode.o platform/duty.o \
 	platform/engine.o platform/ingress.o platform/json.o platform/kvstore.o \
-	platform/platform.o platform/store.o
+	platform/pieces.o platform/platform.o platform/rows.o platform/store.o
 COMMANDS = main.o ctl.o ctlcall.o ctlconf.o
 
 ARCHIVES = libserver.a libplatform.a librelay.a libserver.a libsettings.a \
@@ -66,13 +66,10 @@
 UNITS = regress/test-units.o regress/test-wire.o regress/test-fleet.o \
 	regress/test-relay.o regress/test-orders.o regress/test-parts.o \
 	regress/test-xfer.o regress/test-share.o regress/test-headers.o \
-	regress/test-fresh.o
+	regress/test-fresh.o regress/test-steps.o
 
-# The adapter's pure part.
-HEADERS = platform/answered.o platform/asked.o platform/decode.o platform/json.o
-
-regress/test-units: $(UNITS) $(HEADERS) librelay.a libserver.a libwire.a libdecide.a
-	$(CC) $(CFLAGS) -o $@ $(UNITS) $(HEADERS) librelay.a log.o met.o loop.o xfer.o \
+regress/test-units: $(UNITS) libplatform.a librelay.a libserver.a libwire.a libdecide.a
+	$(CC) $(CFLAGS) -o $@ $(UNITS) libplatform.a librelay.a log.o met.o loop.o xfer.o fetch.o \
 		libwire.a libdecide.a $(LIBS)
 
 MODEL = regress/model.o regress/modelworld.o regress/modelstore.o \
@@ -110,7 +107,8 @@
 
 # Coverage-guided inputs for all parsers; needs clang.
 FUZZED = prompt.c strm.c peer_xdr.c platform/answered.c platform/asked.c \
-	platform/decode.c platform/json.c platform/kvstore.c fleet.c evt.c lease.c \
+	platform/decode.c platform/json.c platform/kvstore.c \
+	platform/pieces.c platform/rows.c fleet.c evt.c lease.c \
 	fetch.c xfer.c stall.c loop.c
 regress/fuzz-input: regress/fuzz-input.c $(FUZZED) wire.h
 	clang -std=gnu11 -D_GNU_SOURCE -g -O1 $(LIB_CFLAGS) -I. \
--- a/regress/modelkeys.c
+++ b/regress/modelkeys.c
@@ -86,6 +86,7 @@
 
   n.version = e->reply.version;
   n.store_ms = e->reply.store_ms;
+  n.came_us = world.now_us;
   n.items = items;
   if (n.code == NEWS_OK && n.version > e->after)
     {
--- a/regress/modelstore.c
+++ b/regress/modelstore.c
@@ -222,6 +222,7 @@
       n.code = NEWS_OK;
       n.version = e->reply.version;
       n.store_ms = e->reply.store_ms;
+      n.came_us = world.now_us;
       if (e->source == FOLLOW_OPERATOR)
         add_naming (e, items);
       else if (e->after < 0)
--- a/regress/units.h
+++ b/regress/units.h
@@ -19,5 +19,6 @@
 extern const struct unit fresh_units[];
 extern const struct unit xfer_units[];
 extern const struct unit header_units[];
+extern const struct unit steps_units[];
 
 #endif
