--- a/Makefile
+++ b/Makefile
@@ -12,9 +12,9 @@
 WIRE = prompt.o strm.o
 SETTINGS = cfg.o cfgval.o settings_gen.o
 SERVER = log.o met.o loop.o xfer.o fetch.o epc.o tabc.o objc.o auth.o refusal.o \
-	hin.o api.o job.o pump.o attempt.o jobclaim.o jobreply.o claims.o \
+	hin.o reply.o api.o job.o joblog.o pump.o attempt.o jobclaim.o jobreply.o claims.o \
 	history.o poll.o storec.o kept.o export.o adopt.o conf.o confpost.o member.o \
-	peerrpc.o peerseal.o peer_xdr.o adm.o entry.o srv.o
+	peerrpc.o peerbody.o peerseal.o peer_xdr.o adm.o entry.o state.o listen.o srv.o
 # Requests that are passed on: beliefs of the fleet, and each request's life.
 RELAY = fleet.o pick.o evt.o relay.o relaytry.o follow.o \
 	lease.o orders.o parts.o partfeed.o
@@ -22,7 +22,7 @@
 PLATFORM = platform/answered.o platform/asked.o platform/decode.o platform/duty.o \
 	platform/engine.o platform/ingress.o platform/json.o platform/kvstore.o \
 	platform/platform.o platform/store.o
-COMMANDS = main.o ctl.o ctlconf.o
+COMMANDS = main.o ctl.o ctlcall.o ctlconf.o
 
 ARCHIVES = libserver.a libplatform.a librelay.a libserver.a libsettings.a \
 	libwire.a libdecide.a
--- a/adopt.c
+++ b/adopt.c
@@ -17,12 +17,6 @@
 #define QUANTUM_TOKENS 2048 /* cost a workspace may spend in one turn */
 #define OLD_CFG_US (10 * CQ_US_PER_S)
 
-struct cfg *
-server_cfg (struct server *s)
-{
-  return __atomic_load_n (&s->cfg, __ATOMIC_ACQUIRE);
-}
-
 /* --- services and workspaces --- */
 
 static void
--- a/api.c
+++ b/api.c
@@ -4,75 +4,12 @@
  */
 #include "libserver.h"
 
-#include <microhttpd.h>
 #include <string.h>
 
 #define CONNECTION_MEMORY                                                     \
   12288                        /* bytes a connection, for head and buffers    \
                                 */
 #define CONTROL_BODY_MAX 65536 /* bytes of an operator's request */
-#define MAX_LINES 8            /* header lines of a reply */
-
-/* --- replies --------------------------------------------------------- */
-
-void
-req_reply (struct req *r, const struct reply *reply)
-{
-  g_autofree char *type
-      = g_strconcat ("Content-Type: ", reply->content_type, NULL);
-  g_autofree char *id = g_strconcat ("Camphorquay-Request-Id: ", r->id, NULL);
-  g_autofree char *outcome = NULL;
-  g_autofree char *retry = NULL;
-  const char *lines[MAX_LINES] = { type, id };
-  int n = 2;
-
-  if (reply->outcome != NULL)
-    {
-      outcome = g_strconcat ("Camphorquay-Outcome: ", reply->outcome, NULL);
-      lines[n++] = outcome;
-    }
-  if (reply->retry_after_s > 0)
-    {
-      retry = g_strdup_printf ("Retry-After: %d", reply->retry_after_s);
-      lines[n++] = retry;
-    }
-  req_respond (r, reply->status, lines, reply->body, reply->len);
-}
-
-void
-req_reply_json (struct req *r, int status, json_t *doc)
-{
-  char *text = json_dumps (doc, JSON_INDENT (2));
-  struct reply reply
-      = { .status = status, .content_type = "application/json" };
-
-  reply.body = text;
-  reply.len = strlen (text);
-  req_reply (r, &reply);
-  free (text);
-  json_decref (doc);
-}
-
-/* Refuse before any work: nothing was run. */
-void
-req_refuse (struct req *r, const char *code, int64_t retry_after_us)
-{
-  const struct refusal *f = refusal_find (code);
-  json_t *doc
-      = json_pack ("{s:{s:s,s:s,s:s}}", "error", "code", f->code, "message",
-                   f->message, "outcome", out_name (OUT_NOT_RUN));
-  char *text = json_dumps (doc, JSON_COMPACT);
-  struct reply reply
-      = { .status = f->status, .content_type = "application/json" };
-
-  reply.body = text;
-  reply.len = strlen (text);
-  reply.outcome = out_name (OUT_NOT_RUN);
-  reply.retry_after_s = refusal_retry_s (retry_after_us);
-  req_reply (r, &reply);
-  free (text);
-  json_decref (doc);
-}
 
 /* Refuse a request that never became a job. */
 static void
@@ -83,27 +20,6 @@
   req_refuse (r, code, retry_after_us);
 }
 
-/*
- * Start the reply of a stream.  Its outcome is not known yet; it comes in the
- * trailer at the end, or in the error event of a broken stream.
- */
-void
-req_stream_begin (struct req *r, const char *content_type)
-{
-  g_autofree char *type = g_strconcat ("Content-Type: ", content_type, NULL);
-  g_autofree char *id = g_strconcat ("Camphorquay-Request-Id: ", r->id, NULL);
-  const char *lines[] = { type, "Cache-Control: no-cache", id,
-                          "Trailer: Camphorquay-Outcome", NULL };
-
-  req_stream_open (r, MHD_HTTP_OK, lines);
-}
-
-void
-req_stream_end (struct req *r, bool whole)
-{
-  req_stream_close (r, whole, "Camphorquay-Outcome", out_name (OUT_ANSWERED));
-}
-
 /* --- requests that become jobs --------------------------------------- */
 
 static void
--- a/attempt.c
+++ b/attempt.c
@@ -302,12 +302,12 @@
     {
       j->outcome = v.outcome;
       j->reason = v.reason;
-      jobclaim_record (j);
+      j->steps->ran (j);
     }
   else if (v.outcome == OUT_NOT_RUN)
-    job_refuse (j, v.reason, CQ_US_PER_S);
+    j->steps->refuse (j, v.reason, CQ_US_PER_S);
   else
-    job_finish (j, v.outcome, v.reason);
+    j->steps->finish (j, v.outcome, v.reason);
 }
 
 static void
--- a/ctl.c
+++ b/ctl.c
@@ -1,5 +1,4 @@
 /* Operators' command: ask or change a running VM over its /admin interface. */
-#include <curl/curl.h>
 #include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -9,9 +8,6 @@
 #include "ctl.h"
 #include "server.h"
 
-#define TIMEOUT_S 10L
-#define KEY_VARIABLE "CAMPHORQUAY_KEY"
-
 /* A command to a VM. */
 struct verb
 {
@@ -161,69 +157,7 @@
 
 #define NVERBS (sizeof verbs / sizeof verbs[0])
 
-/* --- the call -------------------------------------------------------- */
-
-static size_t
-take_reply (char *data, size_t size, size_t n, void *arg)
-{
-  g_string_append_len (arg, data, (gssize)(size * n));
-  return size * n;
-}
-
-static char *
-read_key (const struct ctl_options *o)
-{
-  const char *env = g_getenv (KEY_VARIABLE);
-  char *key = NULL;
-
-  if (o->key_file == NULL)
-    return g_strdup (env);
-  if (!g_file_get_contents (o->key_file, &key, NULL, NULL))
-    return NULL;
-  return g_strstrip (key);
-}
-
-long
-ctl_call (const struct ctl_options *o, const char *method, const char *path,
-          const char *body, GString *reply)
-{
-  g_autofree char *url = g_strdup_printf ("http://%s%s", o->address, path);
-  g_autofree char *key = read_key (o);
-  g_autofree char *auth = g_strdup_printf ("Authorization: Bearer %s", key);
-  struct curl_slist *headers = curl_slist_append (NULL, auth);
-  CURL *c = curl_easy_init ();
-  long status = 0;
-
-  curl_easy_setopt (c, CURLOPT_URL, url);
-  curl_easy_setopt (c, CURLOPT_PROXY, "");
-  curl_easy_setopt (c, CURLOPT_TIMEOUT, TIMEOUT_S);
-  curl_easy_setopt (c, CURLOPT_HTTPHEADER, headers);
-  curl_easy_setopt (c, CURLOPT_WRITEFUNCTION, take_reply);
-  curl_easy_setopt (c, CURLOPT_WRITEDATA, reply);
-  if (strcmp (method, "POST") == 0)
-    curl_easy_setopt (c, CURLOPT_POSTFIELDS, body ? body : "");
-  if (curl_easy_perform (c) == CURLE_OK)
-    curl_easy_getinfo (c, CURLINFO_RESPONSE_CODE, &status);
-  curl_easy_cleanup (c);
-  curl_slist_free_all (headers);
-  return status;
-}
-
-int
-ctl_refused (const struct ctl_options *o, long status, const json_t *reply)
-{
-  const json_t *error = json_object_get (reply, "error");
-  const char *message = json_string_value (json_object_get (error, "message"));
-  const char *detail = json_string_value (json_object_get (error, "detail"));
-
-  if (status == 0)
-    fprintf (stderr, "camphorquay ctl: %s does not answer\n", o->address);
-  else
-    fprintf (stderr, "camphorquay ctl: %s\n", message ? message : "refused");
-  if (detail != NULL && detail[0] != '\0')
-    fprintf (stderr, "  %s\n", detail);
-  return EXIT_CODE_FAILED;
-}
+/* --- commands -------------------------------------------------------- */
 
 static int
 ask (const struct ctl_options *o, const struct verb *v)
@@ -250,11 +184,11 @@
 static int
 run_verb (const struct ctl_options *o, const struct verb *v)
 {
-  g_autofree char *key = read_key (o);
+  g_autofree char *key = ctl_key (o);
 
   if (key == NULL)
     {
-      fprintf (stderr, "camphorquay ctl: no key: set " KEY_VARIABLE
+      fprintf (stderr, "camphorquay ctl: no key: set " CTL_KEY_VARIABLE
                        " or use --key-file\n");
       return EXIT_CODE_USAGE;
     }
@@ -266,7 +200,7 @@
 static const struct argp_option ctl_options[] = {
   { "address", 'a', "IP:PORT", 0, "VM to ask", 0 },
   { "key-file", 'k', "FILE", 0,
-    "File with the operator's key; else " KEY_VARIABLE, 0 },
+    "File with the operator's key; else " CTL_KEY_VARIABLE, 0 },
   { "json", 'j', 0, 0, "Print the reply as JSON", 0 },
   { "wait", 'w', "SECONDS", 0,
     "How long apply waits until a change is in force (6)", 0 },
--- a/ctl.h
+++ b/ctl.h
@@ -6,6 +6,8 @@
 #include <jansson.h>
 #include <stdbool.h>
 
+#define CTL_KEY_VARIABLE "CAMPHORQUAY_KEY"
+
 /* What the command line says. */
 struct ctl_options
 {
@@ -18,6 +20,9 @@
   int nwords;           /* their number */
 };
 
+/* The operator's key, or NULL; freed by the caller. */
+char *ctl_key (const struct ctl_options *o);
+
 /* Ask the VM; HTTP status, 0 if it does not answer.  Free the reply. */
 long ctl_call (const struct ctl_options *o, const char *method,
                const char *path, const char *body, GString *reply);
--- a/job.c
+++ b/job.c
@@ -1,8 +1,9 @@
 /*
  * Jobs: the life of one request to a service, from its admission to its end.
  *
- * attempt.c sends it, jobclaim.c keeps it from running twice, jobreply.c
- * answers the caller.
+ * pump.c finds it a place, attempt.c sends it, jobclaim.c keeps it from
+ * running twice, jobreply.c answers the caller.  What follows what they did is
+ * said here, by callbacks: none of them knows this file.
  */
 #include "libserver.h"
 
@@ -10,70 +11,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define TRACE_MAX_BYTES 8192
 #define SWEEP_US (20 * CQ_US_PER_MS)
 #define PEEK_EVERY 12 /* sweeps between looks for callers that went away */
 /* A parsed prompt is held as JSON, as text and as the body sent. */
 #define PROMPT_COPIES 3
 
-/* --- log ------------------------------------------------------------- */
-
-/* Log an event of a job, and keep the line to explain the job later. */
-void
-job_log (struct job *j, const char *event, const char *fmt, ...)
-{
-  g_autofree char *pairs = NULL;
-  va_list ap;
-
-  va_start (ap, fmt);
-  pairs = g_strdup_vprintf (fmt, ap);
-  va_end (ap);
-  log_event (LOG_LEVEL_INFO, event, "req=%s workspace=%s service=%s %s", j->id,
-             j->wc->id, j->sc->id, pairs);
-  if (j->trace->len < TRACE_MAX_BYTES)
-    g_string_append_printf (j->trace, "%" G_GINT64_FORMAT " %s %s\n",
-                            (gint64)(loop_now_us () - j->arrived_us), event,
-                            pairs);
-}
-
-/* --- memory ---------------------------------------------------------- */
-
-static void
-charge (struct job *j, int64_t bytes)
-{
-  j->charged += bytes;
-  __atomic_fetch_add (&j->worker->server->body_bytes, bytes, __ATOMIC_RELAXED);
-}
-
-static void
-job_free (struct job *j)
-{
-  charge (j, -j->charged);
-  prompt_clear (&j->prompt);
-  strm_clear (&j->strm);
-  if (j->body != NULL)
-    g_string_free (j->body, TRUE);
-  if (j->answer != NULL)
-    g_string_free (j->answer, TRUE);
-  g_string_free (j->trace, TRUE);
-  g_strfreev (j->send_headers);
-  g_free (j->send_body);
-  g_free (j->call_path);
-  g_free (j->content_type);
-  g_free (j->digests);
-  g_free (j->key);
-  g_free (j->claim_key);
-  cfg_free (j->cfg);
-  g_free (j);
-}
-
-/* Free a job that has ended once nothing is under way for it. */
-void
-job_unref (struct job *j)
-{
-  if (j->state == JOB_DONE && j->pending == 0 && !j->unpausing)
-    job_free (j);
-}
+static const struct job_steps steps;
 
 /* --- start ----------------------------------------------------------- */
 
@@ -87,6 +30,7 @@
   j->worker = w;
   j->caller = d->caller;
   j->caller_arg = d->arg;
+  j->steps = &steps;
   g_strlcpy (j->id, d->id, sizeof j->id);
   j->workspace = &s->workspaces[d->workspace];
   j->service = &s->services[service];
@@ -198,7 +142,7 @@
   if (code == NULL)
     code = place_submit (j, now, &retry_after);
   if (code != NULL)
-    job_refuse (j, code, retry_after);
+    j->steps->refuse (j, code, retry_after);
 }
 
 static void
@@ -243,7 +187,7 @@
   j->prompt = p;
   j->max_tokens = p.max_tokens ? p.max_tokens : j->sc->max_tokens;
   j->cost = p.prompt_tokens + j->max_tokens;
-  charge (j, (int64_t)d->body_len * PROMPT_COPIES);
+  job_charge (j, (int64_t)d->body_len * PROMPT_COPIES);
   strm_init (&j->strm, j->sc->version, (size_t)vm->resume_text_kb * 1024);
   digest_prompt (j);
   submit (j, d);
@@ -262,7 +206,7 @@
   if (service < 0)
     return "no_service";
   j = job_new (d, service);
-  charge (j, (int64_t)d->body_len);
+  job_charge (j, (int64_t)d->body_len);
   j->body = g_string_new_len (d->body, (gssize)d->body_len);
   j->call_path = g_strdup (slash ? slash : "/");
   j->content_type = g_strdup (d->content_type ? d->content_type
@@ -330,8 +274,8 @@
 }
 
 /* Give up a job before its next attempt; not-run if no attempt ran. */
-void
-job_refuse (struct job *j, const char *code, int64_t retry_after_us)
+static void
+refuse (struct job *j, const char *code, int64_t retry_after_us)
 {
   enum outcome outcome = out_refused (j->ran, j->sc->repeatable);
 
@@ -340,12 +284,29 @@
   finish (j, outcome, code, retry_after_us);
 }
 
-void
-job_finish (struct job *j, enum outcome outcome, const char *reason)
+static void
+finish_at_once (struct job *j, enum outcome outcome, const char *reason)
 {
   finish (j, outcome, reason, 0);
 }
 
+/* A place was found: a call that may not repeat is claimed before. */
+static void
+placed (struct job *j)
+{
+  if (jobclaim_needed (j))
+    jobclaim_start (j);
+  else
+    attempt_start (j);
+}
+
+static const struct job_steps steps = {
+  .placed = placed,
+  .ran = jobclaim_record,
+  .refuse = refuse,
+  .finish = finish_at_once,
+};
+
 /*
  * The caller hung up.  A repeatable request is cancelled.  A call that may
  * not repeat goes on once it was sent: stopping it would leave it half done,
@@ -360,7 +321,7 @@
     {
     case JOB_QUEUED:
       if (place_cancel (j))
-        job_refuse (j, "caller_gone", 0);
+        refuse (j, "caller_gone", 0);
       return;
     case JOB_RUNNING:
       if (j->sc->repeatable)
@@ -397,7 +358,7 @@
     {
     case JOB_QUEUED:
       if (now_us >= j->entry.deadline_us && place_cancel (j))
-        job_refuse (j, "deadline", CQ_US_PER_S);
+        refuse (j, "deadline", CQ_US_PER_S);
       break;
     case JOB_RUNNING:
       sweep_running (j, now_us);
@@ -407,7 +368,7 @@
       break;
     case JOB_RECORDING:
       if (now_us >= j->record_until_us)
-        job_finish (j, j->outcome, j->reason);
+        finish (j, j->outcome, j->reason, 0);
       break;
     case JOB_CLAIMING:
     case JOB_DONE:
--- a/jobclaim.c
+++ b/jobclaim.c
@@ -134,7 +134,7 @@
   met_add (MET_CLAIMS, 1);
   log_claim (j, "own");
   if (j->caller == NULL)
-    job_refuse (j, "caller_gone", 0);
+    j->steps->refuse (j, "caller_gone", 0);
   else
     attempt_start (j);
 }
@@ -186,7 +186,7 @@
       return;
     }
   release_uncertain (j);
-  job_refuse (j, "table_down", CQ_US_PER_S);
+  j->steps->refuse (j, "table_down", CQ_US_PER_S);
 }
 
 static void
@@ -253,7 +253,7 @@
 replay (struct job *j)
 {
   met_add (MET_CLAIM_REPLAYS, 1);
-  job_finish (j, j->outcome, j->reason);
+  j->steps->finish (j, j->outcome, j->reason);
 }
 
 static void
@@ -269,7 +269,7 @@
     }
   if (!found)
     {
-      job_finish (j, OUT_UNKNOWN, "answer_lost");
+      j->steps->finish (j, OUT_UNKNOWN, "answer_lost");
       return;
     }
   g_string_append_len (j->answer, data, (gssize)len);
@@ -330,7 +330,7 @@
     }
   if (j->caller == NULL)
     {
-      job_finish (j, OUT_UNKNOWN, "caller_gone");
+      j->steps->finish (j, OUT_UNKNOWN, "caller_gone");
       return;
     }
   j->read_us = now + j->read_pause_us;
@@ -364,10 +364,10 @@
       wait_for_owner (j);
       break;
     case CLAIM_LOST:
-      job_finish (j, OUT_UNKNOWN, "claim_lost");
+      j->steps->finish (j, OUT_UNKNOWN, "claim_lost");
       break;
     case CLAIM_MISMATCH:
-      job_refuse (j, "key_reused", 0);
+      j->steps->refuse (j, "key_reused", 0);
       break;
     }
 }
@@ -396,7 +396,7 @@
 
   if (now_us >= j->deadline_us)
     {
-      job_finish (j, OUT_UNKNOWN, "still_running");
+      j->steps->finish (j, OUT_UNKNOWN, "still_running");
       return;
     }
   if (j->op != NULL || now_us < j->read_us)
@@ -416,7 +416,7 @@
   if (j == NULL)
     return;
   log_claim (j, op->code == CLAIM_OP_LOST ? "not_recorded" : "recorded");
-  job_finish (j, j->outcome, j->reason);
+  j->steps->finish (j, j->outcome, j->reason);
 }
 
 static json_t *
--- /dev/null
+++ b/joblog.c
@@ -0,0 +1,62 @@
+/* What each part of a job's life needs: its log and its memory. */
+#include "libserver.h"
+
+#include <string.h>
+
+#define TRACE_MAX_BYTES 8192
+
+/* Log an event of a job, and keep the line to explain the job later. */
+void
+job_log (struct job *j, const char *event, const char *fmt, ...)
+{
+  g_autofree char *pairs = NULL;
+  va_list ap;
+
+  va_start (ap, fmt);
+  pairs = g_strdup_vprintf (fmt, ap);
+  va_end (ap);
+  log_event (LOG_LEVEL_INFO, event, "req=%s workspace=%s service=%s %s", j->id,
+             j->wc->id, j->sc->id, pairs);
+  if (j->trace->len < TRACE_MAX_BYTES)
+    g_string_append_printf (j->trace, "%" G_GINT64_FORMAT " %s %s\n",
+                            (gint64)(loop_now_us () - j->arrived_us), event,
+                            pairs);
+}
+
+/* Count BYTES as held for a job. */
+void
+job_charge (struct job *j, int64_t bytes)
+{
+  j->charged += bytes;
+  __atomic_fetch_add (&j->worker->server->body_bytes, bytes, __ATOMIC_RELAXED);
+}
+
+static void
+job_free (struct job *j)
+{
+  job_charge (j, -j->charged);
+  prompt_clear (&j->prompt);
+  strm_clear (&j->strm);
+  if (j->body != NULL)
+    g_string_free (j->body, TRUE);
+  if (j->answer != NULL)
+    g_string_free (j->answer, TRUE);
+  g_string_free (j->trace, TRUE);
+  g_strfreev (j->send_headers);
+  g_free (j->send_body);
+  g_free (j->call_path);
+  g_free (j->content_type);
+  g_free (j->digests);
+  g_free (j->key);
+  g_free (j->claim_key);
+  cfg_free (j->cfg);
+  g_free (j);
+}
+
+/* Free a job that has ended once nothing is under way for it. */
+void
+job_unref (struct job *j)
+{
+  if (j->state == JOB_DONE && j->pending == 0 && !j->unpausing)
+    job_free (j);
+}
--- a/libserver.h
+++ b/libserver.h
@@ -129,6 +129,7 @@
 #define SPARE_ENDPOINTS 1024
 #define SPARE_STORES 64
 
+/* What all threads read of a VM (state.c). */
 enum phase server_phase (struct server *s);
 
 /* Listen on ADDRESS; the descriptor, or -1 after a log line. */
@@ -292,6 +293,9 @@
 /* --- the product's own interface (api.c) ----------------------------- */
 
 struct door *api_open (struct worker *w);
+
+/* --- replies of it (reply.c) ----------------------------------------- */
+
 void req_reply (struct req *r, const struct reply *reply);
 void req_reply_json (struct req *r, int status, json_t *doc);
 void req_refuse (struct req *r, const char *code, int64_t retry_after_us);
@@ -356,12 +360,27 @@
   JOB_DONE
 };
 
+/* What follows a part of a job's life, filled in by job.c.  The parts call
+   this where they would need each other in a circle. */
+struct job_steps
+{
+  /* A place was found at choice.endpoint. */
+  void (*placed) (struct job *j);
+  /* The run has its outcome and its reason, and is to be recorded. */
+  void (*ran) (struct job *j);
+  /* Give up before the next attempt; not-run if no attempt ran. */
+  void (*refuse) (struct job *j, const char *code, int64_t retry_after_us);
+  /* End it. */
+  void (*finish) (struct job *j, enum outcome outcome, const char *reason);
+};
+
 struct job
 {
   APR_RING_ENTRY (job) link;       /* in its worker's list */
   struct worker *worker;           /* where it runs */
   const struct job_caller *caller; /* NULL once the caller is gone */
   void *caller_arg;                /* passed to its callbacks */
+  const struct job_steps *steps;   /* what follows */
   char id[ID_SIZE];                /* request id */
   struct workspace *workspace;     /* whose */
   struct service *service;         /* asked for */
@@ -437,10 +456,11 @@
 void job_caller_gone (struct job *j);
 void job_drained (struct job *j);
 void job_sweep (struct worker *w, int64_t now_us);
+
+/* Its log and its memory (joblog.c). */
 void job_log (struct job *j, const char *event, const char *fmt, ...)
     __attribute__ ((format (printf, 3, 4)));
-void job_refuse (struct job *j, const char *code, int64_t retry_after_us);
-void job_finish (struct job *j, enum outcome outcome, const char *reason);
+void job_charge (struct job *j, int64_t bytes);
 void job_unref (struct job *j);
 
 /* Places and queue (pump.c). */
--- a/pump.c
+++ b/pump.c
@@ -60,7 +60,7 @@
   struct job *j = arg;
 
   j->pending--;
-  job_refuse (j, "pushed_out", j->service->queue.hold_us + CQ_US_PER_S);
+  j->steps->refuse (j, "pushed_out", j->service->queue.hold_us + CQ_US_PER_S);
 }
 
 static int
@@ -150,7 +150,7 @@
   code = enqueue (j, now_us, &retry_after);
   g_mutex_unlock (&s->lim_lock);
   if (code != NULL)
-    job_refuse (j, why_not (j, code), retry_after);
+    j->steps->refuse (j, why_not (j, code), retry_after);
 }
 
 /* Take a job out of the queue; false if it was placed meanwhile. */
@@ -367,13 +367,12 @@
   if (j->attempts == 0)
     met_observe (MET_QUEUE_TIME, now - j->arrived_us);
   if (j->caller == NULL)
-    job_refuse (j, "caller_gone", 0);
+    j->steps->refuse (j, "caller_gone", 0);
   else if (j->choice.code == ROUTE_BUSY)
     place_requeue (j, now);
   else if (j->choice.code != ROUTE_CHOSEN)
-    job_refuse (j, why_not (j, route_code_name (j->choice.code)), CQ_US_PER_S);
-  else if (jobclaim_needed (j))
-    jobclaim_start (j);
+    j->steps->refuse (j, why_not (j, route_code_name (j->choice.code)),
+                      CQ_US_PER_S);
   else
-    attempt_start (j);
+    j->steps->placed (j);
 }
