--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,8 @@
 ALL_CFLAGS = $(STD) $(CFLAGS) $(LIB_CFLAGS) -MMD -MP
 
 # Deciding: pure, no I/O, no locks, no clock.
-DECIDE = out.o budget.o lim.o fq.o claim.o pfx.o route.o \
-	dir.o link.o plan.o keep.o memb.o
+DECIDE = out.o budget.o share.o lim.o fq.o claim.o pfx.o route.o \
+	dir.o link.o plan.o keep.o memb.o stall.o
 # Reading what callers and engines send: pure.
 WIRE = prompt.o strm.o
 SETTINGS = cfg.o cfgval.o settings_gen.o
@@ -65,17 +65,25 @@
 
 UNITS = regress/test-units.o regress/test-wire.o regress/test-fleet.o \
 	regress/test-relay.o regress/test-orders.o regress/test-parts.o \
-	regress/test-headers.o
+	regress/test-xfer.o regress/test-share.o regress/test-headers.o
 
 # The adapter's pure part.
 HEADERS = platform/answered.o platform/asked.o platform/decode.o platform/json.o
 
 regress/test-units: $(UNITS) $(HEADERS) librelay.a libserver.a libwire.a libdecide.a
-	$(CC) $(CFLAGS) -o $@ $(UNITS) $(HEADERS) librelay.a log.o met.o loop.o \
+	$(CC) $(CFLAGS) -o $@ $(UNITS) $(HEADERS) librelay.a log.o met.o loop.o xfer.o \
 		libwire.a libdecide.a $(LIBS)
 
-bench/load: bench/load.o loop.o xfer.o
-	$(CC) $(CFLAGS) -o $@ bench/load.o loop.o xfer.o $(LIBS)
+MODEL = regress/model.o regress/modelworld.o regress/modelstore.o \
+	regress/modellease.o regress/modelnamed.o regress/modelkeys.o
+
+# The deciding code in played time: regress/modelworld.c stands for loop and
+# log.
+regress/model: $(MODEL) met.o librelay.a libdecide.a
+	$(CC) $(CFLAGS) -o $@ $(MODEL) librelay.a met.o libdecide.a $(LIBS)
+
+bench/load: bench/load.o loop.o xfer.o stall.o
+	$(CC) $(CFLAGS) -o $@ bench/load.o loop.o xfer.o stall.o $(LIBS)
 
 bench/replay: bench/replay.o bench/work.o bench/world.o libdecide.a
 	$(CC) $(CFLAGS) -o $@ bench/replay.o bench/work.o bench/world.o \
@@ -84,7 +92,8 @@
 bench/slopes: bench/slopes.o libsettings.a libdecide.a
 	$(CC) $(CFLAGS) -o $@ bench/slopes.o libsettings.a libdecide.a $(LIBS)
 
-tests: camphorquay regress/fake regress/drive regress/check regress/test-units bench/load
+tests: camphorquay regress/fake regress/drive regress/check regress/test-units \
+	regress/model bench/load
 
 # The same sources with the sanitizers, in a directory of their own.
 SANITIZE = -O1 -g -fno-omit-frame-pointer -fsanitize=address,undefined \
@@ -96,12 +105,12 @@
 	cp -p regress/*.c regress/*.h build-asan/regress
 	cp -p bench/*.c build-asan/bench
 	$(MAKE) -s -C build-asan CFLAGS="$(SANITIZE)" camphorquay \
-		regress/test-units
+		regress/test-units regress/model
 
 # Coverage-guided inputs for all parsers; needs clang.
 FUZZED = prompt.c strm.c peer_xdr.c platform/answered.c platform/asked.c \
 	platform/decode.c platform/json.c platform/kvstore.c fleet.c evt.c lease.c \
-	fetch.c xfer.c loop.c
+	fetch.c xfer.c stall.c loop.c
 regress/fuzz-input: regress/fuzz-input.c $(FUZZED) wire.h
 	clang -std=gnu11 -D_GNU_SOURCE -g -O1 $(LIB_CFLAGS) -I. \
 		-fsanitize=fuzzer,address,undefined -o $@ \
@@ -128,7 +137,7 @@
 clean:
 	rm -f *.o *.d *.a platform/*.o platform/*.d regress/*.o regress/*.d bench/*.o bench/*.d \
 		camphorquay regress/fake regress/drive regress/check regress/test-units \
-		bench/load bench/slopes regress/fuzz-input
+		regress/model bench/load bench/slopes regress/fuzz-input
 	rm -rf build-asan
 
 
--- a/regress/test-orders.c
+++ b/regress/test-orders.c
@@ -112,12 +112,18 @@
   struct loop_timer late;  /* one that is to come */
   lease_done late_done;    /* whom to tell then */
   void *late_arg;          /* passed to it */
+  bool mute;               /* the endpoint does not tell its state */
+  bool lowered;            /* the row forgot an order that may still leave */
+  int writes;              /* of the row, so far */
   bool lose_orders;        /* orders get no answer */
   int64_t clock_offset_ms; /* the store's clock is so far ahead */
   int64_t seq;             /* orders the endpoint took */
   int64_t version;         /* its weights */
   bool busy;               /* it carries one out */
   bool hold_busy;          /* it does so until the test says */
+  bool each_busy;          /* each endpoint that took an order carries it out,
+                              longer than the test */
+  GHashTable *loading;     /* these endpoints, by id */
   int asked;               /* questions for its state */
   int orders_sent;         /* that left */
   int64_t last_seq;        /* precondition of the last one */
@@ -168,6 +174,8 @@
       reply_row (st, LEASE_CONFLICT, done, arg);
       return;
     }
+  st->lowered |= !r->released && r->order_until_ms < st->row.order_until_ms;
+  st->writes++;
   st->row = *r;
   st->row_version += 7;
   if (st->lose_write)
@@ -195,10 +203,16 @@
   struct stage *st = ctx;
   struct endpoint_state s = { .reached = true };
 
-  (void)e;
   st->asked++;
+  if (st->mute)
+    return;
   s.busy = st->busy;
   s.seq = st->seq;
+  if (st->each_busy)
+    {
+      s.busy = g_hash_table_contains (st->loading, e->is.id);
+      s.seq = s.busy;
+    }
   s.version = st->version;
   done (arg, &s);
 }
@@ -209,7 +223,6 @@
 {
   struct stage *st = ctx;
 
-  (void)e;
   if (!may_send (arg))
     {
       done (arg, ORDER_REJECTED);
@@ -220,7 +233,12 @@
   st->orders_sent++;
   st->last_seq = o->seq;
   st->last_fence = o->fence;
-  if (!st->lose_orders)
+  if (!st->lose_orders && st->each_busy)
+    {
+      st->seq++;
+      g_hash_table_add (st->loading, g_strdup (e->is.id));
+    }
+  else if (!st->lose_orders)
     {
       st->seq++;
       st->busy = st->hold_busy;
@@ -237,6 +255,7 @@
   struct fleet_listing l = { .version = 1, .slots = 4 };
 
   st->loop = loop_new ();
+  st->loading = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   st->version = 1;
   st->clock_offset_ms = 100000;
   fleet_init (&st->fleet);
@@ -260,6 +279,7 @@
   orders_free (st->orders);
   fleet_clear (&st->fleet);
   loop_free (st->loop);
+  g_hash_table_destroy (st->loading);
   g_free (st);
 }
 
@@ -389,10 +409,11 @@
   orders_look (st->orders, now);
 }
 
-static const struct fleet_named *
-naming (const struct stage *st)
+/* Version 2 was not named before. */
+static int64_t
+not_before (const struct stage *st)
 {
-  return &fleet_wanted_of (&st->fleet, "m")->named[0];
+  return fleet_not_before (&st->fleet, "m", 2);
 }
 
 /* Whether old weights that take work for LIMIT_US would take some now. */
@@ -429,24 +450,50 @@
   stage_free (st);
 }
 
+static bool
+has_four_seconds (const struct stage *st)
+{
+  return has_grace (st, 4 * CQ_US_PER_S);
+}
+
 /*
- * All VMs were killed just after a naming, before one could write it down.
- * Each of them would refuse all work for old weights until endpoints have new
- * ones; but what nobody recorded was named a short while ago.
+ * A VM starts just after a naming, before another has written it down, or when
+ * all were away.  How long ago it was nobody can tell: old weights take no
+ * work, and the row is read again until it tells.
  */
 static void
 test_naming_unrecorded (void)
 {
   struct stage *st = stage_new ();
+  struct lease_named n = { "m", 2, store_ms (st) - 1000 };
+  int64_t began = loop_now_us ();
 
   st->row = row ("other/1", store_ms (st) + 60000);
   st->row_version = 5;
+  hear_late (st);
+  g_assert_false (has_grace (st, INT64_MAX));
+  lease_note_named (&st->row, &n);
+  st->row_version++;
+  wait_until (st, has_four_seconds);
+  g_assert_cmpint (loop_now_us () - began, <, 900 * MS);
+  g_assert_false (has_grace (st, 1000 * MS));
+  stage_free (st);
+}
+
+/* All VMs may have that question at one moment; it is no attempt to take the
+   lease, for which each waits a drawn while. */
+static void
+test_question_takes_nothing (void)
+{
+  struct stage *st = stage_new ();
+
+  st->row = row ("other/1", store_ms (st) - 1);
   st->row.released = true;
+  st->row_version = 5;
   hear_late (st);
-  /* The question is no attempt: all VMs may ask at one moment. */
   g_assert_cmpstr (st->row.holder, ==, "other/1");
-  g_assert_true (has_grace (st, 4 * CQ_US_PER_S));
-  g_assert_false (has_grace (st, 3 * CQ_US_PER_S));
+  wait_until (st, was_sent);
+  g_assert_cmpint (st->orders_sent, ==, 1);
   stage_free (st);
 }
 
@@ -461,7 +508,7 @@
   st->row_version = 5;
   fleet_take_wanted (&st->fleet, "m", 2, now - 1000 * MS, now);
   orders_look (st->orders, now);
-  g_assert_cmpint (naming (st)->since_us, ==, now - 1000 * MS);
+  g_assert_cmpint (not_before (st), ==, now - 1000 * MS);
   stage_free (st);
 }
 
@@ -532,15 +579,211 @@
 }
 
 static bool
-is_quiet (const struct stage *st)
+row_is_ours (const struct stage *st)
 {
-  return orders_waiting (st->orders) == 0;
+  return strncmp (st->row.holder, "vm/", 3) == 0;
+}
+
+/*
+ * Versions 2 and 3 are named eight seconds apart; a VM that starts then, or
+ * was cut off meanwhile, finds only the newest in the operators' table.  An
+ * endpoint with version 1 has been outdated since 2 was named: counted from
+ * the naming of 3, callers get answers by version 1 for eight seconds more.
+ */
+static void
+test_naming_between_unheard (void)
+{
+  struct stage *st = stage_new ();
+  struct lease_named two = { "m", 2, store_ms (st) - 10000 };
+  struct lease_named three = { "m", 3, store_ms (st) - 2000 };
+  int64_t now = loop_now_us ();
+
+  st->row = row ("other/1", store_ms (st) + 60000);
+  st->row_version = 5;
+  lease_note_named (&st->row, &two);
+  lease_note_named (&st->row, &three);
+  fleet_take_wanted (&st->fleet, "m", 3, 0, now);
+  orders_look (st->orders, now);
+  g_assert_false (has_grace (st, 9 * CQ_US_PER_S));
+  stage_free (st);
+}
+
+/* The same on a VM that was cut off since before both: what it knew by itself,
+   that nothing was named eleven seconds ago, was right before it asked. */
+static void
+test_naming_between_cut_off (void)
+{
+  struct stage *st = stage_new ();
+  struct lease_named two = { "m", 2, store_ms (st) - 10000 };
+  struct lease_named three = { "m", 3, store_ms (st) - 2000 };
+  int64_t now = loop_now_us ();
+
+  st->row = row ("other/1", store_ms (st) + 60000);
+  st->row_version = 5;
+  lease_note_named (&st->row, &two);
+  lease_note_named (&st->row, &three);
+  fleet_take_wanted (&st->fleet, "m", 3, now - 11 * CQ_US_PER_S, now);
+  g_assert_false (has_grace (st, 9 * CQ_US_PER_S));
+  orders_look (st->orders, now);
+  g_assert_false (has_grace (st, 9 * CQ_US_PER_S));
+  stage_free (st);
+}
+
+/*
+ * Eight versions of another model were named over the VM's life, and now one
+ * of this model is.  The row holds eight namings; the one that counts must be
+ * among them, or a VM that starts ten seconds later takes it for new.
+ */
+static void
+test_naming_not_crowded_out (void)
+{
+  struct stage *st = stage_new ();
+  int64_t now = loop_now_us ();
+  bool found = false;
+  int i;
+
+  st->row = row ("other/1", store_ms (st) - 1);
+  st->row_version = 5;
+  fleet_take_wanted (&st->fleet, "m", 1, now - 90 * CQ_US_PER_S, now);
+  for (i = 1; i <= LEASE_NAMED_MAX; i++)
+    fleet_take_wanted (&st->fleet, "n", i, now - (80 - i) * CQ_US_PER_S, now);
+  fleet_take_wanted (&st->fleet, "m", 2, now - 100 * MS, now);
+  orders_look (st->orders, now);
+  wait_until (st, is_released);
+  for (i = 0; i < st->row.nnamed; i++)
+    found |= strcmp (st->row.named[i].model, "m") == 0
+             && st->row.named[i].version == 2;
+  g_assert_true (found);
+  stage_free (st);
+}
+
+/*
+ * A VM heard of a naming ten seconds ago, as it was made.  All VMs were killed
+ * but this one, or one of them took the naming for new: the row has it as of
+ * two seconds ago.  It cannot have been named after it was heard.
+ */
+static void
+test_naming_not_after_heard (void)
+{
+  struct stage *st = stage_new ();
+  struct lease_named late = { "m", 2, store_ms (st) - 2000 };
+  int64_t now = loop_now_us ();
+
+  st->row = row ("other/1", store_ms (st) - 1);
+  st->row_version = 5;
+  lease_note_named (&st->row, &late);
+  fleet_take_wanted (&st->fleet, "m", 2, now - 10100 * MS, now - 10000 * MS);
+  orders_look (st->orders, now);
+  wait_until (st, is_released);
+  g_assert_cmpint (not_before (st), <=, now - 10000 * MS);
+  /* Nor does this VM hand the error on. */
+  g_assert_cmpint (st->row.named[0].since_ms, <=, store_ms (st) - 10000);
+  stage_free (st);
+}
+
+/*
+ * A VM started twenty seconds ago and heard then that newer weights had been
+ * named; all endpoints had them, so it asked nobody.  One starts now with the
+ * old ones.  Nobody recorded the naming, but it was made before it was heard:
+ * nothing of the grace is left.
+ */
+static void
+test_naming_heard_long_ago (void)
+{
+  struct stage *st = stage_new ();
+  int64_t now = loop_now_us ();
+
+  st->row = row ("other/1", store_ms (st) + 60000);
+  st->row_version = 5;
+  fleet_take_wanted (&st->fleet, "m", 2, 0, now - 20 * CQ_US_PER_S);
+  orders_look (st->orders, now);
+  g_assert_false (has_grace (st, 9 * CQ_US_PER_S));
+  stage_free (st);
+}
+
+/*
+ * All endpoints of a model were away when newer weights were named, so nobody
+ * reached for the lease and nobody recorded it.  One comes back with old
+ * weights just when this VM has started: its question is faster than the
+ * record of a VM that heard the naming.  When it reads that record, a guess
+ * must not count for more than what is known.
+ */
+static void
+test_naming_recorded_later (void)
+{
+  struct stage *st = stage_new ();
+  struct lease_named known = { "m", 2, store_ms (st) - 10000 };
+  int64_t now = loop_now_us ();
+
+  st->row = row ("other/1", store_ms (st) - 1);
+  st->row.released = true;
+  st->row_version = 5;
+  hear_late (st);
+  /* The one that knows has it written now, and orders nothing. */
+  st->row_version = 6;
+  lease_note_named (&st->row, &known);
+  st->hold_busy = true;
+  wait_until (st, row_is_ours);
+  g_assert_cmpint (loop_now_us () - now, <, 2 * CQ_US_PER_S);
+  g_assert_false (has_grace (st, 9 * CQ_US_PER_S));
+  stage_free (st);
+}
+
+/* --- orders that come back ------------------------------------------- */
+
+static int
+count_accepted (const struct stage *st)
+{
+  return (int)st->seq;
+}
+
+static void
+answer_again (void *arg, int64_t now_us)
+{
+  struct stage *st = arg;
+
+  (void)now_us;
+  st->lose_orders = false;
+}
+
+/*
+ * For four seconds no endpoint gets orders, then all do.  Those that were lost
+ * are sent again; if all endpoints load at one moment, callers get nothing
+ * from any of them.  Two at a time load, four at the most when the grace of
+ * old weights is over.
+ */
+static void
+test_lost_orders_keep_width (void)
+{
+  struct stage *st = stage_new ();
+  struct fleet_listing l = { .version = 1, .slots = 4 };
+  struct loop_timer back = { .fire = answer_again, .arg = st };
+  struct loop_timer over = { .fire = stop_loop, .arg = st->loop };
+  int64_t began = loop_now_us ();
+  int i;
+
+  for (i = 0; i < 8; i++)
+    {
+      g_snprintf (l.id, sizeof l.id, "e%d", i);
+      g_strlcpy (l.model, "m", sizeof l.model);
+      fleet_take_listing (&st->fleet, &l);
+    }
+  st->lose_orders = true;
+  st->each_busy = true;
+  name_version (st);
+  loop_arm (st->loop, &back, began + 4 * CQ_US_PER_S);
+  loop_arm (st->loop, &over, began + 8 * CQ_US_PER_S);
+  loop_run (st->loop);
+  /* Loading takes longer than this test. */
+  g_assert_cmpint (count_accepted (st), >=, 1);
+  g_assert_cmpint (count_accepted (st), <=, 4);
+  stage_free (st);
 }
 
 static bool
-row_is_ours (const struct stage *st)
+is_quiet (const struct stage *st)
 {
-  return strncmp (st->row.holder, "vm/", 3) == 0;
+  return orders_waiting (st->orders) == 0;
 }
 
 /*
@@ -561,6 +804,42 @@
   stage_free (st);
 }
 
+static bool
+wrote_three (const struct stage *st)
+{
+  return st->writes >= 3;
+}
+
+static bool
+wrote_five (const struct stage *st)
+{
+  return st->writes >= 5;
+}
+
+/*
+ * The store is slow, so orders are announced far ahead; then it is fast, and
+ * the next announcement ends sooner.  Until that one is acknowledged the
+ * holder goes by the one before.  If the answer is lost, it orders for longer
+ * than the row says, and the orders of its successor, which waits by the row,
+ * come too soon after.
+ */
+static void
+test_announced_stays (void)
+{
+  struct stage *st = stage_new ();
+
+  st->mute = true;
+  st->slow_us = 400 * MS;
+  name_version (st);
+  wait_until (st, wrote_three);
+  st->slow_us = 0;
+  wait_until (st, wrote_five);
+  /* Not an assertion, which would end the tests after this one too. */
+  if (st->lowered)
+    g_test_fail ();
+  stage_free (st);
+}
+
 /*
  * Another VM holds the lease and is frozen: it gives no orders and does not
  * renew.  Its successor takes over when the lease has ended, and orders only
@@ -660,47 +939,55 @@
 
 /* --- following ------------------------------------------------------- */
 
+#define CURRENT_US (1900 * MS)
+
 /* A played platform: the test hands out each answer. */
 struct source
 {
-  struct loop *loop;              /* for pauses */
-  struct fleet fleet;             /* beliefs */
-  struct follow *follow;          /* under test */
-  news_done done[FOLLOW_SOURCES]; /* waiting for news */
-  void *arg[FOLLOW_SOURCES];      /* for them */
-  bool reading[FOLLOW_SOURCES];   /* a read, not a wait */
-  int64_t after[FOLLOW_SOURCES];  /* version it waits after */
-  int waits[FOLLOW_SOURCES];      /* for changes, so far */
-  bool stop_at_wait;              /* the next one ends the loop */
-  int64_t store_ms;               /* its clock, as answers say */
+  struct loop *loop;                           /* for pauses */
+  struct fleet fleet;                          /* beliefs */
+  struct follow *follow;                       /* under test */
+  news_done done[FOLLOW_SOURCES];              /* waiting for news */
+  void *arg[FOLLOW_SOURCES];                   /* for them */
+  bool reading[FOLLOW_SOURCES];                /* a read, not a wait */
+  int64_t after[FOLLOW_SOURCES];               /* version it waits after */
+  int waits[FOLLOW_SOURCES];                   /* for changes, so far */
+  int64_t wait_us[FOLLOW_SOURCES];             /* of the last one */
+  struct follow_limits limits[FOLLOW_SOURCES]; /* of the last call */
+  bool stop_at_wait;                           /* the next one ends the loop */
+  bool stop_at_call; /* the next call of any kind does */
+  int64_t store_ms;  /* its clock, as answers say */
 };
 
 static void
-read_all (void *ctx, enum follow_source s, int64_t timeout_us, news_done done,
-          void *arg)
+read_all (void *ctx, enum follow_source s, const struct follow_limits *limits,
+          news_done done, void *arg)
 {
   struct source *p = ctx;
 
-  (void)timeout_us;
+  p->limits[s] = *limits;
   p->done[s] = done;
   p->arg[s] = arg;
   p->reading[s] = true;
+  if (p->stop_at_call)
+    loop_stop (p->loop);
 }
 
 static void
 wait_changes (void *ctx, enum follow_source s, int64_t version,
-              int64_t wait_us, int64_t timeout_us, news_done done, void *arg)
+              int64_t wait_us, const struct follow_limits *limits,
+              news_done done, void *arg)
 {
   struct source *p = ctx;
 
-  (void)wait_us;
-  (void)timeout_us;
+  p->limits[s] = *limits;
+  p->wait_us[s] = wait_us;
   p->done[s] = done;
   p->arg[s] = arg;
   p->reading[s] = false;
   p->after[s] = version;
   p->waits[s]++;
-  if (p->stop_at_wait)
+  if (p->stop_at_wait || p->stop_at_call)
     loop_stop (p->loop);
 }
 
@@ -717,6 +1004,7 @@
   o.ops.read = read_all;
   o.ops.changes = wait_changes;
   o.ops.ctx = p;
+  o.current_us = CURRENT_US;
   p->follow = follow_new (&o);
   follow_start (p->follow);
   return p;
@@ -861,10 +1149,11 @@
   return a;
 }
 
+/* No version from VERSION on was named before, 0 if that is not known. */
 static int64_t
-early_of (const struct source *p, int i)
+early_of (const struct source *p, int64_t version)
 {
-  return fleet_wanted_of (&p->fleet, "m")->named[i].early_us;
+  return MAX (fleet_not_before (&p->fleet, "m", version), 0);
 }
 
 /*
@@ -882,7 +1171,7 @@
 
   p->store_ms = loop_now_us () / MS;
   tell (p, FOLLOW_OPERATOR, NEWS_OK, 10, naming_item (one, 3, 1));
-  g_assert_cmpint (early_of (p, 0), ==, 0);
+  g_assert_cmpint (early_of (p, 1), ==, 0);
   g_usleep (20000);
   p->store_ms = loop_now_us () / MS;
   tell (p, FOLLOW_ENDPOINTS, NEWS_OK, 20, NULL);
@@ -894,8 +1183,38 @@
   p->store_ms = loop_now_us () / MS;
   naming_item (two, 25, 2);
   tell (p, FOLLOW_OPERATOR, NEWS_OK, 40, naming_item (two, 35, 3));
-  g_assert_cmpint (early_of (p, 1), <, listed - 10 * MS);
-  g_assert_cmpint (early_of (p, 2), >, listed - 10 * MS);
+  g_assert_cmpint (early_of (p, 2), <, listed - 10 * MS);
+  g_assert_cmpint (early_of (p, 3), >, listed - 10 * MS);
+  source_free (p);
+}
+
+/*
+ * The operators' table cannot be read for a while: versions 2 and 3 are named
+ * meanwhile, and the table then shows only 3.  The list of endpoints, which
+ * goes on, says that 3 was not made before its last answer; of 2, which the
+ * weights of 1 are outdated by, it says nothing.  What is known of both is
+ * when the table was read last.
+ */
+static void
+test_naming_time_of_unseen (void)
+{
+  struct source *p = source_new ();
+  GArray *one = g_array_new (FALSE, TRUE, sizeof (struct news_item));
+  GArray *three = g_array_new (FALSE, TRUE, sizeof (struct news_item));
+  int64_t read;
+
+  p->store_ms = loop_now_us () / MS;
+  tell (p, FOLLOW_OPERATOR, NEWS_OK, 10, naming_item (one, 3, 1));
+  read = p->fleet.fresh_us;
+  tell (p, FOLLOW_OPERATOR, NEWS_SILENT, 0, NULL);
+  /* Version 2 is named in change 25, and row 25 is overwritten by row 35. */
+  g_usleep (40000);
+  p->store_ms = loop_now_us () / MS;
+  tell (p, FOLLOW_ENDPOINTS, NEWS_OK, 30, NULL);
+  g_usleep (20000);
+  p->store_ms = loop_now_us () / MS;
+  tell (p, FOLLOW_OPERATOR, NEWS_OK, 40, naming_item (three, 35, 3));
+  g_assert_cmpint (early_of (p, 2), <=, read);
   source_free (p);
 }
 
@@ -918,6 +1237,115 @@
   source_free (p);
 }
 
+#define ANSWER_US (500 * MS) /* for an answer to begin, over the wait */
+#define LINK_BYTES_S 1250000 /* of the smallest VMs: 10 Mbit/s */
+
+/*
+ * In calm, knowledge gets as old as a poll waits and its answer takes.  If
+ * that reached the bound past which nothing is denied, callers with a wrong
+ * path would hear 503 in each lull, and come back for nothing.
+ */
+static void
+test_wait_by_age (void)
+{
+  int64_t current, age, wait;
+
+  for (current = 900 * MS; current < 6000 * MS; current += 50 * MS)
+    for (age = 0; age < 9000 * MS; age += 30 * MS)
+      {
+        wait = follow_wait_us (current, age);
+        g_assert_cmpint (wait, >=, 100 * MS);
+        g_assert_cmpint (wait, <=, 2200 * MS);
+        if (wait > 100 * MS)
+          g_assert_cmpint (age + wait + ANSWER_US, <=, current);
+      }
+  /* Nothing is gained by asking more often than that. */
+  g_assert_cmpint (follow_wait_us (2900 * MS, 0), ==, 2200 * MS);
+  g_assert_cmpint (follow_wait_us (1900 * MS, 0), ==, 1400 * MS);
+}
+
+/*
+ * All settings take seconds to come over a small link, so they are old when
+ * they are there.  The next poll asks at once whether they still hold: with
+ * its usual wait the VM would deny nothing, and then refuse all keys, while
+ * the platform is well and nothing changes.
+ */
+static void
+test_old_on_arrival (void)
+{
+  struct source *p = source_new ();
+
+  p->store_ms = 50000;
+  tell (p, FOLLOW_OPERATOR, NEWS_OK, 10, NULL);
+  g_assert_cmpint (p->wait_us[FOLLOW_OPERATOR], >, 1300 * MS);
+  /* By its clock the answer was given when the call was sent. */
+  g_usleep (700000);
+  tell (p, FOLLOW_OPERATOR, NEWS_OK, 11, NULL);
+  g_assert_cmpint (p->wait_us[FOLLOW_OPERATOR], <, 800 * MS);
+  g_assert_cmpint (p->wait_us[FOLLOW_OPERATOR], >, 100 * MS);
+  source_free (p);
+}
+
+/*
+ * The largest answer that is taken must have the time that it needs on the
+ * smallest link: limited as a whole to less, it would never be had.  What
+ * shows a silent store is the wait for the first byte and for each further
+ * one, and both are short.
+ */
+static void
+test_limits (void)
+{
+  struct source *p = source_new ();
+  const struct follow_limits *l = &p->limits[FOLLOW_OPERATOR];
+  int64_t largest_us = (int64_t)l->bytes_max * CQ_US_PER_S / LINK_BYTES_S;
+
+  g_assert_cmpint (l->first_us, <, CQ_US_PER_S);
+  g_assert_cmpint (l->whole_us, >=, 2 * largest_us);
+  tell (p, FOLLOW_OPERATOR, NEWS_OK, 10, NULL);
+  g_assert_cmpint (l->first_us, ==, p->wait_us[FOLLOW_OPERATOR] + ANSWER_US);
+  g_assert_cmpint (l->stall_us, <=, ANSWER_US);
+  g_assert_cmpint (l->whole_us, >=, l->first_us + 2 * largest_us);
+  source_free (p);
+}
+
+/* A call fails; the next one is waited for, and whether it reads is told. */
+static bool
+reads_after (enum follow_source s, enum news_code code)
+{
+  struct source *p = source_new ();
+  bool reading;
+
+  tell (p, s, NEWS_OK, 10, NULL);
+  g_assert_false (p->reading[s]);
+  p->after[s] = 0;
+  p->stop_at_call = true;
+  tell (p, s, code, 0, NULL);
+  loop_run (p->loop);
+  reading = p->reading[s];
+  if (!reading)
+    g_assert_cmpint (p->after[s], ==, 10);
+  source_free (p);
+  return reading;
+}
+
+/*
+ * The platform is silent for a moment.  What was read before still holds, and
+ * a poll tells what changed since: each VM reading megabytes again would take
+ * the next seconds of a small link.  A poll whose answer is too large never
+ * gets anywhere, and a list of endpoints is only certain as a whole.
+ */
+static void
+test_poll_goes_on (void)
+{
+  g_assert_false (reads_after (FOLLOW_OPERATOR, NEWS_SILENT));
+  g_assert_false (reads_after (FOLLOW_OPERATOR, NEWS_STALLED));
+  g_assert_false (reads_after (FOLLOW_OPERATOR, NEWS_REFUSED));
+  g_assert_true (reads_after (FOLLOW_OPERATOR, NEWS_TOO_LARGE));
+  g_assert_true (reads_after (FOLLOW_OPERATOR, NEWS_BROKEN));
+  g_assert_true (reads_after (FOLLOW_OPERATOR, NEWS_UNREADABLE));
+  g_assert_true (reads_after (FOLLOW_ENDPOINTS, NEWS_SILENT));
+}
+
 const struct unit orders_units[] = {
   { "/lease/clock", test_clock },
   { "/lease/no-overlap", test_no_overlap },
@@ -926,18 +1354,32 @@
   { "/orders/unknown", test_order_unknown },
   { "/orders/naming-recorded", test_naming_recorded },
   { "/orders/naming-unrecorded", test_naming_unrecorded },
+  { "/orders/question-takes-nothing", test_question_takes_nothing },
   { "/orders/naming-heard", test_naming_heard },
   { "/orders/naming-written", test_naming_written },
   { "/orders/unanswered-hold-no-place", test_unanswered_hold_no_place },
+  { "/orders/naming-between-unheard", test_naming_between_unheard },
+  { "/orders/naming-between-cut-off", test_naming_between_cut_off },
+  { "/orders/naming-not-crowded-out", test_naming_not_crowded_out },
+  { "/orders/naming-not-after-heard", test_naming_not_after_heard },
+  { "/orders/naming-heard-long-ago", test_naming_heard_long_ago },
+  { "/orders/naming-recorded-later", test_naming_recorded_later },
+  { "/orders/lost-orders-keep-width", test_lost_orders_keep_width },
   { "/orders/slow-store", test_slow_store },
+  { "/orders/announced-stays", test_announced_stays },
   { "/orders/successor-waits", test_successor_waits },
   { "/orders/named-while-loading", test_named_while_loading },
   { "/orders/successor-waits-for-orders", test_successor_waits_for_orders },
   { "/orders/stop-releases", test_stop_releases },
   { "/follow/drain-in-gap", test_drain_in_gap },
   { "/follow/paced", test_paced },
+  { "/follow/wait-by-age", test_wait_by_age },
+  { "/follow/old-on-arrival", test_old_on_arrival },
+  { "/follow/limits", test_limits },
+  { "/follow/poll-goes-on", test_poll_goes_on },
   { "/follow/freshness", test_freshness },
   { "/follow/freshness-by-clock", test_freshness_by_clock },
   { "/follow/naming-time", test_naming_time },
+  { "/follow/naming-time-of-unseen", test_naming_time_of_unseen },
   { NULL, NULL },
 };
