--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 # Deciding: pure, no I/O, no locks, no clock.
 DECIDE = out.o budget.o share.o lim.o fq.o claim.o pfx.o route.o \
-	dir.o link.o plan.o keep.o memb.o stall.o
+	dir.o link.o plan.o keep.o memb.o stall.o fresh.o
 # Reading what callers and engines send: pure.
 WIRE = prompt.o strm.o
 SETTINGS = cfg.o cfgval.o settings_gen.o
@@ -65,7 +65,8 @@
 
 UNITS = regress/test-units.o regress/test-wire.o regress/test-fleet.o \
 	regress/test-relay.o regress/test-orders.o regress/test-parts.o \
-	regress/test-xfer.o regress/test-share.o regress/test-headers.o
+	regress/test-xfer.o regress/test-share.o regress/test-headers.o \
+	regress/test-fresh.o
 
 # The adapter's pure part.
 HEADERS = platform/answered.o platform/asked.o platform/decode.o platform/json.o
--- a/regress/test-relay.c
+++ b/regress/test-relay.c
@@ -696,6 +696,51 @@
   play_free (p);
 }
 
+/*
+ * The VM was busy; the caller hung up before its request was sent on.  Sent
+ * all the same, it would run for nobody; the caller hears nothing, since it
+ * is not there.
+ */
+static void
+test_gone_before_send (void)
+{
+  struct play *p = play_new (FLEET_IDEMPOTENT);
+
+  play_start (p);
+  p->gone = true;
+  g_assert_false (p->event->before_send (p->arg));
+  end (p, false, false);
+  g_assert_cmpint (p->sends, ==, 1);
+  g_assert_cmpint (p->refused, ==, -1);
+  g_assert_cmpint (p->ended, ==, -1);
+  play_free (p);
+}
+
+/*
+ * Work may begin on old weights until twelve seconds after newer ones were
+ * named; old_max_us, after which none is sent, is three seconds less.  A
+ * request that waits at its endpoint when its VM stands still, or falls
+ * silent, is not called back: only the time that the endpoint was told can
+ * end its waiting before the bound.
+ */
+static void
+test_old_weights_wait (void)
+{
+  struct play *p = play_new (FLEET_STREAM);
+  int64_t now = loop_now_us ();
+
+  p->fleet.old_max_us = 9 * CQ_US_PER_S;
+  p->fleet.old_end_us = 12 * CQ_US_PER_S;
+  fleet_take_wanted (&p->fleet, "m", 4, now - 8 * CQ_US_PER_S,
+                     now - 8 * CQ_US_PER_S);
+  play_start (p);
+  g_assert_cmpint (p->sends, ==, 1);
+  g_assert_cmpint (p->left_us, >, 0);
+  g_assert_cmpint (p->left_us, <=, 4 * CQ_US_PER_S);
+  relay_caller_gone (p->relay);
+  play_free (p);
+}
+
 /* The caller hangs up while the endpoint works: the run is cancelled without
    waiting for the endpoint. */
 static void
@@ -844,6 +889,27 @@
   play_free (p);
 }
 
+/*
+ * The VM is suspended after it sent the stream, and can take nothing back. The
+ * endpoint was told how long it may work on it: until the bound, not as long
+ * as the caller waits.  With newest weights it has the caller's time.
+ */
+static void
+test_time_on_old_weights (void)
+{
+  struct play *p = play_new (FLEET_STREAM);
+
+  outdate (p);
+  g_assert_cmpint (p->left_us, <=, 300000);
+  g_assert_cmpint (p->left_us, >, 200000);
+  g_assert_true (p->event->before_send (p->arg));
+  run_for (p, 400000);
+  g_assert_cmpstr (p->to[1], ==, "b");
+  g_assert_cmpint (p->left_us, >, 15 * CQ_US_PER_S);
+  answer_whole (p, "id: 0\ndata: x\n\n");
+  play_free (p);
+}
+
 /* A stream that has begun is whole, whatever its weights. */
 static void
 test_begun_on_old_weights (void)
@@ -862,10 +928,11 @@
 }
 
 /*
- * A plain call to an endpoint with old weights, which take work.  It runs there
- * since it was sent, and nothing is heard of it until its answer is whole.
- * Taken for one that waits, it is broken off at the bound: the caller of a call
- * that may run once gets no answer, though the endpoint is about to give it.
+ * A plain call to an endpoint with old weights, which take work.  It runs
+ * there since it was sent, and nothing is heard of it until its answer is
+ * whole. Taken for one that waits, it is broken off at the bound: the caller
+ * of a call that may run once gets no answer, though the endpoint is about to
+ * give it.
  */
 static void
 test_running_on_old_weights (void)
@@ -918,11 +985,14 @@
   { "/relay/scope", test_scope },
   { "/relay/budget", test_budget },
   { "/relay/timeout", test_timeout },
+  { "/relay/gone-before-send", test_gone_before_send },
+  { "/relay/old-weights-wait", test_old_weights_wait },
   { "/relay/hang-up", test_hang_up },
   { "/relay/too-late", test_too_late },
   { "/relay/nothing-known", test_nothing_known },
   { "/relay/withdrawn-from-old-weights", test_withdrawn_from_old_weights },
   { "/relay/withdrawn-once", test_withdrawn_once },
+  { "/relay/time-on-old-weights", test_time_on_old_weights },
   { "/relay/begun-on-old-weights", test_begun_on_old_weights },
   { "/relay/running-on-old-weights", test_running_on_old_weights },
   { "/relay/connected-too-late", test_connected_too_late },
