--- a/Makefile
+++ b/Makefile
@@ -12,16 +12,17 @@
 WIRE = prompt.o strm.o
 SETTINGS = cfg.o cfgval.o settings_gen.o
 SERVER = log.o met.o loop.o xfer.o fetch.o epc.o tabc.o objc.o auth.o refusal.o \
-	hin.o api.o job.o pump.o attempt.o jobclaim.o jobreply.o claims.o \
+	hin.o reply.o api.o job.o joblog.o pump.o attempt.o jobclaim.o jobreply.o claims.o \
 	history.o poll.o storec.o kept.o export.o adopt.o conf.o confpost.o member.o \
-	peerrpc.o peerseal.o peer_xdr.o adm.o entry.o srv.o
+	peerrpc.o peerbody.o peerseal.o peer_xdr.o adm.o entry.o state.o listen.o srv.o
 # Requests that are passed on: beliefs of the fleet, and each request's life.
 RELAY = fleet.o pick.o evt.o relay.o relaytry.o follow.o \
 	lease.o orders.o parts.o partfeed.o
 # The users' platform; translates only.
-PLATFORM = platform/decode.o platform/duty.o platform/engine.o platform/ingress.o platform/json.o platform/kvstore.o \
+PLATFORM = platform/answered.o platform/asked.o platform/decode.o platform/duty.o \
+	platform/engine.o platform/ingress.o platform/json.o platform/kvstore.o \
 	platform/platform.o platform/store.o
-COMMANDS = main.o ctl.o ctlconf.o
+COMMANDS = main.o ctl.o ctlcall.o ctlconf.o
 
 ARCHIVES = libserver.a libplatform.a librelay.a libserver.a libsettings.a \
 	libwire.a libdecide.a
@@ -64,12 +65,24 @@
 
 UNITS = regress/test-units.o regress/test-wire.o regress/test-fleet.o \
 	regress/test-relay.o regress/test-orders.o regress/test-parts.o \
-	regress/test-xfer.o regress/test-share.o regress/test-fresh.o
+	regress/test-xfer.o regress/test-share.o regress/test-headers.o \
+	regress/test-fresh.o
 
-regress/test-units: $(UNITS) librelay.a libserver.a libwire.a libdecide.a
-	$(CC) $(CFLAGS) -o $@ $(UNITS) librelay.a log.o met.o loop.o xfer.o \
+# The adapter's pure part.
+HEADERS = platform/answered.o platform/asked.o platform/decode.o platform/json.o
+
+regress/test-units: $(UNITS) $(HEADERS) librelay.a libserver.a libwire.a libdecide.a
+	$(CC) $(CFLAGS) -o $@ $(UNITS) $(HEADERS) librelay.a log.o met.o loop.o xfer.o \
 		libwire.a libdecide.a $(LIBS)
 
+MODEL = regress/model.o regress/modelworld.o regress/modelstore.o \
+	regress/modellease.o regress/modelnamed.o regress/modelkeys.o
+
+# The deciding code in played time: regress/modelworld.c stands for loop and
+# log.
+regress/model: $(MODEL) met.o librelay.a libdecide.a
+	$(CC) $(CFLAGS) -o $@ $(MODEL) librelay.a met.o libdecide.a $(LIBS)
+
 bench/load: bench/load.o loop.o xfer.o stall.o
 	$(CC) $(CFLAGS) -o $@ bench/load.o loop.o xfer.o stall.o $(LIBS)
 
@@ -80,7 +93,8 @@
 bench/slopes: bench/slopes.o libsettings.a libdecide.a
 	$(CC) $(CFLAGS) -o $@ bench/slopes.o libsettings.a libdecide.a $(LIBS)
 
-tests: camphorquay regress/fake regress/drive regress/check regress/test-units bench/load
+tests: camphorquay regress/fake regress/drive regress/check regress/test-units \
+	regress/model bench/load
 
 # The same sources with the sanitizers, in a directory of their own.
 SANITIZE = -O1 -g -fno-omit-frame-pointer -fsanitize=address,undefined \
@@ -92,10 +106,12 @@
 	cp -p regress/*.c regress/*.h build-asan/regress
 	cp -p bench/*.c build-asan/bench
 	$(MAKE) -s -C build-asan CFLAGS="$(SANITIZE)" camphorquay \
-		regress/test-units
+		regress/test-units regress/model
 
 # Coverage-guided inputs for all parsers; needs clang.
-FUZZED = prompt.c strm.c peer_xdr.c platform/decode.c platform/json.c platform/kvstore.c fleet.c evt.c fetch.c xfer.c stall.c loop.c
+FUZZED = prompt.c strm.c peer_xdr.c platform/answered.c platform/asked.c \
+	platform/decode.c platform/json.c platform/kvstore.c fleet.c evt.c lease.c \
+	fetch.c xfer.c stall.c loop.c
 regress/fuzz-input: regress/fuzz-input.c $(FUZZED) wire.h
 	clang -std=gnu11 -D_GNU_SOURCE -g -O1 $(LIB_CFLAGS) -I. \
 		-fsanitize=fuzzer,address,undefined -o $@ \
@@ -122,7 +138,7 @@
 clean:
 	rm -f *.o *.d *.a platform/*.o platform/*.d regress/*.o regress/*.d bench/*.o bench/*.d \
 		camphorquay regress/fake regress/drive regress/check regress/test-units \
-		bench/load bench/slopes regress/fuzz-input
+		regress/model bench/load bench/slopes regress/fuzz-input
 	rm -rf build-asan
 
 
--- a/regress/units.h
+++ b/regress/units.h
@@ -18,5 +18,6 @@
 extern const struct unit share_units[];
 extern const struct unit fresh_units[];
 extern const struct unit xfer_units[];
+extern const struct unit header_units[];
 
 #endif
--- a/relaytry.c
+++ b/relaytry.c
@@ -52,6 +52,22 @@
                                 now_us);
 }
 
+/*
+ * A VM that was busy for most of a second, say with decoding megabytes of
+ * settings, reads requests whose callers have hung up meanwhile.  The sweep
+ * finds that out too, but some tenths of a second later, when an endpoint is
+ * at work for nobody.
+ */
+static bool
+caller_left (struct relay *r)
+{
+  if (r->desc.caller == NULL || !r->desc.caller->gone (r->desc.arg))
+    return false;
+  r->desc.caller = NULL;
+  met_add (MET_CANCELS, 1);
+  return true;
+}
+
 static bool
 before_send (void *arg)
 {
@@ -68,6 +84,8 @@
     r->stopped = "endpoint_left";
   else if (is_outdated (r, r->rs->opts.fleet->old_max_us, now))
     r->stopped = "weights_outdated";
+  else if (caller_left (r))
+    r->stopped = "caller_gone";
   r->handed_over = r->stopped == NULL;
   if (!r->handed_over)
     return false;
@@ -339,11 +357,44 @@
   q.domain = c->endpoint->is.domain;
   q.fresh_us = o->fleet->fresh_us;
   q.outdated = newer != NULL;
-  q.named_us = newer != NULL ? newer->early_us : 0;
+  q.named_us = MAX (fleet_outdated_since (o->fleet, c->endpoint), 0);
   q.wait_us = c->wait_us;
   parts_plan (o->parts, &q, now_us, &r->kept);
 }
 
+/* For how long newer weights may have been named: 0 if none were, -1 if that
+   is not known. */
+static int64_t
+newer_us (const struct fleet *f, const struct fleet_endpoint *e,
+          int64_t now_us)
+{
+  int64_t since = fleet_outdated_since (f, e);
+
+  if (fleet_outdated_by (f, e) == NULL)
+    return 0;
+  return since != FLEET_NEVER ? now_us - since : -1;
+}
+
+/*
+ * Time that the endpoint may work on the request.  With outdated weights it is
+ * over when nothing may begin on them any more: a VM that is suspended, killed
+ * or cut off cannot take back what waits there, and it would begin later. That
+ * also ends what began in time and is not done by then; it was sent three
+ * seconds before, and most take one.
+ */
+static int64_t
+time_for (const struct relay *r, int64_t now_us)
+{
+  const struct fleet *f = r->rs->opts.fleet;
+  int64_t since = fleet_outdated_since (f, r->endpoint);
+  int64_t left = r->end_us - now_us;
+
+  if (f->old_end_us == 0 || r->route->kind != FLEET_STREAM
+      || fleet_outdated_by (f, r->endpoint) == NULL || since == FLEET_NEVER)
+    return left;
+  return MIN (left, since + f->old_end_us - now_us);
+}
+
 static void
 attempt (struct relay *r, const struct pick_choice *c, int64_t now_us)
 {
@@ -374,7 +425,7 @@
   s.kept = model && r->kept.nfetch + r->kept.nsave > 0 ? &r->kept : NULL;
   s.version = model ? c->version : 0;
   s.urgency = urgency_of (r);
-  s.left_us = r->end_us - now_us;
+  s.left_us = time_for (r, now_us);
   s.resume_after = r->begun ? r->events.last_id : r->desc.resume_after;
 
   met_add (MET_ATTEMPTS, 1);
@@ -389,7 +440,7 @@
              c->candidates, c->crowded, (gint64)c->wait_us, r->kept.nfetch,
              r->kept.nsave, (gint64)r->kept.fetch_tokens, (gint64)s.version,
              (gint64)(newer != NULL ? newer->version : 0),
-             (gint64)(newer != NULL ? now_us - newer->since_us : 0),
+             (gint64)newer_us (o->fleet, c->endpoint, now_us),
              (gint64)s.left_us, (gint64)r->conf->version,
              (gint64)fleet_age_us (o->fleet, now_us));
   r->call = o->engine.send (o->engine.ctx, &s, &events, r);
@@ -500,12 +551,13 @@
  * Sent while old weights took work, a request may wait at a busy endpoint
  * longer than the margin that is left for that, and would begin when nobody
  * may have answers by these weights.  Endpoints drop what waits when its
- * connection closes, so it never begins.
+ * connection closes, so it never begins.  Of a call that is answered as a
+ * whole nothing is heard while it runs, so that is left alone.
  */
 bool
 relay_waits_too_long (const struct relay *r, int64_t now_us)
 {
-  return r->call != NULL && !r->answering && r->endpoint->is.model[0] != '\0'
+  return r->call != NULL && !r->answering && r->route->kind == FLEET_STREAM
          && is_outdated (r, r->rs->opts.fleet->old_end_us, now_us);
 }
 
