--- a/orders.c
+++ b/orders.c
@@ -15,6 +15,12 @@
    ordered, in some 20 ms.  A successor waits from the end of it, not from the
    end of the lease. */
 #define ORDER_WINDOW_MS 400
+/*
+ * After this nobody gives orders by a row of before now: they leave within
+ * their window and twice the second that a call about the row may take, and a
+ * holder whose row was overwritten loses the lease within LEASE_MS.
+ */
+#define UNREADABLE_END_MS (ORDER_WINDOW_MS + 2000)
 /* Between looks while there is something to do. */
 #define LOOK_US (100 * CQ_US_PER_MS)
 /* The first VM to reach for the lease is drawn by a pause of up to this; the
@@ -355,18 +361,37 @@
          + g_rand_int_range (o->rand, 0, (gint32)DRAW_MAX_US);
 }
 
+/*
+ * A row that is there but cannot be read.  It is nobody's, or it would stand
+ * in the way for good: a write must name its version, and no holder renews it.
+ * Whoever wrote it, or a row before it, may still give orders that are not
+ * known here; without the store's time nothing bounds those.
+ */
 static void
-on_read (void *arg, const struct lease_reply *r)
+take_unreadable (struct lease_reply *r)
+{
+  memset (&r->row, 0, sizeof r->row);
+  r->row.released = true;
+  r->row.order_until_ms = r->store_ms + UNREADABLE_END_MS;
+  if (r->store_ms <= 0 && r->code == LEASE_DONE)
+    r->code = LEASE_UNKNOWN;
+}
+
+static void
+on_read (void *arg, const struct lease_reply *reply)
 {
   struct orders *o = arg;
   int64_t now = loop_now_us ();
+  struct lease_reply read = *reply;
+  struct lease_reply *r = &read;
   const struct lease_row *row = r->exists ? &r->row : NULL;
-
   bool drawn = now >= o->patient_us;
 
   o->calling = false;
   if (o->stopped)
     return;
+  if (r->exists && r->unreadable)
+    take_unreadable (r);
   if (r->code == LEASE_DONE)
     {
       read_clock (o, r, now);
--- a/orders.h
+++ b/orders.h
@@ -27,6 +27,7 @@
 {
   enum lease_code code; /* whether the rest counts */
   bool exists;          /* the row is there */
+  bool unreadable;      /* and does not say what a row must */
   struct lease_row row; /* as the store has it */
   int64_t version;      /* of the row; grows with each write */
   int64_t store_ms;     /* the store's clock, 0 if unsaid */
