--- a/relaytry.c
+++ b/relaytry.c
@@ -52,6 +52,21 @@
                                 now_us);
 }
 
+/*
+ * A VM that was busy or stood still for most of a second reads requests whose
+ * callers have hung up meanwhile.  The sweep finds that out too, but some
+ * tenths of a second later, when an endpoint is at work for nobody.
+ */
+static bool
+caller_left (struct relay *r)
+{
+  if (r->desc.caller == NULL || !r->desc.caller->gone (r->desc.arg))
+    return false;
+  r->desc.caller = NULL;
+  met_add (MET_CANCELS, 1);
+  return true;
+}
+
 static bool
 before_send (void *arg)
 {
@@ -68,6 +83,8 @@
     r->stopped = "endpoint_left";
   else if (is_outdated (r, r->rs->opts.fleet->old_max_us, now))
     r->stopped = "weights_outdated";
+  else if (caller_left (r))
+    r->stopped = "caller_gone";
   r->handed_over = r->stopped == NULL;
   if (!r->handed_over)
     return false;
@@ -357,6 +374,26 @@
   return since != FLEET_NEVER ? now_us - since : -1;
 }
 
+/*
+ * Time that the endpoint may work on the request.  With outdated weights it is
+ * over when nothing may begin on them any more: a VM that is suspended, killed
+ * or cut off cannot take back what waits there, and it would begin later. That
+ * also ends what began in time and is not done by then; it was sent three
+ * seconds before, and most take one.
+ */
+static int64_t
+time_for (const struct relay *r, int64_t now_us)
+{
+  const struct fleet *f = r->rs->opts.fleet;
+  int64_t since = fleet_outdated_since (f, r->endpoint);
+  int64_t left = r->end_us - now_us;
+
+  if (f->old_end_us == 0 || r->route->kind != FLEET_STREAM
+      || fleet_outdated_by (f, r->endpoint) == NULL || since == FLEET_NEVER)
+    return left;
+  return MIN (left, since + f->old_end_us - now_us);
+}
+
 static void
 attempt (struct relay *r, const struct pick_choice *c, int64_t now_us)
 {
@@ -387,7 +424,7 @@
   s.kept = model && r->kept.nfetch + r->kept.nsave > 0 ? &r->kept : NULL;
   s.version = model ? c->version : 0;
   s.urgency = urgency_of (r);
-  s.left_us = r->end_us - now_us;
+  s.left_us = time_for (r, now_us);
   s.resume_after = r->begun ? r->events.last_id : r->desc.resume_after;
 
   met_add (MET_ATTEMPTS, 1);
