--- a/relaytry.c
+++ b/relaytry.c
@@ -53,10 +53,9 @@
 }
 
 /*
- * A VM that was busy for most of a second, say with decoding megabytes of
- * settings, reads requests whose callers have hung up meanwhile.  The sweep
- * finds that out too, but some tenths of a second later, when an endpoint is
- * at work for nobody.
+ * A VM that was busy or stood still for most of a second reads requests whose
+ * callers have hung up meanwhile.  The sweep finds that out too, but some
+ * tenths of a second later, when an endpoint is at work for nobody.
  */
 static bool
 caller_left (struct relay *r)
