--- a/fleet.c
+++ b/fleet.c
@@ -387,6 +387,12 @@
   return NULL;
 }
 
+bool
+fleet_needs_weights (const struct fleet *f, const struct fleet_endpoint *e)
+{
+  return !e->draining && !e->gone && fleet_outdated_by (f, e) != NULL;
+}
+
 int64_t
 fleet_outdated_us (const struct fleet *f, const struct fleet_endpoint *e)
 {
--- a/fleet.h
+++ b/fleet.h
@@ -240,6 +240,9 @@
 /* That version itself, or NULL. */
 const struct fleet_named *fleet_outdated_by (const struct fleet *f,
                                              const struct fleet_endpoint *e);
+/* Whether E stays and newer weights than its own were named. */
+bool fleet_needs_weights (const struct fleet *f,
+                          const struct fleet_endpoint *e);
 /* Whether E's weights were outdated LIMIT_US ago, or may have been. */
 bool fleet_outdated_for (const struct fleet *f, const struct fleet_endpoint *e,
                          int64_t limit_us, int64_t now_us);
--- a/orders.c
+++ b/orders.c
@@ -5,6 +5,7 @@
 
 #include "decide.h"
 #include "log.h"
+#include "naming.h"
 
 /* A lease is short, since a successor waits for its end before the pause
    between two holders; it is renewed early enough for a second try. */
@@ -42,16 +43,9 @@
 #define SKIP_US (800 * CQ_US_PER_MS)
 /* Endpoints looked at: a fifth of a service, and those with lost orders. */
 #define MAX_TASKS 256
-/* A VM that hears of a naming so long after it may have been made asks the
-   row when it was. */
-#define DOUBT_US (1500 * CQ_US_PER_MS)
-/* Between such questions, drawn: each VM may ask, and all may have started at
-   one moment. */
+/* Between questions to the row by a VM in doubt since when weights are
+   outdated, drawn: all may have started at one moment. */
 #define DOUBT_ASK_US (400 * CQ_US_PER_MS)
-/* Some VM hears of a naming at once and writes the row within 0.4 s, or as its
-   holder with the next renewal, within 0.6 s. */
-#define RECORD_US (1000 * CQ_US_PER_MS)
-
 enum task_phase
 {
   TASK_IDLE,    /* nothing is known yet */
@@ -118,7 +112,7 @@
 static bool
 needs_order (const struct orders *o, const struct fleet_endpoint *e)
 {
-  return !e->draining && !e->gone && e->version < wanted_version (o, e);
+  return fleet_needs_weights (o->opts.fleet, e);
 }
 
 static guint
@@ -132,90 +126,6 @@
   return n;
 }
 
-/* --- namings --------------------------------------------------------- */
-
-/* Not known well since when the endpoint's weights are outdated, and the row
-   may know more. */
-static bool
-is_doubtful (const struct orders *o, const struct fleet_endpoint *e)
-{
-  int64_t since = fleet_outdated_since (o->opts.fleet, e);
-  int64_t heard
-      = fleet_heard_from (o->opts.fleet, e->is.model, e->version + 1);
-
-  return since == FLEET_NEVER
-         || (heard - since > DOUBT_US && o->read_us < heard + RECORD_US);
-}
-
-static bool
-in_doubt (const struct orders *o)
-{
-  const struct fleet_endpoint *e;
-
-  APR_RING_FOREACH (e, &o->opts.fleet->endpoints, fleet_endpoint, link)
-  {
-    if (needs_order (o, e) && is_doubtful (o, e))
-      return true;
-  }
-  return false;
-}
-
-/* Take over what VMs recorded of namings, also of such as this one cannot have
-   heard: the operators' table shows only the newest. */
-static void
-learn_namings (struct orders *o, const struct lease_reply *r)
-{
-  const struct lease_named *n;
-  int i;
-
-  for (i = 0; r->exists && i < r->row.nnamed; i++)
-    {
-      n = &r->row.named[i];
-      fleet_named_since (o->opts.fleet, n->model, n->version,
-                         lease_local_us (&o->clock, n->since_ms));
-    }
-  o->read_us = o->called_us;
-}
-
-/* What was named when this VM heard of it was not named later, whatever the
-   row says. */
-static void
-correct_row (const struct orders *o, struct lease_row *row)
-{
-  struct lease_named *n;
-  int64_t heard;
-
-  for (n = row->named; n < row->named + row->nnamed; n++)
-    {
-      heard = fleet_heard_from (o->opts.fleet, n->model, n->version);
-      if (heard != FLEET_NEVER)
-        n->since_ms = MIN (n->since_ms, lease_earliest_ms (&o->clock, heard));
-    }
-}
-
-/* Put what this VM knows into the row that is to be written: since when the
-   weights of the endpoints that it knows are outdated. */
-static void
-record_namings (const struct orders *o, struct lease_row *row)
-{
-  const struct fleet_endpoint *e;
-  struct lease_named n;
-  int64_t since;
-
-  correct_row (o, row);
-  APR_RING_FOREACH (e, &o->opts.fleet->endpoints, fleet_endpoint, link)
-  {
-    since = needs_order (o, e) ? fleet_outdated_since (o->opts.fleet, e)
-                               : FLEET_NEVER;
-    if (since == FLEET_NEVER)
-      continue;
-    g_strlcpy (n.model, e->is.model, sizeof n.model);
-    n.version = e->version + 1;
-    n.since_ms = lease_earliest_ms (&o->clock, since);
-    lease_note_named (row, &n);
-  }
-}
-
 /* --- lease ----------------------------------------------------------- */
 
 static bool
@@ -323,7 +233,7 @@
   if (aim == LEASE_RELEASE)
     w->order_until_ms
         = MIN (w->order_until_ms, lease_latest_ms (&o->clock, now_us));
-  record_namings (o, w);
+  naming_record (o->opts.fleet, &o->clock, w);
   o->calling = true;
   o->called_us = now_us;
   o->opts.ops.write_lease (o->opts.ops.ctx, w, expected, on_written, o);
@@ -395,7 +305,9 @@
   if (r->code == LEASE_DONE)
     {
       read_clock (o, r, now);
-      learn_namings (o, r);
+      if (r->exists)
+        naming_learn (o->opts.fleet, &o->clock, &r->row);
+      o->read_us = o->called_us;
     }
   if (!drawn)
     return;
@@ -418,7 +330,8 @@
 static void
 reach_for_lease (struct orders *o, int64_t now_us)
 {
-  bool doubt = now_us >= o->doubt_us && in_doubt (o);
+  bool doubt
+      = now_us >= o->doubt_us && naming_in_doubt (o->opts.fleet, o->read_us);
 
   if (o->calling || (now_us < o->patient_us && !doubt))
     return;
