--- a/regress/units.h
+++ b/regress/units.h
@@ -14,6 +14,7 @@
 extern const struct unit fleet_units[];
 extern const struct unit relay_units[];
 extern const struct unit orders_units[];
+extern const struct unit follow_units[];
 extern const struct unit parts_units[];
 extern const struct unit share_units[];
 extern const struct unit fresh_units[];
