Lives of endpoints: one that starts again under its id begins anew

Cause: an id stood for one life. An endpoint that left, ended and was back under its id stayed closed; load, failures, rest and weights of the life before were believed of the next; an order to an earlier life, carried out late, could fit the count that began anew, and the weights it brought back were never noticed, since a version was only ever taken for higher.

Change: a life is an id and its start (born). A younger one gets a struct of its own, in one place (fleet_take_listing, fleet_take_birth), so requests that still end at the old life tell only that. Older news and news without a start change nothing. A word about weights may lower the belief if it is of after the belief came; a refusal that names no weights makes the holder ask. Stores: answers of an older life are passed over.

Entries of other writers: each is read by itself and strictly; a flawed one names no endpoint and is summed in one log line and a counter. An endpoint of a service that nobody declared is not ordered about.

Ruled out: 'not run' and at most once do not rest on lives, since each attempt has a connection of its own, which ends with the life.

--- a/fleet.c
+++ b/fleet.c
@@ -387,10 +387,20 @@
   return NULL;
 }
 
+/* An entry that another writer made may name a service that nobody declared:
+   whoever answers there is no endpoint to order about. */
+bool
+fleet_is_declared (const struct fleet *f, const struct fleet_endpoint *e)
+{
+  return f->conf == NULL
+         || g_hash_table_contains (f->conf->services, e->is.service);
+}
+
 bool
 fleet_needs_weights (const struct fleet *f, const struct fleet_endpoint *e)
 {
-  return !e->draining && !e->gone && fleet_outdated_by (f, e) != NULL;
+  return !e->draining && !e->gone && fleet_is_declared (f, e)
+         && (e->version_doubted || fleet_outdated_by (f, e) != NULL);
 }
 
 int64_t
@@ -419,32 +429,109 @@
   return since == FLEET_NEVER || now_us - since >= limit_us;
 }
 
+/*
+ * Weights go back when an order to an earlier life, on its way for seconds,
+ * fits the count of orders that began anew.  Believed to have the newest, the
+ * endpoint would refuse all work and nobody would order it again.  A word is
+ * newer than the belief only if what it says was so after the belief came:
+ * answers overtake each other, and entries are seconds old.
+ */
 void
-fleet_take_version (struct fleet_endpoint *e, int64_t version)
+fleet_take_version (struct fleet_endpoint *e, int64_t version, int64_t at_us,
+                    int64_t now_us)
 {
-  if (version > e->version)
-    e->version = version;
+  if (version <= 0)
+    return;
+  if (version > e->version || at_us > e->version_us)
+    e->version_doubted = false;
+  if (version > e->version || (version < e->version && at_us > e->version_us))
+    {
+      e->version = version;
+      e->version_us = now_us;
+    }
+}
+
+void
+fleet_doubt_version (struct fleet_endpoint *e)
+{
+  e->version_doubted = true;
+}
+
+const char *
+fleet_life_name (enum fleet_life life)
+{
+  static const char *const names[] = {
+    [FLEET_LIFE_SAME] = "same",
+    [FLEET_LIFE_YOUNGER] = "younger",
+    [FLEET_LIFE_OLDER] = "older",
+    [FLEET_LIFE_UNSAID] = "unsaid",
+  };
+
+  return names[life];
+}
+
+enum fleet_life
+fleet_life_of (const struct fleet_endpoint *e, int64_t born_ms)
+{
+  if (e == NULL || born_ms > e->is.born_ms)
+    return FLEET_LIFE_YOUNGER;
+  if (born_ms == e->is.born_ms)
+    return FLEET_LIFE_SAME;
+  return born_ms == 0 ? FLEET_LIFE_UNSAID : FLEET_LIFE_OLDER;
+}
+
+static struct fleet_endpoint *
+add_life (struct fleet *f, const struct fleet_listing *l, int64_t now_us)
+{
+  struct fleet_endpoint *e = g_new0 (struct fleet_endpoint, 1);
+
+  e->refs = 1;
+  e->is = *l;
+  e->version = l->version;
+  e->version_us = now_us;
+  APR_RING_ELEM_INIT (e, link);
+  APR_RING_INSERT_TAIL (&f->endpoints, e, fleet_endpoint, link);
+  g_hash_table_insert (f->by_id, e->is.id, e);
+  return e;
+}
+
+struct fleet_endpoint *
+fleet_take_birth (struct fleet *f, struct fleet_endpoint *e, int64_t born_ms,
+                  int64_t now_us)
+{
+  struct fleet_listing l = e->is;
+
+  l.born_ms = born_ms;
+  l.draining = false;
+  /* It starts with the weights that it had. */
+  l.version = e->version;
+  drop (f, e);
+  return add_life (f, &l, now_us);
 }
 
 struct fleet_endpoint *
-fleet_take_listing (struct fleet *f, const struct fleet_listing *l)
+fleet_take_listing (struct fleet *f, const struct fleet_listing *l,
+                    int64_t now_us)
 {
   struct fleet_endpoint *e = g_hash_table_lookup (f->by_id, l->id);
 
-  if (e == NULL)
+  switch (fleet_life_of (e, l->born_ms))
     {
-      e = g_new0 (struct fleet_endpoint, 1);
-      e->refs = 1;
-      e->is = *l;
-      e->version = l->version;
-      APR_RING_ELEM_INIT (e, link);
-      APR_RING_INSERT_TAIL (&f->endpoints, e, fleet_endpoint, link);
-      g_hash_table_insert (f->by_id, e->is.id, e);
+    case FLEET_LIFE_OLDER:
+    case FLEET_LIFE_UNSAID:
+      return e;
+    case FLEET_LIFE_YOUNGER:
+      if (e != NULL)
+        drop (f, e);
+      e = add_life (f, l, now_us);
+      break;
+    case FLEET_LIFE_SAME:
+      break;
     }
-  fleet_take_version (e, l->version);
+  fleet_take_version (e, l->version, FLEET_NEVER, now_us);
   /* The id is a key of the table, and equal. */
   e->is = *l;
-  /* One life of an endpoint never takes its leaving back. */
+  /* One life of an endpoint never takes its leaving back; the next may. */
   e->draining |= l->draining;
   e->missing_us = 0;
   return e;
@@ -456,10 +543,16 @@
   f->back_us = now_us;
 }
 
+bool
+fleet_missing_counts (const struct fleet *f, int64_t now_us)
+{
+  return f->back_us == 0 || now_us - f->back_us >= RETURN_WAIT_US;
+}
+
 void
 fleet_take_missing (struct fleet *f, struct fleet_endpoint *e, int64_t now_us)
 {
-  if (f->back_us == 0 || now_us - f->back_us >= RETURN_WAIT_US)
+  if (fleet_missing_counts (f, now_us))
     drop (f, e);
   else if (e->missing_us == 0)
     e->missing_us = now_us;
--- a/fleet.h
+++ b/fleet.h
@@ -109,10 +109,15 @@
 
 #define FLEET_NAME_SIZE 64 /* bytes of an id, address or name with its NUL */
 
-/* An endpoint as the platform lists it. */
+/*
+ * An endpoint as the platform lists it.  It may start again under its id, and
+ * then holds and knows nothing of before: its id and its start together are
+ * one life.
+ */
 struct fleet_listing
 {
-  char id[FLEET_NAME_SIZE];      /* one life of one endpoint */
+  char id[FLEET_NAME_SIZE];      /* of the endpoint, in all its lives */
+  int64_t born_ms;               /* start of this life, Unix time; 0: unsaid */
   char address[FLEET_NAME_SIZE]; /* IP:PORT */
   char service[FLEET_NAME_SIZE]; /* that it serves */
   char domain[FLEET_NAME_SIZE];  /* failure domain */
@@ -136,7 +141,9 @@
   struct fleet_wait first;       /* for first pieces, over all endpoints */
 };
 
-/* Running state of an endpoint on this VM. */
+/* One life of an endpoint on this VM.  A younger one gets a struct of its own:
+   so nothing that was believed of a life, and nothing that a request still
+   hears from it, is taken for the next one's. */
 struct fleet_endpoint
 {
   APR_RING_ENTRY (fleet_endpoint) link; /* in the fleet's list */
@@ -146,6 +153,8 @@
   bool gone;               /* it is listed no more */
   int64_t missing_us;      /* missing since, while that is doubted; or 0 */
   int64_t version;         /* weights by its last word on any channel */
+  int64_t version_us;      /* when that word came */
+  bool version_doubted;    /* it refused these weights and named no others */
   int running;             /* our requests at it */
   int reported;            /* requests it runs and holds, by its report */
   int64_t reported_us;     /* when it said so; 0 for never */
@@ -240,25 +249,55 @@
 /* That version itself, or NULL. */
 const struct fleet_named *fleet_outdated_by (const struct fleet *f,
                                              const struct fleet_endpoint *e);
-/* Whether E stays and newer weights than its own were named. */
+/* Whether the operator configured the service that E names. */
+bool fleet_is_declared (const struct fleet *f, const struct fleet_endpoint *e);
+/* Whether E stays, serves something that the operator configured, and newer
+   weights than its own were named, or nobody knows which it has. */
 bool fleet_needs_weights (const struct fleet *f,
                           const struct fleet_endpoint *e);
 /* Whether E's weights were outdated LIMIT_US ago, or may have been. */
 bool fleet_outdated_for (const struct fleet *f, const struct fleet_endpoint *e,
                          int64_t limit_us, int64_t now_us);
-/* E said, on any channel, that it has VERSION. */
-void fleet_take_version (struct fleet_endpoint *e, int64_t version);
+/* E said, on any channel, that it has VERSION; that was so at AT_US or later,
+   FLEET_NEVER if it may have been long before. */
+void fleet_take_version (struct fleet_endpoint *e, int64_t version,
+                         int64_t at_us, int64_t now_us);
+/* E refused to work on the weights that it is believed to have. */
+void fleet_doubt_version (struct fleet_endpoint *e);
 const struct fleet_wanted *fleet_wanted_of (const struct fleet *f,
                                             const char *model);
 
-/* An endpoint is listed, or listed in another way. */
+/* How what somebody says of an endpoint stands to the life that is known. */
+enum fleet_life
+{
+  FLEET_LIFE_SAME,    /* that life */
+  FLEET_LIFE_YOUNGER, /* it started again since, or was not known */
+  FLEET_LIFE_OLDER,   /* news of a life that is over */
+  FLEET_LIFE_UNSAID   /* it says no start, though one is known */
+};
+
+/* E may be NULL; BORN_MS is 0 if the news says no start. */
+enum fleet_life fleet_life_of (const struct fleet_endpoint *e,
+                               int64_t born_ms);
+const char *fleet_life_name (enum fleet_life life);
+
+/* An endpoint is listed, or listed in another way; what is said of an older
+   life than the known one, or of no life, changes nothing.  Returns the life
+   that is known then. */
 struct fleet_endpoint *fleet_take_listing (struct fleet *f,
-                                           const struct fleet_listing *l);
+                                           const struct fleet_listing *l,
+                                           int64_t now_us);
+/* E itself says that it started at BORN_MS, later than was known. */
+struct fleet_endpoint *fleet_take_birth (struct fleet *f,
+                                         struct fleet_endpoint *e,
+                                         int64_t born_ms, int64_t now_us);
 
 /* An entry was removed, or is not in a whole list. */
 void fleet_take_missing (struct fleet *f, struct fleet_endpoint *e,
                          int64_t now_us);
 
+/* Whether an entry that is missing counts as removed at once, not doubted. */
+bool fleet_missing_counts (const struct fleet *f, int64_t now_us);
 /* Drop the entries whose return has been waited for long enough. */
 void fleet_sweep (struct fleet *f, int64_t now_us);
 
--- a/follow.c
+++ b/follow.c
@@ -5,6 +5,7 @@
 
 #include "decide.h"
 #include "log.h"
+#include "met.h"
 
 /*
  * Longest poll.  The wait is also how old knowledge gets in calm: it must stay
@@ -180,33 +181,77 @@
                (gint64)(early ? now_us - early : -1));
 }
 
+/* A life that is over may still write: its entry, held up on the way, stands
+   in the place of the next one's until that writes again. */
 static void
-take_endpoint (struct fleet *f, const struct news_item *it)
+log_other_life (const struct fleet_endpoint *e, const struct news_item *it,
+                enum fleet_life life)
+{
+  log_event (LOG_LEVEL_INFO, "endpoint",
+             "endpoint=%s outcome=passed_over reason=life_%s source=list "
+             "born_ms=%" G_GINT64_FORMAT " known_ms=%" G_GINT64_FORMAT
+             " row=%" G_GINT64_FORMAT,
+             e->is.id, fleet_life_name (life), (gint64)it->listing.born_ms,
+             (gint64)e->is.born_ms, (gint64)it->row);
+}
+
+static void
+take_endpoint (struct fleet *f, const struct news_item *it, int64_t now_us)
 {
   struct fleet_endpoint *old = g_hash_table_lookup (f->by_id, it->listing.id);
-  bool known = old != NULL;
-  bool draining = known && old->draining;
-  int64_t version = known ? old->version : 0;
-  struct fleet_endpoint *e = fleet_take_listing (f, &it->listing);
+  enum fleet_life life = fleet_life_of (old, it->listing.born_ms);
+  bool again = old != NULL && life == FLEET_LIFE_YOUNGER;
+  bool draining = old != NULL && old->draining;
+  int64_t version = old != NULL ? old->version : 0;
+  int64_t before = old != NULL ? old->is.born_ms : 0;
+  struct fleet_endpoint *e;
 
-  if (!known || draining != e->draining || version != e->version)
+  if (life == FLEET_LIFE_OLDER || life == FLEET_LIFE_UNSAID)
+    {
+      log_other_life (old, it, life);
+      return;
+    }
+  e = fleet_take_listing (f, &it->listing, now_us);
+  if (old == NULL || again || draining != e->draining || version != e->version)
     log_event (LOG_LEVEL_INFO, "endpoint",
-               "endpoint=%s outcome=%s service=%s address=%s domain=%s "
-               "version=%" G_GINT64_FORMAT " row=%" G_GINT64_FORMAT,
-               e->is.id, e->draining ? "draining" : "ready", e->is.service,
+               "endpoint=%s outcome=%s%s service=%s address=%s domain=%s "
+               "version=%" G_GINT64_FORMAT " born_ms=%" G_GINT64_FORMAT
+               " before_ms=%" G_GINT64_FORMAT
+               " source=list row=%" G_GINT64_FORMAT,
+               e->is.id, again ? "started_again_" : "",
+               e->draining ? "draining" : "ready", e->is.service,
                e->is.address, e->is.domain, (gint64)e->version,
-               (gint64)it->row);
+               (gint64)e->is.born_ms, (gint64)before, (gint64)it->row);
 }
 
+/* An entry that lapsed while the list could not be read is doubted first. */
 static void
-take_removed (struct fleet *f, struct fleet_endpoint *e, int64_t now_us)
+take_removed (struct fleet *f, struct fleet_endpoint *e, const char *reason,
+              int64_t now_us)
 {
+  bool counts = fleet_missing_counts (f, now_us);
+
   log_event (LOG_LEVEL_INFO, "endpoint",
-             "endpoint=%s outcome=removed service=%s running=%d", e->is.id,
-             e->is.service, e->running);
+             "endpoint=%s outcome=%s reason=%s service=%s running=%d",
+             e->is.id, counts ? "removed" : "doubted", reason, e->is.service,
+             e->running);
   fleet_take_missing (f, e, now_us);
 }
 
+/*
+ * Another writer's row, or bytes that cannot be read.  It names no endpoint,
+ * so one that was listed in its place is listed no more; if it lives, it
+ * writes again within a heartbeat.  All other rows count.
+ */
+static void
+take_spoiled (struct fleet *f, const struct news_item *it, int64_t now_us)
+{
+  struct fleet_endpoint *e = g_hash_table_lookup (f->by_id, it->listing.id);
+
+  if (e != NULL && e->missing_us == 0)
+    take_removed (f, e, "spoiled", now_us);
+}
+
 static void
 take_item (struct stream *s, const struct news *n, struct news_item *it,
            int64_t now_us)
@@ -224,12 +269,15 @@
       take_wanted (s->follow, it, now_us);
       break;
     case NEWS_ENDPOINT:
-      take_endpoint (f, it);
+      take_endpoint (f, it, now_us);
       break;
     case NEWS_REMOVED:
       e = g_hash_table_lookup (f->by_id, it->listing.id);
       if (e != NULL)
-        take_removed (f, e, now_us);
+        take_removed (f, e, "entry_gone", now_us);
+      break;
+    case NEWS_SPOILED:
+      take_spoiled (f, it, now_us);
       break;
     }
 }
@@ -260,7 +308,7 @@
     {
       next = APR_RING_NEXT (e, link);
       if (!is_in_news (n, e->is.id) && e->missing_us == 0)
-        take_removed (f, e, now_us);
+        take_removed (f, e, "not_listed", now_us);
     }
 }
 
@@ -289,6 +337,34 @@
   return given_us + f->clock_low_us;
 }
 
+/* One line for all rows of an answer that were left out: rows that stay
+   spoiled come again with each whole list, however many they are. */
+static void
+log_spoiled (const struct stream *s, const struct news *n)
+{
+  const struct news_item *it, *first = NULL;
+  int count = 0;
+  guint i;
+
+  for (i = 0; i < n->items->len; i++)
+    {
+      it = &g_array_index (n->items, struct news_item, i);
+      if (it->kind != NEWS_SPOILED)
+        continue;
+      count++;
+      first = first != NULL ? first : it;
+    }
+  if (first == NULL)
+    return;
+  met_add (MET_ROWS_SPOILED, count);
+  log_event (
+      LOG_LEVEL_WARNING, "rows_left_out",
+      "source=%s rows=%d of=%u first=%s reason=%s row=%" G_GINT64_FORMAT,
+      source_names[s->source], count, n->items->len,
+      first->listing.id[0] != '\0' ? first->listing.id : "-", first->flaw,
+      (gint64)first->row);
+}
+
 static void
 take_news (struct stream *s, const struct news *n, int64_t now_us)
 {
@@ -296,6 +372,7 @@
   struct fleet *f = s->follow->opts.fleet;
   guint i;
 
+  log_spoiled (s, n);
   for (i = 0; i < n->items->len; i++)
     take_item (s, n, &g_array_index (n->items, struct news_item, i), now_us);
   if (s->reading && s->source == FOLLOW_ENDPOINTS)
--- a/follow.h
+++ b/follow.h
@@ -21,7 +21,9 @@
   NEWS_CONF,     /* a configuration */
   NEWS_WANTED,   /* a weight version was named */
   NEWS_ENDPOINT, /* an endpoint is listed */
-  NEWS_REMOVED   /* an endpoint's entry was removed */
+  NEWS_REMOVED,  /* an endpoint's entry was removed */
+  NEWS_SPOILED   /* a row of the operator's or an endpoint's says nothing that
+                    can be used */
 };
 
 /* One thing the platform says. */
@@ -32,7 +34,9 @@
   struct fleet_conf *conf;      /* taken over by the receiver */
   char model[FLEET_NAME_SIZE];  /* whose weights */
   int64_t version;              /* of these weights */
-  struct fleet_listing listing; /* endpoint; only its id if removed */
+  struct fleet_listing listing; /* endpoint; only its id if it was removed or
+                                   spoiled; "" if the row is none */
+  const char *flaw;             /* what is wrong with a spoiled row */
 };
 
 enum news_code
--- a/librelay.h
+++ b/librelay.h
@@ -28,20 +28,21 @@
 
 struct relay
 {
-  APR_RING_ENTRY (relay) link;                          /* in its list */
-  struct relays *rs;                                    /* where it runs */
-  struct relay_desc desc;                               /* as described */
-  struct fleet_conf *conf;                              /* it started under */
-  const struct fleet_route *route;                      /* that it took */
-  const struct fleet_workspace *workspace;              /* who asks, or NULL */
-  const char *service;                                  /* that it goes to */
-  int64_t arrived_us;                                   /* when it was whole */
-  int64_t end_us;                                       /* no answer after */
-  const struct fleet_endpoint *tried[PICK_EXCLUDE_MAX]; /* it failed there */
-  struct fleet_endpoint *endpoint;                      /* of the attempt */
-  char cache_scope[PARTS_SCOPE_SIZE];                   /* of the attempt */
-  struct parts_plan kept;                               /* of the attempt */
-  void *call;                                           /* at the adapter */
+  APR_RING_ENTRY (relay) link;                    /* in its list */
+  struct relays *rs;                              /* where it runs */
+  struct relay_desc desc;                         /* as described */
+  struct fleet_conf *conf;                        /* it started under */
+  const struct fleet_route *route;                /* that it took */
+  const struct fleet_workspace *workspace;        /* who asks, or NULL */
+  const char *service;                            /* that it goes to */
+  int64_t arrived_us;                             /* when it was whole */
+  int64_t end_us;                                 /* no answer after */
+  struct fleet_endpoint *tried[PICK_EXCLUDE_MAX]; /* references to lives
+                                                     it failed at */
+  struct fleet_endpoint *endpoint;                /* of the attempt */
+  char cache_scope[PARTS_SCOPE_SIZE];             /* of the attempt */
+  struct parts_plan kept;                         /* of the attempt */
+  void *call;                                     /* at the adapter */
   const char *stopped;     /* why a callback stopped the attempt, or NULL */
   char **lines;            /* head of the answer */
   GString *answer;         /* whole answer so far */
--- a/met.c
+++ b/met.c
@@ -44,6 +44,8 @@
                           "Prompt tokens expected in accelerator memory." },
   [MET_PROMPT_TOKENS] = { "camphorquay_prompt_tokens_total", "counter",
                           "Prompt tokens sent to endpoints." },
+  [MET_ROWS_SPOILED] = { "camphorquay_rows_spoiled_total", "counter",
+                         "Rows of the platform that could not be used." },
   [MET_RUNNING]
   = { "camphorquay_running", "gauge", "Requests at an endpoint." },
   [MET_QUEUED] = { "camphorquay_queued", "gauge", "Requests that wait." },
--- a/orders.c
+++ b/orders.c
@@ -41,6 +41,8 @@
 #define UNANSWERED_US (300 * CQ_US_PER_MS)
 /* An endpoint that does not answer is passed over for this long. */
 #define SKIP_US (800 * CQ_US_PER_MS)
+/* An endpoint's word about itself is some hundred ms old. */
+#define STATE_OLD_US (1000 * CQ_US_PER_MS)
 /* Endpoints looked at: a fifth of a service, and those with lost orders. */
 #define MAX_TASKS 256
 /* Between questions to the row by a VM in doubt since when weights are
@@ -465,7 +467,7 @@
              (gint64)t->order.version, (gint64)t->order.seq,
              (gint64)t->order.fence);
   if (code == ORDER_HOLDS)
-    fleet_take_version (t->endpoint, t->order.version);
+    fleet_take_version (t->endpoint, t->order.version, t->since_us, now);
   if (code == ORDER_REJECTED)
     task_set (t, TASK_SKIPPED, now);
   else
@@ -499,6 +501,49 @@
                      on_ordered, t);
 }
 
+/*
+ * Whether the life that answered is the one that the task is about.  A younger
+ * one counts its orders anew, and what was ordered before may fit its count:
+ * it gets a task of its own, that begins with a question.  An older one is
+ * over, and one that says no start cannot be placed.
+ */
+static bool
+is_same_life (struct task *t, const struct endpoint_state *s, int64_t now_us)
+{
+  struct fleet_endpoint *e = t->endpoint;
+  enum fleet_life life = fleet_life_of (e, s->born_ms);
+
+  if (e->gone || life == FLEET_LIFE_SAME)
+    return !e->gone;
+  log_event (LOG_LEVEL_INFO, "endpoint",
+             "endpoint=%s outcome=%s source=report born_ms=%" G_GINT64_FORMAT
+             " before_ms=%" G_GINT64_FORMAT,
+             e->is.id,
+             life == FLEET_LIFE_YOUNGER ? "started_again" : "passed_over",
+             (gint64)s->born_ms, (gint64)e->is.born_ms);
+  if (life == FLEET_LIFE_YOUNGER)
+    fleet_take_birth (t->orders->opts.fleet, e, s->born_ms, now_us);
+  return false;
+}
+
+static void
+take_version (struct task *t, const struct endpoint_state *s, int64_t now_us)
+{
+  struct fleet_endpoint *e = t->endpoint;
+  int64_t before = e->version;
+
+  if (s->busy)
+    return;
+  fleet_take_version (e, s->version, t->asked_us - STATE_OLD_US, now_us);
+  if (e->version == before)
+    return;
+  log_event (LOG_LEVEL_INFO, e->version > before ? "loaded" : "weights_fell",
+             "endpoint=%s version=%" G_GINT64_FORMAT
+             " before=%" G_GINT64_FORMAT " took_us=%" G_GINT64_FORMAT,
+             e->is.id, (gint64)e->version, (gint64)before,
+             (gint64)(e->reload_us ? now_us - e->reload_us : 0));
+}
+
 /* What the endpoint says decides: an order is sent only where none is being
    carried out and the version is still old. */
 static void
@@ -515,15 +560,13 @@
         task_set (t, TASK_SKIPPED, now);
       return;
     }
-  if (s->version > t->endpoint->version && !s->busy)
+  if (!is_same_life (t, s, now))
     {
-      fleet_take_version (t->endpoint, s->version);
-      log_event (
-          LOG_LEVEL_INFO, "loaded",
-          "endpoint=%s version=%" G_GINT64_FORMAT " took_us=%" G_GINT64_FORMAT,
-          t->endpoint->is.id, (gint64)s->version,
-          (gint64)(t->endpoint->reload_us ? now - t->endpoint->reload_us : 0));
+      if (t->endpoint->gone)
+        loop_arm (o->opts.loop, &o->timer, now);
+      return;
     }
+  take_version (t, s, now);
   if (!needs_order (o, t->endpoint))
     look (o, now);
   else if (t->phase == TASK_LOADING && !s->busy
@@ -540,7 +583,7 @@
       t->unanswered = false;
       t->again_us = ORDER_MAX_US;
     }
-  else if (may_order (o, now)
+  else if (s->version < wanted_version (o, t->endpoint) && may_order (o, now)
            && (t->phase == TASK_ASKING || is_overdue (t, now)))
     send_order (t, s->seq, now);
 }
--- a/orders.h
+++ b/orders.h
@@ -41,6 +41,7 @@
 struct endpoint_state
 {
   bool reached;    /* it answered */
+  int64_t born_ms; /* start of the life that answered, 0 if unsaid */
   bool busy;       /* it carries out an order */
   int64_t seq;     /* orders it has taken */
   int64_t version; /* weights of its model */
--- a/partfeed.c
+++ b/partfeed.c
@@ -139,6 +139,14 @@
              (gint64)w->store->used);
 }
 
+/* An answer of a life that is over may come after the next one's first. */
+static bool
+is_of_earlier_life (const struct parts_store *s, const struct part_news *n)
+{
+  return n->code == PARTS_ANSWERED && n->born_ms != 0
+         && n->born_ms < s->born_ms;
+}
+
 /* A restart empties a store, and a gap hides what was freed: a part believed
    to be there would be a fetch in vain.  Both are followed by a list. */
 static void
@@ -146,6 +154,7 @@
 {
   struct watch *w = arg;
   int64_t now = loop_now_us ();
+  bool again;
 
   w->busy = false;
   if (w->feed->stopped)
@@ -164,13 +173,25 @@
       pause_then_ask (w, drawn_pause (w), now);
       return;
     }
+  if (is_of_earlier_life (w->store, n))
+    {
+      log_event (LOG_LEVEL_INFO, "store",
+                 "store=%s outcome=passed_over reason=life_older "
+                 "born_ms=%" G_GINT64_FORMAT " known_ms=%" G_GINT64_FORMAT,
+                 w->store->address, (gint64)n->born_ms,
+                 (gint64)w->store->born_ms);
+      pause_then_ask (w, PAUSE_US, now);
+      return;
+    }
+  again = w->store->born_ms != 0 && n->born_ms > w->store->born_ms;
+  w->store->born_ms = MAX (w->store->born_ms, n->born_ms);
   speed_up (w);
   if (w->listing)
     {
       parts_forget (w->store, n->epoch, n->next, now);
       w->need_list = false;
     }
-  else if (n->epoch != w->store->epoch || n->lost)
+  else if (n->epoch != w->store->epoch || n->lost || again)
     {
       log_event (LOG_LEVEL_INFO, "store",
                  "store=%s outcome=%s epoch=%" G_GINT64_FORMAT
--- a/partfeed.h
+++ b/partfeed.h
@@ -27,6 +27,7 @@
   enum part_code code; /* whether the rest counts */
   bool lost;           /* events are missing before the first below */
   int64_t epoch;       /* its life */
+  int64_t born_ms;     /* start of that life, Unix time; 0 if unsaid */
   int64_t next;        /* number after the last event */
   int64_t clock_ms;    /* its clock, 0 if unsaid */
   GArray *events;      /* struct part_event */
--- a/parts.h
+++ b/parts.h
@@ -51,6 +51,7 @@
   int64_t first_us;                  /* that each transfer waits in addition */
   int64_t epoch;                     /* its life; 0: not known */
   int64_t last_epoch;                /* its last life that was known */
+  int64_t born_ms;                   /* start of that life, 0 if unsaid */
   int64_t save_from_us;              /* nothing is saved before, see parts.c */
   int64_t known_us;                  /* what it holds was current then */
   int64_t next;                      /* number of its next event */
--- a/pick.c
+++ b/pick.c
@@ -222,7 +222,8 @@
 
   APR_RING_FOREACH (e, &f->endpoints, fleet_endpoint, link)
   {
-    if (e->draining || strcmp (e->is.model, model) != 0)
+    if (e->draining || strcmp (e->is.model, model) != 0
+        || !fleet_is_declared (f, e))
       continue;
     all++;
     late |= too_old (f, e, now_us);
--- a/regress/fakesrv.c
+++ b/regress/fakesrv.c
@@ -18,6 +18,9 @@
  *   status       of the answers
  *   silent       read requests and never answer
  *   late_order   so many orders get no answer and are carried out later
+ *   born         start of its life, as its report says; another one is a
+ *                restart under its id: it takes orders from number 0 again,
+ *                and late ones of before still come
  */
 #include "fake.h"
 
@@ -47,6 +50,7 @@
 static int64_t version = 1; /* of the weights */
 static int64_t seq;         /* orders taken */
 static int64_t busy_until;  /* ms of the monotonic clock */
+static int64_t born;        /* start of this life, 0 if unsaid */
 
 static int64_t
 now_ms (void)
@@ -350,16 +354,34 @@
   return !fk_number ("unframed", 0) && !fk_number ("close_after", 0);
 }
 
+static void
+start_again (int64_t at_ms)
+{
+  g_mutex_lock (&lock);
+  if (at_ms != born)
+    {
+      seq = 0;
+      busy_until = 0;
+    }
+  born = at_ms;
+  g_mutex_unlock (&lock);
+}
+
 static void
 report (const struct in *in)
 {
   g_autofree char *text = NULL;
+  g_autofree char *says_born = NULL;
 
   g_mutex_lock (&lock);
+  says_born = born != 0 ? g_strdup_printf (",\"born\":%" G_GINT64_FORMAT,
+                                           (gint64)born)
+                        : g_strdup ("");
   text = g_strdup_printf (
       "{\"Models\":[{\"Name\":\"m\",\"Version\":%d}],\"Busy\":%s,\"Seq\":%d,"
-      "\"Queued\":0,\"Active\":0}",
-      (int)version, now_ms () < busy_until ? "true" : "false", (int)seq);
+      "\"Queued\":0,\"Active\":0%s}",
+      (int)version, now_ms () < busy_until ? "true" : "false", (int)seq,
+      says_born);
   g_mutex_unlock (&lock);
   answer (in, 200, text);
 }
@@ -421,6 +443,7 @@
   if (strcmp (in->target, "/control") == 0)
     {
       fk_control (in->body->str, in->body->len);
+      start_again (fk_number ("born", 0));
       put_text (in->fd, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
       return true;
     }
--- a/regress/fuzz-input.c
+++ b/regress/fuzz-input.c
@@ -94,8 +94,9 @@
       fleet_route_find (c, "h", "/a/b");
       fleet_conf_unref (c);
     }
-  if (pdecode_endpoint ("id", data, size, &listing)
-      && listing.address[0] == '\0')
+  if (pdecode_endpoint ("id", data, size, &listing) == NULL
+      && (listing.address[0] == '\0' || listing.service[0] == '\0'
+          || listing.slots <= 0 || listing.born_ms < 0))
     g_error ("an endpoint without an address");
   if (pdecode_wanted (data, size, model, sizeof model, &version)
       && version <= 0)
--- a/regress/modelworld.c
+++ b/regress/modelworld.c
@@ -267,7 +267,7 @@
   for (i = 0; i < world.nendpoints; i++)
     {
       world_list (i, &l);
-      fleet_take_listing (&v->fleet, &l);
+      fleet_take_listing (&v->fleet, &l, world.now_us);
     }
 }
 
@@ -445,7 +445,7 @@
   char id[2] = { (char)('0' + e->endpoint), '\0' };
   struct fleet_endpoint *f = g_hash_table_lookup (v->fleet.by_id, id);
 
-  fleet_take_version (f, e->is.version);
+  fleet_take_version (f, e->is.version, FLEET_NEVER, world.now_us);
   orders_look (v->orders, world.now_us);
 }
 
--- a/regress/site.sh
+++ b/regress/site.sh
@@ -32,12 +32,12 @@
 	control "$1" "{\"id\":\"i-$1\"}"
 	list_server "$@"
 }
-# list_server NAME SERVICE [MODEL VERSION [STATE]]
+# list_server NAME SERVICE [MODEL VERSION [STATE [BORN]]]
 list_server() {
 	eval "_port=\$port_$1"
 	_models=
 	[ -n "${3:-}" ] && _models="\"Models\":[{\"Name\":\"$3\",\"Version\":$4}],"
-	row servers "i-$1" "{\"Service\":\"$2\",\"Address\":\"127.0.0.1:$_port\",\"Zone\":\"d1\",\"Slots\":8,$_models\"State\":\"${5:-ready}\"}"
+	row servers "i-$1" "{\"Service\":\"$2\",\"Address\":\"127.0.0.1:$_port\",\"Zone\":\"d1\",\"Slots\":8,$_models\"State\":\"${5:-ready}\"${6:+,\"born\":$6}}"
 }
 
 # entry NAME: a VM whose settings are rendered from the template.
--- a/regress/test-fleet.c
+++ b/regress/test-fleet.c
@@ -40,7 +40,7 @@
 {
   struct fleet_listing l = listing (id, version);
 
-  return fleet_take_listing (f, &l);
+  return fleet_take_listing (f, &l, 1);
 }
 
 /* --- configuration --------------------------------------------------- */
@@ -152,7 +152,7 @@
   fleet_take_missing (&f, b, 10 * S + 1);
   fleet_sweep (&f, 11 * S);
   g_assert_nonnull (g_hash_table_lookup (f.by_id, "a"));
-  fleet_take_listing (&f, &l);
+  fleet_take_listing (&f, &l, 1);
   fleet_sweep (&f, 13 * S);
   g_assert_nonnull (g_hash_table_lookup (f.by_id, "a"));
   g_assert_null (g_hash_table_lookup (f.by_id, "b"));
@@ -172,9 +172,9 @@
 
   fleet_init (&f);
   l.draining = true;
-  a = fleet_take_listing (&f, &l);
+  a = fleet_take_listing (&f, &l, 1);
   l.draining = false;
-  fleet_take_listing (&f, &l);
+  fleet_take_listing (&f, &l, 1);
   g_assert_true (a->draining);
   fleet_clear (&f);
 }
@@ -192,12 +192,12 @@
   b = add (&f, "b", 1);
   g_assert_cmpint (fleet_outdated_us (&f, a), ==, 0);
   g_assert_true (fleet_take_wanted (&f, "m", 2, 10 * S, 10 * S));
-  fleet_take_version (b, 2);
+  fleet_take_version (b, 2, FLEET_NEVER, S);
   g_assert_true (fleet_take_wanted (&f, "m", 3, 14 * S, 14 * S));
   g_assert_false (fleet_take_wanted (&f, "m", 2, 15 * S, 15 * S));
   g_assert_cmpint (fleet_outdated_us (&f, a), ==, 10 * S);
   g_assert_cmpint (fleet_outdated_us (&f, b), ==, 14 * S);
-  fleet_take_version (a, 3);
+  fleet_take_version (a, 3, FLEET_NEVER, S);
   g_assert_cmpint (fleet_outdated_us (&f, a), ==, 0);
   fleet_clear (&f);
 }
@@ -277,7 +277,7 @@
   APR_RING_FOREACH (e, &f.endpoints, fleet_endpoint, link)
   {
     if (n++ < 2)
-      fleet_take_version (e, 2);
+      fleet_take_version (e, 2, FLEET_NEVER, S);
   }
   for (i = 0; i < 900; i++)
     {
@@ -311,7 +311,7 @@
   APR_RING_FOREACH (e, &f.endpoints, fleet_endpoint, link)
   {
     if (n++ < 2)
-      fleet_take_version (e, 2);
+      fleet_take_version (e, 2, FLEET_NEVER, S);
   }
   APR_RING_FOREACH (e, &f.endpoints, fleet_endpoint, link)
   {
@@ -498,7 +498,7 @@
   fleet_init (&f);
   g_strlcpy (l.id, "e", sizeof l.id);
   g_strlcpy (l.model, "m", sizeof l.model);
-  e = fleet_take_listing (&f, &l);
+  e = fleet_take_listing (&f, &l, 1);
   fleet_take_wanted (&f, "m", 2, 0, 1000000);
   fleet_named_since (&f, "m", 2, -2000000);
   g_assert_false (fleet_outdated_for (&f, e, 9000000, 1100000));
--- a/regress/test-orders.c
+++ b/regress/test-orders.c
@@ -116,6 +116,7 @@
   bool lose_orders;        /* orders get no answer */
   int64_t clock_offset_ms; /* the store's clock is so far ahead */
   int64_t seq;             /* orders the endpoint took */
+  int64_t born_ms;         /* start of its life, as its report says */
   int64_t version;         /* its weights */
   bool busy;               /* it carries one out */
   bool hold_busy;          /* it does so until the test says */
@@ -206,6 +207,7 @@
   if (st->mute)
     return;
   s.busy = st->busy;
+  s.born_ms = st->born_ms;
   s.seq = st->seq;
   if (st->each_busy)
     {
@@ -260,7 +262,7 @@
   fleet_init (&st->fleet);
   g_strlcpy (l.id, "e", sizeof l.id);
   g_strlcpy (l.model, "m", sizeof l.model);
-  fleet_take_listing (&st->fleet, &l);
+  fleet_take_listing (&st->fleet, &l, 1);
   o.loop = st->loop;
   o.fleet = &st->fleet;
   o.ops.read_lease = read_lease;
@@ -398,6 +400,101 @@
   stage_free (st);
 }
 
+static struct fleet_endpoint *
+endpoint_of (const struct stage *st)
+{
+  return APR_RING_FIRST (&st->fleet.endpoints);
+}
+
+static bool
+was_sent_again (const struct stage *st)
+{
+  return st->orders_sent >= 2 && st->version == 2;
+}
+
+/*
+ * The endpoint starts again while it loads, and says so itself before its
+ * entry does.  Its count begins anew, so an order by the old count would be
+ * refused for good, and callers would find it on old weights.
+ */
+static void
+test_restart_while_loading (void)
+{
+  struct stage *st = stage_new ();
+
+  st->born_ms = 1000;
+  endpoint_of (st)->is.born_ms = 1000;
+  st->hold_busy = true;
+  name_version (st);
+  wait_until (st, was_sent);
+  g_assert_cmpint (st->seq, ==, 1);
+  st->hold_busy = false;
+  st->busy = false;
+  st->seq = 0;
+  st->born_ms = 2000;
+  wait_until (st, was_sent_again);
+  g_assert_cmpint (st->last_seq, ==, 0);
+  g_assert_cmpint (endpoint_of (st)->is.born_ms, ==, 2000);
+  wait_until (st, is_released);
+  stage_free (st);
+}
+
+/*
+ * A report of the life before, held up on the way, says that the endpoint has
+ * taken three orders and the newest weights.  Believed, it would be left on
+ * old ones.
+ */
+static void
+test_report_of_life_before (void)
+{
+  struct stage *st = stage_new ();
+
+  st->born_ms = 1000;
+  endpoint_of (st)->is.born_ms = 2000;
+  st->seq = 3;
+  st->version = 2;
+  name_version (st);
+  /* Long enough for some questions. */
+  loop_arm (st->loop, &st->late, loop_now_us () + 1200 * MS);
+  st->late.fire = stop_loop;
+  st->late.arg = st->loop;
+  loop_run (st->loop);
+  g_assert_cmpint (st->asked, >, 1);
+  g_assert_cmpint (st->orders_sent, ==, 0);
+  g_assert_cmpint (endpoint_of (st)->version, ==, 1);
+  st->born_ms = 2000;
+  st->seq = 0;
+  st->version = 1;
+  wait_until (st, is_released);
+  g_assert_cmpint (st->orders_sent, ==, 1);
+  g_assert_cmpint (st->last_seq, ==, 0);
+  stage_free (st);
+}
+
+/*
+ * After the change an order to the life before is carried out, and weights go
+ * back; callers' requests are refused there.  The doubt that their answers
+ * raise has the endpoint asked and ordered again.
+ */
+static void
+test_weights_fell (void)
+{
+  struct stage *st = stage_new ();
+
+  name_version (st);
+  wait_until (st, is_released);
+  g_assert_cmpint (endpoint_of (st)->version, ==, 2);
+  st->version = 1;
+  /* Older than what a report may be old by. */
+  endpoint_of (st)->version_us = loop_now_us () - 2 * CQ_US_PER_S;
+  fleet_doubt_version (endpoint_of (st));
+  orders_look (st->orders, loop_now_us ());
+  wait_until (st, was_sent_again);
+  wait_until (st, is_released);
+  g_assert_false (endpoint_of (st)->version_doubted);
+  stage_free (st);
+}
+
 /* A naming that this VM hears when it starts: it cannot know when it was. */
 static void
 hear_late (struct stage *st)
@@ -568,7 +665,7 @@
     {
       g_snprintf (l.id, sizeof l.id, "e%d", i);
       g_strlcpy (l.model, "m", sizeof l.model);
-      fleet_take_listing (&st->fleet, &l);
+      fleet_take_listing (&st->fleet, &l, 1);
     }
   st->lose_orders = true;
   name_version (st);
@@ -765,7 +862,7 @@
     {
       g_snprintf (l.id, sizeof l.id, "e%d", i);
       g_strlcpy (l.model, "m", sizeof l.model);
-      fleet_take_listing (&st->fleet, &l);
+      fleet_take_listing (&st->fleet, &l, 1);
     }
   st->lose_orders = true;
   st->each_busy = true;
@@ -963,7 +1060,8 @@
   g_assert_true (
       fleet_outdated_for (&st->fleet, e, 9 * CQ_US_PER_S, loop_now_us ()));
   /* What has version 2 already is outdated since 3 was named. */
-  fleet_take_version (APR_RING_FIRST (&st->fleet.endpoints), 2);
+  fleet_take_version (APR_RING_FIRST (&st->fleet.endpoints), 2, FLEET_NEVER,
+                      loop_now_us ());
   g_assert_false (
       fleet_outdated_for (&st->fleet, e, 9 * CQ_US_PER_S, loop_now_us ()));
   stage_free (st);
@@ -1011,6 +1109,9 @@
   { "/lease/released", test_released },
   { "/orders/whole", test_orders },
   { "/orders/unknown", test_order_unknown },
+  { "/orders/restart-while-loading", test_restart_while_loading },
+  { "/orders/report-of-life-before", test_report_of_life_before },
+  { "/orders/weights-fell", test_weights_fell },
   { "/orders/naming-recorded", test_naming_recorded },
   { "/orders/naming-unrecorded", test_naming_unrecorded },
   { "/orders/question-takes-nothing", test_question_takes_nothing },
--- a/regress/test-parts.c
+++ b/regress/test-parts.c
@@ -407,6 +407,51 @@
   loop_free (p.loop);
 }
 
+/*
+ * A store starts again.  An answer of its life before, still on the way, lists
+ * parts that are gone: fetched, they would be missed, or be read by half where
+ * they are being saved anew.
+ */
+static void
+test_store_of_life_before (void)
+{
+  struct played p = { .loop = loop_new () };
+  struct partfeed_opts o = { .loop = p.loop, .parts = &p.parts, .seed = 1 };
+  struct fleet_conf *c = fleet_conf_new ();
+  struct part_news n = { .code = PARTS_ANSWERED, .epoch = 8 };
+  struct parts_store *s;
+
+  o.ops.events = ask_events;
+  o.ops.list = ask_list;
+  o.ops.ctx = &p;
+  add_store (c, "fast", 10000, 250000, 500);
+  parts_init (&p.parts);
+  p.feed = partfeed_new (&o);
+  partfeed_take_conf (p.feed, c);
+  s = parts_find_store (&p.parts, "fast");
+  n.events = g_array_new (FALSE, TRUE, sizeof (struct part_event));
+  n.born_ms = 2000;
+  p.done (p.arg, &n);
+  g_assert_cmpint (s->epoch, ==, 8);
+  n.epoch = 7;
+  n.born_ms = 1000;
+  p.done (p.arg, &n);
+  g_assert_cmpint (s->epoch, ==, 8);
+  p.stop_at_poll = true;
+  loop_run (p.loop);
+  /* Also where the epoch does not tell. */
+  n.epoch = 8;
+  n.born_ms = 3000;
+  p.done (p.arg, &n);
+  g_assert_cmpint (s->epoch, ==, 0);
+  g_array_free (n.events, TRUE);
+  partfeed_stop (p.feed);
+  partfeed_free (p.feed);
+  parts_clear (&p.parts);
+  fleet_conf_unref (c);
+  loop_free (p.loop);
+}
+
 const struct unit parts_units[] = {
   { "/parts/saves", test_saves },
   { "/parts/whole-only", test_whole_only },
@@ -417,5 +462,6 @@
   { "/parts/no-fetch-of-part-saved-again", test_no_fetch_of_part_saved_again },
   { "/parts/no-save-on-old-knowledge", test_no_save_on_old_knowledge },
   { "/partfeed/crowded-store", test_crowded_store },
+  { "/partfeed/store-of-life-before", test_store_of_life_before },
   { NULL, NULL },
 };
--- a/regress/test-relay.c
+++ b/regress/test-relay.c
@@ -195,7 +195,7 @@
   g_strlcpy (l.id, id, sizeof l.id);
   g_strlcpy (l.service, "s", sizeof l.service);
   g_strlcpy (l.model, "m", sizeof l.model);
-  fleet_take_listing (&p->fleet, &l);
+  fleet_take_listing (&p->fleet, &l, 1);
 }
 
 static struct play *
@@ -846,7 +846,7 @@
   play_start (p);
   g_assert_cmpstr (p->to[0], ==, a->is.id);
   b->draining = false;
-  fleet_take_version (b, 4);
+  fleet_take_version (b, 4, FLEET_NEVER, loop_now_us ());
 }
 
 /*
@@ -967,6 +967,106 @@
   play_free (p);
 }
 
+/* --- endpoints that start again -------------------------------------- */
+
+static struct fleet_endpoint *
+start_again (struct play *p, const char *id, int64_t born_ms)
+{
+  struct fleet_endpoint *e = g_hash_table_lookup (p->fleet.by_id, id);
+  struct fleet_listing l = e->is;
+
+  l.born_ms = born_ms;
+  return fleet_take_listing (&p->fleet, &l, loop_now_us ());
+}
+
+/*
+ * Its endpoint starts again while the request connects: nothing left, so it is
+ * sent to the next life as if it were the first time.
+ */
+static void
+test_restart_before_send (void)
+{
+  struct play *p = play_new (FLEET_ONCE);
+
+  play_start (p);
+  start_again (p, p->to[0], 1000);
+  g_assert_false (p->event->before_send (p->arg));
+  end (p, false, false);
+  g_assert_cmpint (p->sends, ==, 2);
+  answer_whole (p, "done");
+  g_assert_cmpint (p->status, ==, 200);
+  play_free (p);
+}
+
+/*
+ * Its endpoint starts again after a call that may run once has left, and the
+ * connection breaks.  The life that had it may have run it; that the next one
+ * knows nothing of it proves nothing.  The caller hears that it is unknown,
+ * and the next life does not pay for the failure.
+ */
+static void
+test_restart_after_send (void)
+{
+  struct play *p = play_new (FLEET_ONCE);
+  struct fleet_endpoint *e;
+
+  play_start (p);
+  g_assert_true (p->event->before_send (p->arg));
+  e = start_again (p, p->to[0], 1000);
+  end (p, true, false);
+  g_assert_cmpint (p->sends, ==, 1);
+  g_assert_cmpint (p->refused, ==, RELAY_UNKNOWN);
+  g_assert_cmpint (e->running, ==, 0);
+  g_assert_cmpint (e->failures, ==, 0);
+  play_free (p);
+}
+
+/* An answer of the life before, whole though it came late, is the caller's;
+   what its head says of load and weights is not the next life's. */
+static void
+test_answer_of_life_before (void)
+{
+  struct play *p = play_new (FLEET_IDEMPOTENT);
+  struct relay_head h = { .status = 200, .genuine = true, .running = 40 };
+  struct fleet_endpoint *e;
+
+  h.lines = seal;
+  h.version = 9;
+  play_start (p);
+  g_assert_true (p->event->before_send (p->arg));
+  e = start_again (p, p->to[0], 1000);
+  g_assert_true (p->event->head (p->arg, &h));
+  body (p, "done");
+  end (p, true, true);
+  g_assert_cmpint (p->status, ==, 200);
+  g_assert_cmpint (e->version, ==, 3);
+  g_assert_cmpint (pick_load (e, loop_now_us ()), ==, 0);
+  play_free (p);
+}
+
+/*
+ * The endpoint has other weights than it is believed to have, and does not say
+ * which.  The caller's request goes elsewhere, and the endpoint is to be
+ * asked.
+ */
+static void
+test_unknown_weights (void)
+{
+  struct play *p = play_new (FLEET_ONCE);
+  struct relay_head h = { .status = 421, .not_run = true, .running = -1 };
+  struct fleet_endpoint *e;
+
+  h.other_weights = true;
+  h.lines = seal;
+  play_start (p);
+  e = g_hash_table_lookup (p->fleet.by_id, p->to[0]);
+  answer_head (p, &h);
+  g_assert_true (e->version_doubted);
+  g_assert_cmpint (p->sends, ==, 2);
+  answer_whole (p, "done");
+  play_free (p);
+}
+
 const struct unit relay_units[] = {
   { "/relay/frozen-before-send", test_frozen_before_send },
   { "/relay/revoked-before-send", test_revoked_before_send },
@@ -974,6 +1074,10 @@
   { "/relay/behind-denies-nothing", test_behind_denies_nothing },
   { "/relay/too-large-at-door", test_too_large_at_door },
   { "/relay/once", test_once },
+  { "/relay/restart-before-send", test_restart_before_send },
+  { "/relay/restart-after-send", test_restart_after_send },
+  { "/relay/answer-of-life-before", test_answer_of_life_before },
+  { "/relay/unknown-weights", test_unknown_weights },
   { "/relay/once-unreached", test_once_unreached },
   { "/relay/refused-by-all", test_refused_by_all },
   { "/relay/other-life", test_other_life },
--- a/regress/test-steps.c
+++ b/regress/test-steps.c
@@ -42,13 +42,15 @@
 static char *
 answer_with (const char *value)
 {
-  /* {"Model":"m","Version":3} and {"Address":"a:1"} */
+  /* {"Model":"m","Version":3}, and an endpoint at 10.0.0.1:1. */
   return g_strdup_printf (
       "{\"Ver\":7,\"Rows\":[{\"Table\":\"op\",\"Key\":\"version/m\",\"Ver\":5,"
       "\"Value\":\"eyJNb2RlbCI6Im0iLCJWZXJzaW9uIjozfQ==\"},"
       "{\"Value\":\"%s\",\"Ver\":6,\"Table\":\"op\",\"Key\":\"config\"},"
       "{\"Table\":\"servers\",\"Key\":\"s1\",\"Ver\":7,"
-      "\"Value\":\"eyJBZGRyZXNzIjoiYToxIn0=\"}],\"NowMs\":5,\"HasMore\":true}",
+      "\"Value\":\"eyJBZGRyZXNzIjoiMTAuMC4wLjE6MSIsIlNlcnZp"
+      "Y2UiOiJhcHAiLCJab25lIjoiZCIsIlN0YXRlIjoicmVhZHkiLCJTbG90cyI6OH0=\"}],"
+      "\"NowMs\":5,\"HasMore\":true}",
       value);
 }
 
@@ -136,7 +138,7 @@
   check_conf (item (n, 1)->conf, routes);
   g_assert_cmpint (item (n, 2)->kind, ==, NEWS_ENDPOINT);
   g_assert_cmpstr (item (n, 2)->listing.id, ==, "s1");
-  g_assert_cmpstr (item (n, 2)->listing.address, ==, "a:1");
+  g_assert_cmpstr (item (n, 2)->listing.address, ==, "10.0.0.1:1");
 }
 
 /* --- reading --------------------------------------------------------- */
@@ -249,9 +251,13 @@
       struct news n = news_new ();
 
       g_assert_cmpint (read_in_steps (text, strlen (text), 5, &n), >, 0);
-      g_assert_cmpuint (n.items->len, ==, 2);
+      g_assert_cmpuint (n.items->len, ==, 3);
       g_assert_cmpint (item (&n, 0)->kind, ==, NEWS_WANTED);
-      g_assert_cmpint (item (&n, 1)->kind, ==, NEWS_ENDPOINT);
+      g_assert_cmpint (item (&n, 1)->kind, ==, NEWS_SPOILED);
+      g_assert_cmpstr (item (&n, 1)->listing.id, ==, "");
+      g_assert_nonnull (item (&n, 1)->flaw);
+      g_assert_null (item (&n, 1)->conf);
+      g_assert_cmpint (item (&n, 2)->kind, ==, NEWS_ENDPOINT);
       pdecode_clear (&n);
     }
 }
--- a/regress/units.h
+++ b/regress/units.h
@@ -21,5 +21,6 @@
 extern const struct unit xfer_units[];
 extern const struct unit header_units[];
 extern const struct unit steps_units[];
+extern const struct unit lives_units[];
 
 #endif
--- a/relay.c
+++ b/relay.c
@@ -117,6 +117,10 @@
 static void
 relay_free (struct relay *r)
 {
+  int i;
+
+  for (i = 0; i < r->ntried; i++)
+    fleet_endpoint_unref (r->tried[i]);
   evt_clear (&r->events);
   g_string_free (r->answer, TRUE);
   g_strfreev (r->lines);
--- a/relay.h
+++ b/relay.h
@@ -89,13 +89,14 @@
 /* Head of an endpoint's answer, decoded. */
 struct relay_head
 {
-  int status;      /* HTTP status */
-  bool genuine;    /* the endpoint's mark is there, and it is for us */
-  bool not_run;    /* the endpoint says that it did not run */
-  bool other_life; /* another life of the endpoint has the address */
-  int running;     /* requests at it, -1 if unsaid */
-  int64_t version; /* weights that ran, 0 if unsaid */
-  char **lines;    /* "Name: value" lines for the caller */
+  int status;         /* HTTP status */
+  bool genuine;       /* the endpoint's mark is there, and it is for us */
+  bool not_run;       /* the endpoint says that it did not run */
+  bool other_life;    /* somebody else has the endpoint's address */
+  bool other_weights; /* it is that endpoint, with other weights than asked */
+  int running;        /* requests at it, -1 if unsaid */
+  int64_t version;    /* weights that ran, 0 if unsaid */
+  char **lines;       /* "Name: value" lines for the caller */
 };
 
 struct relay_end
--- a/relaytry.c
+++ b/relaytry.c
@@ -97,6 +97,22 @@
   return true;
 }
 
+/*
+ * What an answer says of its endpoint's weights.  It was so after the attempt
+ * was sent.  Another life at the address, and bytes that belong to another
+ * request, say nothing of this endpoint.
+ */
+static void
+take_version (struct relay *r, const struct relay_head *head, int64_t now_us)
+{
+  if (head->other_life || !(head->genuine || head->not_run))
+    return;
+  if (head->version > 0)
+    fleet_take_version (r->endpoint, head->version, r->sent_us, now_us);
+  else if (head->other_weights && r->sent_us > r->endpoint->version_us)
+    fleet_doubt_version (r->endpoint);
+}
+
 static bool
 on_head (void *arg, const struct relay_head *head)
 {
@@ -107,7 +123,7 @@
   r->not_run = head->not_run;
   if (head->running >= 0)
     pick_reported (r->endpoint, head->running, now);
-  fleet_take_version (r->endpoint, head->version);
+  take_version (r, head, now);
   /* That life is over, so nothing was sent to an endpoint of the service. */
   if (head->other_life)
     {
@@ -285,7 +301,7 @@
     r->unsent++;
   else if (sent != SEND_REFUSED)
     r->ran = true;
-  r->tried[r->ntried++] = r->endpoint;
+  r->tried[r->ntried++] = fleet_endpoint_ref (r->endpoint);
   relay_leave (r);
   if (v.next == NEXT_FINISH && sent == SEND_WHOLE)
     answer (r, v.outcome, v.reason, now_us);
