--- a/follow.c
+++ b/follow.c
@@ -206,7 +206,7 @@
   int64_t before = old != NULL ? old->is.born_ms : 0;
   struct fleet_endpoint *e;
 
-  if (life == FLEET_LIFE_OLDER || life == FLEET_LIFE_UNSAID)
+  if (old != NULL && (life == FLEET_LIFE_OLDER || life == FLEET_LIFE_UNSAID))
     {
       log_other_life (old, it, life);
       return;
