--- a/entry.c
+++ b/entry.c
@@ -41,6 +41,8 @@
   struct partfeed *feed;         /* keeps that current */
   int64_t conf_row;              /* configuration that the feed knows */
   int64_t duty_us;               /* this VM gave orders last */
+  struct load_book *book;        /* work of other VMs */
+  struct tell *tell;             /* tells them of ours; NULL if unset */
   struct relays *relays;         /* requests under way */
   struct entry_front front_with; /* what the next one works with */
   struct door *front;            /* callers */
@@ -178,6 +180,15 @@
   e->feed = partfeed_new (&o);
 }
 
+static void
+on_worked (void *arg, int64_t now_us)
+{
+  struct entry *e = arg;
+
+  if (e->tell != NULL)
+    tell_changed (e->tell, now_us);
+}
+
 static void
 make_relays (struct entry *e)
 {
@@ -186,6 +197,9 @@
 
   entry_adapter.engine_ops (&o.engine, e->worker->pool);
   o.parts = &e->parts;
+  o.loads = e->book;
+  o.worked = on_worked;
+  o.worked_arg = e;
   o.domain = vm->domain;
   o.stale_us = e->cfg->revoke_ms * CQ_US_PER_MS - REVOKE_MARGIN_US;
   o.deny_us = deny_us (e->cfg);
@@ -197,6 +211,28 @@
   e->relays = relays_new (&o);
 }
 
+/* False if there is an address, and it cannot be had. */
+static bool
+make_tell (struct entry *e)
+{
+  const struct cfg_vm *vm = cfg_vm (e->settings);
+  struct tell_opts o = { .loop = e->worker->loop, .fleet = &e->fleet };
+
+  if (e->cfg->tell[0] == '\0')
+    return true;
+  entry_adapter.roster_ops (e->store, &o.ops);
+  o.book = e->book;
+  o.vm = vm->name;
+  o.domain = vm->domain;
+  o.listen = e->cfg->tell;
+  o.seed = seed_of (vm);
+  e->tell = tell_new (&o);
+  if (e->tell == NULL)
+    log_event (LOG_LEVEL_ERROR, "tell_listen", "address=%s outcome=failed",
+               e->cfg->tell);
+  return e->tell != NULL;
+}
+
 static bool
 open_doors (struct entry *e)
 {
@@ -228,14 +264,20 @@
   e->cfg = cfg_entry (e->settings);
   fleet_init (&e->fleet);
   e->fleet.old_max_us = e->cfg->version_ms * CQ_US_PER_MS - VERSION_MARGIN_US;
+  e->fleet.weigh.unread = (int)e->cfg->weigh_unread;
+  e->fleet.weigh.memory = (int)e->cfg->weigh_memory;
+  e->fleet.weigh.parts = (int)e->cfg->weigh_parts;
   e->fleet.old_end_us
       = e->cfg->version_ms * CQ_US_PER_MS - VERSION_END_MARGIN_US;
+  e->book = load_new ();
   make_feed (e);
   make_relays (e);
   if (!open_doors (e))
     return NULL;
   e->store = entry_adapter.open (w->pool, e->cfg->store);
   make_orders (e);
+  if (!make_tell (e))
+    return NULL;
   start_following (e);
   e->sweep.fire = on_sweep;
   e->sweep.arg = e;
@@ -257,6 +299,8 @@
   orders_stop (e->orders);
   follow_stop (e->follow);
   partfeed_stop (e->feed);
+  if (e->tell != NULL)
+    tell_stop (e->tell);
   loop_disarm (&e->sweep);
 }
 
@@ -273,7 +317,8 @@
   if (e == NULL)
     return 0;
   return follow_waiting (e->follow) + orders_waiting (e->orders)
-         + partfeed_waiting (e->feed);
+         + partfeed_waiting (e->feed)
+         + (e->tell != NULL ? tell_waiting (e->tell) : 0);
 }
 
 void
@@ -285,6 +330,9 @@
   orders_free (e->orders);
   partfeed_free (e->feed);
   relays_free (e->relays);
+  if (e->tell != NULL)
+    tell_free (e->tell);
+  load_free (e->book);
   parts_clear (&e->parts);
   fleet_clear (&e->fleet);
   entry_adapter.close (e->store);
--- a/entry.h
+++ b/entry.h
@@ -10,6 +10,7 @@
 #include "orders.h"
 #include "partfeed.h"
 #include "relay.h"
+#include "tell.h"
 
 /* What a door for callers works with; stays until the door is closed. */
 struct entry_front
@@ -26,6 +27,7 @@
   void (*close) (void *store);
   void (*follow_ops) (void *store, struct follow_ops *ops);
   void (*orders_ops) (void *store, struct orders_ops *ops);
+  void (*roster_ops) (void *store, struct roster_ops *ops);
   void (*partfeed_ops) (struct partfeed_ops *ops, struct xfer_pool *pool);
   void (*engine_ops) (struct relay_engine *ops, struct xfer_pool *pool);
   /* The door for callers. */
--- a/fleet.c
+++ b/fleet.c
@@ -2,6 +2,7 @@
 #include "fleet.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 /*
  * Entries can lapse while the platform's list cannot be read, and return
@@ -165,6 +166,7 @@
 fleet_init (struct fleet *f)
 {
   memset (f, 0, sizeof *f);
+  f->weigh = (struct fleet_weights){ 100, 100, 100 };
   APR_RING_INIT (&f->endpoints, fleet_endpoint, link);
   f->by_id = g_hash_table_new (g_str_hash, g_str_equal);
   f->wanted = g_array_new (FALSE, TRUE, sizeof (struct fleet_wanted));
@@ -489,6 +491,8 @@
   e->is = *l;
   e->version = l->version;
   e->version_us = now_us;
+  e->key = XXH3_64bits_withSeed (e->is.id, strlen (e->is.id),
+                                 (uint64_t)e->is.born_ms);
   APR_RING_ELEM_INIT (e, link);
   APR_RING_INSERT_TAIL (&f->endpoints, e, fleet_endpoint, link);
   g_hash_table_insert (f->by_id, e->is.id, e);
--- a/fleet.h
+++ b/fleet.h
@@ -55,9 +55,10 @@
 {
   char *name;            /* named by splits and endpoints */
   char *model;           /* of its engines; NULL for a plain service */
-  int64_t memory_tokens; /* an engine's KV cache, 0 if unknown */
+  int64_t memory_tokens; /* of KV cache that it holds, 0 if unknown */
+  int64_t token_bytes;   /* of a token in an engine's cache, 0 if unknown */
   char *domain;          /* failure domain of a store, or NULL */
-  int64_t link_mbit_s;   /* of a store, 0 if unknown */
+  int64_t link_mbit_s;   /* its link, 0 if unknown */
   int64_t first_us;      /* that each of its transfers waits in addition */
   char *store_address;   /* IP:PORT if it is a store of kept KV cache */
 };
@@ -139,6 +140,17 @@
 {
   char service[FLEET_NAME_SIZE]; /* its name */
   struct fleet_wait first;       /* for first pieces, over all endpoints */
+  int64_t base_us;     /* smoothed first piece of prompts that are short */
+  int64_t read_tokens; /* of long prompts, older ones counting less */
+  int64_t read_us;     /* that these took beyond a short one */
+};
+
+/* Percent of their weight that reasons have in placing; experiments only. */
+struct fleet_weights
+{
+  int unread; /* work that is ahead at an endpoint */
+  int memory; /* that would run out there */
+  int parts;  /* kept ones that are found where a prompt is at home */
 };
 
 /* One life of an endpoint on this VM.  A younger one gets a struct of its own:
@@ -155,7 +167,10 @@
   int64_t version;         /* weights by its last word on any channel */
   int64_t version_us;      /* when that word came */
   bool version_doubted;    /* it refused these weights and named no others */
+  uint64_t key;            /* of this life, among VMs */
   int running;             /* our requests at it */
+  int64_t unread;          /* tokens that these still have to read */
+  int64_t held;            /* tokens of memory that these take, or will */
   int reported;            /* requests it runs and holds, by its report */
   int64_t reported_us;     /* when it said so; 0 for never */
   int sent_since;          /* our sends since then, less our ends */
@@ -205,12 +220,13 @@
   struct fleet_conf *conf; /* in force; NULL while none is known */
   int64_t conf_row;        /* change that brought it */
   APR_RING_HEAD (fleet_ring, fleet_endpoint) endpoints; /* all listed */
-  GHashTable *by_id;  /* id to struct fleet_endpoint */
-  bool listed;        /* endpoints were listed once */
-  GArray *wanted;     /* struct fleet_wanted */
-  GArray *seen;       /* struct fleet_service_seen */
-  int64_t fresh_us;   /* the configuration was current then; 0: never */
-  int64_t back_us;    /* the list could be read again since */
+  GHashTable *by_id; /* id to struct fleet_endpoint */
+  bool listed;       /* endpoints were listed once */
+  GArray *wanted;    /* struct fleet_wanted */
+  GArray *seen;      /* struct fleet_service_seen */
+  int64_t fresh_us;  /* the configuration was current then; 0: never */
+  int64_t back_us;   /* the list could be read again since */
+  struct fleet_weights weigh;
   int64_t old_max_us; /* old weights take work this long after newer ones
                          were named; 0 for ever */
   int64_t old_end_us; /* and nothing begins on them after so long; 0: it does
@@ -314,14 +330,26 @@
 
 #define PICK_EXCLUDE_MAX 8 /* endpoints that one request has tried */
 
+/* What a request asks of an endpoint, in tokens of its prompt. */
+struct pick_work
+{
+  int64_t shared; /* in parts that others share */
+  int64_t stored; /* of these, in stores */
+  int64_t own;    /* the rest */
+};
+
+struct load_book;
+
 struct pick_query
 {
   const char *service;  /* asked for */
   const char *domain;   /* of this VM */
   const char *affinity; /* part of the prompt to find again, or NULL */
   const struct fleet_endpoint *exclude[PICK_EXCLUDE_MAX]; /* tried before */
-  int nexclude;    /* entries in exclude */
-  uint64_t random; /* breaks ties */
+  int nexclude;                  /* entries in exclude */
+  uint64_t random;               /* breaks ties */
+  struct pick_work work;         /* zeros for a plain service */
+  const struct load_book *loads; /* work of other VMs, or NULL */
 };
 
 enum pick_code
@@ -337,6 +365,8 @@
   struct fleet_endpoint *endpoint; /* chosen */
   int candidates;                  /* endpoints that could be chosen */
   int load;                        /* expected requests at the chosen one */
+  int64_t ahead;   /* tokens to be read there before the request's own */
+  int64_t held;    /* tokens of memory that others take there */
   int64_t wait_us; /* expected there for the first piece of an answer */
   int crowded;     /* endpoints passed over for load */
   int64_t version; /* weights it is believed to have */
@@ -349,11 +379,19 @@
 /* Requests expected at E now. */
 int pick_load (const struct fleet_endpoint *e, int64_t now_us);
 
+/* A request was sent to E, its prompt has been read there, it ended. */
+void pick_sent (struct fleet_endpoint *e, const struct pick_work *w);
+void pick_read (struct fleet_endpoint *e, const struct pick_work *w);
+void pick_ended (struct fleet_endpoint *e, const struct pick_work *w);
 /* What an endpoint's answers say. */
-void pick_sent (struct fleet_endpoint *e);
-void pick_ended (struct fleet_endpoint *e);
 void pick_reported (struct fleet_endpoint *e, int running, int64_t now_us);
 void pick_worked (struct fleet_endpoint *e);
+/* A prompt of W, behind AHEAD tokens that were still to be read, was answered
+   after WAIT_US. */
+void pick_learn (struct fleet *f, const struct fleet_endpoint *e,
+                 const struct pick_work *w, int64_t ahead, int64_t wait_us);
+/* Tokens that endpoints of the service read in a second, as learned. */
+int64_t pick_speed (const struct fleet *f, const char *service);
 /* The first piece of an answer came after WAIT_US, or had not come by then. */
 void pick_first (struct fleet *f, struct fleet_endpoint *e, int64_t wait_us,
                  int64_t now_us);
--- a/librelay.h
+++ b/librelay.h
@@ -42,7 +42,9 @@
   struct fleet_endpoint *endpoint;                /* of the attempt */
   char cache_scope[PARTS_SCOPE_SIZE];             /* of the attempt */
   struct parts_plan kept;                         /* of the attempt */
-  void *call;                                     /* at the adapter */
+  struct pick_work work;   /* as the endpoint was chosen for */
+  int64_t ahead;           /* tokens to be read there before it */
+  void *call;              /* at the adapter */
   const char *stopped;     /* why a callback stopped the attempt, or NULL */
   char **lines;            /* head of the answer */
   GString *answer;         /* whole answer so far */
@@ -59,6 +61,7 @@
   bool not_run;      /* the endpoint said so */
   bool streaming;    /* the answer goes on in pieces */
   bool answering;    /* some of the attempt's answer came */
+  bool unread;       /* its endpoint still reads its prompt */
   bool ran;          /* an earlier attempt may have run */
   bool begun;        /* the caller has part of a stream */
   bool paused;       /* the attempt waits for a slow reader */
@@ -80,8 +83,10 @@
 struct share *relay_share (struct relay *r);
 /* Repeats that the service of R may still have. */
 struct budget *relay_budget (struct relay *r);
+/* The endpoint has read the request's prompt, or will not. */
+void relay_read (struct relay *r, int64_t now_us);
 /* The request is no longer at its endpoint. */
-void relay_leave (struct relay *r);
+void relay_leave (struct relay *r, int64_t now_us);
 /* End of a request that was answered. */
 void relay_finish (struct relay *r, enum outcome outcome, const char *reason,
                    int64_t now_us);
--- /dev/null
+++ b/load.h
@@ -0,0 +1,60 @@
+/*
+ * What VMs tell each other of the work that their requests are at endpoints.
+ *
+ * A VM sees its own requests and, seldom, an endpoint's word about all; with
+ * many VMs nearly all work at an endpoint is that of others.  So each tells
+ * the others what its long prompts still have to read there and what memory
+ * they take.  It is a hint for placing: nothing else rests on it, what is old
+ * fades, and nobody waits for it.  Everything here is pure.
+ */
+#ifndef CQ_LOAD_H
+#define CQ_LOAD_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define LOAD_ENTRIES_MAX 64 /* endpoints in one word */
+#define LOAD_VM_SIZE 64     /* bytes of a VM's name with its NUL */
+
+/* Work at one endpoint. */
+struct load_entry
+{
+  uint64_t endpoint; /* key of its life */
+  int64_t unread;    /* tokens that are still to be read */
+  int64_t held;      /* tokens of memory that are taken, or will be */
+};
+
+/* What a VM says of its own requests, whole: a lost word is made good by the
+   next one. */
+struct load_word
+{
+  char vm[LOAD_VM_SIZE];     /* its name */
+  char domain[LOAD_VM_SIZE]; /* its failure domain */
+  uint64_t life;             /* of that VM; grows */
+  uint64_t beat;             /* grows with each word of that life */
+  int n;                     /* entries below */
+  struct load_entry entries[LOAD_ENTRIES_MAX]; /* one an endpoint */
+};
+
+struct load_book;
+
+struct load_book *load_new (void);
+void load_free (struct load_book *b);
+
+/* Take a VM's word in the place of its last one; false if a newer one was
+   heard before. */
+bool load_hear (struct load_book *b, const struct load_word *w,
+                int64_t now_us);
+/* Forget what VMs said that have been silent since. */
+void load_fade (struct load_book *b, int64_t now_us);
+/* Where only SOME of the ALL VMs of this failure domain speak to this one,
+   their words stand for all.  PARTIAL: of endpoints in other domains next to
+   nothing is known. */
+void load_scale (struct load_book *b, int all, int some, bool partial);
+bool load_is_partial (const struct load_book *b);
+/* What all others have at ENDPOINT; zeros if nobody spoke of it. */
+struct load_entry load_at (const struct load_book *b, uint64_t endpoint);
+/* VMs whose words count now. */
+int load_voices (const struct load_book *b);
+
+#endif
--- a/met.c
+++ b/met.c
@@ -46,6 +46,12 @@
                           "Prompt tokens sent to endpoints." },
   [MET_ROWS_SPOILED] = { "camphorquay_rows_spoiled_total", "counter",
                          "Rows of the platform that could not be used." },
+  [MET_LOADS_TOLD] = { "camphorquay_loads_told_total", "counter",
+                       "Words about this VM's work, told to a VM each." },
+  [MET_LOADS_HEARD] = { "camphorquay_loads_heard_total", "counter",
+                        "Words of other VMs about their work." },
+  [MET_LOADS_UNREAD] = { "camphorquay_loads_unread_total", "counter",
+                         "Datagrams that are no such word." },
   [MET_RUNNING]
   = { "camphorquay_running", "gauge", "Requests at an endpoint." },
   [MET_QUEUED] = { "camphorquay_queued", "gauge", "Requests that wait." },
--- a/parts.c
+++ b/parts.c
@@ -409,6 +409,20 @@
          || (q->named_us != 0 && now_us - q->named_us < FETCH_OLD_US);
 }
 
+int64_t
+parts_stored (struct parts *p, const char *scope, const struct part *list,
+              int n, const char *domain, int64_t now_us)
+{
+  int64_t all = 0;
+  int i;
+
+  for (i = 0; i < n && i < PARTS_MAX; i++)
+    if (find_held (p, key_of (scope, list[i].id), &list[i], domain, now_us)
+        != NULL)
+      all += list[i].tokens;
+  return all;
+}
+
 /* Tokens of the parts that others share; the last part is the request's own,
    and nobody asks for it again. */
 static int64_t
--- a/parts.h
+++ b/parts.h
@@ -117,6 +117,11 @@
   int64_t wait_us;         /* it may wait for so long before it begins */
 };
 
+/* Tokens of the N parts in LIST that stores hold whole. */
+int64_t parts_stored (struct parts *p, const char *scope,
+                      const struct part *list, int n, const char *domain,
+                      int64_t now_us);
+
 void parts_plan (struct parts *p, const struct parts_query *q, int64_t now_us,
                  struct parts_plan *plan);
 
--- a/peer.h
+++ b/peer.h
@@ -18,6 +18,7 @@
 #define PEER_CHANGES_MAX 64
 #define PEER_TEXT_MAX 65536
 #define PEER_BOX_MAX 1048576
+#define PEER_WORK_MAX 64
 
 struct peer_member {
 	char *name;
@@ -66,6 +67,25 @@
 };
 typedef struct peer_changes peer_changes;
 
+struct peer_work_entry {
+	u_quad_t endpoint;
+	u_int unread;
+	u_int held;
+};
+typedef struct peer_work_entry peer_work_entry;
+
+struct peer_work {
+	char *vm;
+	char *domain;
+	u_quad_t life;
+	u_quad_t beat;
+	struct {
+		u_int entries_len;
+		peer_work_entry *entries_val;
+	} entries;
+};
+typedef struct peer_work peer_work;
+
 enum peer_proc {
 	PEER_PING = 1,
 	PEER_CHANGES = 2,
@@ -119,6 +139,8 @@
 extern  bool_t xdr_peer_pong (XDR *, peer_pong*);
 extern  bool_t xdr_peer_change (XDR *, peer_change*);
 extern  bool_t xdr_peer_changes (XDR *, peer_changes*);
+extern  bool_t xdr_peer_work_entry (XDR *, peer_work_entry*);
+extern  bool_t xdr_peer_work (XDR *, peer_work*);
 extern  bool_t xdr_peer_proc (XDR *, peer_proc*);
 extern  bool_t xdr_peer_envelope (XDR *, peer_envelope*);
 extern  bool_t xdr_peer_sealed (XDR *, peer_sealed*);
@@ -130,6 +152,8 @@
 extern bool_t xdr_peer_pong ();
 extern bool_t xdr_peer_change ();
 extern bool_t xdr_peer_changes ();
+extern bool_t xdr_peer_work_entry ();
+extern bool_t xdr_peer_work ();
 extern bool_t xdr_peer_proc ();
 extern bool_t xdr_peer_envelope ();
 extern bool_t xdr_peer_sealed ();
--- a/peer.x
+++ b/peer.x
@@ -8,6 +8,7 @@
 const PEER_CHANGES_MAX = 64;
 const PEER_TEXT_MAX = 65536;
 const PEER_BOX_MAX = 1048576;
+const PEER_WORK_MAX = 64;
 
 /* A VM as it says of itself, or as others say of it. */
 struct peer_member
@@ -57,6 +58,24 @@
   peer_change changes<PEER_CHANGES_MAX>;
 };
 
+/* Work of a VM's requests at an endpoint, in tokens. */
+struct peer_work_entry
+{
+  unsigned hyper endpoint;
+  unsigned int unread;
+  unsigned int held;
+};
+
+/* A datagram of its own: all that a VM's requests have under way. */
+struct peer_work
+{
+  string vm<PEER_NAME_MAX>;
+  string domain<PEER_NAME_MAX>;
+  unsigned hyper life;
+  unsigned hyper beat;
+  peer_work_entry entries<PEER_WORK_MAX>;
+};
+
 /* Kinds of messages. */
 enum peer_proc
 {
--- a/peer_xdr.c
+++ b/peer_xdr.c
@@ -89,6 +89,39 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_work_entry (XDR *xdrs, peer_work_entry *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->endpoint))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->unread))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->held))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_work (XDR *xdrs, peer_work *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->vm, PEER_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->domain, PEER_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->life))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->beat))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, PEER_WORK_MAX,
+		sizeof (peer_work_entry), (xdrproc_t) xdr_peer_work_entry))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_proc (XDR *xdrs, peer_proc *objp)
 {
--- a/pick.c
+++ b/pick.c
@@ -4,6 +4,9 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "decide.h"
+#include "load.h"
+
 /* A failed endpoint rests this long, doubled with each further failure: a
    restart takes about a second, and a look costs one request. */
 #define REST_FIRST_US INT64_C (300000)
@@ -27,6 +30,25 @@
    days of trouble 2.36 at 125%, 2.44 at 150%, 2.58 at 200%, 2.52 at 300%). */
 #define BOUND_PERCENT 200
 #define BOUND_SPARE 3
+/* Costs that differ by less count as equal: VMs know of each other what was
+   some ms ago, and an answer is late by hundreds.  With 3, 10 and 30 ms worth
+   over three days of trouble was 0.61, 0.60 and 0.61. */
+#define EQUAL_US INT64_C (20000)
+/* Memory that prompts may take; the rest is for what is generated. */
+#define MEMORY_PERCENT 90
+/* An endpoint in another failure domain, where little is known of those: it
+   must be idle by three short prompts' time in which the own one is busy. */
+#define FAR_US INT64_C (60000)
+/* Tokens read in a second, before any answer tells. */
+#define SPEED_FIRST 100000
+/* Bounds on what is learned, so that a stray answer teaches nothing odd. */
+#define SPEED_MIN 1000
+#define SPEED_MAX 10000000
+/* A long prompt tells the speed: one that takes longer than this at the speed
+   that is believed. */
+#define LEARN_US INT64_C (50000)
+/* Old answers count a sixteenth less with each new one. */
+#define LEARN_WEIGHT 16
 /* Endpoints that change weights at once: two load fastest each, and more take
    places away that the others need (sum of worth over twelve days 6.78 with
    two, 6.66 with three). */
@@ -52,18 +74,34 @@
 
 /* --- what answers say ------------------------------------------------ */
 
+/* Tokens that an endpoint reads, as far as is known before it is chosen. */
+static int64_t
+to_read (const struct pick_work *w)
+{
+  return w->shared - w->stored + w->own;
+}
+
 void
-pick_sent (struct fleet_endpoint *e)
+pick_sent (struct fleet_endpoint *e, const struct pick_work *w)
 {
   e->running++;
   e->sent_since++;
+  e->unread += to_read (w);
+  e->held += w->shared + w->own;
+}
+
+void
+pick_read (struct fleet_endpoint *e, const struct pick_work *w)
+{
+  e->unread -= to_read (w);
 }
 
 void
-pick_ended (struct fleet_endpoint *e)
+pick_ended (struct fleet_endpoint *e, const struct pick_work *w)
 {
   e->running--;
   e->sent_since--;
+  e->held -= w->shared + w->own;
 }
 
 void
@@ -125,6 +163,43 @@
            now_us);
 }
 
+static int64_t
+speed_of (const struct fleet_service_seen *s)
+{
+  if (s == NULL || s->read_us <= 0)
+    return SPEED_FIRST;
+  return CLAMP (s->read_tokens * CQ_US_PER_S / s->read_us, SPEED_MIN,
+                SPEED_MAX);
+}
+
+int64_t
+pick_speed (const struct fleet *f, const char *service)
+{
+  return speed_of (find_seen (f, service));
+}
+
+/* Short prompts tell what an answer takes besides reading, long ones what
+   reading takes beyond that. */
+void
+pick_learn (struct fleet *f, const struct fleet_endpoint *e,
+            const struct pick_work *w, int64_t ahead, int64_t wait_us)
+{
+  struct fleet_service_seen *s = need_seen (f, e->is.service);
+  int64_t tokens = to_read (w) + ahead;
+
+  if (tokens <= 0)
+    return;
+  if (tokens * CQ_US_PER_S / speed_of (s) < LEARN_US)
+    {
+      s->base_us += (wait_us - s->base_us) / LEARN_WEIGHT;
+      return;
+    }
+  if (wait_us <= s->base_us)
+    return;
+  s->read_tokens += tokens - s->read_tokens / LEARN_WEIGHT;
+  s->read_us += wait_us - s->base_us - s->read_us / LEARN_WEIGHT;
+}
+
 /* Without a word a wait is taken to come nearer to what is usual. */
 static int64_t
 settled (const struct fleet_wait *w, int64_t usual_us, int64_t now_us)
@@ -317,25 +392,137 @@
                                order_of (e));
 }
 
+/* --- cost of an endpoint --------------------------------------------- */
+
+static const struct fleet_service *
+service_of (const struct fleet *f, const char *name)
+{
+  return f->conf != NULL ? g_hash_table_lookup (f->conf->services, name)
+                         : NULL;
+}
+
+/* What does not depend on the endpoint. */
+struct weighing
+{
+  const struct pick_query *q;
+  const struct fleet_weights *weigh;
+  int64_t speed;    /* tokens read in a second */
+  int64_t room;     /* of an endpoint's memory, in tokens; 0 if unknown */
+  int64_t parts_us; /* to have the shared parts where they are not at home */
+};
+
+static int64_t
+read_us (int64_t tokens, int64_t speed)
+{
+  return tokens * CQ_US_PER_S / speed;
+}
+
+/* A service that does not tell how fast it moves cache is taken to move it as
+   fast as it reads: then kept parts are no reason to go anywhere. */
+static int64_t
+move_us (const struct fleet_service *sv, int64_t tokens, int64_t speed)
+{
+  if (sv == NULL || sv->token_bytes <= 0 || sv->link_mbit_s <= 0)
+    return read_us (tokens, speed);
+  return tokens * sv->token_bytes * 8 / sv->link_mbit_s;
+}
+
+static struct weighing
+weighing_of (const struct fleet *f, const struct pick_query *q)
+{
+  const struct fleet_service *sv = service_of (f, q->service);
+  struct weighing w = { .q = q, .weigh = &f->weigh };
+
+  w.speed = pick_speed (f, q->service);
+  if (sv != NULL)
+    w.room = sv->memory_tokens * MEMORY_PERCENT / 100;
+  w.parts_us = move_us (sv, q->work.stored, w.speed)
+               + read_us (q->work.shared - q->work.stored, w.speed);
+  return w;
+}
+
+/* A request that does not fit pushes another one out, which is read again, and
+   waits itself. */
+static int64_t
+memory_us (const struct weighing *w, int64_t held)
+{
+  int64_t need = w->q->work.shared + w->q->work.own;
+
+  if (w->room == 0 || held + need <= w->room)
+    return 0;
+  return 2 * read_us (need + held + need - w->room, w->speed);
+}
+
 /*
- * The endpoint where the affinity points, unless its load is over the bound;
- * then the next one.  Endpoints whose weights are about to change get work
- * until they refuse it, which they do at once: kept free, they took places
- * away from the others (sum of worth over twelve days 6.78 with those in turn
- * kept free and 6.49 with one more, 6.82 with none).  Weights make no
- * difference while old ones still count: sent to new weights first, all
- * requests meet two endpoints that have to read every prompt anew, and answers
- * take seconds (sum of worth over twelve days with changes of weights 5.14
- * with new weights first, 5.64 without).
+ * How much later a request is answered at E than at an idle endpoint that has
+ * its shared parts, with what it does to others there.  Prompts of 17,000
+ * tokens and streams that want a piece within 0.4 s met at one endpoint while
+ * each counted as one request: with four long ones there, a quarter of the
+ * first pieces were late.
+ */
+static int64_t
+cost_of (const struct weighing *w, const struct fleet_endpoint *e, bool home)
+{
+  struct load_entry others = load_at (w->q->loads, e->key);
+  int64_t cost
+      = read_us (e->unread + others.unread, w->speed) * w->weigh->unread / 100;
+
+  cost += memory_us (w, e->held + others.held) * w->weigh->memory / 100;
+  if (!home)
+    cost += w->parts_us * w->weigh->parts / 100;
+  if (load_is_partial (w->q->loads)
+      && strcmp (e->is.domain, w->q->domain) != 0)
+    cost += FAR_US;
+  return cost;
+}
+
+/* The endpoint where a prompt's shared parts are most likely found: the same
+   one on all VMs. */
+static const struct fleet_endpoint *
+home_of (const struct fleet *f, const struct pick_query *q, int64_t now_us)
+{
+  const struct fleet_endpoint *e, *home = NULL;
+  uint64_t score, high = 0;
+
+  APR_RING_FOREACH (e, &f->endpoints, fleet_endpoint, link)
+  {
+    if (strcmp (e->is.service, q->service) != 0
+        || !is_willing (tier_of (f, q, e, now_us)))
+      continue;
+    score = affinity_of (q, e);
+    if (home == NULL || score > high)
+      {
+        home = e;
+        high = score;
+      }
+  }
+  return home;
+}
+
+/*
+ * The cheapest endpoint whose load is under the bound; of equal ones that
+ * where the affinity points, so that load spreads though VMs know little, and
+ * returns to one place.  Placed by load alone, as far as a VM hears of it, all
+ * VMs meet where one was idle half a second ago (worth 0.51 to 0.40 on six
+ * days).  Endpoints whose weights are about to change get work until they
+ * refuse it, which they do at once: kept free, they took places away from the
+ * others (sum of worth over twelve days 6.78 with those in turn kept free and
+ * 6.49 with one more, 6.82 with none).  Weights make no difference while old
+ * ones still count: sent to new weights first, all requests meet two endpoints
+ * that have to read every prompt anew, and answers take seconds (sum of worth
+ * over twelve days with changes of weights 5.14 with new weights first, 5.64
+ * without).
  */
 static struct fleet_endpoint *
 choose_sticky (const struct fleet *f, const struct pick_query *q,
                const struct survey *s, int64_t now_us,
                struct pick_choice *choice)
 {
+  const struct fleet_endpoint *home = home_of (f, q, now_us);
+  struct weighing w = weighing_of (f, q);
   struct fleet_endpoint *e, *best = NULL;
   uint64_t score, high = 0;
-  int64_t bound;
+  int64_t cost, low = 0, bound;
 
   if (s->willing == 0)
     return NULL;
@@ -350,10 +537,12 @@
         choice->crowded++;
         continue;
       }
+    cost = cost_of (&w, e, e == home) / EQUAL_US;
     score = affinity_of (q, e);
-    if (best == NULL || score > high)
+    if (best == NULL || cost < low || (cost == low && score > high))
       {
         best = e;
+        low = cost;
         high = score;
       }
   }
@@ -393,6 +582,7 @@
 {
   struct pick_choice c = { .code = PICK_NONE };
   struct survey s = look (f, q, now_us);
+  struct load_entry others;
 
   c.candidates = s.count;
   if (s.count == 0)
@@ -406,6 +596,9 @@
     c.endpoint = choose_least (f, q, &s, now_us);
   c.code = PICK_CHOSEN;
   c.load = pick_load (c.endpoint, now_us);
+  others = load_at (q->loads, c.endpoint->key);
+  c.ahead = c.endpoint->unread + others.unread;
+  c.held = c.endpoint->held + others.held;
   c.wait_us = pick_wait (f, c.endpoint, now_us);
   c.version = c.endpoint->version;
   return c;
--- a/regress/site.sh
+++ b/regress/site.sh
@@ -45,6 +45,7 @@
 	sed -e "s/{{NodeName}}/$1/" -e 's/{{Zone}}/d1/' \
 		-e "s/{{Listen.[A-Za-z]*}}/127.0.0.1:0/" \
 		-e "s/{{Platform.Address}}/127.0.0.1:$port_rows/" \
+		-e "s/{{Ip}}:{{PortRange.0}}/127.0.0.1:0/" \
 		-e "s/{{Bounds.RevokeMs}}/${revoke_ms:-5000}/" \
 		-e "s/{{Bounds.ConfigApplyMs}}/${apply_ms:-2000}/" \
 		-e "s/{{Bounds.LeaseMs}}/${lease_ms:-3000}/" \
--- /dev/null
+++ b/regress/test-load.c
@@ -0,0 +1,402 @@
+/*
+ * Unit tests of what VMs tell each other of work at endpoints, and of placing
+ * by it.
+ */
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "decide.h"
+#include "load.h"
+#include "tell.h"
+#include "units.h"
+
+#define S CQ_US_PER_S
+#define MS CQ_US_PER_MS
+
+static struct load_word
+word (const char *vm, uint64_t life, uint64_t beat)
+{
+  struct load_word w = { .life = life, .beat = beat };
+
+  g_strlcpy (w.vm, vm, sizeof w.vm);
+  g_strlcpy (w.domain, "d1", sizeof w.domain);
+  return w;
+}
+
+static void
+add_work (struct load_word *w, uint64_t endpoint, int64_t unread, int64_t held)
+{
+  w->entries[w->n++] = (struct load_entry){ endpoint, unread, held };
+}
+
+/*
+ * Words are whole, so one that is lost costs nothing once the next one comes;
+ * one that was overtaken, or is of an earlier life of its VM, must not bring
+ * work back that is done.
+ */
+static void
+test_whole_words (void)
+{
+  struct load_book *b = load_new ();
+  struct load_word w = word ("a", 5, 1);
+
+  add_work (&w, 1, 1000, 2000);
+  add_work (&w, 2, 10, 20);
+  g_assert_true (load_hear (b, &w, S));
+  w = word ("b", 5, 1);
+  add_work (&w, 1, 500, 600);
+  g_assert_true (load_hear (b, &w, S));
+  g_assert_cmpint (load_at (b, 1).unread, ==, 1500);
+  g_assert_cmpint (load_at (b, 1).held, ==, 2600);
+  w = word ("a", 5, 3);
+  add_work (&w, 1, 0, 2000);
+  g_assert_true (load_hear (b, &w, S));
+  g_assert_cmpint (load_at (b, 1).unread, ==, 500);
+  g_assert_cmpint (load_at (b, 2).held, ==, 0);
+  w = word ("a", 5, 2);
+  add_work (&w, 1, 9000, 9000);
+  g_assert_false (load_hear (b, &w, S));
+  w = word ("a", 4, 9);
+  g_assert_false (load_hear (b, &w, S));
+  w = word ("a", 6, 1);
+  g_assert_true (load_hear (b, &w, S));
+  g_assert_cmpint (load_at (b, 1).held, ==, 600);
+  load_free (b);
+}
+
+/*
+ * A VM that is suspended, cut off or gone says nothing more.  Its work counts
+ * for a while, and then not: kept for ever, endpoints that idle would look
+ * busy.  It counts again as soon as it speaks.
+ */
+static void
+test_silence (void)
+{
+  struct load_book *b = load_new ();
+  struct load_word w = word ("a", 5, 1);
+
+  add_work (&w, 1, 1000, 2000);
+  load_hear (b, &w, S);
+  load_fade (b, 2 * S);
+  g_assert_cmpint (load_at (b, 1).held, ==, 2000);
+  g_assert_cmpint (load_voices (b), ==, 1);
+  load_fade (b, 3 * S);
+  load_fade (b, 3 * S);
+  g_assert_cmpint (load_at (b, 1).held, ==, 0);
+  g_assert_cmpint (load_voices (b), ==, 0);
+  w.beat++;
+  load_hear (b, &w, 4 * S);
+  g_assert_cmpint (load_at (b, 1).held, ==, 2000);
+  load_free (b);
+}
+
+/* Where 24 of 96 VMs are heard, what they say stands for all. */
+static void
+test_part_for_all (void)
+{
+  struct load_book *b = load_new ();
+  struct load_word w = word ("a", 5, 1);
+
+  add_work (&w, 1, 1000, 2000);
+  load_hear (b, &w, S);
+  load_scale (b, 96, 24, true);
+  g_assert_cmpint (load_at (b, 1).unread, ==, 4000);
+  g_assert_true (load_is_partial (b));
+  g_assert_cmpint (load_at (NULL, 1).unread, ==, 0);
+  load_free (b);
+}
+
+/* A word as it is sent is read as it was; nothing else is read as one. */
+static void
+test_bytes (void)
+{
+  struct load_word w = word ("vm-1", UINT64_MAX, 7);
+  struct load_word got;
+  g_autoptr (GByteArray) bytes = NULL;
+  guint i;
+
+  while (w.n < LOAD_ENTRIES_MAX)
+    add_work (&w, UINT64_C (1) << 63 | (unsigned)w.n, w.n, 3 * w.n);
+  bytes = tell_encode (&w);
+  g_assert_cmpuint (bytes->len, <, 1400);
+  g_assert_true (tell_decode ((char *)bytes->data, bytes->len, &got));
+  g_assert_cmpstr (got.vm, ==, "vm-1");
+  g_assert_cmpstr (got.domain, ==, "d1");
+  g_assert_true (got.life == UINT64_MAX);
+  g_assert_cmpint (got.n, ==, LOAD_ENTRIES_MAX);
+  g_assert_cmpint (got.entries[63].held, ==, 189);
+  for (i = 0; i < bytes->len; i++)
+    g_assert_false (tell_decode ((char *)bytes->data, i, &got));
+  g_assert_false (tell_decode ("", 0, &got));
+}
+
+/* --- placing --------------------------------------------------------- */
+
+#define ENDPOINTS 12
+#define MEMORY 76000
+
+static struct fleet_endpoint *
+endpoint (struct fleet *f, int i)
+{
+  char id[8];
+
+  g_snprintf (id, sizeof id, "e%d", i);
+  return g_hash_table_lookup (f->by_id, id);
+}
+
+static void
+twelve (struct fleet *f)
+{
+  struct fleet_conf *c = fleet_conf_new ();
+  struct fleet_service *sv = g_new0 (struct fleet_service, 1);
+  struct fleet_listing l = { .version = 1, .slots = 16 };
+  int i;
+
+  fleet_init (f);
+  sv->name = g_strdup ("model");
+  sv->model = g_strdup ("m");
+  sv->memory_tokens = MEMORY;
+  g_hash_table_replace (c->services, sv->name, sv);
+  fleet_conf_seal (c);
+  fleet_take_conf (f, c, 1);
+  for (i = 0; i < ENDPOINTS; i++)
+    {
+      g_snprintf (l.id, sizeof l.id, "e%d", i);
+      g_strlcpy (l.service, "model", sizeof l.service);
+      g_strlcpy (l.model, "m", sizeof l.model);
+      g_snprintf (l.domain, sizeof l.domain, "d%d", i % 3);
+      fleet_take_listing (f, &l, S);
+    }
+}
+
+static struct pick_query
+query (const char *part, int64_t shared, int64_t own)
+{
+  struct pick_query q = { .service = "model", .domain = "d0" };
+
+  q.affinity = part;
+  q.work.shared = shared;
+  q.work.own = own;
+  return q;
+}
+
+/*
+ * Another VM has sent a long prompt to the endpoint where short ones of this
+ * one are at home.  Sent there, each would wait until 17,000 tokens are read;
+ * they go elsewhere, and come back when it is done.
+ */
+static void
+test_short_beside_long (void)
+{
+  struct fleet f;
+  struct load_book *b = load_new ();
+  struct load_word w = word ("a", 1, 1);
+  struct pick_query q = query ("subject", 300, 80);
+  struct fleet_endpoint *home;
+
+  twelve (&f);
+  q.loads = b;
+  home = pick_endpoint (&f, &q, S).endpoint;
+  add_work (&w, home->key, 17000, 17000);
+  load_hear (b, &w, S);
+  g_assert_true (pick_endpoint (&f, &q, S).endpoint != home);
+  w = word ("a", 1, 2);
+  add_work (&w, home->key, 0, 17000);
+  load_hear (b, &w, S);
+  g_assert_true (pick_endpoint (&f, &q, S).endpoint == home);
+  load_free (b);
+  fleet_clear (&f);
+}
+
+/*
+ * The endpoint's memory is taken by prompts that others sent.  One more would
+ * push one of them out in the middle of its answer, to be read again whole.
+ */
+static void
+test_memory (void)
+{
+  struct fleet f;
+  struct load_book *b = load_new ();
+  struct load_word w = word ("a", 1, 1);
+  struct pick_query q = query ("history", 13000, 4000);
+  struct fleet_endpoint *home;
+
+  twelve (&f);
+  q.loads = b;
+  home = pick_endpoint (&f, &q, S).endpoint;
+  add_work (&w, home->key, 0, MEMORY - 20000);
+  load_hear (b, &w, S);
+  g_assert_true (pick_endpoint (&f, &q, S).endpoint != home);
+  load_free (b);
+  fleet_clear (&f);
+}
+
+/*
+ * Of endpoints in other failure domains a VM knows next to nothing where there
+ * are many VMs: what looks idle there may not be.  Its own domain goes first,
+ * until that is busy.
+ */
+static void
+test_own_domain (void)
+{
+  struct fleet f;
+  struct load_book *b = load_new ();
+  struct load_word w = word ("a", 1, 1);
+  struct pick_query q;
+  char part[8];
+  int i;
+
+  twelve (&f);
+  load_scale (b, 30, 24, true);
+  for (i = 0; i < 100; i++)
+    {
+      g_snprintf (part, sizeof part, "p%d", i);
+      q = query (part, 300, 80);
+      q.loads = b;
+      g_assert_cmpstr (pick_endpoint (&f, &q, S).endpoint->is.domain, ==,
+                       "d0");
+    }
+  for (i = 0; i < ENDPOINTS; i += 3)
+    add_work (&w, endpoint (&f, i)->key, 40000, 40000);
+  load_hear (b, &w, S);
+  g_assert_cmpstr (pick_endpoint (&f, &q, S).endpoint->is.domain, !=, "d0");
+  load_free (b);
+  fleet_clear (&f);
+}
+
+/* --- what callers get under load ------------------------------------- */
+
+#define VMS 9
+#define READ_MS(tokens) ((tokens) / 90)
+#define PLAYED_MS 20000
+#define SHORT_LATE_MS 300
+
+/* A played day: VMs that each know their own requests, and endpoints that read
+   prompts one after another. */
+struct day
+{
+  struct fleet fleets[VMS];        /* beliefs, by VM */
+  struct load_book *books[VMS];    /* what it heard */
+  uint64_t beats[VMS];             /* words told */
+  int64_t free_ms[ENDPOINTS];      /* an endpoint has read all by then */
+  int64_t done_ms[VMS][ENDPOINTS]; /* its own long prompt is read */
+  int64_t unread[VMS][ENDPOINTS];  /* of that */
+  int shorts;                      /* sent */
+  int late;                        /* of these, whose answer is */
+};
+
+static void
+tell_all (struct day *d, int vm, int64_t now_ms)
+{
+  struct load_word w = word ("vm", 1, ++d->beats[vm]);
+  int i;
+
+  g_snprintf (w.vm, sizeof w.vm, "vm%d", vm);
+  for (i = 0; i < ENDPOINTS; i++)
+    if (d->done_ms[vm][i] > now_ms)
+      add_work (&w, endpoint (&d->fleets[vm], i)->key, d->unread[vm][i],
+                d->unread[vm][i]);
+  for (i = 0; i < VMS; i++)
+    if (i != vm)
+      load_hear (d->books[i], &w, now_ms * MS);
+}
+
+static void
+play_request (struct day *d, int vm, bool is_long, bool told, const char *part,
+              int64_t now_ms)
+{
+  struct pick_query q
+      = query (part, is_long ? 13000 : 300, is_long ? 4000 : 80);
+  int64_t tokens = q.work.shared + q.work.own;
+  struct fleet_endpoint *e;
+  int at;
+
+  q.loads = told ? d->books[vm] : NULL;
+  e = pick_endpoint (&d->fleets[vm], &q, now_ms * MS).endpoint;
+  at = atoi (e->is.id + 1);
+  d->free_ms[at] = MAX (d->free_ms[at], now_ms) + READ_MS (tokens);
+  if (is_long)
+    {
+      d->done_ms[vm][at] = d->free_ms[at];
+      d->unread[vm][at] = tokens;
+      tell_all (d, vm, now_ms);
+      return;
+    }
+  d->shorts++;
+  d->late += d->free_ms[at] - now_ms > SHORT_LATE_MS;
+}
+
+/* Share of short prompts that are late, in percent. */
+static int
+play_day (bool told)
+{
+  static struct day d;
+  GRand *r = g_rand_new_with_seed (11);
+  char part[16];
+  int64_t now;
+  int i, result;
+
+  memset (&d, 0, sizeof d);
+  for (i = 0; i < VMS; i++)
+    {
+      twelve (&d.fleets[i]);
+      d.books[i] = load_new ();
+    }
+  for (now = 0; now < PLAYED_MS; now++)
+    {
+      if (now % 50 == 0)
+        for (i = 0; i < VMS; i++)
+          tell_all (&d, i, now);
+      /* 30 long and 290 short ones a second. */
+      if (g_rand_double (r) < 0.03)
+        {
+          g_snprintf (part, sizeof part, "l%d", g_rand_int_range (r, 0, 183));
+          play_request (&d, g_rand_int_range (r, 0, VMS), true, told, part,
+                        now);
+        }
+      if (g_rand_double (r) < 0.29)
+        {
+          g_snprintf (part, sizeof part, "s%d", g_rand_int_range (r, 0, 2311));
+          play_request (&d, g_rand_int_range (r, 0, VMS), false, told, part,
+                        now);
+        }
+    }
+  result = 100 * d.late / d.shorts;
+  for (i = 0; i < VMS; i++)
+    {
+      fleet_clear (&d.fleets[i]);
+      load_free (d.books[i]);
+    }
+  g_rand_free (r);
+  return result;
+}
+
+/*
+ * Nine VMs send 30 prompts of 17,000 tokens and 290 short ones a second to
+ * twelve endpoints.  Each short one that comes behind two long ones is late.
+ * Told of each other's long ones, VMs keep short ones away from them.
+ */
+static void
+test_short_in_time (void)
+{
+  int before = play_day (false);
+  int after = play_day (true);
+
+  g_test_message ("late short prompts: %d%% before, %d%% after", before,
+                  after);
+  g_assert_cmpint (before, >=, 10);
+  g_assert_cmpint (after, <=, before / 4);
+}
+
+const struct unit load_units[] = {
+  { "/load/whole-words", test_whole_words },
+  { "/load/silence", test_silence },
+  { "/load/part-for-all", test_part_for_all },
+  { "/load/bytes", test_bytes },
+  { "/load/short-beside-long", test_short_beside_long },
+  { "/load/memory", test_memory },
+  { "/load/own-domain", test_own_domain },
+  { "/load/short-in-time", test_short_in_time },
+  { NULL, NULL },
+};
--- a/relay.c
+++ b/relay.c
@@ -128,12 +128,33 @@
   g_free (r);
 }
 
+static void
+tell_work (struct relay *r, int64_t now_us)
+{
+  const struct relays_opts *o = &r->rs->opts;
+
+  if (o->worked != NULL && r->work.shared + r->work.own > 0)
+    o->worked (o->worked_arg, now_us);
+}
+
+void
+relay_read (struct relay *r, int64_t now_us)
+{
+  if (!r->unread)
+    return;
+  r->unread = false;
+  pick_read (r->endpoint, &r->work);
+  tell_work (r, now_us);
+}
+
 void
-relay_leave (struct relay *r)
+relay_leave (struct relay *r, int64_t now_us)
 {
   if (r->endpoint == NULL)
     return;
-  pick_ended (r->endpoint);
+  relay_read (r, now_us);
+  pick_ended (r->endpoint, &r->work);
+  tell_work (r, now_us);
   fleet_endpoint_unref (r->endpoint);
   r->endpoint = NULL;
 }
@@ -162,7 +183,7 @@
              (gint64)(r->handed_us ? r->handed_us - r->arrived_us : 0),
              (gint64)(r->first_us ? r->first_us - r->arrived_us : 0),
              (gint64)(now_us - r->arrived_us));
-  relay_leave (r);
+  relay_leave (r, now_us);
   APR_RING_REMOVE (r, link);
   r->rs->count--;
   r->done = true;
--- a/relay.h
+++ b/relay.h
@@ -139,18 +139,22 @@
 
 struct relays_opts
 {
-  struct loop *loop;          /* whose thread runs it */
-  struct fleet *fleet;        /* beliefs */
-  struct parts *parts;        /* what stores keep, or NULL */
-  struct relay_engine engine; /* adapter */
-  const char *domain;         /* of this VM */
-  int64_t stale_us;           /* keys count for nothing once older */
-  int64_t deny_us;            /* nothing is denied for good once older */
-  int retry_percent;          /* repeats, as a share of requests */
-  int retry_burst;            /* repeats before any were earned */
-  size_t stream_buffer;       /* bytes held for a slow reader */
-  size_t answer_max;          /* bytes of an answer held whole */
-  uint64_t seed;              /* of random choices */
+  struct loop *loop;             /* whose thread runs it */
+  struct fleet *fleet;           /* beliefs */
+  struct parts *parts;           /* what stores keep, or NULL */
+  struct relay_engine engine;    /* adapter */
+  const struct load_book *loads; /* work of other VMs, or NULL */
+  /* Work at an endpoint began, was read or ended; may be NULL. */
+  void (*worked) (void *arg, int64_t now_us);
+  void *worked_arg;     /* passed to it */
+  const char *domain;   /* of this VM */
+  int64_t stale_us;     /* keys count for nothing once older */
+  int64_t deny_us;      /* nothing is denied for good once older */
+  int retry_percent;    /* repeats, as a share of requests */
+  int retry_burst;      /* repeats before any were earned */
+  size_t stream_buffer; /* bytes held for a slow reader */
+  size_t answer_max;    /* bytes of an answer held whole */
+  uint64_t seed;        /* of random choices */
 };
 
 struct relays *relays_new (const struct relays_opts *opts);
--- a/relaytry.c
+++ b/relaytry.c
@@ -148,10 +148,13 @@
 {
   if (len == 0)
     return;
+  relay_read (r, loop_now_us ());
   if (!r->begun)
     {
       r->begun = true;
       r->first_us = loop_now_us ();
+      pick_learn (r->rs->opts.fleet, r->endpoint, &r->work, r->ahead,
+                  r->first_us - r->sent_us);
       met_observe (MET_FIRST_TOKEN, r->first_us - r->arrived_us);
       pick_first (r->rs->opts.fleet, r->endpoint, r->first_us - r->sent_us,
                   r->first_us);
@@ -302,7 +305,7 @@
   else if (sent != SEND_REFUSED)
     r->ran = true;
   r->tried[r->ntried++] = fleet_endpoint_ref (r->endpoint);
-  relay_leave (r);
+  relay_leave (r, now_us);
   if (v.next == NEXT_FINISH && sent == SEND_WHOLE)
     answer (r, v.outcome, v.reason, now_us);
   else if (v.next == NEXT_FINISH)
@@ -419,7 +422,9 @@
   struct relay_send s = { .desc = &r->desc, .endpoint = c->endpoint };
 
   r->endpoint = fleet_endpoint_ref (c->endpoint);
-  pick_sent (r->endpoint);
+  pick_sent (r->endpoint, &r->work);
+  r->unread = true;
+  r->ahead = c->ahead;
   r->handed_over = false;
   r->stopped = NULL;
   r->status = 0;
@@ -444,20 +449,23 @@
   s.resume_after = r->begun ? r->events.last_id : r->desc.resume_after;
 
   met_add (MET_ATTEMPTS, 1);
-  log_event (LOG_LEVEL_INFO, "send",
-             "req=%s route=%s endpoint=%s load=%d candidates=%d crowded=%d "
-             "wait_us=%" G_GINT64_FORMAT
-             " fetch=%d save=%d fetch_tokens=%" G_GINT64_FORMAT
-             " version=%" G_GINT64_FORMAT " newer=%" G_GINT64_FORMAT
-             " newer_us=%" G_GINT64_FORMAT " left_us=%" G_GINT64_FORMAT
-             " conf=%" G_GINT64_FORMAT " conf_age_us=%" G_GINT64_FORMAT,
-             r->desc.id, r->route->name, c->endpoint->is.id, c->load,
-             c->candidates, c->crowded, (gint64)c->wait_us, r->kept.nfetch,
-             r->kept.nsave, (gint64)r->kept.fetch_tokens, (gint64)s.version,
-             (gint64)(newer != NULL ? newer->version : 0),
-             (gint64)newer_us (o->fleet, c->endpoint, now_us),
-             (gint64)s.left_us, (gint64)r->conf->version,
-             (gint64)fleet_age_us (o->fleet, now_us));
+  log_event (
+      LOG_LEVEL_INFO, "send",
+      "req=%s route=%s endpoint=%s load=%d candidates=%d crowded=%d "
+      "ahead=%" G_GINT64_FORMAT " held=%" G_GINT64_FORMAT " "
+      "wait_us=%" G_GINT64_FORMAT
+      " fetch=%d save=%d fetch_tokens=%" G_GINT64_FORMAT
+      " version=%" G_GINT64_FORMAT " newer=%" G_GINT64_FORMAT
+      " newer_us=%" G_GINT64_FORMAT " left_us=%" G_GINT64_FORMAT
+      " conf=%" G_GINT64_FORMAT " conf_age_us=%" G_GINT64_FORMAT,
+      r->desc.id, r->route->name, c->endpoint->is.id, c->load, c->candidates,
+      c->crowded, (gint64)c->ahead, (gint64)c->held, (gint64)c->wait_us,
+      r->kept.nfetch, r->kept.nsave, (gint64)r->kept.fetch_tokens,
+      (gint64)s.version, (gint64)(newer != NULL ? newer->version : 0),
+      (gint64)newer_us (o->fleet, c->endpoint, now_us), (gint64)s.left_us,
+      (gint64)r->conf->version, (gint64)fleet_age_us (o->fleet, now_us));
+  if (o->worked != NULL && r->work.shared + r->work.own > 0)
+    o->worked (o->worked_arg, now_us);
   r->call = o->engine.send (o->engine.ctx, &s, &events, r);
 }
 
@@ -517,6 +525,34 @@
   return hopeless;
 }
 
+/* What the prompt asks of an endpoint; which weights that will have is not
+   known yet, and most have the newest. */
+static void
+weigh_work (struct relay *r, int64_t now_us)
+{
+  const struct relays_opts *o = &r->rs->opts;
+  const struct fleet_service *sv
+      = g_hash_table_lookup (r->conf->services, r->service);
+  bool alone = r->workspace != NULL && r->workspace->isolated;
+  const struct fleet_wanted *w;
+  char scope[PARTS_SCOPE_SIZE];
+  int i;
+
+  memset (&r->work, 0, sizeof r->work);
+  if (sv == NULL || sv->model == NULL || r->desc.nparts == 0)
+    return;
+  for (i = 0; i < r->desc.nparts - 1; i++)
+    r->work.shared += r->desc.parts[i].tokens;
+  r->work.own = r->desc.parts[i].tokens;
+  if (o->parts == NULL || !r->route->sticky)
+    return;
+  w = fleet_wanted_of (o->fleet, sv->model);
+  parts_scope (scope, sv->model, w != NULL ? w->version : 1,
+               alone ? r->workspace->name : NULL);
+  r->work.stored = parts_stored (o->parts, scope, r->desc.parts,
+                                 r->desc.nparts - 1, o->domain, now_us);
+}
+
 /* Find an endpoint for the next attempt, or give up. */
 void
 relay_place (struct relay *r, int64_t now_us)
@@ -534,6 +570,9 @@
   memcpy (q.exclude, r->tried, sizeof q.exclude);
   q.nexclude = r->ntried;
   q.random = relay_draw (r->rs);
+  weigh_work (r, now_us);
+  q.work = r->work;
+  q.loads = o->loads;
   c = pick_endpoint (o->fleet, &q, now_us);
   if (c.code == PICK_CHOSEN && is_hopeless (r, &c, now_us))
     give_up_unplaced (r, "too_late", c.wait_us / 2, now_us);
--- a/settings_gen.h
+++ b/settings_gen.h
@@ -84,6 +84,8 @@
   char *ready;  /* Address and port where the balancer asks whether this VM is
                    ready. */
   char *store;  /* Address and port of the platform's metadata store. */
+  char *tell;   /* Address and port where other VMs tell of their work at
+                   endpoints; empty, and none is told or heard. */
   int64_t revoke_ms; /* Milliseconds after which a key that was taken away must
                         open nothing. */
   int64_t apply_ms;  /* Milliseconds after which a change of the operators'
@@ -92,6 +94,12 @@
                            weights older than those named. */
   int64_t order_gap_ms; /* Milliseconds between orders to endpoints from one VM
                            and from another. */
+  int64_t weigh_unread; /* For experiments: percent of its weight that work
+                           ahead has in placing. */
+  int64_t weigh_memory; /* For experiments: the same of memory that would run
+                           out. */
+  int64_t weigh_parts;  /* For experiments: the same of kept parts to be had at
+                           the prompt's own endpoint. */
   int64_t retry_percent; /* Requests sent to a second endpoint, as a share of a
                             service's requests. */
   int64_t retry_burst;   /* Such requests allowed before any were earned. */
--- /dev/null
+++ b/tell.h
@@ -0,0 +1,60 @@
+/*
+ * Telling other VMs what this one has under way at endpoints, and hearing
+ * them: datagrams, with a list of VMs that stands on the platform.
+ */
+#ifndef CQ_TELL_H
+#define CQ_TELL_H
+
+#include "fleet.h"
+#include "load.h"
+#include "loop.h"
+
+/* A VM as it is listed. */
+struct roster_row
+{
+  char vm[LOAD_VM_SIZE];         /* its name */
+  char domain[LOAD_VM_SIZE];     /* its failure domain */
+  char address[FLEET_NAME_SIZE]; /* IP:PORT where it hears others */
+};
+
+/* The rows were read, or LIST is NULL: no answer, or none that can be read. */
+typedef void (*roster_done) (void *arg, const GArray *list);
+
+/* The platform's list of VMs, as an adapter offers it; DONE is called once. */
+struct roster_ops
+{
+  void (*write) (void *ctx, const struct roster_row *self,
+                 void (*done) (void *arg, bool written), void *arg);
+  void (*read) (void *ctx, roster_done done, void *arg);
+  void *ctx; /* passed to both */
+};
+
+struct tell_opts
+{
+  struct loop *loop;      /* whose thread runs it */
+  struct fleet *fleet;    /* endpoints, with this VM's work at each */
+  struct load_book *book; /* takes what others say */
+  struct roster_ops ops;  /* adapter */
+  const char *vm;         /* this VM's name */
+  const char *domain;     /* its failure domain */
+  const char *listen;     /* IP:PORT; port 0 lets the kernel choose */
+  uint64_t seed;          /* of pauses */
+};
+
+struct tell;
+
+/* NULL if the address cannot be had. */
+struct tell *tell_new (const struct tell_opts *opts);
+/* This VM's work at an endpoint changed: the others hear within some ms. */
+void tell_changed (struct tell *t, int64_t now_us);
+/* Tell and ask nothing more. */
+void tell_stop (struct tell *t);
+void tell_free (struct tell *t);
+/* Calls to the platform under way. */
+int tell_waiting (const struct tell *t);
+
+/* A word as it is sent, and read; pure.  FALSE if the bytes are none. */
+GByteArray *tell_encode (const struct load_word *w);
+bool tell_decode (const char *data, size_t len, struct load_word *w);
+
+#endif
--- /dev/null
+++ b/tellword.c
@@ -0,0 +1,73 @@
+/* A VM's word about its work, as datagrams carry it. */
+#include "tell.h"
+
+#include "peer.h"
+
+/* No prompt and no endpoint is larger; sums of all VMs stay far below 2^63. */
+#define TOKENS_MAX 1000000000
+/* A word of 64 entries takes 1.2 KB. */
+#define WORD_MAX_BYTES 2048
+
+GByteArray *
+tell_encode (const struct load_word *w)
+{
+  struct peer_work_entry entries[LOAD_ENTRIES_MAX];
+  peer_work work = { .life = w->life, .beat = w->beat };
+  GByteArray *out = g_byte_array_new ();
+  char buf[WORD_MAX_BYTES];
+  XDR x;
+  int i;
+
+  work.vm = (char *)w->vm;
+  work.domain = (char *)w->domain;
+  work.entries.entries_len = (u_int)w->n;
+  work.entries.entries_val = entries;
+  for (i = 0; i < w->n; i++)
+    {
+      entries[i].endpoint = w->entries[i].endpoint;
+      entries[i].unread = (u_int)MIN (w->entries[i].unread, TOKENS_MAX);
+      entries[i].held = (u_int)MIN (w->entries[i].held, TOKENS_MAX);
+    }
+  xdrmem_create (&x, buf, sizeof buf, XDR_ENCODE);
+  if (xdr_peer_work (&x, &work))
+    g_byte_array_append (out, (const guint8 *)buf, xdr_getpos (&x));
+  xdr_destroy (&x);
+  return out;
+}
+
+static void
+take (const peer_work *work, struct load_word *w)
+{
+  u_int i;
+
+  g_strlcpy (w->vm, work->vm, sizeof w->vm);
+  g_strlcpy (w->domain, work->domain, sizeof w->domain);
+  w->life = work->life;
+  w->beat = work->beat;
+  w->n = (int)work->entries.entries_len;
+  for (i = 0; i < work->entries.entries_len; i++)
+    {
+      const peer_work_entry *e = &work->entries.entries_val[i];
+
+      w->entries[i].endpoint = e->endpoint;
+      w->entries[i].unread = MIN (e->unread, TOKENS_MAX);
+      w->entries[i].held = MIN (e->held, TOKENS_MAX);
+    }
+}
+
+bool
+tell_decode (const char *data, size_t len, struct load_word *w)
+{
+  peer_work work = { 0 };
+  bool good;
+  XDR x;
+
+  xdrmem_create (&x, (char *)data, (u_int)len, XDR_DECODE);
+  good = xdr_peer_work (&x, &work) && work.vm[0] != '\0'
+         && work.entries.entries_len <= LOAD_ENTRIES_MAX;
+  if (good)
+    take (&work, w);
+  xdr_destroy (&x);
+  xdr_free ((xdrproc_t)xdr_peer_work, &work);
+  return good;
+}
