--- a/parts.c
+++ b/parts.c
@@ -52,8 +52,6 @@
 /* A transfer costs some ms at a store; prompts that share fewer tokens are
    read in that time. */
 #define MIN_TOKENS 64
-/* Bytes of a token, to compare links; engines differ by little. */
-#define TOKEN_BYTES 35136
 /* Parts up to this length are small: some ms of transfer. */
 #define SMALL_TOKENS 2048
 /* Share of a store that is filled: what is being written is not known yet. */
@@ -169,9 +167,13 @@
 
   APR_RING_FOREACH (s, &p->stores, parts_store, link) s->listed = false;
   g_hash_table_iter_init (&it, c->services);
+  p->token_bytes = 0;
   while (g_hash_table_iter_next (&it, NULL, (gpointer *)&sv))
-    if (sv->store_address != NULL)
-      take_store (p, sv);
+    {
+      p->token_bytes = MAX (p->token_bytes, sv->token_bytes);
+      if (sv->store_address != NULL)
+        take_store (p, sv);
+    }
 }
 
 void
@@ -299,13 +301,13 @@
   return best;
 }
 
-/* Time that a transfer of the part holds the store's link. */
+/* Time that a transfer of a small part holds the store's link. */
 static int64_t
-transfer_us (const struct parts_store *s, const struct part *part)
+small_transfer_us (const struct parts *p, const struct parts_store *s)
 {
   if (s->link_mbit_s <= 0)
     return s->first_us;
-  return s->first_us + part->tokens * TOKEN_BYTES * 8 / s->link_mbit_s;
+  return s->first_us + SMALL_TOKENS * p->token_bytes * 8 / s->link_mbit_s;
 }
 
 /*
@@ -315,24 +317,24 @@
  * that most of its parts were read anew.
  */
 static bool
-suits (const struct parts_store *s, const struct part *part,
-       int64_t fastest_us)
+suits (const struct parts *p, const struct parts_store *s,
+       const struct part *part, int64_t fastest_us)
 {
-  bool fast = transfer_us (s, part) < 2 * fastest_us;
+  bool fast = small_transfer_us (p, s) < 2 * fastest_us;
 
   return part->tokens <= SMALL_TOKENS ? fast : !fast;
 }
 
 static int64_t
-fastest_transfer_us (struct parts *p, const struct part *part, int64_t now_us)
+fastest_transfer_us (struct parts *p, int64_t now_us)
 {
   const struct parts_store *s;
   int64_t low = INT64_MAX / 2;
 
   APR_RING_FOREACH (s, &p->stores, parts_store, link)
   {
-    if (is_alive (s, now_us) && transfer_us (s, part) < low)
-      low = transfer_us (s, part);
+    if (is_alive (s, now_us) && small_transfer_us (p, s) < low)
+      low = small_transfer_us (p, s);
   }
   return low;
 }
@@ -343,7 +345,7 @@
 choose_store (struct parts *p, uint64_t key, const struct part *part,
               int64_t now_us)
 {
-  int64_t fastest = fastest_transfer_us (p, part, now_us);
+  int64_t fastest = fastest_transfer_us (p, now_us);
   struct parts_store *s, *best = NULL;
   uint64_t score, high = 0;
   bool suited, best_suited = false;
@@ -357,7 +359,7 @@
         || s->used + part->tokens > s->capacity * FILL_PERCENT / 100)
       continue;
     score = score_of (s, key);
-    suited = suits (s, part, fastest);
+    suited = suits (p, s, part, fastest);
     if (best == NULL || suited > best_suited
         || (suited == best_suited && score > high))
       {
--- a/parts.h
+++ b/parts.h
@@ -67,7 +67,8 @@
 struct parts
 {
   APR_RING_HEAD (parts_ring, parts_store) stores; /* all stores */
-  int64_t min_tokens; /* prompts that share fewer are not worth a transfer */
+  int64_t token_bytes; /* of the largest token that engines keep */
+  int64_t min_tokens;  /* prompts that share fewer are not worth a transfer */
 };
 
 /* Where each part of one request is to be fetched from and saved to; NULL for
