--- a/regress/fuzz-input.c
+++ b/regress/fuzz-input.c
@@ -383,6 +383,69 @@
   fuzz_answered (list, 421);
 }
 
+/* --- a whole table with a strange entry ------------------------------ */
+
+#define GOOD_ENTRY                                                            \
+  "eyJTZXJ2aWNlIjoiYXBwIiwiQWRkcmVzcyI6IjEwLjAuMC4xOjEiLCJab25lIjoiZCIs"      \
+  "IlN0YXRlIjoicmVhZHkiLCJTbG90cyI6OH0="
+
+static bool
+has_endpoint (const struct news *n, const char *id)
+{
+  const struct news_item *it;
+  guint i;
+
+  for (i = 0; i < n->items->len; i++)
+    {
+      it = &g_array_index (n->items, struct news_item, i);
+      if (it->kind == NEWS_ENDPOINT && strcmp (it->listing.id, id) == 0)
+        return true;
+    }
+  return false;
+}
+
+/* Whatever another writer puts between them, the good entries hold. */
+static void
+fuzz_table (const char *data, size_t size)
+{
+  g_autofree char *coded = g_base64_encode ((const guchar *)data, size);
+  g_autofree char *text = g_strdup_printf (
+      "{\"Ver\":9,\"Rows\":[{\"Table\":\"servers\",\"Key\":\"a\",\"Ver\":1,"
+      "\"Value\":\"%s\"},{\"Table\":\"servers\",\"Key\":\"b\",\"Ver\":2,"
+      "\"Value\":\"%s\"},{\"Table\":\"servers\",\"Key\":\"c\",\"Ver\":3,"
+      "\"Value\":\"%s\"}],\"HasMore\":false}",
+      GOOD_ENTRY, coded, GOOD_ENTRY);
+  struct news news = { 0 };
+
+  news.items = g_array_new (FALSE, TRUE, sizeof (struct news_item));
+  if (!pdecode_rows (text, strlen (text), &news))
+    g_error ("a table with a strange entry is not read");
+  if (!has_endpoint (&news, "a") || !has_endpoint (&news, "c")
+      || news.items->len != 3)
+    g_error ("a strange entry takes others away");
+  pdecode_clear (&news);
+}
+
+/* What VMs tell each other, and their list. */
+static void
+fuzz_vms (const char *data, size_t size)
+{
+  g_autoptr (GArray) list
+      = g_array_new (FALSE, TRUE, sizeof (struct roster_row));
+  struct load_word w = { .n = 0 };
+  int i;
+
+  if (tell_decode (data, size, &w))
+    {
+      if (w.n < 0 || w.n > LOAD_ENTRIES_MAX)
+        g_error ("more entries than there is room for");
+      for (i = 0; i < w.n; i++)
+        if (w.entries[i].unread < 0 || w.entries[i].held < 0)
+          g_error ("work that is less than none");
+    }
+  pdecode_roster (data, size, list);
+}
+
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
@@ -392,7 +455,7 @@
 
   if (size == 0)
     return 0;
-  switch (data[0] % 9)
+  switch (data[0] % 11)
     {
     case 0:
       fuzz_prompt (text, size - 1, false);
@@ -418,6 +481,12 @@
     case 7:
       fuzz_headers (text, size - 1);
       break;
+    case 8:
+      fuzz_table (text, size - 1);
+      break;
+    case 9:
+      fuzz_vms (text, size - 1);
+      break;
     default:
       answer_version (text, size - 1, version, sizeof version, &cached);
     }
--- a/regress/test-load.c
+++ b/regress/test-load.c
@@ -117,7 +117,7 @@
   guint i;
 
   while (w.n < LOAD_ENTRIES_MAX)
-    add_work (&w, UINT64_C (1) << 63 | (unsigned)w.n, w.n, 3 * w.n);
+    add_work (&w, UINT64_C (1) << 63 | (unsigned)w.n, w.n, INT64_C (3) * w.n);
   bytes = tell_encode (&w);
   g_assert_cmpuint (bytes->len, <, 1400);
   g_assert_true (tell_decode ((char *)bytes->data, bytes->len, &got));
