--- a/regress/model.c
+++ b/regress/model.c
@@ -1,6 +1,6 @@
 /*
  * The search of the model check: model [-a] [-v] [-f N]
- * lease|namings|burst|keys [CASE]
+ * lease|namings|burst|keys|lives [CASE]
  *
  * Prints a line for each safeguard that is switched off: whether the search
  * finds a run that breaks a property, after how many runs and states, and the
@@ -204,6 +204,8 @@
     return model_named_cases;
   if (strcmp (name, "burst") == 0)
     return model_burst_cases;
+  if (strcmp (name, "lives") == 0)
+    return model_lives_cases;
   return strcmp (name, "keys") == 0 ? model_keys_cases : NULL;
 }
 
@@ -226,9 +228,9 @@
   m = optind < argc ? cases_of (argv[optind]) : NULL;
   if (m == NULL)
     {
-      fprintf (
-          stderr,
-          "usage: model [-a] [-v] [-f N] lease|namings|burst|keys [CASE]\n");
+      fprintf (stderr,
+               "usage: model [-a] [-v] [-f N] lease|namings|burst|keys|lives "
+               "[CASE]\n");
       return 2;
     }
   only = optind + 1 < argc ? argv[optind + 1] : NULL;
--- a/regress/model.h
+++ b/regress/model.h
@@ -25,6 +25,7 @@
 extern const struct model_case model_named_cases[];
 extern const struct model_case model_burst_cases[];
 extern const struct model_case model_keys_cases[];
+extern const struct model_case model_lives_cases[];
 
 /* One of N ways, all of them in turn. */
 int model_pick (int n);
--- a/regress/modelworld.h
+++ b/regress/modelworld.h
@@ -31,7 +31,9 @@
   OFF_STORE_CLOCK = 128, /* there is one clock, the store's */
   OFF_SINCE = 256,       /* grace counts from the naming, not the hearing */
   OFF_RECORD = 512,      /* the row keeps when versions were named */
-  OFF_MARKS = 1024       /* answers tell what had not been named yet */
+  OFF_MARKS = 1024,      /* answers tell what had not been named yet */
+  OFF_FALL = 2048,       /* a word may lower what is believed of weights */
+  OFF_DOUBT = 4096       /* a refusal that names no weights raises a doubt */
 };
 
 struct vm;
@@ -65,6 +67,7 @@
   int64_t seq;     /* orders it took */
   int64_t version; /* of its weights */
   bool busy;       /* it loads */
+  int64_t born_ms; /* this life */
 };
 
 /* A version that was named. */
@@ -110,6 +113,7 @@
   bool follows;                   /* VMs poll the store for namings */
   bool calm;                      /* nothing goes wrong for now */
   bool endless;                   /* loads do not end within the run */
+  bool lives;                     /* endpoints start again, orders are late */
   int64_t now_us;                 /* time */
   unsigned numbers;               /* events so far */
   int nested;                     /* a VM stands still inside a step */
@@ -148,6 +152,8 @@
 /* Polls that wait for a naming are answered. */
 void world_wake_polls (void);
 
+/* An endpoint starts again under its id; its entry says so a while later. */
+void world_restart (int endpoint);
 /* An endpoint as the store lists it. */
 void world_list (int endpoint, struct fleet_listing *l);
 
