--- a/Makefile
+++ b/Makefile
@@ -90,6 +90,10 @@
 	$(CC) $(CFLAGS) -o $@ bench/replay.o bench/work.o bench/world.o \
 		libdecide.a $(LIBS) -lm
 
+bench/rows: bench/rows.o libplatform.a librelay.a libserver.a libdecide.a
+	$(CC) $(CFLAGS) -o $@ bench/rows.o libplatform.a librelay.a log.o met.o loop.o \
+		xfer.o fetch.o stall.o peer_xdr.o libdecide.a $(LIBS)
+
 bench/slopes: bench/slopes.o libsettings.a libdecide.a
 	$(CC) $(CFLAGS) -o $@ bench/slopes.o libsettings.a libdecide.a $(LIBS)
 
@@ -138,7 +142,7 @@
 clean:
 	rm -f *.o *.d *.a platform/*.o platform/*.d regress/*.o regress/*.d bench/*.o bench/*.d \
 		camphorquay regress/fake regress/drive regress/check regress/test-units \
-		regress/model bench/load bench/slopes regress/fuzz-input
+		regress/model bench/load bench/rows bench/slopes regress/fuzz-input
 	rm -rf build-asan
 
 
