Bounds on what is remembered of VMs that speak

Names in datagrams cost a sender nothing, so voices and known VMs are limited, and a voice that is silent for a minute is forgotten (/load/many-names).

--- a/load.c
+++ b/load.c
@@ -6,6 +6,11 @@
 /* A VM with work speaks several times a second; one that has been silent for
    so long is cut off, suspended or gone, and most of its work is done. */
 #define SILENT_US INT64_C (1500000)
+/* One that is replaced comes back under another name, and is not heard again.
+ */
+#define FORGET_US INT64_C (60000000)
+/* VMs that are remembered; names cost a sender nothing. */
+#define VOICES_MAX 2048
 
 /* A VM that was heard. */
 struct voice
@@ -167,6 +172,8 @@
 
   if (v != NULL && !is_newer (w, &v->word))
     return false;
+  if (v == NULL && g_hash_table_size (b->voices) >= VOICES_MAX)
+    return false;
   if (v == NULL)
     {
       v = g_new0 (struct voice, 1);
@@ -188,8 +195,12 @@
 
   g_hash_table_iter_init (&it, b->voices);
   while (g_hash_table_iter_next (&it, NULL, (gpointer *)&v))
-    if (now_us - v->heard_us > SILENT_US)
-      count (b, v, false);
+    {
+      if (now_us - v->heard_us > SILENT_US)
+        count (b, v, false);
+      if (now_us - v->heard_us > FORGET_US)
+        g_hash_table_iter_remove (&it);
+    }
 }
 
 void
--- a/regress/test-load.c
+++ b/regress/test-load.c
@@ -128,6 +128,36 @@
   load_free (b);
 }
 
+/*
+ * Somebody sends words under ever new names.  Each takes memory; past a limit
+ * none is taken, those that are known are still heard, and names that are
+ * silent for a minute make room.
+ */
+static void
+test_many_names (void)
+{
+  struct load_book *b = load_new ();
+  struct load_word w;
+  char name[16];
+  int i, taken = 0;
+
+  for (i = 0; i < 5000; i++)
+    {
+      g_snprintf (name, sizeof name, "n%d", i);
+      w = word (name, 1, 1);
+      taken += load_hear (b, &w, S);
+    }
+  g_assert_cmpint (taken, ==, 2048);
+  w = word ("n0", 1, 2);
+  g_assert_true (load_hear (b, &w, 30 * S));
+  load_fade (b, 62 * S);
+  w = word ("another", 1, 1);
+  g_assert_true (load_hear (b, &w, 62 * S));
+  w = word ("n0", 1, 2);
+  g_assert_false (load_hear (b, &w, 62 * S));
+  load_free (b);
+}
+
 /* Where 24 of 96 VMs are heard, what they say stands for all. */
 static void
 test_part_for_all (void)
@@ -430,6 +460,7 @@
   { "/load/whole-words", test_whole_words },
   { "/load/part-once", test_part_once },
   { "/load/silence", test_silence },
+  { "/load/many-names", test_many_names },
   { "/load/part-for-all", test_part_for_all },
   { "/load/bytes", test_bytes },
   { "/load/short-beside-long", test_short_beside_long },
--- a/tell.c
+++ b/tell.c
@@ -36,6 +36,8 @@
    Later ones only find VMs that never spoke. */
 #define LIST_FIRST_US (500 * CQ_US_PER_MS)
 #define LIST_MAX_US (60 * CQ_US_PER_S)
+/* VMs that are known; names cost a sender nothing. */
+#define VMS_MAX 4096
 /* Datagrams taken in one turn of the loop. */
 #define TAKE_MAX 64
 
@@ -178,6 +180,8 @@
   if (strcmp (row->vm, t->self.vm) == 0
       || (l != NULL && strcmp (l->row.address, row->address) == 0))
     return l;
+  if (l == NULL && t->listeners->len >= VMS_MAX)
+    return NULL;
   to = address_of (t, row->address);
   if (to == NULL)
     return l;
