--- a/entry.c
+++ b/entry.c
@@ -265,9 +265,9 @@
   e->cfg = cfg_entry (e->settings);
   fleet_init (&e->fleet);
   e->fleet.old_max_us = e->cfg->version_ms * CQ_US_PER_MS - VERSION_MARGIN_US;
-  e->fleet.weigh.unread = (int)e->cfg->weigh_unread;
-  e->fleet.weigh.memory = (int)e->cfg->weigh_memory;
-  e->fleet.weigh.parts = (int)e->cfg->weigh_parts;
+  e->fleet.factors.unread = (int)e->cfg->weigh_unread;
+  e->fleet.factors.memory = (int)e->cfg->weigh_memory;
+  e->fleet.factors.parts = (int)e->cfg->weigh_parts;
   e->fleet.old_end_us
       = e->cfg->version_ms * CQ_US_PER_MS - VERSION_END_MARGIN_US;
   e->book = load_new ();
--- a/fleet.c
+++ b/fleet.c
@@ -166,7 +166,7 @@
 fleet_init (struct fleet *f)
 {
   memset (f, 0, sizeof *f);
-  f->weigh = (struct fleet_weights){ 100, 100, 100 };
+  f->factors = (struct pick_factors){ 100, 100, 100 };
   APR_RING_INIT (&f->endpoints, fleet_endpoint, link);
   f->by_id = g_hash_table_new (g_str_hash, g_str_equal);
   f->wanted = g_array_new (FALSE, TRUE, sizeof (struct fleet_wanted));
--- a/fleet.h
+++ b/fleet.h
@@ -146,7 +146,7 @@
 };
 
 /* Percent of their weight that reasons have in placing; experiments only. */
-struct fleet_weights
+struct pick_factors
 {
   int unread; /* work that is ahead at an endpoint */
   int memory; /* that would run out there */
@@ -224,7 +224,7 @@
   GArray *seen;      /* struct fleet_service_seen */
   int64_t fresh_us;  /* the configuration was current then; 0: never */
   int64_t back_us;   /* the list could be read again since */
-  struct fleet_weights weigh;
+  struct pick_factors factors; /* as set */
   int64_t old_max_us; /* old weights take work this long after newer ones
                          were named; 0 for ever */
   int64_t old_end_us; /* and nothing begins on them after so long; 0: it does
--- a/librelay.h
+++ b/librelay.h
@@ -85,6 +85,11 @@
 struct share *relay_share (struct relay *r);
 /* Repeats that the service of R may still have. */
 struct budget *relay_budget (struct relay *r);
+/* The last part of a prompt that others share, or NULL: a request returns to
+   where that is. */
+const char *relay_affinity (const struct relay_desc *d);
+/* Set what the prompt asks of an endpoint. */
+void relay_weigh (struct relay *r, int64_t now_us);
 /* Its work at its endpoint changed. */
 void relay_tell_work (struct relay *r, int64_t now_us);
 /* The endpoint has read the request's prompt, or will not. */
--- a/pick.c
+++ b/pick.c
@@ -395,9 +395,9 @@
 /* What does not depend on the endpoint. */
 struct weighing
 {
-  const struct pick_query *q;
-  const struct fleet_weights *weigh;
-  int64_t speed;    /* tokens read in a second */
+  const struct pick_query *q;         /* what is asked for */
+  const struct pick_factors *factors; /* of its terms */
+  int64_t speed;                      /* tokens read in a second */
   int64_t room;     /* of an endpoint's memory, in tokens; 0 if unknown */
   int64_t parts_us; /* to have the shared parts where they are not at home */
 };
@@ -422,7 +422,7 @@
 weighing_of (const struct fleet *f, const struct pick_query *q)
 {
   const struct fleet_service *sv = service_of (f, q->service);
-  struct weighing w = { .q = q, .weigh = &f->weigh };
+  struct weighing w = { .q = q, .factors = &f->factors };
 
   w.speed = pick_speed (f, q->service);
   if (sv != NULL)
@@ -458,11 +458,11 @@
   bool has = load_has_part (q->loads, e->key, q->work.part);
   int64_t need = q->work.own + (has ? 0 : q->work.shared);
   int64_t cost = read_us (at.unread, w->speed) * AHEAD_PERCENT / 100
-                 * w->weigh->unread / 100;
+                 * w->factors->unread / 100;
 
-  cost += memory_us (w, at.held, need) * w->weigh->memory / 100;
+  cost += memory_us (w, at.held, need) * w->factors->memory / 100;
   if (!home && !has)
-    cost += w->parts_us * w->weigh->parts / 100;
+    cost += w->parts_us * w->factors->parts / 100;
   if (load_is_partial (q->loads) && strcmp (e->is.domain, q->domain) != 0)
     cost += FAR_US;
   return cost;
--- a/relay.c
+++ b/relay.c
@@ -128,24 +128,6 @@
   g_free (r);
 }
 
-void
-relay_tell_work (struct relay *r, int64_t now_us)
-{
-  const struct relays_opts *o = &r->rs->opts;
-
-  if (o->worked != NULL && r->heavy)
-    o->worked (o->worked_arg, now_us);
-}
-
-void
-relay_read (struct relay *r, int64_t now_us)
-{
-  if (!r->unread)
-    return;
-  r->unread = false;
-  relay_tell_work (r, now_us);
-}
-
 void
 relay_leave (struct relay *r, int64_t now_us)
 {
@@ -459,49 +441,6 @@
   g_free (rs);
 }
 
-static struct load_entry *
-entry_of (struct load_word *w, const struct relay *r)
-{
-  struct load_entry *e;
-  int i;
-
-  for (i = 0; i < w->n; i++)
-    if (w->entries[i].endpoint == r->endpoint->key
-        && w->entries[i].part == r->work.part)
-      return &w->entries[i];
-  if (w->n == LOAD_ENTRIES_MAX)
-    return NULL;
-  e = &w->entries[w->n++];
-  *e = (struct load_entry){ .endpoint = r->endpoint->key,
-                            .part = r->work.part,
-                            .shared_held = r->work.shared };
-  return e;
-}
-
-/* Of too many any, since the rest are no worse known than without a word. */
-void
-relays_gather (void *ctx, struct load_word *w)
-{
-  const struct relays *rs = ctx;
-  const struct relay *r;
-  struct load_entry *e;
-
-  w->n = 0;
-  APR_RING_FOREACH (r, &rs->all, relay, link)
-  {
-    if (r->endpoint == NULL || !r->heavy)
-      continue;
-    e = entry_of (w, r);
-    if (e == NULL)
-      continue;
-    e->held += r->work.own;
-    if (!r->unread)
-      continue;
-    e->unread += r->work.own;
-    e->shared_unread = MAX (e->shared_unread, r->shared_unread);
-  }
-}
-
 int
 relays_count (const struct relays *rs)
 {
--- a/relaytry.c
+++ b/relaytry.c
@@ -2,7 +2,6 @@
 #include "librelay.h"
 
 #include <string.h>
-#include <xxhash.h>
 
 #include "log.h"
 #include "met.h"
@@ -25,9 +24,6 @@
  * 6.94.
  */
 #define PATIENCE_SHARE 8
-/* Long prompts are told to other VMs: those over this part of an endpoint's
-   memory.  Short ones are many, and read in some ms. */
-#define SMALL_PART 64
 
 static int64_t
 retry_after (struct relay *r, int64_t us)
@@ -474,15 +470,6 @@
   r->call = o->engine.send (o->engine.ctx, &s, &events, r);
 }
 
-/* The last part that others share: a request returns to where that is. */
-static const char *
-affinity_of (const struct relay_desc *d)
-{
-  if (d->nparts == 0)
-    return NULL;
-  return d->parts[d->nparts > 1 ? d->nparts - 2 : 0].id;
-}
-
 /* How long a caller waits for the first piece of a stream before it leaves. */
 static int64_t
 patience_us (const struct relay *r)
@@ -530,48 +517,6 @@
   return hopeless;
 }
 
-/* Workspaces that share nothing do not find each other's parts. */
-static uint64_t
-part_digest (const struct relay *r, bool alone)
-{
-  const char *part = affinity_of (&r->desc);
-  const char *owner = alone ? r->workspace->name : "";
-
-  return XXH3_64bits_withSeed (part, strlen (part),
-                               XXH3_64bits (owner, strlen (owner)));
-}
-
-/* What the prompt asks of an endpoint; which weights that will have is not
-   known yet, and most have the newest. */
-static void
-weigh_work (struct relay *r, int64_t now_us)
-{
-  const struct relays_opts *o = &r->rs->opts;
-  const struct fleet_service *sv
-      = g_hash_table_lookup (r->conf->services, r->service);
-  bool alone = r->workspace != NULL && r->workspace->isolated;
-  const struct fleet_wanted *w;
-  char scope[PARTS_SCOPE_SIZE];
-  int i;
-
-  memset (&r->work, 0, sizeof r->work);
-  r->heavy = false;
-  if (sv == NULL || sv->model == NULL || r->desc.nparts == 0)
-    return;
-  for (i = 0; i < r->desc.nparts - 1; i++)
-    r->work.shared += r->desc.parts[i].tokens;
-  r->work.own = r->desc.parts[i].tokens;
-  r->work.part = part_digest (r, alone);
-  r->heavy = (r->work.shared + r->work.own) * SMALL_PART > sv->memory_tokens;
-  if (o->parts == NULL || !r->route->sticky)
-    return;
-  w = fleet_wanted_of (o->fleet, sv->model);
-  parts_scope (scope, sv->model, w != NULL ? w->version : 1,
-               alone ? r->workspace->name : NULL);
-  r->work.stored = parts_stored (o->parts, scope, r->desc.parts,
-                                 r->desc.nparts - 1, o->domain, now_us);
-}
-
 /* Find an endpoint for the next attempt, or give up. */
 void
 relay_place (struct relay *r, int64_t now_us)
@@ -585,11 +530,11 @@
       give_up_unplaced (r, "settings_stale", RETRY_LATER_US, now_us);
       return;
     }
-  q.affinity = r->route->sticky ? affinity_of (&r->desc) : NULL;
+  q.affinity = r->route->sticky ? relay_affinity (&r->desc) : NULL;
   memcpy (q.exclude, r->tried, sizeof q.exclude);
   q.nexclude = r->ntried;
   q.random = relay_draw (r->rs);
-  weigh_work (r, now_us);
+  relay_weigh (r, now_us);
   q.work = r->work;
   q.loads = o->loads;
   c = pick_endpoint (o->fleet, &q, now_us);
