A doubt about weights is no naming

UndefinedBehaviorSanitizer, in the test of weights that fell: an endpoint whose weights are only doubted needs to be asked, and the look at when its weights were named took the lack of a naming for a time. What a VM would have done: read the lease's row once more than needed. Now only outdated weights are looked at.

--- a/naming.c
+++ b/naming.c
@@ -10,6 +10,14 @@
    holder with the next renewal, within 0.6 s. */
 #define RECORD_US INT64_C (1000000)
 
+/* One whose weights are only doubted needs to be asked, but nothing was named
+   that would outdate them. */
+static bool
+is_outdated (const struct fleet *f, const struct fleet_endpoint *e)
+{
+  return fleet_needs_weights (f, e) && fleet_outdated_by (f, e) != NULL;
+}
+
 static bool
 is_doubtful (const struct fleet *f, const struct fleet_endpoint *e,
              int64_t read_us)
@@ -28,7 +36,7 @@
 
   APR_RING_FOREACH (e, &f->endpoints, fleet_endpoint, link)
   {
-    if (fleet_needs_weights (f, e) && is_doubtful (f, e, read_us))
+    if (is_outdated (f, e) && is_doubtful (f, e, read_us))
       return true;
   }
   return false;
@@ -76,8 +84,7 @@
   correct_row (f, clock, row);
   APR_RING_FOREACH (e, &f->endpoints, fleet_endpoint, link)
   {
-    since = fleet_needs_weights (f, e) ? fleet_outdated_since (f, e)
-                                       : FLEET_NEVER;
+    since = is_outdated (f, e) ? fleet_outdated_since (f, e) : FLEET_NEVER;
     if (since == FLEET_NEVER)
       continue;
     g_strlcpy (n.model, e->is.model, sizeof n.model);
