Admission: a VM lets in what endpoints can answer in time

Cause: under a lasting overload queues at endpoints stay full. The share let in was enough/wait, so the wait settles above enough and never comes back to it, and nearly all answers are late; callers who were refused return and take places though they can only be late. Change: admit.c, pure: a share steered by the queues that endpoints tell of and by waits beside a queue; urgent callers first, first-time callers before returning ones, an equal part for all; Retry-After of a third of the caller's time. What requests share of a service is one struct. The load of an endpoint is decoded as running and waiting; a test of it changed with the meaning of the field and now checks both.

--- a/decide.h
+++ b/decide.h
@@ -113,6 +113,49 @@
    kept: equal shares for all, and what one does not need for the others. */
 int share_keep (const struct share *s, const char *workspace, int keep);
 
+/* --- admit: how much of what is asked of a service is let in ---------- */
+
+/* Urgencies 0 to 9, 0 the most urgent, of callers who ask for the first time,
+   and behind them the same of those who return. */
+#define ADMIT_RANKS 20
+
+/* Admission to one service, as one VM sees it. */
+struct admit
+{
+  int keep;             /* permille of the work asked for that is let in */
+  int64_t pressure;     /* smoothed, permille of its aim */
+  int64_t step_us;      /* when keep was changed last */
+  int64_t seen_us;      /* when the last answer came, 0 for never */
+  int answers;          /* since the last step */
+  int64_t pressure_sum; /* of these answers, permille of the aim each */
+  int64_t asked[ADMIT_RANKS]; /* work asked for; old work counts less */
+  int64_t aged_us;            /* when old work was last counted down */
+};
+
+/* What an answer shows of its endpoint. */
+struct admit_seen
+{
+  int64_t wait_us;   /* for its first piece */
+  int64_t target_us; /* in which that should have come, 0 if unsaid */
+  int running;       /* requests that run there, -1 if unsaid */
+  int waiting;       /* requests that wait there */
+};
+
+void admit_init (struct admit *a);
+void admit_answered (struct admit *a, const struct admit_seen *seen,
+                     int64_t now_us);
+/* Permille of the work asked for that can be let in. */
+int admit_keep (const struct admit *a, int64_t now_us);
+/* Whether a caller with LEFT_US has waited before, going by the USUAL_US of
+   others, 0 at first, which is kept up. */
+bool admit_has_returned (int64_t *usual_us, int64_t left_us);
+/* Which callers go first: a lower rank does. */
+int admit_rank (int urgency, bool returned);
+/* A request of RANK asks for WORK, in any unit that is the same for all. */
+void admit_ask (struct admit *a, int rank, int64_t work, int64_t now_us);
+/* Permille of the requests of RANK to let in, if KEEP of all work can be. */
+int admit_keep_rank (const struct admit *a, int rank, int keep);
+
 /* --- budget: retries as a share of requests -------------------------- */
 
 /* Retry budget of a service: an outage must not be doubled by retries. */
--- a/librelay.h
+++ b/librelay.h
@@ -14,29 +14,40 @@
 /* Callers refused together should not return together. */
 #define RETRY_SPREAD_US (500 * CQ_US_PER_MS)
 
+/* What this VM's requests share of the service that they go to. */
+struct relay_service
+{
+  struct budget budget; /* repeats that it may still have */
+  struct share share;   /* what workspaces ask of it */
+  struct admit admit;   /* how much of that is let in */
+  bool limited;         /* a part is refused, and that was logged */
+};
+
 struct relays
 {
   struct relays_opts opts;               /* as made */
   APR_RING_HEAD (relay_ring, relay) all; /* live requests */
   int count;                             /* their number */
-  GHashTable *budgets;                   /* service to struct budget */
-  GHashTable *shares;                    /* service to struct share */
-  struct loop_timer sweep;               /* deadlines and hang-ups */
-  unsigned sweeps;                       /* done so far */
-  uint64_t random;                       /* state of random choices */
+  GHashTable *services;                  /* name to struct relay_service */
+  GHashTable *usual; /* route's name to int64_t: time that its callers have */
+  struct loop_timer sweep; /* deadlines and hang-ups */
+  unsigned sweeps;         /* done so far */
+  uint64_t random;         /* state of random choices */
 };
 
 struct relay
 {
-  APR_RING_ENTRY (relay) link;                    /* in its list */
-  struct relays *rs;                              /* where it runs */
-  struct relay_desc desc;                         /* as described */
-  struct fleet_conf *conf;                        /* it started under */
-  const struct fleet_route *route;                /* that it took */
-  const struct fleet_workspace *workspace;        /* who asks, or NULL */
-  const char *service;                            /* that it goes to */
-  int64_t arrived_us;                             /* when it was whole */
-  int64_t end_us;                                 /* no answer after */
+  APR_RING_ENTRY (relay) link;             /* in its list */
+  struct relays *rs;                       /* where it runs */
+  struct relay_desc desc;                  /* as described */
+  struct fleet_conf *conf;                 /* it started under */
+  const struct fleet_route *route;         /* that it took */
+  const struct fleet_workspace *workspace; /* who asks, or NULL */
+  const char *service;                     /* that it goes to */
+  struct relay_service *shared; /* what it shares with others there */
+  int rank;                     /* for admission */
+  int64_t arrived_us;           /* when it was whole */
+  int64_t end_us;               /* no answer after */
   struct fleet_endpoint *tried[PICK_EXCLUDE_MAX]; /* references to lives
                                                      it failed at */
   struct fleet_endpoint *endpoint;                /* of the attempt */
@@ -56,6 +67,8 @@
   int64_t first_us;  /* first piece passed on, 0 for none */
   int ntried;        /* entries in tried */
   int status;        /* of the attempt's answer, 0 if none */
+  int running;       /* at the endpoint by that answer, -1 if unsaid */
+  int waiting;       /* there by that answer */
   int attempts;      /* that were handed over */
   int unsent;        /* that were not */
   bool handed_over;  /* a byte may have left */
@@ -81,15 +94,15 @@
 uint64_t relay_draw (struct relays *rs);
 /* Name of who asks, "" if nobody was named. */
 const char *relay_workspace (const struct relay *r);
-/* What workspaces ask of the service of R. */
-struct share *relay_share (struct relay *r);
-/* Repeats that the service of R may still have. */
-struct budget *relay_budget (struct relay *r);
+/* How urgent it is, 0 goes first, to 9. */
+int relay_urgency (const struct relay *r);
 /* The last part of a prompt that others share, or NULL: a request returns to
    where that is. */
 const char *relay_affinity (const struct relay_desc *d);
 /* Set what the prompt asks of an endpoint. */
 void relay_weigh (struct relay *r, int64_t now_us);
+/* The first piece of a stream came, or its caller left before it. */
+void relay_waited (struct relay *r, int64_t now_us);
 /* Its work at its endpoint changed. */
 void relay_tell_work (struct relay *r, int64_t now_us);
 /* The endpoint has read the request's prompt, or will not. */
--- a/met.c
+++ b/met.c
@@ -18,6 +18,9 @@
                      "Requests that ended as answered." },
   [MET_NOT_RUN] = { "camphorquay_not_run_total", "counter",
                     "Requests that ended as not-run." },
+  [MET_OVERLOAD]
+  = { "camphorquay_overload_total", "counter",
+      "Requests refused since their service is asked for too much." },
   [MET_UNKNOWN] = { "camphorquay_unknown_total", "counter",
                     "Requests that ended as unknown." },
   [MET_FAILED] = { "camphorquay_failed_total", "counter",
--- a/regress/test-headers.c
+++ b/regress/test-headers.c
@@ -214,7 +214,8 @@
                    "X-Instance-Id: life1");
   g_assert_true (a.head.genuine);
   g_assert_false (a.head.not_run);
-  g_assert_cmpint (a.head.running, ==, 3);
+  g_assert_cmpint (a.head.running, ==, 1);
+  g_assert_cmpint (a.head.waiting, ==, 2);
   g_assert_cmpint (a.head.version, ==, 3);
   panswered_clear (&a);
 }
--- a/regress/test-relay.c
+++ b/regress/test-relay.c
@@ -814,6 +814,55 @@
   play_free (p);
 }
 
+/* A request whose first piece comes from an endpoint where eight wait beside
+   the two that run; false if it was refused at once. */
+static bool
+answered_beside_queue (struct play *p)
+{
+  struct relay_head h = { .status = 200, .genuine = true, .running = 2 };
+
+  h.waiting = 8;
+  h.lines = seal;
+  p->sends = 0;
+  p->refused = -1;
+  p->desc.deadline_us = loop_now_us () + 6 * CQ_US_PER_S;
+  play_start (p);
+  if (p->sends == 0)
+    return false;
+  g_assert_true (p->event->before_send (p->arg));
+  g_assert_true (p->event->head (p->arg, &h));
+  body (p, "id: 0\ndata: x\n\n");
+  end (p, true, true);
+  return true;
+}
+
+/*
+ * Endpoints answer fast, but four times as many requests wait there as run.
+ * After some seconds of that callers hear at once that they were not run, and
+ * to come back when a third of their time is over; a few are still let in.
+ * Without it queues fill until answers are late, and the wait shows it then.
+ */
+static void
+test_queue_told (void)
+{
+  struct play *p = play_new (FLEET_STREAM);
+  int i, sent = 0;
+
+  for (i = 0; i < 200; i++)
+    {
+      run_for (p, 10 * CQ_US_PER_MS);
+      sent += answered_beside_queue (p);
+    }
+  g_assert_cmpint (sent, <=, 150);
+  while (answered_beside_queue (p))
+    sent++;
+  g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
+  g_assert_cmpint (p->retry_after_us, <=, 2 * CQ_US_PER_S);
+  g_assert_cmpint (p->retry_after_us, >=, 1500 * CQ_US_PER_MS);
+  g_assert_cmpint (sent, >=, 10);
+  play_free (p);
+}
+
 /* Nothing is known yet, as after a start without the platform: "not run". */
 static void
 test_nothing_known (void)
@@ -1093,6 +1142,7 @@
   { "/relay/old-weights-wait", test_old_weights_wait },
   { "/relay/hang-up", test_hang_up },
   { "/relay/too-late", test_too_late },
+  { "/relay/queue-told", test_queue_told },
   { "/relay/nothing-known", test_nothing_known },
   { "/relay/withdrawn-from-old-weights", test_withdrawn_from_old_weights },
   { "/relay/withdrawn-once", test_withdrawn_once },
--- a/relay.c
+++ b/relay.c
@@ -13,6 +13,10 @@
 /* Sweeps between looks for callers that hung up: well inside half a second. */
 #define GONE_EVERY 4
 
+/* Routes whose callers' time is known: over a long life operators name any
+   number.  What is forgotten is known again after a request. */
+#define USUAL_MAX 1024
+
 /* --- small helpers --------------------------------------------------- */
 
 /* A step of splitmix64. */
@@ -26,19 +30,18 @@
   return z ^ (z >> 31);
 }
 
-struct budget *
-relay_budget (struct relay *r)
+static struct relay_service *
+need_service (struct relays *rs, const char *name)
 {
-  struct relays *rs = r->rs;
-  struct budget *b = g_hash_table_lookup (rs->budgets, r->service);
-
-  if (b == NULL)
-    {
-      b = g_new (struct budget, 1);
-      budget_init (b, rs->opts.retry_percent, rs->opts.retry_burst);
-      g_hash_table_insert (rs->budgets, g_strdup (r->service), b);
-    }
-  return b;
+  struct relay_service *s = g_hash_table_lookup (rs->services, name);
+
+  if (s != NULL)
+    return s;
+  s = g_new0 (struct relay_service, 1);
+  budget_init (&s->budget, rs->opts.retry_percent, rs->opts.retry_burst);
+  admit_init (&s->admit);
+  g_hash_table_insert (rs->services, g_strdup (name), s);
+  return s;
 }
 
 const char *
@@ -47,18 +50,14 @@
   return r->workspace != NULL ? r->workspace->name : "";
 }
 
-struct share *
-relay_share (struct relay *r)
+int
+relay_urgency (const struct relay *r)
 {
-  struct relays *rs = r->rs;
-  struct share *s = g_hash_table_lookup (rs->shares, r->service);
+  int p = r->route->priority;
 
-  if (s == NULL)
-    {
-      s = g_new0 (struct share, 1);
-      g_hash_table_insert (rs->shares, g_strdup (r->service), s);
-    }
-  return s;
+  if (r->workspace != NULL && r->workspace->priority >= 0)
+    p = r->workspace->priority;
+  return CLAMP (p, 0, ADMIT_RANKS / 2 - 1);
 }
 
 /* Work that a request asks for: tokens to be read, and one for the rest. */
@@ -306,6 +305,7 @@
   r->conf = fleet_conf_ref (rs->opts.fleet->conf);
   r->route = route;
   r->service = fleet_split_pick (route, digest);
+  r->shared = need_service (rs, r->service);
   r->arrived_us = now_us;
   r->end_us = now_us + route->timeout_us;
   if (d->deadline_us > 0 && d->deadline_us < r->end_us)
@@ -317,12 +317,32 @@
   rs->count++;
   met_add (MET_REQUESTS, 1);
   met_add (MET_RUNNING, 1);
-  budget_earn (relay_budget (r));
+  budget_earn (&r->shared->budget);
   if (!rs->sweep.armed)
     loop_arm (rs->opts.loop, &rs->sweep, now_us + SWEEP_US);
   return r;
 }
 
+/* Whether the caller has less time than others of its route, since it was
+   refused before. */
+static bool
+has_returned (struct relay *r, int64_t now_us)
+{
+  GHashTable *t = r->rs->usual;
+  int64_t *usual = g_hash_table_lookup (t, r->route->name);
+
+  if (r->desc.deadline_us == 0)
+    return false;
+  if (usual == NULL)
+    {
+      if (g_hash_table_size (t) >= USUAL_MAX)
+        g_hash_table_remove_all (t);
+      usual = g_new0 (int64_t, 1);
+      g_hash_table_insert (t, g_strdup (r->route->name), usual);
+    }
+  return admit_has_returned (usual, r->desc.deadline_us - now_us);
+}
+
 /* A request that is placed from inside its door's call may end there, so its
    end must not free it under the door. */
 struct relay *
@@ -353,7 +373,9 @@
     }
   r = relay_new (rs, d, route, now_us);
   r->workspace = workspace;
-  share_ask (relay_share (r), relay_workspace (r), work_of (d), now_us);
+  share_ask (&r->shared->share, relay_workspace (r), work_of (d), now_us);
+  r->rank = admit_rank (relay_urgency (r), has_returned (r, now_us));
+  admit_ask (&r->shared->admit, r->rank, work_of (d), now_us);
   /* Held as if a message were under way, so that it outlives this call. */
   r->unpausing = true;
   relay_place (r, now_us);
@@ -407,7 +429,7 @@
   met_add (MET_CANCELS, 1);
   if (sent && r->endpoint != NULL && r->first_us == 0
       && r->route->kind == FLEET_STREAM)
-    pick_first (r->rs->opts.fleet, r->endpoint, now - r->sent_us, now);
+    relay_waited (r, now);
   if (r->call != NULL)
     e->cancel (e->ctx, r->call);
   r->call = NULL;
@@ -425,9 +447,9 @@
   rs->random = opts->seed;
   rs->sweep.fire = on_sweep;
   rs->sweep.arg = rs;
-  rs->budgets
+  rs->services
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  rs->shares = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  rs->usual = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   APR_RING_INIT (&rs->all, relay, link);
   return rs;
 }
@@ -436,8 +458,8 @@
 relays_free (struct relays *rs)
 {
   loop_disarm (&rs->sweep);
-  g_hash_table_destroy (rs->budgets);
-  g_hash_table_destroy (rs->shares);
+  g_hash_table_destroy (rs->services);
+  g_hash_table_destroy (rs->usual);
   g_free (rs);
 }
 
--- a/relay.h
+++ b/relay.h
@@ -95,7 +95,8 @@
   bool not_run;       /* the endpoint says that it did not run */
   bool other_life;    /* somebody else has the endpoint's address */
   bool other_weights; /* it is that endpoint, with other weights than asked */
-  int running;        /* requests at it, -1 if unsaid */
+  int running;        /* requests that run at it, -1 if unsaid */
+  int waiting;        /* and wait there; 0 if unsaid */
   int64_t version;    /* weights that ran, 0 if unsaid */
   char **lines;       /* "Name: value" lines for the caller */
 };
--- a/relaytry.c
+++ b/relaytry.c
@@ -25,6 +25,15 @@
  */
 #define PATIENCE_SHARE 8
 
+/* Callers who are refused for load return after this part of their time. */
+#define RETURN_PART 3
+/* And not before this: a second request costs about as much. */
+#define RETURN_MIN_US (100 * CQ_US_PER_MS)
+
+/* A service counts as limited, for the log, when less than this is let in,
+   permille: the share moves by some percent without an overload. */
+#define LIMITED_BELOW 900
+
 static int64_t
 retry_after (struct relay *r, int64_t us)
 {
@@ -121,8 +130,10 @@
 
   r->status = head->status;
   r->not_run = head->not_run;
+  r->running = head->running;
+  r->waiting = head->waiting;
   if (head->running >= 0)
-    pick_reported (r->endpoint, head->running, now);
+    pick_reported (r->endpoint, head->running + head->waiting, now);
   take_version (r, head, now);
   /* That life is over, so nothing was sent to an endpoint of the service. */
   if (head->other_life)
@@ -143,6 +154,39 @@
   return true;
 }
 
+/* Two lines for an overload, however the share moves in between. */
+static void
+log_admission (struct relay *r, int64_t now_us)
+{
+  struct relay_service *s = r->shared;
+  int keep = admit_keep (&s->admit, now_us);
+
+  if (s->limited ? keep < SHARE_ALL : keep >= LIMITED_BELOW)
+    return;
+  s->limited = !s->limited;
+  log_event (LOG_LEVEL_INFO, "admission",
+             "service=%s outcome=%s keep=%d pressure=%" G_GINT64_FORMAT
+             " running=%d waiting=%d endpoint=%s",
+             r->service, s->limited ? "limited" : "open", keep,
+             (gint64)s->admit.pressure, r->running, r->waiting,
+             r->endpoint->is.id);
+}
+
+void
+relay_waited (struct relay *r, int64_t now_us)
+{
+  struct admit_seen seen = { .running = r->running, .waiting = r->waiting };
+
+  seen.wait_us = now_us - r->sent_us;
+  seen.target_us = r->route->target_us;
+  pick_first (r->rs->opts.fleet, r->endpoint, seen.wait_us, now_us);
+  /* A caller who leaves early does so for reasons of its own. */
+  if (r->first_us == 0 && seen.wait_us < seen.target_us)
+    return;
+  admit_answered (&r->shared->admit, &seen, now_us);
+  log_admission (r, now_us);
+}
+
 static void
 pass_on (struct relay *r, const char *data, size_t len)
 {
@@ -157,8 +201,7 @@
                   r->ahead + r->shared_unread + r->work.own,
                   r->first_us - r->sent_us);
       met_observe (MET_FIRST_TOKEN, r->first_us - r->arrived_us);
-      pick_first (r->rs->opts.fleet, r->endpoint, r->first_us - r->sent_us,
-                  r->first_us);
+      relay_waited (r, r->first_us);
       r->desc.caller->begin (r->desc.arg, r->status,
                              (const char *const *)r->lines);
     }
@@ -253,7 +296,7 @@
 
   if (v.next == NEXT_FINISH || (sent == SEND_NONE && r->attempts == 0))
     return v;
-  if (!budget_spend (relay_budget (r)))
+  if (!budget_spend (&r->shared->budget))
     return judge (r, sent, false, now_us);
   return v;
 }
@@ -336,16 +379,6 @@
   .end = on_end,
 };
 
-static int
-urgency_of (const struct relay *r)
-{
-  int p = r->route->priority;
-
-  if (r->workspace != NULL && r->workspace->priority >= 0)
-    p = r->workspace->priority;
-  return p < 0 ? 0 : p > 9 ? 9 : p;
-}
-
 /*
  * Work may be found again only under the weights that made it and, for a
  * workspace that shares nothing, by that workspace.  Both are in the scope's
@@ -430,6 +463,8 @@
   r->handed_over = false;
   r->stopped = NULL;
   r->status = 0;
+  r->running = -1;
+  r->waiting = 0;
   r->not_run = false;
   r->streaming = false;
   r->answering = false;
@@ -446,7 +481,7 @@
   s.cache_scope = model ? r->cache_scope : NULL;
   s.kept = model && r->kept.nfetch + r->kept.nsave > 0 ? &r->kept : NULL;
   s.version = model ? c->version : 0;
-  s.urgency = urgency_of (r);
+  s.urgency = relay_urgency (r);
   s.left_us = time_for (r, now_us);
   s.resume_after = r->begun ? r->events.last_id : r->desc.resume_after;
 
@@ -483,38 +518,64 @@
   return p;
 }
 
+/* Permille of the requests like R to let in, while the endpoints queue and a
+   first piece is expected after WAIT_US. */
+static int
+share_let_in (const struct relay *r, int64_t wait_us, int64_t now_us)
+{
+  const struct relay_service *s = r->shared;
+  int64_t enough = patience_us (r) / PATIENCE_SHARE;
+  int keep = admit_keep (&s->admit, now_us);
+
+  if (wait_us > enough)
+    keep = MIN (keep, (int)(enough * SHARE_ALL / wait_us));
+  keep = admit_keep_rank (&s->admit, r->rank, keep);
+  return share_keep (&s->share, relay_workspace (r), keep);
+}
+
 /*
- * The answer would begin too late.  Sent all the same, the endpoint reads its
- * prompt for nobody, and those behind it become late too, until nobody is
- * answered in time.  The longer the wait, the larger the share that is
- * refused, so that what is left can be served: refusing all until the wait
- * is over leaves endpoints idle, and then all come at once.  Whose requests
- * these are follows from what each workspace asks for.
+ * The answer would begin too late, for this caller or for others.  Sent all
+ * the same, the endpoint reads its prompt for nobody, and those behind it
+ * become late too, until nobody is answered in time.  A part is refused, so
+ * that what is left can be served: refusing all until the wait is over leaves
+ * endpoints idle, and then all come at once.  Whose requests these are follows
+ * from their urgency and from what each workspace asks for.
  */
 static bool
 is_hopeless (struct relay *r, const struct pick_choice *c, int64_t now_us)
 {
   int64_t wait = now_us - r->arrived_us + c->wait_us;
-  int64_t enough = patience_us (r) / PATIENCE_SHARE;
-  int keep = SHARE_ALL;
-  bool hopeless;
+  int keep;
 
   if (r->route->kind != FLEET_STREAM || r->begun)
     return false;
-  if (wait > enough)
-    keep = share_keep (relay_share (r), relay_workspace (r),
-                       (int)(enough * SHARE_ALL / wait));
-  hopeless = r->arrived_us + wait > r->end_us
-             || (int)(relay_draw (r->rs) % SHARE_ALL) >= keep;
-  if (hopeless)
-    log_event (LOG_LEVEL_INFO, "too_late",
-               "req=%s route=%s endpoint=%s workspace=%s keep=%d "
-               "wait_us=%" G_GINT64_FORMAT " enough_us=%" G_GINT64_FORMAT
-               " left_us=%" G_GINT64_FORMAT " candidates=%d crowded=%d",
-               r->desc.id, r->route->name, c->endpoint->is.id,
-               relay_workspace (r), keep, (gint64)wait, (gint64)enough,
-               (gint64)(r->end_us - now_us), c->candidates, c->crowded);
-  return hopeless;
+  keep = share_let_in (r, wait, now_us);
+  if (r->arrived_us + wait <= r->end_us
+      && (int)(relay_draw (r->rs) % SHARE_ALL) < keep)
+    return false;
+  log_event (LOG_LEVEL_INFO, "too_late",
+             "req=%s route=%s endpoint=%s workspace=%s rank=%d keep=%d "
+             "admit=%d pressure=%" G_GINT64_FORMAT " wait_us=%" G_GINT64_FORMAT
+             " left_us=%" G_GINT64_FORMAT " candidates=%d crowded=%d",
+             r->desc.id, r->route->name, c->endpoint->is.id,
+             relay_workspace (r), r->rank, keep,
+             admit_keep (&r->shared->admit, now_us),
+             (gint64)r->shared->admit.pressure, (gint64)wait,
+             (gint64)(r->end_us - now_us), c->candidates, c->crowded);
+  return true;
+}
+
+/* Come back as late as leaves two thirds of the caller's time for the answer:
+   sooner an overload is less likely to be over. */
+static void
+refuse_late (struct relay *r, int64_t now_us)
+{
+  int64_t wait = MAX ((r->end_us - now_us) / RETURN_PART, RETURN_MIN_US);
+  int64_t spread = (int64_t)(relay_draw (r->rs) % (uint64_t)(wait / 5));
+
+  met_add (MET_OVERLOAD, 1);
+  relay_give_up (r, out_refused (r->ran, relay_repeatable (r)), "too_late",
+                 wait - spread, now_us);
 }
 
 /* Find an endpoint for the next attempt, or give up. */
@@ -539,7 +600,7 @@
   q.loads = o->loads;
   c = pick_endpoint (o->fleet, &q, now_us);
   if (c.code == PICK_CHOSEN && is_hopeless (r, &c, now_us))
-    give_up_unplaced (r, "too_late", c.wait_us / 2, now_us);
+    refuse_late (r, now_us);
   else if (c.code == PICK_CHOSEN)
     attempt (r, &c, now_us);
   else
