--- a/librelay.h
+++ b/librelay.h
@@ -92,6 +92,15 @@
 bool relay_key_is_gone (const struct relay *r);
 /* A random number of RS. */
 uint64_t relay_draw (struct relays *rs);
+/* Which requests are let in before it. */
+int relay_rank (struct relay *r, int64_t now_us);
+/* Permille of the requests like it to let in, if it goes to the endpoint of
+   CHOICE; 0 if it cannot be answered in its time. */
+int relay_let_in (const struct relay *r, const struct pick_choice *choice,
+                  int64_t now_us);
+/* It is not, for that. */
+void relay_log_late (const struct relay *r, const struct pick_choice *choice,
+                     int keep, int64_t now_us);
 /* Name of who asks, "" if nobody was named. */
 const char *relay_workspace (const struct relay *r);
 /* How urgent it is, 0 goes first, to 9. */
--- a/relay.c
+++ b/relay.c
@@ -13,10 +13,6 @@
 /* Sweeps between looks for callers that hung up: well inside half a second. */
 #define GONE_EVERY 4
 
-/* Routes whose callers' time is known: over a long life operators name any
-   number.  What is forgotten is known again after a request. */
-#define USUAL_MAX 1024
-
 /* --- small helpers --------------------------------------------------- */
 
 /* A step of splitmix64. */
@@ -44,22 +40,6 @@
   return s;
 }
 
-const char *
-relay_workspace (const struct relay *r)
-{
-  return r->workspace != NULL ? r->workspace->name : "";
-}
-
-int
-relay_urgency (const struct relay *r)
-{
-  int p = r->route->priority;
-
-  if (r->workspace != NULL && r->workspace->priority >= 0)
-    p = r->workspace->priority;
-  return CLAMP (p, 0, ADMIT_RANKS / 2 - 1);
-}
-
 /* Work that a request asks for: tokens to be read, and one for the rest. */
 static int64_t
 work_of (const struct relay_desc *d)
@@ -323,26 +303,6 @@
   return r;
 }
 
-/* Whether the caller has less time than others of its route, since it was
-   refused before. */
-static bool
-has_returned (struct relay *r, int64_t now_us)
-{
-  GHashTable *t = r->rs->usual;
-  int64_t *usual = g_hash_table_lookup (t, r->route->name);
-
-  if (r->desc.deadline_us == 0)
-    return false;
-  if (usual == NULL)
-    {
-      if (g_hash_table_size (t) >= USUAL_MAX)
-        g_hash_table_remove_all (t);
-      usual = g_new0 (int64_t, 1);
-      g_hash_table_insert (t, g_strdup (r->route->name), usual);
-    }
-  return admit_has_returned (usual, r->desc.deadline_us - now_us);
-}
-
 /* A request that is placed from inside its door's call may end there, so its
    end must not free it under the door. */
 struct relay *
@@ -374,7 +334,7 @@
   r = relay_new (rs, d, route, now_us);
   r->workspace = workspace;
   share_ask (&r->shared->share, relay_workspace (r), work_of (d), now_us);
-  r->rank = admit_rank (relay_urgency (r), has_returned (r, now_us));
+  r->rank = relay_rank (r, now_us);
   admit_ask (&r->shared->admit, r->rank, work_of (d), now_us);
   /* Held as if a message were under way, so that it outlives this call. */
   r->unpausing = true;
--- a/relaytry.c
+++ b/relaytry.c
@@ -11,29 +11,11 @@
 #define UNSENT_MAX 4
 /* Largest event of a stream that is held until it is whole. */
 #define EVENT_MAX 65536
-/* Callers leave a stream before its first piece after the longest of these. */
-#define PATIENCE_MIN_US (2000 * CQ_US_PER_MS)
-#define PATIENCE_TARGETS 4
-#define PATIENCE_GAPS 8
-/*
- * Work is refused, in part, when its first piece is expected after this share
- * of the caller's patience, about half of the time in which an answer is worth
- * most.  An endpoint that has fallen behind stays behind, long after what
- * began it: what waits there fills its memory, so more is read anew.  Sum of
- * worth over twelve days by the share: a quarter 6.75, a sixth 6.85, an eighth
- * 6.94.
- */
-#define PATIENCE_SHARE 8
-
 /* Callers who are refused for load return after this part of their time. */
 #define RETURN_PART 3
 /* And not before this: a second request costs about as much. */
 #define RETURN_MIN_US (100 * CQ_US_PER_MS)
 
-/* A service counts as limited, for the log, when less than this is let in,
-   permille: the share moves by some percent without an overload. */
-#define LIMITED_BELOW 900
-
 static int64_t
 retry_after (struct relay *r, int64_t us)
 {
@@ -154,39 +136,6 @@
   return true;
 }
 
-/* Two lines for an overload, however the share moves in between. */
-static void
-log_admission (struct relay *r, int64_t now_us)
-{
-  struct relay_service *s = r->shared;
-  int keep = admit_keep (&s->admit, now_us);
-
-  if (s->limited ? keep < SHARE_ALL : keep >= LIMITED_BELOW)
-    return;
-  s->limited = !s->limited;
-  log_event (LOG_LEVEL_INFO, "admission",
-             "service=%s outcome=%s keep=%d pressure=%" G_GINT64_FORMAT
-             " running=%d waiting=%d endpoint=%s",
-             r->service, s->limited ? "limited" : "open", keep,
-             (gint64)s->admit.pressure, r->running, r->waiting,
-             r->endpoint->is.id);
-}
-
-void
-relay_waited (struct relay *r, int64_t now_us)
-{
-  struct admit_seen seen = { .running = r->running, .waiting = r->waiting };
-
-  seen.wait_us = now_us - r->sent_us;
-  seen.target_us = r->route->target_us;
-  pick_first (r->rs->opts.fleet, r->endpoint, seen.wait_us, now_us);
-  /* A caller who leaves early does so for reasons of its own. */
-  if (r->first_us == 0 && seen.wait_us < seen.target_us)
-    return;
-  admit_answered (&r->shared->admit, &seen, now_us);
-  log_admission (r, now_us);
-}
-
 static void
 pass_on (struct relay *r, const char *data, size_t len)
 {
@@ -505,63 +454,15 @@
   r->call = o->engine.send (o->engine.ctx, &s, &events, r);
 }
 
-/* How long a caller waits for the first piece of a stream before it leaves. */
-static int64_t
-patience_us (const struct relay *r)
-{
-  int64_t p = PATIENCE_MIN_US;
-
-  if (r->route->target_us * PATIENCE_TARGETS > p)
-    p = r->route->target_us * PATIENCE_TARGETS;
-  if (r->route->gap_us * PATIENCE_GAPS > p)
-    p = r->route->gap_us * PATIENCE_GAPS;
-  return p;
-}
-
-/* Permille of the requests like R to let in, while the endpoints queue and a
-   first piece is expected after WAIT_US. */
-static int
-share_let_in (const struct relay *r, int64_t wait_us, int64_t now_us)
-{
-  const struct relay_service *s = r->shared;
-  int64_t enough = patience_us (r) / PATIENCE_SHARE;
-  int keep = admit_keep (&s->admit, now_us);
-
-  if (wait_us > enough)
-    keep = MIN (keep, (int)(enough * SHARE_ALL / wait_us));
-  keep = admit_keep_rank (&s->admit, r->rank, keep);
-  return share_keep (&s->share, relay_workspace (r), keep);
-}
-
-/*
- * The answer would begin too late, for this caller or for others.  Sent all
- * the same, the endpoint reads its prompt for nobody, and those behind it
- * become late too, until nobody is answered in time.  A part is refused, so
- * that what is left can be served: refusing all until the wait is over leaves
- * endpoints idle, and then all come at once.  Whose requests these are follows
- * from their urgency and from what each workspace asks for.
- */
+/* By chance, as large a part as cannot be let in. */
 static bool
-is_hopeless (struct relay *r, const struct pick_choice *c, int64_t now_us)
+is_refused (struct relay *r, const struct pick_choice *c, int64_t now_us)
 {
-  int64_t wait = now_us - r->arrived_us + c->wait_us;
-  int keep;
+  int keep = relay_let_in (r, c, now_us);
 
-  if (r->route->kind != FLEET_STREAM || r->begun)
-    return false;
-  keep = share_let_in (r, wait, now_us);
-  if (r->arrived_us + wait <= r->end_us
-      && (int)(relay_draw (r->rs) % SHARE_ALL) < keep)
+  if (keep >= SHARE_ALL || (int)(relay_draw (r->rs) % SHARE_ALL) < keep)
     return false;
-  log_event (LOG_LEVEL_INFO, "too_late",
-             "req=%s route=%s endpoint=%s workspace=%s rank=%d keep=%d "
-             "admit=%d pressure=%" G_GINT64_FORMAT " wait_us=%" G_GINT64_FORMAT
-             " left_us=%" G_GINT64_FORMAT " candidates=%d crowded=%d",
-             r->desc.id, r->route->name, c->endpoint->is.id,
-             relay_workspace (r), r->rank, keep,
-             admit_keep (&r->shared->admit, now_us),
-             (gint64)r->shared->admit.pressure, (gint64)wait,
-             (gint64)(r->end_us - now_us), c->candidates, c->crowded);
+  relay_log_late (r, c, keep, now_us);
   return true;
 }
 
@@ -599,7 +500,7 @@
   q.work = r->work;
   q.loads = o->loads;
   c = pick_endpoint (o->fleet, &q, now_us);
-  if (c.code == PICK_CHOSEN && is_hopeless (r, &c, now_us))
+  if (c.code == PICK_CHOSEN && is_refused (r, &c, now_us))
     refuse_late (r, now_us);
   else if (c.code == PICK_CHOSEN)
     attempt (r, &c, now_us);
