--- a/admit.c
+++ b/admit.c
@@ -26,9 +26,9 @@
    newcomer waits for a part of one request's time, and a place that comes free
    is taken at once. */
 #define QUEUE_AIM 750
-/* Pressure over so many times its aim says no more than one of that: a single
+/* Pressure over this, permille of its aim, says no more than that: a single
    endpoint that fell behind does not stand for all. */
-#define PRESSURE_MAX 4
+#define PRESSURE_MAX INT64_C (4000)
 /* Permille of a step: for the distance from the aim, and for the growth since
    the step before. */
 #define GAIN_LEVEL 50
@@ -121,7 +121,7 @@
     }
   a->seen_us = now_us;
   a->answers++;
-  a->pressure_sum += MIN (pressure_of (seen), PRESSURE_MAX * SHARE_ALL);
+  a->pressure_sum += MIN (pressure_of (seen), PRESSURE_MAX);
   if (now_us - a->step_us < STEP_US)
     return;
   step (a);
--- a/regress/test-admit.c
+++ b/regress/test-admit.c
@@ -262,7 +262,7 @@
   full.waiting = QUEUE;
   admit_init (&a);
   for (i = 0; i < 100; i++)
-    admit_answered (&a, &full, (i + 1) * 100 * MS);
+    admit_answered (&a, &full, (int64_t)(i + 1) * 100 * MS);
   g_assert_cmpint (admit_keep (&a, 10 * CQ_US_PER_S), <, 200);
   g_assert_cmpint (admit_keep (&a, 13 * CQ_US_PER_S), ==, SHARE_ALL);
 }
@@ -279,7 +279,7 @@
   slow.running = 2;
   admit_init (&a);
   for (i = 0; i < 100; i++)
-    admit_answered (&a, &slow, (i + 1) * 100 * MS);
+    admit_answered (&a, &slow, (int64_t)(i + 1) * 100 * MS);
   g_assert_cmpint (admit_keep (&a, 10 * CQ_US_PER_S), >=, 990);
 }
 
