--- a/regress/test-admit.c
+++ b/regress/test-admit.c
@@ -46,7 +46,7 @@
 {
   struct admit admits[VMS];       /* of each VM */
   struct place places[ENDPOINTS]; /* the service */
-  struct ask back[RETURNS];       /* callers who return, a ring by time */
+  struct ask back[RETURNS];       /* callers who return, as refused */
   int back_ms[RETURNS];           /* when each does */
   int from, to;                   /* of that ring */
   int now_ms;                     /* present time */
--- a/relaytry.c
+++ b/relaytry.c
@@ -15,6 +15,9 @@
 #define RETURN_PART 3
 /* And not before this: a second request costs about as much. */
 #define RETURN_MIN_US (100 * CQ_US_PER_MS)
+/* Or earlier by up to this part of it: refused together, they should not
+   return together. */
+#define RETURN_SPREAD_PART 5
 
 static int64_t
 retry_after (struct relay *r, int64_t us)
@@ -472,7 +475,8 @@
 refuse_late (struct relay *r, int64_t now_us)
 {
   int64_t wait = MAX ((r->end_us - now_us) / RETURN_PART, RETURN_MIN_US);
-  int64_t spread = (int64_t)(relay_draw (r->rs) % (uint64_t)(wait / 5));
+  int64_t spread
+      = (int64_t)(relay_draw (r->rs) % (uint64_t)(wait / RETURN_SPREAD_PART));
 
   met_add (MET_OVERLOAD, 1);
   relay_give_up (r, out_refused (r->ran, relay_repeatable (r)), "too_late",
