--- a/entry.c
+++ b/entry.c
@@ -41,7 +41,7 @@
   struct partfeed *feed;         /* keeps that current */
   int64_t conf_row;              /* configuration that the feed knows */
   int64_t duty_us;               /* this VM gave orders last */
-  struct load_book *book;        /* work of other VMs */
+  struct load_table *book;       /* work of other VMs */
   struct tell *tell;             /* tells them of ours; NULL if unset */
   struct relays *relays;         /* requests under way */
   struct entry_front front_with; /* what the next one works with */
--- a/fleet.h
+++ b/fleet.h
@@ -337,7 +337,7 @@
   uint64_t part;  /* digest of the last shared part */
 };
 
-struct load_book;
+struct load_table;
 
 struct pick_query
 {
@@ -345,10 +345,10 @@
   const char *domain;   /* of this VM */
   const char *affinity; /* part of the prompt to find again, or NULL */
   const struct fleet_endpoint *exclude[PICK_EXCLUDE_MAX]; /* tried before */
-  int nexclude;                  /* entries in exclude */
-  uint64_t random;               /* breaks ties */
-  struct pick_work work;         /* zeros for a plain service */
-  const struct load_book *loads; /* work of all VMs, or NULL */
+  int nexclude;                   /* entries in exclude */
+  uint64_t random;                /* breaks ties */
+  struct pick_work work;          /* zeros for a plain service */
+  const struct load_table *loads; /* work of all VMs, or NULL */
 };
 
 enum pick_code
@@ -368,7 +368,7 @@
   int64_t held;    /* tokens of memory that are taken there */
   bool has_part;   /* the last shared part is there, or being read */
   int64_t wait_us; /* expected there for the first piece of an answer */
-  int crowded;     /* endpoints passed over for load */
+  int over_bound;  /* endpoints passed over for load */
   int64_t version; /* weights it is believed to have */
 };
 
--- a/load.c
+++ b/load.c
@@ -10,25 +10,25 @@
  */
 #define FORGET_US INT64_C (60000000)
 /* VMs that are remembered; names cost a sender nothing. */
-#define VOICES_MAX 2048
+#define PEERS_MAX 2048
 
 /* A VM that was heard. */
-struct voice
+struct peer_load
 {
-  struct load_word word; /* its last */
-  int64_t heard_us;      /* when that came */
-  bool counts;           /* its entries are in the sums */
+  struct load_gossip gossip; /* its last */
+  int64_t heard_us;          /* when that came */
+  bool counts;               /* its entries are in the sums */
 };
 
-struct load_book
+struct load_table
 {
-  GHashTable *voices; /* VM's name to struct voice */
-  GHashTable *sums;   /* endpoint's key to struct at_endpoint */
-  GHashTable *parts;  /* both keys mixed to struct part_there */
-  int counting;       /* voices whose entries are in the sums */
-  int all;            /* VMs that there are, to SOME that speak */
-  int some;           /* see above */
-  bool partial;       /* other failure domains are not heard */
+  GHashTable *peers; /* VM's name to struct peer_load */
+  GHashTable *sums;  /* endpoint's key to struct at_endpoint */
+  GHashTable *parts; /* both keys mixed to struct part_there */
+  int counting;      /* peers whose entries are in the sums */
+  int all;           /* VMs that there are, to SOME that speak */
+  int some;          /* see above */
+  bool partial;      /* other failure domains are not heard */
 };
 
 /* What is known of an endpoint. */
@@ -47,25 +47,25 @@
   int64_t tokens; /* that it takes, by the first of them */
 };
 
-struct load_book *
+struct load_table *
 load_new (void)
 {
-  struct load_book *b = g_new0 (struct load_book, 1);
+  struct load_table *t = g_new0 (struct load_table, 1);
 
-  b->voices = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
-  b->sums = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
-  b->parts = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
-  b->all = b->some = 1;
-  return b;
+  t->peers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  t->sums = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  t->parts = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  t->all = t->some = 1;
+  return t;
 }
 
 void
-load_free (struct load_book *b)
+load_free (struct load_table *t)
 {
-  g_hash_table_destroy (b->voices);
-  g_hash_table_destroy (b->sums);
-  g_hash_table_destroy (b->parts);
-  g_free (b);
+  g_hash_table_destroy (t->peers);
+  g_hash_table_destroy (t->sums);
+  g_hash_table_destroy (t->parts);
+  g_free (t);
 }
 
 static uint64_t
@@ -75,24 +75,24 @@
 }
 
 static struct at_endpoint *
-need_endpoint (struct load_book *b, uint64_t key)
+need_endpoint (struct load_table *t, uint64_t key)
 {
-  struct at_endpoint *at = g_hash_table_lookup (b->sums, &key);
+  struct at_endpoint *at = g_hash_table_lookup (t->sums, &key);
 
   if (at != NULL)
     return at;
   at = g_new0 (struct at_endpoint, 1);
   at->key = key;
-  g_hash_table_insert (b->sums, &at->key, at);
+  g_hash_table_insert (t->sums, &at->key, at);
   return at;
 }
 
 /* Memory that the part takes in addition, now that it is named once more. */
 static int64_t
-name_part (struct load_book *b, const struct load_entry *e)
+name_part (struct load_table *t, const struct load_entry *e)
 {
   uint64_t key = mix (e->endpoint, e->part);
-  struct part_there *p = g_hash_table_lookup (b->parts, &key);
+  struct part_there *p = g_hash_table_lookup (t->parts, &key);
 
   if (p != NULL)
     {
@@ -103,144 +103,144 @@
   p->key = key;
   p->entries = 1;
   p->tokens = e->shared_held;
-  g_hash_table_insert (b->parts, &p->key, p);
+  g_hash_table_insert (t->parts, &p->key, p);
   return p->tokens;
 }
 
 /* Memory that it gives back, now that it is named once less. */
 static int64_t
-unname_part (struct load_book *b, const struct load_entry *e)
+unname_part (struct load_table *t, const struct load_entry *e)
 {
   uint64_t key = mix (e->endpoint, e->part);
-  struct part_there *p = g_hash_table_lookup (b->parts, &key);
+  struct part_there *p = g_hash_table_lookup (t->parts, &key);
   int64_t tokens;
 
   if (p == NULL || --p->entries > 0)
     return 0;
   tokens = p->tokens;
-  g_hash_table_remove (b->parts, &key);
+  g_hash_table_remove (t->parts, &key);
   return tokens;
 }
 
 static void
-add_entry (struct load_book *b, const struct load_entry *e)
+add_entry (struct load_table *t, const struct load_entry *e)
 {
-  struct at_endpoint *at = need_endpoint (b, e->endpoint);
+  struct at_endpoint *at = need_endpoint (t, e->endpoint);
 
   at->entries++;
   at->sum.unread += e->unread + e->shared_unread;
-  at->sum.held += e->held + name_part (b, e);
+  at->sum.held += e->held + name_part (t, e);
 }
 
 static void
-remove_entry (struct load_book *b, const struct load_entry *e)
+remove_entry (struct load_table *t, const struct load_entry *e)
 {
-  struct at_endpoint *at = need_endpoint (b, e->endpoint);
+  struct at_endpoint *at = need_endpoint (t, e->endpoint);
 
   at->sum.unread -= e->unread + e->shared_unread;
-  at->sum.held -= e->held + unname_part (b, e);
+  at->sum.held -= e->held + unname_part (t, e);
   if (--at->entries == 0)
-    g_hash_table_remove (b->sums, &e->endpoint);
+    g_hash_table_remove (t->sums, &e->endpoint);
 }
 
 static void
-count (struct load_book *b, struct voice *v, bool counts)
+count (struct load_table *t, struct peer_load *p, bool counts)
 {
   int i;
 
-  if (v->counts == counts)
+  if (p->counts == counts)
     return;
-  for (i = 0; i < v->word.n; i++)
+  for (i = 0; i < p->gossip.n; i++)
     if (counts)
-      add_entry (b, &v->word.entries[i]);
+      add_entry (t, &p->gossip.entries[i]);
     else
-      remove_entry (b, &v->word.entries[i]);
-  v->counts = counts;
-  b->counting += counts ? 1 : -1;
+      remove_entry (t, &p->gossip.entries[i]);
+  p->counts = counts;
+  t->counting += counts ? 1 : -1;
 }
 
 static bool
-is_newer (const struct load_word *w, const struct load_word *old)
+is_newer (const struct load_gossip *w, const struct load_gossip *old)
 {
   return w->life != old->life ? w->life > old->life : w->beat > old->beat;
 }
 
 bool
-load_hear (struct load_book *b, const struct load_word *w, int64_t now_us)
+load_take (struct load_table *t, const struct load_gossip *w, int64_t now_us)
 {
-  struct voice *v = g_hash_table_lookup (b->voices, w->vm);
+  struct peer_load *p = g_hash_table_lookup (t->peers, w->vm);
 
-  if (v != NULL && !is_newer (w, &v->word))
+  if (p != NULL && !is_newer (w, &p->gossip))
     return false;
-  if (v == NULL && g_hash_table_size (b->voices) >= VOICES_MAX)
+  if (p == NULL && g_hash_table_size (t->peers) >= PEERS_MAX)
     return false;
-  if (v == NULL)
+  if (p == NULL)
     {
-      v = g_new0 (struct voice, 1);
-      v->word = *w;
-      g_hash_table_insert (b->voices, v->word.vm, v);
+      p = g_new0 (struct peer_load, 1);
+      p->gossip = *w;
+      g_hash_table_insert (t->peers, p->gossip.vm, p);
     }
-  count (b, v, false);
-  v->word = *w;
-  v->heard_us = now_us;
-  count (b, v, true);
+  count (t, p, false);
+  p->gossip = *w;
+  p->heard_us = now_us;
+  count (t, p, true);
   return true;
 }
 
 void
-load_fade (struct load_book *b, int64_t now_us)
+load_expire (struct load_table *t, int64_t now_us)
 {
   GHashTableIter it;
-  struct voice *v;
+  struct peer_load *p;
 
-  g_hash_table_iter_init (&it, b->voices);
-  while (g_hash_table_iter_next (&it, NULL, (gpointer *)&v))
+  g_hash_table_iter_init (&it, t->peers);
+  while (g_hash_table_iter_next (&it, NULL, (gpointer *)&p))
     {
-      if (now_us - v->heard_us > SILENT_US)
-        count (b, v, false);
-      if (now_us - v->heard_us > FORGET_US)
+      if (now_us - p->heard_us > SILENT_US)
+        count (t, p, false);
+      if (now_us - p->heard_us > FORGET_US)
         g_hash_table_iter_remove (&it);
     }
 }
 
 void
-load_scale (struct load_book *b, int all, int some, bool partial)
+load_scale (struct load_table *t, int all, int some, bool partial)
 {
-  b->partial = partial;
-  b->all = MAX (all, 1);
-  b->some = CLAMP (some, 1, b->all);
+  t->partial = partial;
+  t->all = MAX (all, 1);
+  t->some = CLAMP (some, 1, t->all);
 }
 
 bool
-load_is_partial (const struct load_book *b)
+load_is_partial (const struct load_table *t)
 {
-  return b != NULL && b->partial;
+  return t != NULL && t->partial;
 }
 
 struct load_sum
-load_at (const struct load_book *b, uint64_t endpoint)
+load_at (const struct load_table *t, uint64_t endpoint)
 {
   const struct at_endpoint *at
-      = b != NULL ? g_hash_table_lookup (b->sums, &endpoint) : NULL;
+      = t != NULL ? g_hash_table_lookup (t->sums, &endpoint) : NULL;
   struct load_sum sum = { 0 };
 
   if (at == NULL)
     return sum;
-  sum.unread = at->sum.unread * b->all / b->some;
-  sum.held = at->sum.held * b->all / b->some;
+  sum.unread = at->sum.unread * t->all / t->some;
+  sum.held = at->sum.held * t->all / t->some;
   return sum;
 }
 
 bool
-load_has_part (const struct load_book *b, uint64_t endpoint, uint64_t part)
+load_has_part (const struct load_table *t, uint64_t endpoint, uint64_t part)
 {
   uint64_t key = mix (endpoint, part);
 
-  return b != NULL && g_hash_table_contains (b->parts, &key);
+  return t != NULL && g_hash_table_contains (t->parts, &key);
 }
 
 int
-load_voices (const struct load_book *b)
+load_peers (const struct load_table *t)
 {
-  return b->counting;
+  return t->counting;
 }
--- a/load.h
+++ b/load.h
@@ -37,7 +37,7 @@
 
 /* What a VM says of its own requests, whole: a lost word is made good by the
    next one. */
-struct load_word
+struct load_gossip
 {
   char vm[LOAD_VM_SIZE];     /* its name */
   char domain[LOAD_VM_SIZE]; /* its failure domain */
@@ -47,28 +47,28 @@
   struct load_entry entries[LOAD_ENTRIES_MAX]; /* see above */
 };
 
-struct load_book;
+struct load_table;
 
-struct load_book *load_new (void);
-void load_free (struct load_book *b);
+struct load_table *load_new (void);
+void load_free (struct load_table *t);
 
 /* Take a VM's word in the place of its last one; false if a newer one was
    heard before. */
-bool load_hear (struct load_book *b, const struct load_word *w,
+bool load_take (struct load_table *t, const struct load_gossip *w,
                 int64_t now_us);
 /* Forget what VMs said that have been silent since. */
-void load_fade (struct load_book *b, int64_t now_us);
+void load_expire (struct load_table *t, int64_t now_us);
 /* Where only SOME of the ALL VMs of this failure domain speak to this one,
    their words stand for all.  PARTIAL: of endpoints in other domains next to
    nothing is known. */
-void load_scale (struct load_book *b, int all, int some, bool partial);
-bool load_is_partial (const struct load_book *b);
+void load_scale (struct load_table *t, int all, int some, bool partial);
+bool load_is_partial (const struct load_table *t);
 /* What all VMs have at ENDPOINT; zeros if nobody spoke of it. */
-struct load_sum load_at (const struct load_book *b, uint64_t endpoint);
+struct load_sum load_at (const struct load_table *t, uint64_t endpoint);
 /* Whether PART is being read at ENDPOINT, or in use there. */
-bool load_has_part (const struct load_book *b, uint64_t endpoint,
+bool load_has_part (const struct load_table *t, uint64_t endpoint,
                     uint64_t part);
 /* VMs whose words count now. */
-int load_voices (const struct load_book *b);
+int load_peers (const struct load_table *t);
 
 #endif
--- a/partfeed.c
+++ b/partfeed.c
@@ -97,7 +97,7 @@
   if (w->pace_us > PACE_MAX_US)
     w->pace_us = PACE_MAX_US;
   if (first)
-    note_pace (w, "crowded");
+    note_pace (w, "rate_limited");
 }
 
 static void
@@ -109,7 +109,7 @@
   if (w->pace_us >= PACE_FIRST_US / 2)
     return;
   w->pace_us = 0;
-  note_pace (w, "uncrowded");
+  note_pace (w, "not_limited");
 }
 
 static void
--- a/pick.c
+++ b/pick.c
@@ -526,7 +526,7 @@
       continue;
     if (pick_load (e, now_us) >= bound)
       {
-        choice->crowded++;
+        choice->over_bound++;
         continue;
       }
     cost = cost_of (&w, e, e == home) / EQUAL_US;
--- a/regress/fuzz-input.c
+++ b/regress/fuzz-input.c
@@ -434,7 +434,7 @@
 {
   g_autoptr (GArray) list
       = g_array_new (FALSE, TRUE, sizeof (struct roster_row));
-  struct load_word w = { .n = 0 };
+  struct load_gossip w = { .n = 0 };
   int i;
 
   if (tell_decode (data, size, &w))
--- a/regress/test-load.c
+++ b/regress/test-load.c
@@ -14,10 +14,10 @@
 #define S CQ_US_PER_S
 #define MS CQ_US_PER_MS
 
-static struct load_word
+static struct load_gossip
 word (const char *vm, uint64_t life, uint64_t beat)
 {
-  struct load_word w = { .life = life, .beat = beat };
+  struct load_gossip w = { .life = life, .beat = beat };
 
   g_strlcpy (w.vm, vm, sizeof w.vm);
   g_strlcpy (w.domain, "d1", sizeof w.domain);
@@ -26,7 +26,8 @@
 
 /* Requests that share nothing. */
 static void
-add_work (struct load_word *w, uint64_t endpoint, int64_t unread, int64_t held)
+add_work (struct load_gossip *w, uint64_t endpoint, int64_t unread,
+          int64_t held)
 {
   w->entries[w->n++] = (struct load_entry){ .endpoint = endpoint,
                                             .part = (uint64_t)w->n + 1000,
@@ -42,29 +43,29 @@
 static void
 test_whole_words (void)
 {
-  struct load_book *b = load_new ();
-  struct load_word w = word ("a", 5, 1);
+  struct load_table *b = load_new ();
+  struct load_gossip w = word ("a", 5, 1);
 
   add_work (&w, 1, 1000, 2000);
   add_work (&w, 2, 10, 20);
-  g_assert_true (load_hear (b, &w, S));
+  g_assert_true (load_take (b, &w, S));
   w = word ("b", 5, 1);
   add_work (&w, 1, 500, 600);
-  g_assert_true (load_hear (b, &w, S));
+  g_assert_true (load_take (b, &w, S));
   g_assert_cmpint (load_at (b, 1).unread, ==, 1500);
   g_assert_cmpint (load_at (b, 1).held, ==, 2600);
   w = word ("a", 5, 3);
   add_work (&w, 1, 0, 2000);
-  g_assert_true (load_hear (b, &w, S));
+  g_assert_true (load_take (b, &w, S));
   g_assert_cmpint (load_at (b, 1).unread, ==, 500);
   g_assert_cmpint (load_at (b, 2).held, ==, 0);
   w = word ("a", 5, 2);
   add_work (&w, 1, 9000, 9000);
-  g_assert_false (load_hear (b, &w, S));
+  g_assert_false (load_take (b, &w, S));
   w = word ("a", 4, 9);
-  g_assert_false (load_hear (b, &w, S));
+  g_assert_false (load_take (b, &w, S));
   w = word ("a", 6, 1);
-  g_assert_true (load_hear (b, &w, S));
+  g_assert_true (load_take (b, &w, S));
   g_assert_cmpint (load_at (b, 1).held, ==, 600);
   load_free (b);
 }
@@ -77,26 +78,26 @@
 static void
 test_part_once (void)
 {
-  struct load_book *b = load_new ();
-  struct load_word w = word ("a", 5, 1);
+  struct load_table *b = load_new ();
+  struct load_gossip w = word ("a", 5, 1);
 
   w.entries[0] = (struct load_entry){ 1, 7, 100, 200, 9000, 9000 };
   w.n = 1;
-  load_hear (b, &w, S);
+  load_take (b, &w, S);
   w = word ("b", 5, 1);
   w.entries[0] = (struct load_entry){ 1, 7, 10, 20, 0, 9000 };
   w.n = 1;
-  load_hear (b, &w, S);
+  load_take (b, &w, S);
   g_assert_cmpint (load_at (b, 1).held, ==, 9220);
   g_assert_cmpint (load_at (b, 1).unread, ==, 9110);
   g_assert_true (load_has_part (b, 1, 7));
   g_assert_false (load_has_part (b, 2, 7));
   w = word ("a", 5, 2);
-  load_hear (b, &w, S);
+  load_take (b, &w, S);
   g_assert_cmpint (load_at (b, 1).held, ==, 9020);
   g_assert_true (load_has_part (b, 1, 7));
   w = word ("b", 5, 2);
-  load_hear (b, &w, S);
+  load_take (b, &w, S);
   g_assert_cmpint (load_at (b, 1).held, ==, 0);
   g_assert_false (load_has_part (b, 1, 7));
   load_free (b);
@@ -110,20 +111,20 @@
 static void
 test_silence (void)
 {
-  struct load_book *b = load_new ();
-  struct load_word w = word ("a", 5, 1);
+  struct load_table *b = load_new ();
+  struct load_gossip w = word ("a", 5, 1);
 
   add_work (&w, 1, 1000, 2000);
-  load_hear (b, &w, S);
-  load_fade (b, 2 * S);
+  load_take (b, &w, S);
+  load_expire (b, 2 * S);
   g_assert_cmpint (load_at (b, 1).held, ==, 2000);
-  g_assert_cmpint (load_voices (b), ==, 1);
-  load_fade (b, 3 * S);
-  load_fade (b, 3 * S);
+  g_assert_cmpint (load_peers (b), ==, 1);
+  load_expire (b, 3 * S);
+  load_expire (b, 3 * S);
   g_assert_cmpint (load_at (b, 1).held, ==, 0);
-  g_assert_cmpint (load_voices (b), ==, 0);
+  g_assert_cmpint (load_peers (b), ==, 0);
   w.beat++;
-  load_hear (b, &w, 4 * S);
+  load_take (b, &w, 4 * S);
   g_assert_cmpint (load_at (b, 1).held, ==, 2000);
   load_free (b);
 }
@@ -136,8 +137,8 @@
 static void
 test_many_names (void)
 {
-  struct load_book *b = load_new ();
-  struct load_word w;
+  struct load_table *b = load_new ();
+  struct load_gossip w;
   char name[16];
   int i, taken = 0;
 
@@ -145,16 +146,16 @@
     {
       g_snprintf (name, sizeof name, "n%d", i);
       w = word (name, 1, 1);
-      taken += load_hear (b, &w, S);
+      taken += load_take (b, &w, S);
     }
   g_assert_cmpint (taken, ==, 2048);
   w = word ("n0", 1, 2);
-  g_assert_true (load_hear (b, &w, 30 * S));
-  load_fade (b, 62 * S);
+  g_assert_true (load_take (b, &w, 30 * S));
+  load_expire (b, 62 * S);
   w = word ("another", 1, 1);
-  g_assert_true (load_hear (b, &w, 62 * S));
+  g_assert_true (load_take (b, &w, 62 * S));
   w = word ("n0", 1, 2);
-  g_assert_false (load_hear (b, &w, 62 * S));
+  g_assert_false (load_take (b, &w, 62 * S));
   load_free (b);
 }
 
@@ -162,11 +163,11 @@
 static void
 test_part_for_all (void)
 {
-  struct load_book *b = load_new ();
-  struct load_word w = word ("a", 5, 1);
+  struct load_table *b = load_new ();
+  struct load_gossip w = word ("a", 5, 1);
 
   add_work (&w, 1, 1000, 2000);
-  load_hear (b, &w, S);
+  load_take (b, &w, S);
   load_scale (b, 96, 24, true);
   g_assert_cmpint (load_at (b, 1).unread, ==, 4000);
   g_assert_true (load_is_partial (b));
@@ -178,8 +179,8 @@
 static void
 test_bytes (void)
 {
-  struct load_word w = word ("vm-1", UINT64_MAX, 7);
-  struct load_word got;
+  struct load_gossip w = word ("vm-1", UINT64_MAX, 7);
+  struct load_gossip got;
   g_autoptr (GByteArray) bytes = NULL;
   guint i;
 
@@ -257,8 +258,8 @@
 test_short_beside_long (void)
 {
   struct fleet f;
-  struct load_book *b = load_new ();
-  struct load_word w = word ("a", 1, 1);
+  struct load_table *b = load_new ();
+  struct load_gossip w = word ("a", 1, 1);
   struct pick_query q = query ("subject", 300, 80);
   struct fleet_endpoint *home;
 
@@ -266,11 +267,11 @@
   q.loads = b;
   home = pick_endpoint (&f, &q, S).endpoint;
   add_work (&w, home->key, 34000, 34000);
-  load_hear (b, &w, S);
+  load_take (b, &w, S);
   g_assert_true (pick_endpoint (&f, &q, S).endpoint != home);
   w = word ("a", 1, 2);
   add_work (&w, home->key, 0, 34000);
-  load_hear (b, &w, S);
+  load_take (b, &w, S);
   g_assert_true (pick_endpoint (&f, &q, S).endpoint == home);
   load_free (b);
   fleet_clear (&f);
@@ -284,8 +285,8 @@
 test_memory (void)
 {
   struct fleet f;
-  struct load_book *b = load_new ();
-  struct load_word w = word ("a", 1, 1);
+  struct load_table *b = load_new ();
+  struct load_gossip w = word ("a", 1, 1);
   struct pick_query q = query ("history", 13000, 4000);
   struct fleet_endpoint *home;
 
@@ -293,7 +294,7 @@
   q.loads = b;
   home = pick_endpoint (&f, &q, S).endpoint;
   add_work (&w, home->key, 0, MEMORY - 20000);
-  load_hear (b, &w, S);
+  load_take (b, &w, S);
   g_assert_true (pick_endpoint (&f, &q, S).endpoint != home);
   load_free (b);
   fleet_clear (&f);
@@ -308,8 +309,8 @@
 test_own_domain (void)
 {
   struct fleet f;
-  struct load_book *b = load_new ();
-  struct load_word w = word ("a", 1, 1);
+  struct load_table *b = load_new ();
+  struct load_gossip w = word ("a", 1, 1);
   struct pick_query q;
   char part[8];
   int i;
@@ -326,7 +327,7 @@
     }
   for (i = 0; i < ENDPOINTS; i += 3)
     add_work (&w, endpoint (&f, i)->key, 60000, 0);
-  load_hear (b, &w, S);
+  load_take (b, &w, S);
   g_assert_cmpstr (pick_endpoint (&f, &q, S).endpoint->is.domain, !=, "d0");
   load_free (b);
   fleet_clear (&f);
@@ -344,7 +345,7 @@
 struct day
 {
   struct fleet fleets[VMS];        /* beliefs, by VM */
-  struct load_book *books[VMS];    /* what it heard */
+  struct load_table *books[VMS];   /* what it heard */
   uint64_t beats[VMS];             /* words told */
   int64_t free_ms[ENDPOINTS];      /* an endpoint has read all by then */
   int64_t done_ms[VMS][ENDPOINTS]; /* its own long prompt is read */
@@ -356,7 +357,7 @@
 static void
 tell_all (struct day *d, int vm, int64_t now_ms)
 {
-  struct load_word w = word ("vm", 1, ++d->beats[vm]);
+  struct load_gossip w = word ("vm", 1, ++d->beats[vm]);
   int i;
 
   g_snprintf (w.vm, sizeof w.vm, "vm%d", vm);
@@ -366,7 +367,7 @@
                 d->unread[vm][i]);
   for (i = 0; i < VMS; i++)
     if (i != vm)
-      load_hear (d->books[i], &w, now_ms * MS);
+      load_take (d->books[i], &w, now_ms * MS);
 }
 
 static void
--- a/relay.h
+++ b/relay.h
@@ -141,11 +141,11 @@
 
 struct relays_opts
 {
-  struct loop *loop;             /* whose thread runs it */
-  struct fleet *fleet;           /* beliefs */
-  struct parts *parts;           /* what stores keep, or NULL */
-  struct relay_engine engine;    /* adapter */
-  const struct load_book *loads; /* work of other VMs, or NULL */
+  struct loop *loop;              /* whose thread runs it */
+  struct fleet *fleet;            /* beliefs */
+  struct parts *parts;            /* what stores keep, or NULL */
+  struct relay_engine engine;     /* adapter */
+  const struct load_table *loads; /* work of other VMs, or NULL */
   /* Work at an endpoint began, was read or ended; may be NULL. */
   void (*worked) (void *arg, int64_t now_us);
   void *worked_arg;     /* passed to it */
@@ -163,7 +163,7 @@
 void relays_free (struct relays *rs);
 int relays_count (const struct relays *rs);
 /* What the requests of RELAYS have under way at endpoints. */
-void relays_gather (void *relays, struct load_word *word);
+void relays_gather (void *relays, struct load_gossip *word);
 
 /* Start a request that was read whole; NULL if it was answered at once. */
 struct relay *relay_start (struct relays *rs, const struct relay_desc *desc,
--- a/relayadmit.c
+++ b/relayadmit.c
@@ -166,10 +166,10 @@
   log_event (LOG_LEVEL_INFO, "too_late",
              "req=%s route=%s endpoint=%s workspace=%s rank=%d keep=%d "
              "admit=%d pressure=%" G_GINT64_FORMAT " wait_us=%" G_GINT64_FORMAT
-             " left_us=%" G_GINT64_FORMAT " candidates=%d crowded=%d",
+             " left_us=%" G_GINT64_FORMAT " candidates=%d over_bound=%d",
              r->desc.id, r->route->name, c->endpoint->is.id,
              relay_workspace (r), r->rank, keep, admit_keep (a, now_us),
              (gint64)a->pressure,
              (gint64)(now_us - r->arrived_us + c->wait_us),
-             (gint64)(r->end_us - now_us), c->candidates, c->crowded);
+             (gint64)(r->end_us - now_us), c->candidates, c->over_bound);
 }
--- a/relaytry.c
+++ b/relaytry.c
@@ -440,7 +440,7 @@
   met_add (MET_ATTEMPTS, 1);
   log_event (
       LOG_LEVEL_INFO, "send",
-      "req=%s route=%s endpoint=%s load=%d candidates=%d crowded=%d "
+      "req=%s route=%s endpoint=%s load=%d candidates=%d over_bound=%d "
       "ahead=%" G_GINT64_FORMAT " held=%" G_GINT64_FORMAT " "
       "wait_us=%" G_GINT64_FORMAT
       " fetch=%d save=%d fetch_tokens=%" G_GINT64_FORMAT
@@ -448,7 +448,7 @@
       " newer_us=%" G_GINT64_FORMAT " left_us=%" G_GINT64_FORMAT
       " conf=%" G_GINT64_FORMAT " conf_age_us=%" G_GINT64_FORMAT,
       r->desc.id, r->route->name, c->endpoint->is.id, c->load, c->candidates,
-      c->crowded, (gint64)c->ahead, (gint64)c->held, (gint64)c->wait_us,
+      c->over_bound, (gint64)c->ahead, (gint64)c->held, (gint64)c->wait_us,
       r->kept.nfetch, r->kept.nsave, (gint64)r->kept.fetch_tokens,
       (gint64)s.version, (gint64)(newer != NULL ? newer->version : 0),
       (gint64)newer_us (o->fleet, c->endpoint, now_us), (gint64)s.left_us,
--- a/relaywork.c
+++ b/relaywork.c
@@ -81,7 +81,7 @@
 }
 
 static struct load_entry *
-entry_of (struct load_word *w, const struct relay *r)
+entry_of (struct load_gossip *w, const struct relay *r)
 {
   struct load_entry *e;
   int i;
@@ -101,7 +101,7 @@
 
 /* Of too many any, since the rest are no worse known than without a word. */
 void
-relays_gather (void *ctx, struct load_word *w)
+relays_gather (void *ctx, struct load_gossip *w)
 {
   const struct relays *rs = ctx;
   const struct relay *r;
--- a/tell.c
+++ b/tell.c
@@ -54,21 +54,21 @@
 
 struct tell
 {
-  struct tell_opts opts;  /* as made */
-  apr_pool_t *pool;       /* of sockets and addresses */
-  apr_socket_t *sock;     /* bound */
-  int fd;                 /* the same */
-  struct loop_fd *watch;  /* in the loop */
-  struct roster_row self; /* as written */
-  GPtrArray *listeners;   /* struct listener, lowest rank first */
-  struct load_word word;  /* as sent last */
-  struct loop_timer say;  /* next word */
-  struct loop_timer list; /* next read of the list */
-  int64_t list_pause_us;  /* after the next read */
-  GRand *rand;            /* for pauses */
-  bool written;           /* our own row stands */
-  bool stopped;           /* tells and asks nothing more */
-  int calls;              /* to the platform, under way */
+  struct tell_opts opts;   /* as made */
+  apr_pool_t *pool;        /* of sockets and addresses */
+  apr_socket_t *sock;      /* bound */
+  int fd;                  /* the same */
+  struct loop_fd *watch;   /* in the loop */
+  struct roster_row self;  /* as written */
+  GPtrArray *listeners;    /* struct listener, lowest rank first */
+  struct load_gossip word; /* as sent last */
+  struct loop_timer say;   /* next word */
+  struct loop_timer list;  /* next read of the list */
+  int64_t list_pause_us;   /* after the next read */
+  GRand *rand;             /* for pauses */
+  bool written;            /* our own row stands */
+  bool stopped;            /* tells and asks nothing more */
+  int calls;               /* to the platform, under way */
 };
 
 /* --- addresses ------------------------------------------------------- */
@@ -219,7 +219,7 @@
 
   t->opts.gather (t->opts.ctx, &t->word);
   t->word.beat++;
-  load_hear (t->opts.book, &t->word, now_us);
+  load_take (t->opts.book, &t->word, now_us);
   bytes = tell_encode (&t->word);
   for (i = 0; i < t->listeners->len && sent < LISTENERS_MAX; i++)
     {
@@ -240,7 +240,7 @@
 {
   struct tell *t = arg;
 
-  load_fade (t->opts.book, now_us);
+  load_expire (t->opts.book, now_us);
   send_word (t, now_us);
   loop_arm (t->opts.loop, &t->say,
             now_us + (t->word.n > 0 ? AGAIN_US : IDLE_US));
@@ -258,7 +258,7 @@
 hear (struct tell *t, const char *data, size_t len, const apr_sockaddr_t *from,
       int64_t now_us)
 {
-  struct load_word w;
+  struct load_gossip w;
   struct roster_row row;
   struct listener *l;
   char *ip;
@@ -269,7 +269,7 @@
       met_add (MET_LOADS_UNREAD, 1);
       return;
     }
-  if (!load_hear (t->opts.book, &w, now_us))
+  if (!load_take (t->opts.book, &w, now_us))
     return;
   met_add (MET_LOADS_HEARD, 1);
   l = find (t, w.vm);
--- a/tell.h
+++ b/tell.h
@@ -33,14 +33,14 @@
 {
   struct loop *loop; /* whose thread runs it */
   /* Fill in what this VM's requests have under way: entries of WORD. */
-  void (*gather) (void *ctx, struct load_word *word);
-  void *ctx;              /* passed to it */
-  struct load_book *book; /* takes what others say */
-  struct roster_ops ops;  /* adapter */
-  const char *vm;         /* this VM's name */
-  const char *domain;     /* its failure domain */
-  const char *listen;     /* IP:PORT; port 0 lets the kernel choose */
-  uint64_t seed;          /* of pauses */
+  void (*gather) (void *ctx, struct load_gossip *word);
+  void *ctx;               /* passed to it */
+  struct load_table *book; /* takes what others say */
+  struct roster_ops ops;   /* adapter */
+  const char *vm;          /* this VM's name */
+  const char *domain;      /* its failure domain */
+  const char *listen;      /* IP:PORT; port 0 lets the kernel choose */
+  uint64_t seed;           /* of pauses */
 };
 
 struct tell;
@@ -56,7 +56,7 @@
 int tell_waiting (const struct tell *t);
 
 /* A word as it is sent, and read; pure.  FALSE if the bytes are none. */
-GByteArray *tell_encode (const struct load_word *w);
-bool tell_decode (const char *data, size_t len, struct load_word *w);
+GByteArray *tell_encode (const struct load_gossip *w);
+bool tell_decode (const char *data, size_t len, struct load_gossip *w);
 
 #endif
