Lines of broken attempts name what was asked

A request that comes again under another attempt id could not be told from another request, so the log could not say whether endpoints end under the same one. attempt_end now bears a digest of workspace, method, host, path and body where the attempt may have run; it is made only then, so a calm request costs nothing.

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 	peerrpc.o peerbody.o peerseal.o peer_xdr.o adm.o entry.o state.o listen.o srv.o
 # Requests that are passed on: beliefs of the fleet, and each request's life.
 RELAY = fleet.o pick.o load.o tell.o tellword.o evt.o relay.o relaytry.o \
-	relayadmit.o relaywork.o follow.o \
+	relayadmit.o relaywork.o reqid.o follow.o \
 	lease.o naming.o orders.o parts.o partfeed.o
 # The users' platform; translates only.
 PLATFORM = platform/answered.o platform/asked.o platform/decode.o platform/duty.o \
--- a/relaytry.c
+++ b/relaytry.c
@@ -5,6 +5,7 @@
 
 #include "log.h"
 #include "met.h"
+#include "reqid.h"
 
 /* Attempts that reach no endpoint at all do not count as sent; more than
    these in a row mean that waiting is no use. */
@@ -280,6 +281,29 @@
   relay_finish (r, outcome, reason, now_us);
 }
 
+/* The same request comes again under other ids, and at other VMs: only its
+   digest shows in the logs of several ends of endpoints that it was there. */
+static void
+log_attempt (const struct relay *r, enum send_state sent,
+             const struct out_verdict *v, const char *reason,
+             const char *error, int64_t now_us)
+{
+  char text[REQID_TEXT_SIZE] = "-";
+  struct reqid id;
+
+  if (sent == SEND_PARTIAL || sent == SEND_REPLIED)
+    {
+      reqid_of (&r->desc, relay_workspace (r), &id);
+      reqid_text (&id, text);
+    }
+  log_event (LOG_LEVEL_INFO, "attempt_end",
+             "req=%s endpoint=%s attempt=%d sent=%s status=%d next=%s "
+             "reason=%s took_us=%" G_GINT64_FORMAT " digest=%s error=\"%s\"",
+             r->desc.id, r->endpoint->is.id, r->attempts, out_send_name (sent),
+             r->status, out_next_name (v->next), reason,
+             (gint64)(now_us - r->sent_us), text, error);
+}
+
 /* Decide what follows an attempt that is over. */
 static void
 conclude (struct relay *r, enum send_state sent, const char *error,
@@ -289,12 +313,7 @@
   const char *reason = r->stopped != NULL ? r->stopped : v.reason;
 
   if (sent != SEND_WHOLE || v.next != NEXT_FINISH)
-    log_event (LOG_LEVEL_INFO, "attempt_end",
-               "req=%s endpoint=%s attempt=%d sent=%s status=%d next=%s "
-               "reason=%s took_us=%" G_GINT64_FORMAT " error=\"%s\"",
-               r->desc.id, r->endpoint->is.id, r->attempts,
-               out_send_name (sent), r->status, out_next_name (v.next), reason,
-               (gint64)(now_us - r->sent_us), error);
+    log_attempt (r, sent, &v, reason, error, now_us);
   tell_picking (r, sent, now_us);
   if (sent == SEND_NONE)
     r->unsent++;
