--- a/regress/fakesrv.c
+++ b/regress/fakesrv.c
@@ -17,6 +17,7 @@
  *   break_after  so many streams break after two and a half events
  *   status       of the answers
  *   silent       read requests and never answer
+ *   crash_on     the process dies under a run whose body holds this text
  *   late_order   so many orders get no answer and are carried out later
  *   born         start of its life, as its report says; another one is a
  *                restart under its id: it takes orders from number 0 again,
@@ -310,6 +311,14 @@
   return other;
 }
 
+static bool
+crashes (const struct in *in)
+{
+  g_autofree char *on = fk_string ("crash_on", "");
+
+  return on[0] != '\0' && strstr (in->body->str, on) != NULL;
+}
+
 /* False if the connection must end. */
 static bool
 run (const struct in *in)
@@ -340,6 +349,8 @@
         g_usleep (5000);
       return false;
     }
+  if (crashes (in))
+    _exit (1);
   if (!work (in->fd, fk_number ("delay_ms", 0)))
     {
       fk_log ("cancelled", "target=%s", in->target);
