Requests that crash endpoints are known by what all VMs saw of them

Callers of everything saw answers break off, as one request came again and again under new attempt ids, at another VM nearly every time: each endpoint that began on it ended, with all that ran there.

Cause: what a request did to its endpoint was known to one VM, for as long as that attempt lived. Nothing tied an attempt to the next one of the same request. Ruled out: repeats of this system's own (the finish lines say attempts=1), endpoints that end for a reason of their own (one kind of request is among those that broke at each end, 60 to 370 ms old).

An endpoint at which a connection closed is asked once whether it is there; if nothing listens any more, the requests that broke are evidence (16 of an end, by digest of workspace, method, host, path and body). VMs share it by a row each on the platform, followed by one long poll, and by datagrams sealed under a key that lies there. The verdict follows from the evidence alone: three ends or more that came together by chance at most once in 1e11, by the rate at which endpoints end otherwise and the time the request was there; what another request explains better does not count, ends at one moment count once, a whole answer clears, six ends are enough in any case. Held requests fail at once, without "not run" and without a time to return, for a minute and ten times as long with each further end.

The stand-in of the store keeps rows with any bytes, and removes rows in transactions.

--- a/Makefile
+++ b/Makefile
@@ -17,12 +17,13 @@
 	peerrpc.o peerbody.o peerseal.o peer_xdr.o adm.o entry.o state.o listen.o srv.o
 # Requests that are passed on: beliefs of the fleet, and each request's life.
 RELAY = fleet.o pick.o load.o tell.o tellword.o evt.o relay.o relaytry.o \
-	relayadmit.o relaywork.o reqid.o follow.o \
+	relayadmit.o relaywork.o relayquar.o relayends.o reqid.o quar.o \
+	quarword.o quarfeed.o follow.o \
 	lease.o naming.o orders.o parts.o partfeed.o
 # The users' platform; translates only.
 PLATFORM = platform/answered.o platform/asked.o platform/decode.o platform/duty.o \
 	platform/engine.o platform/ingress.o platform/json.o platform/kvstore.o \
-	platform/pieces.o platform/platform.o platform/roster.o platform/rows.o \
+	platform/pieces.o platform/platform.o platform/quarrows.o platform/roster.o platform/rows.o \
 	platform/store.o
 COMMANDS = main.o ctl.o ctlcall.o ctlconf.o
 
@@ -69,7 +70,8 @@
 	regress/test-relay.o regress/test-orders.o regress/test-follow.o \
 	regress/test-parts.o regress/test-xfer.o regress/test-share.o \
 	regress/test-headers.o regress/test-fresh.o regress/test-steps.o \
-	regress/test-lives.o regress/test-load.o regress/test-admit.o
+	regress/test-lives.o regress/test-load.o regress/test-admit.o \
+	regress/test-quar.o
 
 regress/test-units: $(UNITS) libplatform.a librelay.a libserver.a libwire.a libdecide.a
 	$(CC) $(CFLAGS) -o $@ $(UNITS) libplatform.a librelay.a log.o met.o loop.o xfer.o fetch.o peer_xdr.o \
--- a/entry.c
+++ b/entry.c
@@ -43,6 +43,8 @@
   int64_t duty_us;               /* this VM gave orders last */
   struct load_table *book;       /* work of other VMs */
   struct tell *tell;             /* tells them of ours; NULL if unset */
+  struct quar *quar;             /* requests that crash endpoints */
+  struct quarfeed *quarfeed;     /* shares that with other VMs */
   struct relays *relays;         /* requests under way */
   struct entry_front front_with; /* what the next one works with */
   struct door *front;            /* callers */
@@ -73,7 +75,8 @@
   int64_t stale = e->cfg->revoke_ms * CQ_US_PER_MS - REVOKE_MARGIN_US;
 
   return server_phase (s) < PHASE_NOTICE && e->fleet.conf != NULL
-         && e->fleet.listed && fleet_age_us (&e->fleet, now_us) < stale;
+         && e->fleet.listed && quarfeed_known (e->quarfeed, now_us)
+         && fleet_age_us (&e->fleet, now_us) < stale;
 }
 
 static void
@@ -189,6 +192,63 @@
     tell_changed (e->tell, now_us);
 }
 
+/* --- quarantine ------------------------------------------------------ */
+
+static int64_t
+platform_ms (void *arg, int64_t now_us)
+{
+  struct entry *e = arg;
+
+  return follow_clock_ms (e->follow, now_us);
+}
+
+static void
+on_witnessed (void *arg, int64_t now_us)
+{
+  struct entry *e = arg;
+
+  quarfeed_changed (e->quarfeed, now_us);
+}
+
+static bool
+is_informed (void *arg, int64_t now_us)
+{
+  struct entry *e = arg;
+
+  return quarfeed_known (e->quarfeed, now_us);
+}
+
+static void
+send_evidence (void *arg, const GByteArray *datagram)
+{
+  struct entry *e = arg;
+
+  if (e->tell != NULL)
+    tell_send (e->tell, datagram);
+}
+
+static bool
+hear_evidence (void *arg, const char *data, size_t len, int64_t now_us)
+{
+  struct entry *e = arg;
+
+  return quarfeed_hear (e->quarfeed, data, len, now_us);
+}
+
+static void
+make_quarfeed (struct entry *e)
+{
+  struct quarfeed_opts o = { .loop = e->worker->loop, .quar = e->quar };
+
+  entry_adapter.quar_ops (e->store, &o.ops);
+  o.vm = cfg_vm (e->settings)->name;
+  o.clock_ms = platform_ms;
+  o.send = send_evidence;
+  o.arg = e;
+  o.seed = seed_of (cfg_vm (e->settings));
+  e->quarfeed = quarfeed_new (&o);
+}
+
 static void
 make_relays (struct entry *e)
 {
@@ -200,6 +260,11 @@
   o.loads = e->book;
   o.worked = on_worked;
   o.worked_arg = e;
+  o.quar = e->quar;
+  o.clock_ms = platform_ms;
+  o.witnessed = on_witnessed;
+  o.informed = is_informed;
+  o.quar_arg = e;
   o.domain = vm->domain;
   o.stale_us = e->cfg->revoke_ms * CQ_US_PER_MS - REVOKE_MARGIN_US;
   o.deny_us = deny_us (e->cfg);
@@ -223,6 +288,8 @@
   entry_adapter.roster_ops (e->store, &o.ops);
   o.ctx = e->relays;
   o.book = e->book;
+  o.other = hear_evidence;
+  o.other_ctx = e;
   o.vm = vm->name;
   o.domain = vm->domain;
   o.listen = e->cfg->tell;
@@ -271,15 +338,18 @@
   e->fleet.old_end_us
       = e->cfg->version_ms * CQ_US_PER_MS - VERSION_END_MARGIN_US;
   e->book = load_new ();
+  e->quar = quar_new (e->cfg->quarantine_s * CQ_US_PER_S / CQ_US_PER_MS);
   make_feed (e);
   make_relays (e);
   if (!open_doors (e))
     return NULL;
   e->store = entry_adapter.open (w->pool, e->cfg->store);
   make_orders (e);
+  make_quarfeed (e);
   if (!make_tell (e))
     return NULL;
   start_following (e);
+  quarfeed_start (e->quarfeed, loop_now_us ());
   e->sweep.fire = on_sweep;
   e->sweep.arg = e;
   loop_arm (w->loop, &e->sweep, loop_now_us () + SWEEP_US);
@@ -300,6 +370,7 @@
   orders_stop (e->orders);
   follow_stop (e->follow);
   partfeed_stop (e->feed);
+  quarfeed_stop (e->quarfeed);
   if (e->tell != NULL)
     tell_stop (e->tell);
   loop_disarm (&e->sweep);
@@ -318,7 +389,7 @@
   if (e == NULL)
     return 0;
   return follow_waiting (e->follow) + orders_waiting (e->orders)
-         + partfeed_waiting (e->feed)
+         + partfeed_waiting (e->feed) + quarfeed_waiting (e->quarfeed)
          + (e->tell != NULL ? tell_waiting (e->tell) : 0);
 }
 
@@ -328,11 +399,13 @@
   if (e == NULL)
     return;
   follow_free (e->follow);
+  quarfeed_free (e->quarfeed);
   orders_free (e->orders);
   partfeed_free (e->feed);
   relays_free (e->relays);
   if (e->tell != NULL)
     tell_free (e->tell);
+  quar_free (e->quar);
   load_free (e->book);
   parts_clear (&e->parts);
   fleet_clear (&e->fleet);
--- a/entry.h
+++ b/entry.h
@@ -9,6 +9,7 @@
 #include "libserver.h"
 #include "orders.h"
 #include "partfeed.h"
+#include "quarfeed.h"
 #include "relay.h"
 #include "tell.h"
 
@@ -28,6 +29,7 @@
   void (*follow_ops) (void *store, struct follow_ops *ops);
   void (*orders_ops) (void *store, struct orders_ops *ops);
   void (*roster_ops) (void *store, struct roster_ops *ops);
+  void (*quar_ops) (void *store, struct quar_ops *ops);
   void (*partfeed_ops) (struct partfeed_ops *ops, struct xfer_pool *pool);
   void (*engine_ops) (struct relay_engine *ops, struct xfer_pool *pool);
   /* The door for callers. */
--- a/follow.c
+++ b/follow.c
@@ -479,6 +479,12 @@
     loop_arm (f->opts.loop, &s->timer, s->asked_us + gaps[s->source]);
 }
 
+int64_t
+follow_clock_ms (const struct follow *f, int64_t now_us)
+{
+  return f->clock_known ? (now_us - f->clock_low_us) / CQ_US_PER_MS : 0;
+}
+
 int64_t
 follow_wait_us (int64_t current_us, int64_t age_us)
 {
--- a/follow.h
+++ b/follow.h
@@ -109,6 +109,8 @@
 /* How long a poll for the operators' changes may wait, by the age that their
    knowledge has as it is sent and is to stay below. */
 int64_t follow_wait_us (int64_t current_us, int64_t age_us);
+/* The platform's clock, not behind it; 0 while no answer told it. */
+int64_t follow_clock_ms (const struct follow *f, int64_t now_us);
 /* Calls under way. */
 int follow_waiting (const struct follow *f);
 
--- a/librelay.h
+++ b/librelay.h
@@ -7,6 +7,7 @@
 
 #include "evt.h"
 #include "relay.h"
+#include "relayends.h"
 
 /* When to ask again: after a failure, and while nothing is known yet. */
 #define RETRY_SOON_US (500 * CQ_US_PER_MS)
@@ -30,6 +31,7 @@
   int count;                             /* their number */
   GHashTable *services;                  /* name to struct relay_service */
   GHashTable *usual; /* route's name to int64_t: time that its callers have */
+  struct relayends *ends;  /* endpoints that end; NULL without evidence */
   struct loop_timer sweep; /* deadlines and hang-ups */
   unsigned sweeps;         /* done so far */
   uint64_t random;         /* state of random choices */
@@ -63,25 +65,27 @@
   struct evt events;       /* of a stream */
   struct loop_msg unpause; /* posted when the reader caught up */
   int64_t sent_us;         /* when the attempt started */
-  int64_t handed_us; /* when its first attempt was handed over; 0: never */
-  int64_t first_us;  /* first piece passed on, 0 for none */
-  int ntried;        /* entries in tried */
-  int status;        /* of the attempt's answer, 0 if none */
-  int running;       /* at the endpoint by that answer, -1 if unsaid */
-  int waiting;       /* there by that answer */
-  int attempts;      /* that were handed over */
-  int unsent;        /* that were not */
-  bool handed_over;  /* a byte may have left */
-  bool not_run;      /* the endpoint said so */
-  bool streaming;    /* the answer goes on in pieces */
-  bool answering;    /* some of the attempt's answer came */
-  bool unread;       /* its endpoint still reads its prompt */
-  bool heavy;        /* its work is told to other VMs */
-  bool ran;          /* an earlier attempt may have run */
-  bool begun;        /* the caller has part of a stream */
-  bool paused;       /* the attempt waits for a slow reader */
-  bool unpausing;    /* that message is under way */
-  bool done;         /* freed when the message has come */
+  int64_t handed_us;     /* when its first attempt was handed over; 0: never */
+  int64_t first_us;      /* first piece passed on, 0 for none */
+  int ntried;            /* entries in tried */
+  int status;            /* of the attempt's answer, 0 if none */
+  int running;           /* at the endpoint by that answer, -1 if unsaid */
+  int waiting;           /* there by that answer */
+  int attempts;          /* that were handed over */
+  int unsent;            /* that were not */
+  struct reqid identity; /* what is asked; once it is identified */
+  bool identified;       /* that was worked out */
+  bool handed_over;      /* a byte may have left */
+  bool not_run;          /* the endpoint said so */
+  bool streaming;        /* the answer goes on in pieces */
+  bool answering;        /* some of the attempt's answer came */
+  bool unread;           /* its endpoint still reads its prompt */
+  bool heavy;            /* its work is told to other VMs */
+  bool ran;              /* an earlier attempt may have run */
+  bool begun;            /* the caller has part of a stream */
+  bool paused;           /* the attempt waits for a slow reader */
+  bool unpausing;        /* that message is under way */
+  bool done;             /* freed when the message has come */
 };
 
 /* Whether a second run would do no harm. */
@@ -126,6 +130,13 @@
 void relay_give_up (struct relay *r, enum outcome outcome, const char *reason,
                     int64_t retry_after_us, int64_t now_us);
 
+/* What R asks, worked out when it is needed first. */
+const struct reqid *relay_identity (struct relay *r);
+/* Whether it is refused since endpoints ended under it; tells the log. */
+bool relay_is_held (struct relay *r, int64_t now_us);
+/* An attempt at R's endpoint is over: it broke off, or was answered whole. */
+void relay_witness (struct relay *r, enum send_state sent, int64_t now_us);
+
 /* Find an endpoint for the next attempt, or give up. */
 void relay_place (struct relay *r, int64_t now_us);
 /* It waits at an endpoint with weights on which nothing may begin any more. */
--- a/met.c
+++ b/met.c
@@ -55,6 +55,8 @@
                         "Words of other VMs about their work." },
   [MET_LOADS_UNREAD] = { "camphorquay_loads_unread_total", "counter",
                          "Datagrams that are no such word." },
+  [MET_HELD] = { "camphorquay_quarantined_total", "counter",
+                 "Requests refused since endpoints end under them." },
   [MET_RUNNING]
   = { "camphorquay_running", "gauge", "Requests at an endpoint." },
   [MET_QUEUED] = { "camphorquay_queued", "gauge", "Requests that wait." },
--- a/peer.h
+++ b/peer.h
@@ -19,6 +19,8 @@
 #define PEER_TEXT_MAX 65536
 #define PEER_BOX_MAX 1048576
 #define PEER_WORK_MAX 40
+#define PEER_FACTS_MAX 128
+#define PEER_REQUEST_BYTES 16
 
 struct peer_member {
 	char *name;
@@ -89,6 +91,22 @@
 };
 typedef struct peer_work peer_work;
 
+struct peer_fact {
+	char request[PEER_REQUEST_BYTES];
+	u_quad_t endpoint;
+	u_quad_t at_ms;
+	u_int ran_ms;
+};
+typedef struct peer_fact peer_fact;
+
+struct peer_facts {
+	struct {
+		u_int facts_len;
+		peer_fact *facts_val;
+	} facts;
+};
+typedef struct peer_facts peer_facts;
+
 enum peer_proc {
 	PEER_PING = 1,
 	PEER_CHANGES = 2,
@@ -144,6 +162,8 @@
 extern  bool_t xdr_peer_changes (XDR *, peer_changes*);
 extern  bool_t xdr_peer_work_entry (XDR *, peer_work_entry*);
 extern  bool_t xdr_peer_work (XDR *, peer_work*);
+extern  bool_t xdr_peer_fact (XDR *, peer_fact*);
+extern  bool_t xdr_peer_facts (XDR *, peer_facts*);
 extern  bool_t xdr_peer_proc (XDR *, peer_proc*);
 extern  bool_t xdr_peer_envelope (XDR *, peer_envelope*);
 extern  bool_t xdr_peer_sealed (XDR *, peer_sealed*);
@@ -157,6 +177,8 @@
 extern bool_t xdr_peer_changes ();
 extern bool_t xdr_peer_work_entry ();
 extern bool_t xdr_peer_work ();
+extern bool_t xdr_peer_fact ();
+extern bool_t xdr_peer_facts ();
 extern bool_t xdr_peer_proc ();
 extern bool_t xdr_peer_envelope ();
 extern bool_t xdr_peer_sealed ();
--- a/peer.x
+++ b/peer.x
@@ -9,6 +9,8 @@
 const PEER_TEXT_MAX = 65536;
 const PEER_BOX_MAX = 1048576;
 const PEER_WORK_MAX = 40;
+const PEER_FACTS_MAX = 128;
+const PEER_REQUEST_BYTES = 16;
 
 /* A VM as it says of itself, or as others say of it. */
 struct peer_member
@@ -79,6 +81,22 @@
   peer_work_entry entries<PEER_WORK_MAX>;
 };
 
+/* What a VM saw of a request: that the endpoint with this key ended under it,
+   or, if that is 0, that one answered it whole. */
+struct peer_fact
+{
+  opaque request[PEER_REQUEST_BYTES];
+  unsigned hyper endpoint;
+  unsigned hyper at_ms;
+  unsigned int ran_ms;
+};
+
+/* A row of the platform's table, and, sealed, a datagram of its own. */
+struct peer_facts
+{
+  peer_fact facts<PEER_FACTS_MAX>;
+};
+
 /* Kinds of messages. */
 enum peer_proc
 {
--- a/peer_xdr.c
+++ b/peer_xdr.c
@@ -175,6 +175,34 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_fact (XDR *xdrs, peer_fact *objp)
+{
+	register int32_t *buf;
+
+	int i;
+	 if (!xdr_opaque (xdrs, objp->request, PEER_REQUEST_BYTES))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->endpoint))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->at_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ran_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_facts (XDR *xdrs, peer_facts *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->facts.facts_val, (u_int *) &objp->facts.facts_len, PEER_FACTS_MAX,
+		sizeof (peer_fact), (xdrproc_t) xdr_peer_fact))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_proc (XDR *xdrs, peer_proc *objp)
 {
--- /dev/null
+++ b/quarword.c
@@ -0,0 +1,126 @@
+/* Facts about requests that crash endpoints, as bytes. */
+#include "quarword.h"
+
+#include <sodium.h>
+#include <string.h>
+
+#include "peer.h"
+
+/* No request runs for longer; what says so was not written by a VM. */
+#define RAN_MAX_MS 86400000
+/* Bytes of one fact, and of their count before them. */
+#define FACT_BYTES (REQID_BYTES + 8 + 8 + 4)
+#define COUNT_BYTES 4
+
+/* First bytes of a sealed datagram: no word about work begins so, since that
+   begins with the length of a name. */
+static const uint8_t mark[4] = { 0xc4, 'q', 'f', '1' };
+
+static void
+put (const struct quar_fact *f, peer_fact *to)
+{
+  memcpy (to->request, f->id.bytes, sizeof to->request);
+  to->endpoint = f->done ? 0 : f->end.endpoint;
+  to->at_ms = (uint64_t)MAX (f->end.at_ms, 0);
+  to->ran_ms = (u_int)CLAMP (f->end.ran_ms, 0, RAN_MAX_MS);
+}
+
+GByteArray *
+quarword_write (const GArray *facts, guint max)
+{
+  guint n = MIN (facts->len, MIN (max, QUARWORD_ROW_MAX));
+  g_autofree peer_fact *list = g_new0 (peer_fact, n + 1);
+  peer_facts all = { .facts = { n, list } };
+  GByteArray *out = g_byte_array_new ();
+  XDR x;
+  guint i;
+
+  for (i = 0; i < n; i++)
+    put (&g_array_index (facts, struct quar_fact, i), &list[i]);
+  g_byte_array_set_size (out, COUNT_BYTES + n * FACT_BYTES);
+  xdrmem_create (&x, (char *)out->data, out->len, XDR_ENCODE);
+  if (!xdr_peer_facts (&x, &all))
+    g_byte_array_set_size (out, 0);
+  xdr_destroy (&x);
+  return out;
+}
+
+static bool
+get (const peer_fact *from, struct quar_fact *f)
+{
+  memset (f, 0, sizeof *f);
+  memcpy (f->id.bytes, from->request, sizeof f->id.bytes);
+  f->done = from->endpoint == 0;
+  f->end.endpoint = from->endpoint;
+  f->end.at_ms = (int64_t)from->at_ms;
+  f->end.ran_ms = (int64_t)from->ran_ms;
+  return from->at_ms > 0 && from->at_ms <= G_MAXINT64 / 2
+         && from->ran_ms <= RAN_MAX_MS;
+}
+
+bool
+quarword_read (const uint8_t *data, size_t len, GArray *facts)
+{
+  peer_facts all = { 0 };
+  struct quar_fact f;
+  bool good;
+  XDR x;
+  u_int i;
+
+  if (len > COUNT_BYTES + (size_t)QUARWORD_ROW_MAX * FACT_BYTES)
+    return false;
+  xdrmem_create (&x, (char *)data, (u_int)len, XDR_DECODE);
+  good = xdr_peer_facts (&x, &all);
+  for (i = 0; good && i < all.facts.facts_len; i++)
+    if (get (&all.facts.facts_val[i], &f))
+      g_array_append_val (facts, f);
+  xdr_destroy (&x);
+  xdr_free ((xdrproc_t)xdr_peer_facts, &all);
+  return good;
+}
+
+/*
+ * Anybody can reach the port.  What is taken from there refuses callers, so it
+ * counts only under the VMs' key.  A datagram that is recorded and sent again
+ * says nothing new: the same facts are the same evidence.
+ */
+GByteArray *
+quarword_seal (const GArray *facts, const uint8_t *key)
+{
+  g_autoptr (GByteArray) plain = quarword_write (facts, QUARWORD_DATAGRAM_MAX);
+  uint8_t nonce[crypto_secretbox_NONCEBYTES];
+  GByteArray *out = g_byte_array_new ();
+  guint at;
+
+  randombytes_buf (nonce, sizeof nonce);
+  g_byte_array_append (out, mark, sizeof mark);
+  g_byte_array_append (out, nonce, sizeof nonce);
+  at = out->len;
+  g_byte_array_set_size (out, at + plain->len + crypto_secretbox_MACBYTES);
+  crypto_secretbox_easy (out->data + at, plain->data, plain->len, nonce, key);
+  return out;
+}
+
+bool
+quarword_is_sealed (const uint8_t *data, size_t len)
+{
+  return len >= sizeof mark && memcmp (data, mark, sizeof mark) == 0;
+}
+
+bool
+quarword_open (const uint8_t *data, size_t len, const uint8_t *key,
+               GArray *facts)
+{
+  const uint8_t *nonce = data + sizeof mark;
+  const uint8_t *box = nonce + crypto_secretbox_NONCEBYTES;
+  size_t head = sizeof mark + crypto_secretbox_NONCEBYTES;
+  g_autofree uint8_t *plain = NULL;
+
+  if (!quarword_is_sealed (data, len)
+      || len < head + crypto_secretbox_MACBYTES)
+    return false;
+  len -= head;
+  plain = g_malloc (len);
+  return crypto_secretbox_open_easy (plain, box, len, nonce, key) == 0
+         && quarword_read (plain, len - crypto_secretbox_MACBYTES, facts);
+}
--- a/regress/fakerows.c
+++ b/regress/fakerows.c
@@ -24,6 +24,7 @@
   char *table;     /* its table */
   char *key;       /* its key */
   char *value;     /* plain, NULL once removed */
+  size_t len;      /* bytes of it */
   int64_t version; /* of its last change */
 };
 
@@ -51,7 +52,7 @@
 
 /* Under the lock; VALUE is taken over, NULL removes the row. */
 static void
-set (const char *table, const char *key, char *value)
+set (const char *table, const char *key, char *value, size_t len)
 {
   struct row *r = find (table, key);
 
@@ -64,6 +65,7 @@
     }
   g_free (r->value);
   r->value = value;
+  r->len = len;
   r->version = newest;
 }
 
@@ -71,7 +73,7 @@
 row_json (const struct row *r)
 {
   const char *value = r->value ? r->value : "";
-  size_t n = strlen (value);
+  size_t n = r->value ? r->len : 0;
   size_t size = sodium_base64_encoded_len (n, sodium_base64_VARIANT_ORIGINAL);
   g_autofree char *coded = g_malloc (size);
   json_t *doc;
@@ -225,13 +227,18 @@
                        sodium_base64_VARIANT_ORIGINAL);
     if (hold)
       {
-        set (text (one, "Table"), text (one, "Key"), plain);
+        set (text (one, "Table"), text (one, "Key"), plain, n);
         fk_log ("row", "table=%s key=%s version=%d value=%s",
                 text (one, "Table"), text (one, "Key"), (int)newest, plain);
       }
     else
       g_free (plain);
   }
+  json_array_foreach (json_object_get (doc, "Remove"), i, one)
+  {
+    if (hold)
+      set (text (one, "Table"), text (one, "Key"), NULL, 0);
+  }
   g_cond_broadcast (&changed);
   done = fk_take ("lose")
              ? MHD_NO
@@ -250,7 +257,8 @@
   newest++;
   find ("", "");
   set (parts[0], parts[1],
-       strcmp (r->method, "PUT") == 0 ? g_strdup (r->body->str) : NULL);
+       strcmp (r->method, "PUT") == 0 ? g_strdup (r->body->str) : NULL,
+       r->body->len);
   g_cond_broadcast (&changed);
   g_mutex_unlock (&lock);
   return fk_reply_json (r, 200, json_object ());
--- a/regress/test-relay.c
+++ b/regress/test-relay.c
@@ -35,6 +35,12 @@
   bool gone;                        /* the caller hung up */
   size_t untaken;                   /* bytes that the caller has not taken */
   int unpauses;                     /* attempts that were let go on */
+  struct quar *quar;                /* evidence */
+  bool informed;                    /* that of other VMs was read */
+  int witnessed;                    /* times that this VM saw some */
+  relay_pulse_done pulse;           /* question under way, or NULL */
+  void *pulse_arg;                  /* for it */
+  int pulses;                       /* questions so far */
 };
 
 static char *no_headers[] = { NULL };
@@ -76,6 +82,45 @@
   p->unpauses++;
 }
 
+static void
+engine_pulse (void *ctx, const struct fleet_endpoint *e, relay_pulse_done done,
+              void *arg)
+{
+  struct play *p = ctx;
+
+  (void)e;
+  p->pulses++;
+  p->pulse = done;
+  p->pulse_arg = arg;
+}
+
+/* --- the played platform and other VMs ------------------------------- */
+
+static int64_t
+clock_ms (void *arg, int64_t now_us)
+{
+  (void)arg;
+  return now_us / CQ_US_PER_MS;
+}
+
+static void
+on_witnessed (void *arg, int64_t now_us)
+{
+  struct play *p = arg;
+
+  (void)now_us;
+  p->witnessed++;
+}
+
+static bool
+is_informed (void *arg, int64_t now_us)
+{
+  struct play *p = arg;
+
+  (void)now_us;
+  return p->informed;
+}
+
 /* --- the played caller ----------------------------------------------- */
 
 static void
@@ -218,7 +263,15 @@
   o.engine.send = engine_send;
   o.engine.cancel = engine_cancel;
   o.engine.unpause = engine_unpause;
+  o.engine.pulse = engine_pulse;
   o.engine.ctx = p;
+  p->quar = quar_new (60000);
+  p->informed = true;
+  o.quar = p->quar;
+  o.clock_ms = clock_ms;
+  o.witnessed = on_witnessed;
+  o.informed = is_informed;
+  o.quar_arg = p;
   o.retry_percent = 10;
   o.retry_burst = 4;
   o.stream_buffer = 4096;
@@ -252,6 +305,7 @@
 {
   g_assert_cmpint (relays_count (p->relays), ==, 0);
   relays_free (p->relays);
+  quar_free (p->quar);
   fleet_clear (&p->fleet);
   loop_free (p->loop);
   g_string_free (p->got, TRUE);
@@ -322,6 +376,187 @@
   end (p, true, true);
 }
 
+/* --- requests that crash endpoints ----------------------------------- */
+
+/* Another VM saw four endpoints end under the request, half a second apart.
+ */
+static void
+condemn (struct play *p, const char *workspace)
+{
+  struct quar_fact f = { .done = false };
+  int64_t i;
+
+  reqid_of (&p->desc, workspace, &f.id);
+  for (i = 0; i < 4; i++)
+    {
+      f.end.endpoint = (uint64_t)(100 + i);
+      f.end.at_ms = clock_ms (p, loop_now_us ()) - 2000 + 500 * i;
+      f.end.ran_ms = 10;
+      quar_take (p->quar, &f, false);
+    }
+}
+
+/*
+ * A request under which four endpoints ended comes again under another id.
+ * It goes to no endpoint, and its caller is not told "not run", nor to come
+ * back: it ran, and would end the next one.
+ */
+static void
+test_held (void)
+{
+  static const enum fleet_kind kinds[]
+      = { FLEET_IDEMPOTENT, FLEET_ONCE, FLEET_STREAM };
+  struct play *p;
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (kinds); i++)
+    {
+      p = play_new (kinds[i]);
+      condemn (p, "ws");
+      p->desc.id = "another";
+      play_start (p);
+      g_assert_cmpint (p->sends, ==, 0);
+      g_assert_cmpint (p->refused, ==, RELAY_UNKNOWN);
+      g_assert_cmpint (p->retry_after_us, ==, 0);
+      play_free (p);
+    }
+}
+
+/* The same bytes of another workspace are another request: nobody can have
+   other callers refused. */
+static void
+test_held_by_workspace (void)
+{
+  struct play *p = play_new (FLEET_ONCE);
+
+  condemn (p, "other");
+  play_start (p);
+  g_assert_cmpint (p->sends, ==, 1);
+  answer_whole (p, "a");
+  g_assert_cmpint (p->status, ==, 200);
+  play_free (p);
+}
+
+/* Other VMs' evidence comes after the request was placed and before its first
+   byte left. */
+static void
+test_held_before_send (void)
+{
+  struct play *p = play_new (FLEET_ONCE);
+
+  play_start (p);
+  condemn (p, "ws");
+  g_assert_false (p->event->before_send (p->arg));
+  end (p, false, false);
+  g_assert_cmpint (p->refused, ==, RELAY_UNKNOWN);
+  g_assert_cmpint (p->sends, ==, 1);
+  play_free (p);
+}
+
+/* A VM that starts has not read what the others saw: it says "not run". */
+static void
+test_uninformed (void)
+{
+  struct play *p = play_new (FLEET_ONCE);
+
+  p->informed = false;
+  play_start (p);
+  g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
+  p->informed = true;
+  play_start (p);
+  answer_whole (p, "a");
+  play_free (p);
+}
+
+/* A request's answer breaks off; the endpoint is asked once, and PULSE is what
+   that shows.  Returns whether it became evidence. */
+static bool
+break_off (struct play *p, enum relay_pulse pulse)
+{
+  struct reqid id;
+
+  reqid_of (&p->desc, "ws", &id);
+  play_start (p);
+  g_assert_true (p->event->before_send (p->arg));
+  end (p, true, false);
+  g_assert_cmpint (p->refused, ==, RELAY_UNKNOWN);
+  if (p->pulse != NULL)
+    p->pulse (p->pulse_arg, pulse);
+  p->pulse = NULL;
+  return quar_suspects (p->quar, &id);
+}
+
+/*
+ * A connection closes before its answer is whole.  Only if nothing listens at
+ * the endpoint any more did it end: links are reset, endpoints break answers
+ * off and live, and one that is cut off says nothing.
+ */
+static void
+test_end_is_asked (void)
+{
+  static const enum relay_pulse pulses[]
+      = { RELAY_ALIVE, RELAY_SILENT, RELAY_ENDED };
+  struct play *p;
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (pulses); i++)
+    {
+      p = play_new (FLEET_ONCE);
+      g_assert_true (break_off (p, pulses[i]) == (pulses[i] == RELAY_ENDED));
+      g_assert_cmpint (p->pulses, ==, 1);
+      g_assert_cmpint (p->witnessed, ==, pulses[i] == RELAY_ENDED);
+      play_free (p);
+    }
+}
+
+/* An endpoint that was leaving ends as it said, under whatever it has. */
+static void
+test_release_is_no_end (void)
+{
+  struct play *p = play_new (FLEET_ONCE);
+  struct fleet_endpoint *e;
+
+  play_start (p);
+  g_assert_true (p->event->before_send (p->arg));
+  APR_RING_FOREACH (e, &p->fleet.endpoints, fleet_endpoint, link)
+  e->draining = true;
+  end (p, true, false);
+  g_assert_cmpint (p->pulses, ==, 0);
+  play_free (p);
+}
+
+/* An endpoint that breaks off one answer after the other is asked once a
+   second. */
+static void
+test_asked_seldom (void)
+{
+  struct play *p = play_new (FLEET_ONCE);
+  struct fleet_endpoint *b = g_hash_table_lookup (p->fleet.by_id, "b");
+  int i;
+
+  b->draining = true;
+  for (i = 0; i < 5; i++)
+    break_off (p, RELAY_ALIVE);
+  g_assert_cmpint (p->pulses, ==, 1);
+  play_free (p);
+}
+
+/* Where no endpoint ended, no request is digested. */
+static void
+test_calm_costs_nothing (void)
+{
+  struct play *p = play_new (FLEET_ONCE);
+
+  play_start (p);
+  g_assert_true (p->event->before_send (p->arg));
+  g_assert_false (p->relay->identified);
+  head (p, 200);
+  body (p, "a");
+  end (p, true, true);
+  g_assert_cmpint (p->pulses, ==, 0);
+  play_free (p);
+}
+
 /* --- freshness ------------------------------------------------------- */
 
 /*
@@ -1138,6 +1373,14 @@
 }
 
 const struct unit relay_units[] = {
+  { "/relay/held", test_held },
+  { "/relay/held-by-workspace", test_held_by_workspace },
+  { "/relay/held-before-send", test_held_before_send },
+  { "/relay/uninformed", test_uninformed },
+  { "/relay/end-is-asked", test_end_is_asked },
+  { "/relay/release-is-no-end", test_release_is_no_end },
+  { "/relay/asked-seldom", test_asked_seldom },
+  { "/relay/calm-costs-nothing", test_calm_costs_nothing },
   { "/relay/frozen-before-send", test_frozen_before_send },
   { "/relay/revoked-before-send", test_revoked_before_send },
   { "/relay/unknown-key", test_unknown_key },
--- a/relay.c
+++ b/relay.c
@@ -303,6 +303,16 @@
   return r;
 }
 
+/* A VM that starts must not send on what the others know to crash endpoints:
+   after a kill of all VMs each would learn it anew. */
+static bool
+is_informed (const struct relays *rs, int64_t now_us)
+{
+  const struct relays_opts *o = &rs->opts;
+
+  return o->quar == NULL || o->informed (o->quar_arg, now_us);
+}
+
 /* A request that is placed from inside its door's call may end there, so its
    end must not free it under the door. */
 struct relay *
@@ -313,7 +323,7 @@
   const struct fleet_workspace *workspace;
   struct relay *r;
 
-  if (f->conf == NULL || !f->listed)
+  if (f->conf == NULL || !f->listed || !is_informed (rs, now_us))
     {
       refuse_early (rs, d, RELAY_NOT_RUN, "nothing_known", now_us);
       return NULL;
@@ -398,6 +408,20 @@
 
 /* --- the requests of a worker ---------------------------------------- */
 
+static struct relayends *
+make_ends (struct relays *rs)
+{
+  struct relayends_opts o = { .loop = rs->opts.loop, .quar = rs->opts.quar };
+
+  if (rs->opts.quar == NULL || rs->opts.engine.pulse == NULL)
+    return NULL;
+  o.engine = &rs->opts.engine;
+  o.clock_ms = rs->opts.clock_ms;
+  o.witnessed = rs->opts.witnessed;
+  o.arg = rs->opts.quar_arg;
+  return relayends_new (&o);
+}
+
 struct relays *
 relays_new (const struct relays_opts *opts)
 {
@@ -405,6 +429,7 @@
 
   rs->opts = *opts;
   rs->random = opts->seed;
+  rs->ends = make_ends (rs);
   rs->sweep.fire = on_sweep;
   rs->sweep.arg = rs;
   rs->services
@@ -418,6 +443,8 @@
 relays_free (struct relays *rs)
 {
   loop_disarm (&rs->sweep);
+  if (rs->ends != NULL)
+    relayends_free (rs->ends);
   g_hash_table_destroy (rs->services);
   g_hash_table_destroy (rs->usual);
   g_free (rs);
--- a/relay.h
+++ b/relay.h
@@ -16,6 +16,7 @@
 #include "load.h"
 #include "loop.h"
 #include "parts.h"
+#include "quar.h"
 
 struct relay;
 struct relays;
@@ -127,6 +128,16 @@
   void (*end) (void *arg, const struct relay_end *end);
 };
 
+/* What a question to an endpoint shows. */
+enum relay_pulse
+{
+  RELAY_ALIVE, /* something answers, and nothing says that it is another */
+  RELAY_ENDED, /* nothing listens there, or another life does */
+  RELAY_SILENT /* no answer: it may be cut off */
+};
+
+typedef void (*relay_pulse_done) (void *arg, enum relay_pulse pulse);
+
 struct relay_engine
 {
   void *(*send) (void *ctx, const struct relay_send *send,
@@ -134,6 +145,10 @@
   /* Stop without a further callback; the endpoint sees a close. */
   void (*cancel) (void *ctx, void *call);
   void (*unpause) (void *ctx, void *call);
+  /* Ask whether that life of E is there; DONE is called once, later.  NULL if
+     that cannot be asked. */
+  void (*pulse) (void *ctx, const struct fleet_endpoint *e,
+                 relay_pulse_done done, void *arg);
   void *ctx; /* passed to all */
 };
 
@@ -148,7 +163,16 @@
   const struct load_table *loads; /* work of other VMs, or NULL */
   /* Work at an endpoint began, was read or ended; may be NULL. */
   void (*worked) (void *arg, int64_t now_us);
-  void *worked_arg;     /* passed to it */
+  void *worked_arg; /* passed to it */
+  /* Evidence against requests that crash endpoints, or NULL. */
+  struct quar *quar;
+  /* The platform's clock, 0 if that is not known; with quar. */
+  int64_t (*clock_ms) (void *arg, int64_t now_us);
+  /* This VM saw something that QUAR holds; with quar. */
+  void (*witnessed) (void *arg, int64_t now_us);
+  /* Whether what other VMs saw was read; with quar. */
+  bool (*informed) (void *arg, int64_t now_us);
+  void *quar_arg;       /* passed to these */
   const char *domain;   /* of this VM */
   int64_t stale_us;     /* keys count for nothing once older */
   int64_t deny_us;      /* nothing is denied for good once older */
--- /dev/null
+++ b/relayends.h
@@ -0,0 +1,33 @@
+/*
+ * Endpoints that end under requests of this VM.
+ *
+ * All requests at an endpoint break when its process ends, and each sees a
+ * closed connection, which may as well be its own: links are reset, and
+ * endpoints break answers off and live.  So an endpoint at which one broke is
+ * asked once, and only if nothing listens there any more the requests that
+ * broke are evidence.  A question costs a call an end, not a request.
+ */
+#ifndef CQ_RELAYENDS_H
+#define CQ_RELAYENDS_H
+
+#include "relay.h"
+
+struct relayends;
+
+struct relayends_opts
+{
+  struct loop *loop;                               /* whose thread runs it */
+  const struct relay_engine *engine;               /* adapter */
+  struct quar *quar;                               /* takes the evidence */
+  int64_t (*clock_ms) (void *arg, int64_t now_us); /* the platform's */
+  void (*witnessed) (void *arg, int64_t now_us);   /* there is some */
+  void *arg;                                       /* passed to both */
+};
+
+struct relayends *relayends_new (const struct relayends_opts *opts);
+/* The connection of request ID to E closed after RAN_US at it, not by us. */
+void relayends_broke (struct relayends *s, struct fleet_endpoint *e,
+                      const struct reqid *id, int64_t ran_us, int64_t now_us);
+void relayends_free (struct relayends *s);
+
+#endif
--- a/relaytry.c
+++ b/relaytry.c
@@ -5,7 +5,6 @@
 
 #include "log.h"
 #include "met.h"
-#include "reqid.h"
 
 /* Attempts that reach no endpoint at all do not count as sent; more than
    these in a row mean that waiting is no use. */
@@ -35,6 +34,18 @@
                  retry_after (r, wait_us), now_us);
 }
 
+/*
+ * The same request ran before under other ids, and ended the endpoints that it
+ * ran at, so "not run" would not be true of it, and there is no time at which
+ * it is better sent again: the caller is told at once that it failed.
+ */
+static void
+give_up_held (struct relay *r, int64_t now_us)
+{
+  relay_give_up (r, out_refused (true, relay_repeatable (r)),
+                 "crashes_endpoints", 0, now_us);
+}
+
 /* --- attempts -------------------------------------------------------- */
 
 /* Whether the endpoint's weights have been outdated for a limit, 0 for none.
@@ -80,6 +91,12 @@
     r->stopped = "weights_outdated";
   else if (caller_left (r))
     r->stopped = "caller_gone";
+  else if (relay_is_held (r, now))
+    {
+      /* Under other ids, so that it is not said to have not run. */
+      r->ran = true;
+      r->stopped = "crashes_endpoints";
+    }
   r->handed_over = r->stopped == NULL;
   if (!r->handed_over)
     return false;
@@ -284,18 +301,14 @@
 /* The same request comes again under other ids, and at other VMs: only its
    digest shows in the logs of several ends of endpoints that it was there. */
 static void
-log_attempt (const struct relay *r, enum send_state sent,
+log_attempt (struct relay *r, enum send_state sent,
              const struct out_verdict *v, const char *reason,
              const char *error, int64_t now_us)
 {
   char text[REQID_TEXT_SIZE] = "-";
-  struct reqid id;
 
   if (sent == SEND_PARTIAL || sent == SEND_REPLIED)
-    {
-      reqid_of (&r->desc, relay_workspace (r), &id);
-      reqid_text (&id, text);
-    }
+    reqid_text (relay_identity (r), text);
   log_event (LOG_LEVEL_INFO, "attempt_end",
              "req=%s endpoint=%s attempt=%d sent=%s status=%d next=%s "
              "reason=%s took_us=%" G_GINT64_FORMAT " digest=%s error=\"%s\"",
@@ -315,6 +328,7 @@
   if (sent != SEND_WHOLE || v.next != NEXT_FINISH)
     log_attempt (r, sent, &v, reason, error, now_us);
   tell_picking (r, sent, now_us);
+  relay_witness (r, sent, now_us);
   if (sent == SEND_NONE)
     r->unsent++;
   else if (sent != SEND_REFUSED)
@@ -515,6 +529,11 @@
       give_up_unplaced (r, "settings_stale", RETRY_LATER_US, now_us);
       return;
     }
+  if (relay_is_held (r, now_us))
+    {
+      give_up_held (r, now_us);
+      return;
+    }
   q.affinity = r->route->sticky ? relay_affinity (&r->desc) : NULL;
   memcpy (q.exclude, r->tried, sizeof q.exclude);
   q.nexclude = r->ntried;
--- a/reqid.c
+++ b/reqid.c
@@ -1,6 +1,8 @@
 /* Digests of requests. */
 #include "reqid.h"
 
+#include "relay.h"
+
 #include <sodium.h>
 #include <string.h>
 
--- a/reqid.h
+++ b/reqid.h
@@ -4,11 +4,11 @@
 
 #include <stdint.h>
 
-#include "relay.h"
-
 #define REQID_BYTES 16
 #define REQID_TEXT_SIZE (2 * REQID_BYTES + 1) /* in hex, with its NUL */
 
+struct relay_desc;
+
 /* Digest of what is asked, and by whom. */
 struct reqid
 {
--- a/settings_gen.c
+++ b/settings_gen.c
@@ -116,6 +116,11 @@
     2000, 600000, NULL,
     "Milliseconds after which no request may begin on weights older than "
     "those named." },
+  { "quarantine_s", CFG_INT, offsetof (struct cfg_entry, quarantine_s), "60",
+    0, 3600, NULL,
+    "Seconds for which a request is refused under which three endpoints or "
+    "more ended, if that is no chance; ten times as long with each further "
+    "end; 0 refuses none." },
   { "order_gap_ms", CFG_INT, offsetof (struct cfg_entry, order_gap_ms), "3000",
     0, 600000, NULL,
     "Milliseconds between orders to endpoints from one VM and from another." },
@@ -275,7 +280,7 @@
     "This VM and its place." },
   { "platform", false, keys_platform, 8, sizeof (struct cfg_platform),
     "The platform's services." },
-  { "entry", false, keys_entry, 13, sizeof (struct cfg_entry),
+  { "entry", false, keys_entry, 14, sizeof (struct cfg_entry),
     "Requests that come through a platform's balancer." },
   { "workspace", true, keys_workspace, 9, sizeof (struct cfg_workspace),
     "A customer of the system." },
--- a/settings_gen.h
+++ b/settings_gen.h
@@ -90,8 +90,12 @@
                         open nothing. */
   int64_t apply_ms;  /* Milliseconds after which a change of the operators'
                         configuration must be in force. */
-  int64_t version_ms;   /* Milliseconds after which no request may begin on
-                           weights older than those named. */
+  int64_t version_ms; /* Milliseconds after which no request may begin on
+                         weights older than those named. */
+  int64_t
+      quarantine_s; /* Seconds for which a request is refused under which three
+                       endpoints or more ended, if that is no chance; ten times
+                       as long with each further end; 0 refuses none. */
   int64_t order_gap_ms; /* Milliseconds between orders to endpoints from one VM
                            and from another. */
   int64_t weigh_unread; /* For experiments: percent of its weight that work
--- a/tell.c
+++ b/tell.c
@@ -235,6 +235,21 @@
   met_add (MET_LOADS_TOLD, sent);
 }
 
+void
+tell_send (struct tell *t, const GByteArray *datagram)
+{
+  guint i;
+
+  for (i = 0; !t->stopped && i < MIN (t->listeners->len, LISTENERS_MAX); i++)
+    {
+      const struct listener *l = t->listeners->pdata[i];
+      apr_size_t len = datagram->len;
+
+      apr_socket_sendto (t->sock, l->to, 0, (const char *)datagram->data,
+                         &len);
+    }
+}
+
 static void
 on_say (void *arg, int64_t now_us)
 {
@@ -263,6 +278,9 @@
   struct listener *l;
   char *ip;
 
+  if (t->opts.other != NULL
+      && t->opts.other (t->opts.other_ctx, data, len, now_us))
+    return;
   if (!tell_decode (data, len, &w) || strcmp (w.vm, t->self.vm) == 0
       || apr_sockaddr_ip_get (&ip, (apr_sockaddr_t *)from) != APR_SUCCESS)
     {
--- a/tell.h
+++ b/tell.h
@@ -36,11 +36,14 @@
   void (*gather) (void *ctx, struct load_gossip *word);
   void *ctx;               /* passed to it */
   struct load_table *book; /* takes what others say */
-  struct roster_ops ops;   /* adapter */
-  const char *vm;          /* this VM's name */
-  const char *domain;      /* its failure domain */
-  const char *listen;      /* IP:PORT; port 0 lets the kernel choose */
-  uint64_t seed;           /* of pauses */
+  /* Take a datagram of another kind; false if it is none.  May be NULL. */
+  bool (*other) (void *ctx, const char *data, size_t len, int64_t now_us);
+  void *other_ctx;       /* passed to it */
+  struct roster_ops ops; /* adapter */
+  const char *vm;        /* this VM's name */
+  const char *domain;    /* its failure domain */
+  const char *listen;    /* IP:PORT; port 0 lets the kernel choose */
+  uint64_t seed;         /* of pauses */
 };
 
 struct tell;
@@ -49,6 +52,8 @@
 struct tell *tell_new (const struct tell_opts *opts);
 /* This VM's work at an endpoint changed: the others hear within some ms. */
 void tell_changed (struct tell *t, int64_t now_us);
+/* Send a datagram of another kind to the VMs that are told. */
+void tell_send (struct tell *t, const GByteArray *datagram);
 /* Tell and ask nothing more. */
 void tell_stop (struct tell *t);
 void tell_free (struct tell *t);
--- a/xfer.c
+++ b/xfer.c
@@ -2,6 +2,7 @@
 #include "xfer.h"
 
 #include <curl/curl.h>
+#include <errno.h>
 #include <glib.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -239,6 +240,17 @@
   g_free (x);
 }
 
+/* A machine that is up said so: other than silence, that is no cut link. */
+static bool
+is_refused (const struct xfer *x, CURLcode code)
+{
+  long error = 0;
+
+  curl_easy_getinfo (x->easy, CURLINFO_OS_ERRNO, &error);
+  return code == CURLE_COULDNT_CONNECT
+         && (error == ECONNREFUSED || error == ECONNRESET);
+}
+
 static void
 finish_one (struct xfer *x, CURLcode code)
 {
@@ -247,6 +259,7 @@
   end.status = status_of (x);
   end.stopped = x->stopped;
   end.stalled = x->stalled;
+  end.refused = is_refused (x, code);
   /*
    * A reply that only the connection's end delimits looks whole when its
    * sender died half way, so it does not count as whole.
--- a/xfer.h
+++ b/xfer.h
@@ -26,6 +26,7 @@
   bool whole;        /* the reply arrived whole, and says where it ends */
   bool clean;        /* it ended without an error, if need be by a close */
   bool stopped;      /* before_send or on_body stopped it */
+  bool refused;      /* nothing listens at the address */
   bool stalled;      /* bytes of the reply came, and then none for too long */
   int status;        /* HTTP status, 0 if none arrived */
   const char *error; /* libcurl's words, "" if none */
