--- a/regress/fuzz-input.c
+++ b/regress/fuzz-input.c
@@ -385,6 +385,53 @@
   fuzz_answered (list, 421);
 }
 
+/* --- evidence against requests --------------------------------------- */
+
+static void
+check_fact (const struct quar_fact *f)
+{
+  if (f->end.at_ms <= 0 || f->end.ran_ms < 0
+      || (f->done && f->end.endpoint != 0))
+    g_error ("a fact out of its bounds");
+}
+
+static void
+fuzz_facts (const char *data, size_t size)
+{
+  static const uint8_t key[QUARWORD_KEY_BYTES] = { 1 };
+  g_autoptr (GArray) facts
+      = g_array_new (FALSE, FALSE, sizeof (struct quar_fact));
+  struct quar_rows rows
+      = { .rows = g_array_new (FALSE, TRUE, sizeof (struct quar_row)) };
+  struct quar *q = quar_new (60000);
+  bool more;
+  guint i;
+
+  if (quarword_open ((const uint8_t *)data, size, key, facts))
+    g_error ("a datagram that nobody sealed");
+  quarword_read ((const uint8_t *)data, size, facts);
+  if (facts->len > QUARWORD_ROW_MAX)
+    g_error ("more facts than a row holds");
+  for (i = 0; i < facts->len; i++)
+    {
+      check_fact (&g_array_index (facts, struct quar_fact, i));
+      quar_take (q, &g_array_index (facts, struct quar_fact, i), false);
+    }
+  for (i = 0; i < facts->len; i++)
+    quar_judge (q, &g_array_index (facts, struct quar_fact, i).id, 3, 1000);
+  pdecode_quar_rows (data, size, &rows, &more);
+  for (i = 0; i < rows.rows->len; i++)
+    {
+      struct quar_row *r = &g_array_index (rows.rows, struct quar_row, i);
+
+      g_free (r->key);
+      if (r->value != NULL)
+        g_byte_array_unref (r->value);
+    }
+  g_array_unref (rows.rows);
+  quar_free (q);
+}
+
 /* --- a whole table with a strange entry ------------------------------ */
 
 #define GOOD_ENTRY                                                            \
@@ -457,7 +504,7 @@
 
   if (size == 0)
     return 0;
-  switch (data[0] % 11)
+  switch (data[0] % 12)
     {
     case 0:
       fuzz_prompt (text, size - 1, false);
@@ -489,6 +536,9 @@
     case 9:
       fuzz_vms (text, size - 1);
       break;
+    case 10:
+      fuzz_facts (text, size - 1);
+      break;
     default:
       answer_version (text, size - 1, version, sizeof version, &cached);
     }
