Of a crash those requests are evidence that had been there shortest

With more than sixteen requests of one VM at an endpoint that crashes, the first sixteen to break were kept, in whatever order their sockets were read: the one that crashed it could be left out each time, and its caller would go on ending endpoints. What crashes an endpoint does so soon after it begins, so the shortest runs are kept (/quar/shortest-run-kept: forty break, the culprit last; it was not among the evidence before).

Beside it, the field's terms: crash for end, probe, encode and decode, receive; relayends is relaycrash, quarword is quarwire. A write of a VM's row waits for one that is under way.

--- a/Makefile
+++ b/Makefile
@@ -17,8 +17,8 @@
 	peerrpc.o peerbody.o peerseal.o peer_xdr.o adm.o entry.o state.o listen.o srv.o
 # Requests that are passed on: beliefs of the fleet, and each request's life.
 RELAY = fleet.o pick.o load.o tell.o tellword.o evt.o relay.o relaytry.o \
-	relayadmit.o relaywork.o relayquar.o relayends.o reqid.o quar.o \
-	quarword.o quarfeed.o follow.o \
+	relayadmit.o relaywork.o relayquar.o relaycrash.o reqid.o quar.o \
+	quarwire.o quarfeed.o follow.o \
 	lease.o naming.o orders.o parts.o partfeed.o
 # The users' platform; translates only.
 PLATFORM = platform/answered.o platform/asked.o platform/decode.o platform/duty.o \
@@ -119,7 +119,7 @@
 FUZZED = prompt.c strm.c peer_xdr.c platform/answered.c platform/asked.c \
 	platform/decode.c platform/json.c platform/kvstore.c platform/pieces.c \
 	platform/rows.c platform/roster.c \
-	platform/quarrows.c quar.c quarword.c tellword.c fleet.c evt.c lease.c fetch.c xfer.c stall.c loop.c
+	platform/quarrows.c quar.c quarwire.c tellword.c fleet.c evt.c lease.c fetch.c xfer.c stall.c loop.c
 regress/fuzz-input: regress/fuzz-input.c $(FUZZED) wire.h
 	clang -std=gnu11 -D_GNU_SOURCE -g -O1 $(LIB_CFLAGS) -I. \
 		-fsanitize=fuzzer,address,undefined -o $@ \
--- a/entry.c
+++ b/entry.c
@@ -203,7 +203,7 @@
 }
 
 static void
-on_witnessed (void *arg, int64_t now_us)
+on_observed (void *arg, int64_t now_us)
 {
   struct entry *e = arg;
 
@@ -211,7 +211,7 @@
 }
 
 static bool
-is_informed (void *arg, int64_t now_us)
+is_evidence_known (void *arg, int64_t now_us)
 {
   struct entry *e = arg;
 
@@ -228,11 +228,11 @@
 }
 
 static bool
-hear_evidence (void *arg, const char *data, size_t len, int64_t now_us)
+receive_evidence (void *arg, const char *data, size_t len, int64_t now_us)
 {
   struct entry *e = arg;
 
-  return quarfeed_hear (e->quarfeed, data, len, now_us);
+  return quarfeed_receive (e->quarfeed, data, len, now_us);
 }
 
 static void
@@ -262,8 +262,8 @@
   o.worked_arg = e;
   o.quar = e->quar;
   o.clock_ms = platform_ms;
-  o.witnessed = on_witnessed;
-  o.informed = is_informed;
+  o.observed = on_observed;
+  o.evidence_known = is_evidence_known;
   o.quar_arg = e;
   o.domain = vm->domain;
   o.stale_us = e->cfg->revoke_ms * CQ_US_PER_MS - REVOKE_MARGIN_US;
@@ -288,7 +288,7 @@
   entry_adapter.roster_ops (e->store, &o.ops);
   o.ctx = e->relays;
   o.book = e->book;
-  o.other = hear_evidence;
+  o.other = receive_evidence;
   o.other_ctx = e;
   o.vm = vm->name;
   o.domain = vm->domain;
--- a/librelay.h
+++ b/librelay.h
@@ -7,7 +7,7 @@
 
 #include "evt.h"
 #include "relay.h"
-#include "relayends.h"
+#include "relaycrash.h"
 
 /* When to ask again: after a failure, and while nothing is known yet. */
 #define RETRY_SOON_US (500 * CQ_US_PER_MS)
@@ -31,10 +31,10 @@
   int count;                             /* their number */
   GHashTable *services;                  /* name to struct relay_service */
   GHashTable *usual; /* route's name to int64_t: time that its callers have */
-  struct relayends *ends;  /* endpoints that end; NULL without evidence */
-  struct loop_timer sweep; /* deadlines and hang-ups */
-  unsigned sweeps;         /* done so far */
-  uint64_t random;         /* state of random choices */
+  struct relaycrash *crash; /* endpoints that end; NULL without evidence */
+  struct loop_timer sweep;  /* deadlines and hang-ups */
+  unsigned sweeps;          /* done so far */
+  uint64_t random;          /* state of random choices */
 };
 
 struct relay
@@ -135,7 +135,7 @@
 /* Whether it is refused since endpoints ended under it; tells the log. */
 bool relay_is_held (struct relay *r, int64_t now_us);
 /* An attempt at R's endpoint is over: it broke off, or was answered whole. */
-void relay_witness (struct relay *r, enum send_state sent, int64_t now_us);
+void relay_observe (struct relay *r, enum send_state sent, int64_t now_us);
 
 /* Find an endpoint for the next attempt, or give up. */
 void relay_place (struct relay *r, int64_t now_us);
--- a/quar.h
+++ b/quar.h
@@ -3,7 +3,7 @@
  *
  * Such a request comes again, under other ids and at any VM, and each time
  * takes an endpoint and all that runs there with it.  What all VMs saw of it
- * is gathered here as evidence: which endpoints ended under it, and whether
+ * is gathered here as evidence: which endpoints crashed under it, and whether
  * one ever answered it whole.  The verdict follows from the evidence and the
  * time alone, so VMs that have the same evidence agree without a word, and a
  * VM that starts anew need only read it.  Everything here is pure.
@@ -20,13 +20,13 @@
 
 #include "reqid.h"
 
-#define QUAR_ENDS_MAX 8        /* remembered of one request, the newest */
+#define QUAR_CRASHES_MAX 8     /* remembered of one request, the newest */
 #define QUAR_REQUESTS_MAX 1024 /* remembered in all */
 
-/* An endpoint ended while it had the request. */
-struct quar_end
+/* An endpoint crashed while it had the request. */
+struct quar_crash
 {
-  uint64_t endpoint; /* key of the incarnation that ended */
+  uint64_t endpoint; /* key of the incarnation that crashed */
   int64_t at_ms;     /* when */
   int64_t ran_ms;    /* for how long it had had the request */
 };
@@ -35,15 +35,15 @@
 struct quar_fact
 {
   struct reqid id; /* the request */
-  bool done;       /* it was answered whole at end.at_ms; else END counts */
-  struct quar_end end; /* see above */
+  bool done; /* it was answered whole at crash.at_ms; else CRASH counts */
+  struct quar_crash crash; /* see above */
 };
 
 struct quar_verdict
 {
   bool held;        /* it is refused */
-  int ends;         /* moments at which endpoints ended under it, that no
-                       other request explains better */
+  int crashes;      /* moments at which endpoints crashed under it, that no
+                    other request explains better */
   double chance;    /* that these came together by chance */
   int64_t until_ms; /* held until then */
 };
@@ -59,7 +59,7 @@
 bool quar_take (struct quar *q, const struct quar_fact *f, bool own);
 /* Whether anything is known of any request. */
 bool quar_any (const struct quar *q);
-/* Whether an end under the request is known. */
+/* Whether a crash under the request is known. */
 bool quar_suspects (const struct quar *q, const struct reqid *id);
 /* The verdict, where the request's service has so many ENDPOINTS. */
 struct quar_verdict quar_judge (const struct quar *q, const struct reqid *id,
@@ -67,8 +67,8 @@
 /* Forget what is too old to count. */
 void quar_expire (struct quar *q, int64_t now_ms);
 
-/* Facts that this VM saw itself, or all of requests with three ends or more;
-   appended to OUT, an array of struct quar_fact, up to MAX. */
+/* Facts that this VM saw itself, or all of requests with three crashes or
+   more; appended to OUT, an array of struct quar_fact, up to MAX. */
 void quar_own (const struct quar *q, GArray *out, guint max);
 void quar_worst (const struct quar *q, GArray *out, guint max);
 /* How many facts quar_own would tell. */
--- a/quarfeed.c
+++ b/quarfeed.c
@@ -16,12 +16,13 @@
    platform holds one for 30 s at most. */
 #define WAIT_US (25 * CQ_US_PER_S)
 #define WAIT_SPREAD 5
-/* A poll while endpoints end, or no key is known: its connection may have gone
-   silent, and nothing else shows that. */
+/* A poll while endpoints crash, or no key is known: its connection may have
+   gone silent, and nothing else shows that. */
 #define WAIT_ALERT_US (2 * CQ_US_PER_S)
 #define ALERT_US (10 * CQ_US_PER_S)
-/* Between the starts of two polls, and between two writes: each end brings as
-   many rows as VMs saw it, and what is not heard by poll is heard by datagram.
+/* Between the starts of two polls, and between two writes: each crash brings
+   as many rows as VMs saw it, and what is not heard by poll is heard by
+   datagram.
  */
 #define POLL_GAP_US (1 * CQ_US_PER_S)
 #define WRITE_GAP_US (300 * CQ_US_PER_MS)
@@ -43,7 +44,7 @@
 {
   struct quarfeed_opts opts;       /* as made */
   char *row;                       /* name of this VM's row */
-  uint8_t key[QUARWORD_KEY_BYTES]; /* for datagrams */
+  uint8_t key[QUARWIRE_KEY_BYTES]; /* for datagrams */
   bool has_key;                    /* it is known */
   bool known;                      /* the table was read */
   int64_t version;                 /* to ask for changes after */
@@ -62,8 +63,8 @@
   bool writing;                    /* a write is under way */
   bool offering;                   /* a key is being written */
   bool dirty;                      /* the row says less than is known */
-  guint written;                   /* facts in the row, as acknowledged */
-  bool stopped;                    /* asks and tells nothing more */
+  guint written; /* facts in the row as it was written last */
+  bool stopped;  /* asks and tells nothing more */
 };
 
 static int64_t
@@ -83,8 +84,8 @@
   int64_t now_ms = f->opts.clock_ms (f->opts.arg, now_us);
   struct quar_fact g = *fact;
 
-  if (now_ms > 0 && g.end.at_ms > now_ms + AHEAD_MAX_MS)
-    g.end.at_ms = now_ms;
+  if (now_ms > 0 && g.crash.at_ms > now_ms + AHEAD_MAX_MS)
+    g.crash.at_ms = now_ms;
   return quar_take (f->opts.quar, &g, own);
 }
 
@@ -109,7 +110,7 @@
 /* --- datagrams ------------------------------------------------------- */
 
 /* What this VM saw, and all of the requests that matter most: a VM that missed
-   the words of others hears it from whoever has it. */
+   the datagrams of others gets it from whoever has it. */
 static void
 send_facts (struct quarfeed *f)
 {
@@ -119,11 +120,11 @@
 
   if (f->opts.send == NULL || !f->has_key)
     return;
-  quar_worst (f->opts.quar, facts, QUARWORD_DATAGRAM_MAX / 2);
-  quar_own (f->opts.quar, facts, QUARWORD_DATAGRAM_MAX);
+  quar_worst (f->opts.quar, facts, QUARWIRE_DATAGRAM_MAX / 2);
+  quar_own (f->opts.quar, facts, QUARWIRE_DATAGRAM_MAX);
   if (facts->len == 0)
     return;
-  datagram = quarword_seal (facts, f->key);
+  datagram = quarwire_seal (facts, f->key);
   f->opts.send (f->opts.arg, datagram);
 }
 
@@ -138,16 +139,16 @@
 }
 
 bool
-quarfeed_hear (struct quarfeed *f, const char *data, size_t len,
-               int64_t now_us)
+quarfeed_receive (struct quarfeed *f, const char *data, size_t len,
+                  int64_t now_us)
 {
   g_autoptr (GArray) facts
       = g_array_new (FALSE, FALSE, sizeof (struct quar_fact));
 
-  if (!quarword_is_sealed ((const uint8_t *)data, len))
+  if (!quarwire_is_sealed ((const uint8_t *)data, len))
     return false;
   if (!f->has_key || f->stopped
-      || !quarword_open ((const uint8_t *)data, len, f->key, facts))
+      || !quarwire_open ((const uint8_t *)data, len, f->key, facts))
     met_add (MET_LOADS_UNREAD, 1);
   else
     take_facts (f, facts, false, "datagram", now_us);
@@ -190,12 +191,12 @@
   g_autoptr (GByteArray) value = NULL;
 
   /* What an earlier process of this VM wrote must be read first, or it would
-     be written over. */
-  if (!f->known)
+     be written over.  After a write that is under way this is planned anew. */
+  if (!f->known || f->writing)
     return;
-  quar_own (f->opts.quar, facts, QUARWORD_ROW_MAX);
+  quar_own (f->opts.quar, facts, QUARWIRE_ROW_MAX);
   if (facts->len > 0)
-    value = quarword_write (facts, QUARWORD_ROW_MAX);
+    value = quarwire_encode (facts, QUARWIRE_ROW_MAX);
   f->dirty = false;
   if (facts->len == 0 && f->written == 0)
     return;
@@ -306,7 +307,7 @@
     take_key (f, row);
   if (row->value == NULL || !g_str_has_prefix (row->key, VM_PREFIX))
     return;
-  if (!quarword_read (row->value->data, row->value->len, facts))
+  if (!quarwire_decode (row->value->data, row->value->len, facts))
     {
       met_add (MET_ROWS_SPOILED, 1);
       log_event (LOG_LEVEL_WARNING, "evidence",
--- a/quarfeed.h
+++ b/quarfeed.h
@@ -10,7 +10,7 @@
 #define CQ_QUARFEED_H
 
 #include "loop.h"
-#include "quarword.h"
+#include "quarwire.h"
 
 /* A row of the table. */
 struct quar_row
@@ -74,8 +74,8 @@
 /* This VM saw something: tell the others. */
 void quarfeed_changed (struct quarfeed *f, int64_t now_us);
 /* A datagram from another VM; false if it is none. */
-bool quarfeed_hear (struct quarfeed *f, const char *data, size_t len,
-                    int64_t now_us);
+bool quarfeed_receive (struct quarfeed *f, const char *data, size_t len,
+                       int64_t now_us);
 /* Whether what others saw was read, or was waited for long enough. */
 bool quarfeed_known (const struct quarfeed *f, int64_t now_us);
 /* Ask and tell nothing more. */
--- a/quarword.c
+++ b/quarwire.c
@@ -1,5 +1,5 @@
 /* Facts about requests that crash endpoints, as bytes. */
-#include "quarword.h"
+#include "quarwire.h"
 
 #include <sodium.h>
 #include <string.h>
@@ -20,15 +20,15 @@
 put (const struct quar_fact *f, peer_fact *to)
 {
   memcpy (to->request, f->id.bytes, sizeof to->request);
-  to->endpoint = f->done ? 0 : f->end.endpoint;
-  to->at_ms = (uint64_t)MAX (f->end.at_ms, 0);
-  to->ran_ms = (u_int)CLAMP (f->end.ran_ms, 0, RAN_MAX_MS);
+  to->endpoint = f->done ? 0 : f->crash.endpoint;
+  to->at_ms = (uint64_t)MAX (f->crash.at_ms, 0);
+  to->ran_ms = (u_int)CLAMP (f->crash.ran_ms, 0, RAN_MAX_MS);
 }
 
 GByteArray *
-quarword_write (const GArray *facts, guint max)
+quarwire_encode (const GArray *facts, guint max)
 {
-  guint n = MIN (facts->len, MIN (max, QUARWORD_ROW_MAX));
+  guint n = MIN (facts->len, MIN (max, QUARWIRE_ROW_MAX));
   g_autofree peer_fact *list = g_new0 (peer_fact, n + 1);
   peer_facts all = { .facts = { n, list } };
   GByteArray *out = g_byte_array_new ();
@@ -51,15 +51,15 @@
   memset (f, 0, sizeof *f);
   memcpy (f->id.bytes, from->request, sizeof f->id.bytes);
   f->done = from->endpoint == 0;
-  f->end.endpoint = from->endpoint;
-  f->end.at_ms = (int64_t)from->at_ms;
-  f->end.ran_ms = (int64_t)from->ran_ms;
+  f->crash.endpoint = from->endpoint;
+  f->crash.at_ms = (int64_t)from->at_ms;
+  f->crash.ran_ms = (int64_t)from->ran_ms;
   return from->at_ms > 0 && from->at_ms <= G_MAXINT64 / 2
          && from->ran_ms <= RAN_MAX_MS;
 }
 
 bool
-quarword_read (const uint8_t *data, size_t len, GArray *facts)
+quarwire_decode (const uint8_t *data, size_t len, GArray *facts)
 {
   peer_facts all = { 0 };
   struct quar_fact f;
@@ -67,7 +67,7 @@
   XDR x;
   u_int i;
 
-  if (len > COUNT_BYTES + (size_t)QUARWORD_ROW_MAX * FACT_BYTES)
+  if (len > COUNT_BYTES + (size_t)QUARWIRE_ROW_MAX * FACT_BYTES)
     return false;
   xdrmem_create (&x, (char *)data, (u_int)len, XDR_DECODE);
   good = xdr_peer_facts (&x, &all);
@@ -85,9 +85,10 @@
  * says nothing new: the same facts are the same evidence.
  */
 GByteArray *
-quarword_seal (const GArray *facts, const uint8_t *key)
+quarwire_seal (const GArray *facts, const uint8_t *key)
 {
-  g_autoptr (GByteArray) plain = quarword_write (facts, QUARWORD_DATAGRAM_MAX);
+  g_autoptr (GByteArray) plain
+      = quarwire_encode (facts, QUARWIRE_DATAGRAM_MAX);
   uint8_t nonce[crypto_secretbox_NONCEBYTES];
   GByteArray *out = g_byte_array_new ();
   guint at;
@@ -102,13 +103,13 @@
 }
 
 bool
-quarword_is_sealed (const uint8_t *data, size_t len)
+quarwire_is_sealed (const uint8_t *data, size_t len)
 {
   return len >= sizeof mark && memcmp (data, mark, sizeof mark) == 0;
 }
 
 bool
-quarword_open (const uint8_t *data, size_t len, const uint8_t *key,
+quarwire_open (const uint8_t *data, size_t len, const uint8_t *key,
                GArray *facts)
 {
   const uint8_t *nonce = data + sizeof mark;
@@ -116,11 +117,11 @@
   size_t head = sizeof mark + crypto_secretbox_NONCEBYTES;
   g_autofree uint8_t *plain = NULL;
 
-  if (!quarword_is_sealed (data, len)
+  if (!quarwire_is_sealed (data, len)
       || len < head + crypto_secretbox_MACBYTES)
     return false;
   len -= head;
   plain = g_malloc (len);
   return crypto_secretbox_open_easy (plain, box, len, nonce, key) == 0
-         && quarword_read (plain, len - crypto_secretbox_MACBYTES, facts);
+         && quarwire_decode (plain, len - crypto_secretbox_MACBYTES, facts);
 }
--- a/regress/crashes.sh
+++ b/regress/crashes.sh
@@ -124,7 +124,7 @@
 many_run() { [ "$(crashed many)" -ge 12 ]; }
 wait_for many_run
 for s in h1 h2 h3 h4; do die $s; done
-seen() { grep -q 'event=endpoint_broke .*outcome=ended requests=[1-9]' "$tmp/$1.log"; }
+seen() { grep -q 'event=endpoint_broke .*outcome=crashed requests=[1-9]' "$tmp/$1.log"; }
 for v in a b c; do wait_for seen $v; done
 server q2 app
 for v in a b c; do wait_for has_line "$tmp/$v.log" 'endpoint=i-q2 outcome=ready'; done
--- a/regress/fuzz-input.c
+++ b/regress/fuzz-input.c
@@ -390,15 +390,15 @@
 static void
 check_fact (const struct quar_fact *f)
 {
-  if (f->end.at_ms <= 0 || f->end.ran_ms < 0
-      || (f->done && f->end.endpoint != 0))
+  if (f->crash.at_ms <= 0 || f->crash.ran_ms < 0
+      || (f->done && f->crash.endpoint != 0))
     g_error ("a fact out of its bounds");
 }
 
 static void
 fuzz_facts (const char *data, size_t size)
 {
-  static const uint8_t key[QUARWORD_KEY_BYTES] = { 1 };
+  static const uint8_t key[QUARWIRE_KEY_BYTES] = { 1 };
   g_autoptr (GArray) facts
       = g_array_new (FALSE, FALSE, sizeof (struct quar_fact));
   struct quar_rows rows
@@ -407,10 +407,10 @@
   bool more;
   guint i;
 
-  if (quarword_open ((const uint8_t *)data, size, key, facts))
+  if (quarwire_open ((const uint8_t *)data, size, key, facts))
     g_error ("a datagram that nobody sealed");
-  quarword_read ((const uint8_t *)data, size, facts);
-  if (facts->len > QUARWORD_ROW_MAX)
+  quarwire_decode ((const uint8_t *)data, size, facts);
+  if (facts->len > QUARWIRE_ROW_MAX)
     g_error ("more facts than a row holds");
   for (i = 0; i < facts->len; i++)
     {
--- a/regress/test-quar.c
+++ b/regress/test-quar.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "quar.h"
-#include "relay.h"
+#include "relaycrash.h"
 #include "units.h"
 
 #define HOLD_MS 60000
@@ -24,7 +24,7 @@
 {
   struct quar_fact f = { .id = id_of (request) };
 
-  f.end = (struct quar_end){ endpoint, at_ms, ran_ms };
+  f.crash = (struct quar_crash){ endpoint, at_ms, ran_ms };
   return quar_take (q, &f, true);
 }
 
@@ -33,7 +33,7 @@
 {
   struct quar_fact f = { .id = id_of (request), .done = true };
 
-  f.end.at_ms = at_ms;
+  f.crash.at_ms = at_ms;
   return quar_take (q, &f, true);
 }
 
@@ -243,9 +243,9 @@
       = { .id = id_of ((unsigned)g_rand_int_range (rand, 0, 20)) };
 
   f.done = g_rand_int_range (rand, 0, 30) == 0;
-  f.end.at_ms = i * 100 + g_rand_int_range (rand, 0, 50);
-  f.end.endpoint = f.done ? 0 : (uint64_t)g_rand_int_range (rand, 0, 60);
-  f.end.ran_ms = f.done ? 0 : g_rand_int_range (rand, 10, 1000);
+  f.crash.at_ms = i * 100 + g_rand_int_range (rand, 0, 50);
+  f.crash.endpoint = f.done ? 0 : (uint64_t)g_rand_int_range (rand, 0, 60);
+  f.crash.ran_ms = f.done ? 0 : g_rand_int_range (rand, 10, 1000);
   return f;
 }
 
@@ -262,7 +262,7 @@
     {
       const struct quar_fact *f = &g_array_index (facts, struct quar_fact, i);
 
-      sum += (int64_t)f->end.endpoint * f->end.at_ms + f->end.ran_ms;
+      sum += (int64_t)f->crash.endpoint * f->crash.at_ms + f->crash.ran_ms;
     }
   return sum;
 }
@@ -303,6 +303,77 @@
   g_rand_free (rand);
 }
 
+/* --- crashes that this VM sees --------------------------------------- */
+
+/* A probe that the test answers. */
+struct played_probe
+{
+  relay_probe_done done; /* whom to tell */
+  void *arg;             /* passed to it */
+};
+
+static void
+take_probe (void *ctx, const struct fleet_endpoint *e, relay_probe_done done,
+            void *arg)
+{
+  struct played_probe *p = ctx;
+
+  (void)e;
+  p->done = done;
+  p->arg = arg;
+}
+
+static int64_t
+clock_ms (void *arg, int64_t now_us)
+{
+  (void)arg;
+  return now_us / 1000;
+}
+
+static void
+on_observed (void *arg, int64_t now_us)
+{
+  (void)arg;
+  (void)now_us;
+}
+
+/*
+ * Forty answers of one VM break off with an endpoint; the request that crashed
+ * it began last, and breaks last.  It is among the sixteen that are evidence.
+ */
+static void
+test_shortest_run_kept (void)
+{
+  struct fleet_endpoint e = { .refs = 1, .key = 5 };
+  struct quar *q = quar_new (HOLD_MS);
+  g_autoptr (GArray) facts
+      = g_array_new (FALSE, FALSE, sizeof (struct quar_fact));
+  struct played_probe probe = { NULL, NULL };
+  struct relay_engine engine = { .probe = take_probe, .ctx = &probe };
+  struct relaycrash_opts o = { .loop = loop_new (), .engine = &engine };
+  struct relaycrash *c;
+  struct reqid id;
+  unsigned i;
+
+  o.quar = q;
+  o.clock_ms = clock_ms;
+  o.observed = on_observed;
+  c = relaycrash_new (&o);
+  for (i = 1; i <= 40; i++)
+    {
+      id = id_of (i);
+      relaycrash_broke (c, &e, &id, (i == 40 ? 50 : 500 + i) * INT64_C (1000),
+                        loop_now_us ());
+    }
+  probe.done (probe.arg, RELAY_PROBE_CRASHED);
+  quar_own (q, facts, G_MAXUINT);
+  g_assert_cmpuint (facts->len, ==, 16);
+  g_assert_true (quar_suspects (q, &id));
+  relaycrash_free (c);
+  loop_free (o.loop);
+  quar_free (q);
+}
+
 /* --- the digest ------------------------------------------------------ */
 
 /* The same request under another attempt id is the same; of another workspace,
@@ -491,6 +562,7 @@
   { "/quar/switched-off", test_switched_off },
   { "/quar/bounded", test_bounded },
   { "/quar/order", test_order },
+  { "/quar/shortest-run-kept", test_shortest_run_kept },
   { "/quar/digest", test_digest },
   { "/quar/storms", test_storms },
   { NULL, NULL },
--- a/regress/test-relay.c
+++ b/regress/test-relay.c
@@ -36,11 +36,11 @@
   size_t untaken;                   /* bytes that the caller has not taken */
   int unpauses;                     /* attempts that were let go on */
   struct quar *quar;                /* evidence */
-  bool informed;                    /* that of other VMs was read */
-  int witnessed;                    /* times that this VM saw some */
-  relay_pulse_done pulse;           /* question under way, or NULL */
-  void *pulse_arg;                  /* for it */
-  int pulses;                       /* questions so far */
+  bool evidence_known;              /* that of other VMs was read */
+  int observed;                     /* times that this VM saw some */
+  relay_probe_done probe;           /* question under way, or NULL */
+  void *probe_arg;                  /* for it */
+  int probes;                       /* questions so far */
 };
 
 static char *no_headers[] = { NULL };
@@ -83,15 +83,15 @@
 }
 
 static void
-engine_pulse (void *ctx, const struct fleet_endpoint *e, relay_pulse_done done,
+engine_probe (void *ctx, const struct fleet_endpoint *e, relay_probe_done done,
               void *arg)
 {
   struct play *p = ctx;
 
   (void)e;
-  p->pulses++;
-  p->pulse = done;
-  p->pulse_arg = arg;
+  p->probes++;
+  p->probe = done;
+  p->probe_arg = arg;
 }
 
 /* --- the played platform and other VMs ------------------------------- */
@@ -104,21 +104,21 @@
 }
 
 static void
-on_witnessed (void *arg, int64_t now_us)
+on_observed (void *arg, int64_t now_us)
 {
   struct play *p = arg;
 
   (void)now_us;
-  p->witnessed++;
+  p->observed++;
 }
 
 static bool
-is_informed (void *arg, int64_t now_us)
+is_evidence_known (void *arg, int64_t now_us)
 {
   struct play *p = arg;
 
   (void)now_us;
-  return p->informed;
+  return p->evidence_known;
 }
 
 /* --- the played caller ----------------------------------------------- */
@@ -263,14 +263,14 @@
   o.engine.send = engine_send;
   o.engine.cancel = engine_cancel;
   o.engine.unpause = engine_unpause;
-  o.engine.pulse = engine_pulse;
+  o.engine.probe = engine_probe;
   o.engine.ctx = p;
   p->quar = quar_new (60000);
-  p->informed = true;
+  p->evidence_known = true;
   o.quar = p->quar;
   o.clock_ms = clock_ms;
-  o.witnessed = on_witnessed;
-  o.informed = is_informed;
+  o.observed = on_observed;
+  o.evidence_known = is_evidence_known;
   o.quar_arg = p;
   o.retry_percent = 10;
   o.retry_burst = 4;
@@ -389,9 +389,9 @@
   reqid_of (&p->desc, workspace, &f.id);
   for (i = 0; i < 4; i++)
     {
-      f.end.endpoint = (uint64_t)(100 + i);
-      f.end.at_ms = clock_ms (p, loop_now_us ()) - 2000 + 500 * i;
-      f.end.ran_ms = 10;
+      f.crash.endpoint = (uint64_t)(100 + i);
+      f.crash.at_ms = clock_ms (p, loop_now_us ()) - 2000 + 500 * i;
+      f.crash.ran_ms = 10;
       quar_take (p->quar, &f, false);
     }
 }
@@ -455,23 +455,23 @@
 
 /* A VM that starts has not read what the others saw: it says "not run". */
 static void
-test_uninformed (void)
+test_evidence_unknown (void)
 {
   struct play *p = play_new (FLEET_ONCE);
 
-  p->informed = false;
+  p->evidence_known = false;
   play_start (p);
   g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
-  p->informed = true;
+  p->evidence_known = true;
   play_start (p);
   answer_whole (p, "a");
   play_free (p);
 }
 
-/* A request's answer breaks off; the endpoint is asked once, and PULSE is what
+/* A request's answer breaks off; the endpoint is asked once, and PROBE is what
    that shows.  Returns whether it became evidence. */
 static bool
-break_off (struct play *p, enum relay_pulse pulse)
+break_off (struct play *p, enum relay_probe probe)
 {
   struct reqid id;
 
@@ -480,9 +480,9 @@
   g_assert_true (p->event->before_send (p->arg));
   end (p, true, false);
   g_assert_cmpint (p->refused, ==, RELAY_UNKNOWN);
-  if (p->pulse != NULL)
-    p->pulse (p->pulse_arg, pulse);
-  p->pulse = NULL;
+  if (p->probe != NULL)
+    p->probe (p->probe_arg, probe);
+  p->probe = NULL;
   return quar_suspects (p->quar, &id);
 }
 
@@ -494,17 +494,18 @@
 static void
 test_end_is_asked (void)
 {
-  static const enum relay_pulse pulses[]
-      = { RELAY_ALIVE, RELAY_SILENT, RELAY_ENDED };
+  static const enum relay_probe probes[]
+      = { RELAY_PROBE_ALIVE, RELAY_PROBE_SILENT, RELAY_PROBE_CRASHED };
   struct play *p;
   size_t i;
 
-  for (i = 0; i < G_N_ELEMENTS (pulses); i++)
+  for (i = 0; i < G_N_ELEMENTS (probes); i++)
     {
       p = play_new (FLEET_ONCE);
-      g_assert_true (break_off (p, pulses[i]) == (pulses[i] == RELAY_ENDED));
-      g_assert_cmpint (p->pulses, ==, 1);
-      g_assert_cmpint (p->witnessed, ==, pulses[i] == RELAY_ENDED);
+      g_assert_true (break_off (p, probes[i])
+                     == (probes[i] == RELAY_PROBE_CRASHED));
+      g_assert_cmpint (p->probes, ==, 1);
+      g_assert_cmpint (p->observed, ==, probes[i] == RELAY_PROBE_CRASHED);
       play_free (p);
     }
 }
@@ -521,7 +522,7 @@
   APR_RING_FOREACH (e, &p->fleet.endpoints, fleet_endpoint, link)
   e->draining = true;
   end (p, true, false);
-  g_assert_cmpint (p->pulses, ==, 0);
+  g_assert_cmpint (p->probes, ==, 0);
   play_free (p);
 }
 
@@ -536,8 +537,8 @@
 
   b->draining = true;
   for (i = 0; i < 5; i++)
-    break_off (p, RELAY_ALIVE);
-  g_assert_cmpint (p->pulses, ==, 1);
+    break_off (p, RELAY_PROBE_ALIVE);
+  g_assert_cmpint (p->probes, ==, 1);
   play_free (p);
 }
 
@@ -553,7 +554,7 @@
   head (p, 200);
   body (p, "a");
   end (p, true, true);
-  g_assert_cmpint (p->pulses, ==, 0);
+  g_assert_cmpint (p->probes, ==, 0);
   play_free (p);
 }
 
@@ -1376,7 +1377,7 @@
   { "/relay/held", test_held },
   { "/relay/held-by-workspace", test_held_by_workspace },
   { "/relay/held-before-send", test_held_before_send },
-  { "/relay/uninformed", test_uninformed },
+  { "/relay/evidence-unknown", test_evidence_unknown },
   { "/relay/end-is-asked", test_end_is_asked },
   { "/relay/release-is-no-end", test_release_is_no_end },
   { "/relay/asked-seldom", test_asked_seldom },
--- a/relay.c
+++ b/relay.c
@@ -306,11 +306,11 @@
 /* A VM that starts must not send on what the others know to crash endpoints:
    after a kill of all VMs each would learn it anew. */
 static bool
-is_informed (const struct relays *rs, int64_t now_us)
+is_evidence_known (const struct relays *rs, int64_t now_us)
 {
   const struct relays_opts *o = &rs->opts;
 
-  return o->quar == NULL || o->informed (o->quar_arg, now_us);
+  return o->quar == NULL || o->evidence_known (o->quar_arg, now_us);
 }
 
 /* A request that is placed from inside its door's call may end there, so its
@@ -323,7 +323,7 @@
   const struct fleet_workspace *workspace;
   struct relay *r;
 
-  if (f->conf == NULL || !f->listed || !is_informed (rs, now_us))
+  if (f->conf == NULL || !f->listed || !is_evidence_known (rs, now_us))
     {
       refuse_early (rs, d, RELAY_NOT_RUN, "nothing_known", now_us);
       return NULL;
@@ -408,18 +408,18 @@
 
 /* --- the requests of a worker ---------------------------------------- */
 
-static struct relayends *
-make_ends (struct relays *rs)
+static struct relaycrash *
+make_crash (struct relays *rs)
 {
-  struct relayends_opts o = { .loop = rs->opts.loop, .quar = rs->opts.quar };
+  struct relaycrash_opts o = { .loop = rs->opts.loop, .quar = rs->opts.quar };
 
-  if (rs->opts.quar == NULL || rs->opts.engine.pulse == NULL)
+  if (rs->opts.quar == NULL || rs->opts.engine.probe == NULL)
     return NULL;
   o.engine = &rs->opts.engine;
   o.clock_ms = rs->opts.clock_ms;
-  o.witnessed = rs->opts.witnessed;
+  o.observed = rs->opts.observed;
   o.arg = rs->opts.quar_arg;
-  return relayends_new (&o);
+  return relaycrash_new (&o);
 }
 
 struct relays *
@@ -429,7 +429,7 @@
 
   rs->opts = *opts;
   rs->random = opts->seed;
-  rs->ends = make_ends (rs);
+  rs->crash = make_crash (rs);
   rs->sweep.fire = on_sweep;
   rs->sweep.arg = rs;
   rs->services
@@ -443,8 +443,8 @@
 relays_free (struct relays *rs)
 {
   loop_disarm (&rs->sweep);
-  if (rs->ends != NULL)
-    relayends_free (rs->ends);
+  if (rs->crash != NULL)
+    relaycrash_free (rs->crash);
   g_hash_table_destroy (rs->services);
   g_hash_table_destroy (rs->usual);
   g_free (rs);
--- a/relay.h
+++ b/relay.h
@@ -129,14 +129,15 @@
 };
 
 /* What a question to an endpoint shows. */
-enum relay_pulse
+enum relay_probe
 {
-  RELAY_ALIVE, /* something answers, and nothing says that it is another */
-  RELAY_ENDED, /* nothing listens there, or another life does */
-  RELAY_SILENT /* no answer: it may be cut off */
+  RELAY_PROBE_ALIVE, /* something answers, and nothing says that it is another
+                      */
+  RELAY_PROBE_CRASHED, /* nothing listens there, or another life does */
+  RELAY_PROBE_SILENT   /* no answer: it may be cut off */
 };
 
-typedef void (*relay_pulse_done) (void *arg, enum relay_pulse pulse);
+typedef void (*relay_probe_done) (void *arg, enum relay_probe probe);
 
 struct relay_engine
 {
@@ -147,8 +148,8 @@
   void (*unpause) (void *ctx, void *call);
   /* Ask whether that life of E is there; DONE is called once, later.  NULL if
      that cannot be asked. */
-  void (*pulse) (void *ctx, const struct fleet_endpoint *e,
-                 relay_pulse_done done, void *arg);
+  void (*probe) (void *ctx, const struct fleet_endpoint *e,
+                 relay_probe_done done, void *arg);
   void *ctx; /* passed to all */
 };
 
@@ -169,9 +170,9 @@
   /* The platform's clock, 0 if that is not known; with quar. */
   int64_t (*clock_ms) (void *arg, int64_t now_us);
   /* This VM saw something that QUAR holds; with quar. */
-  void (*witnessed) (void *arg, int64_t now_us);
+  void (*observed) (void *arg, int64_t now_us);
   /* Whether what other VMs saw was read; with quar. */
-  bool (*informed) (void *arg, int64_t now_us);
+  bool (*evidence_known) (void *arg, int64_t now_us);
   void *quar_arg;       /* passed to these */
   const char *domain;   /* of this VM */
   int64_t stale_us;     /* keys count for nothing once older */
--- a/relayends.h
+++ b/relaycrash.h
@@ -1,33 +1,33 @@
 /*
- * Endpoints that end under requests of this VM.
+ * Endpoints that crash under requests of this VM.
  *
  * All requests at an endpoint break when its process ends, and each sees a
  * closed connection, which may as well be its own: links are reset, and
  * endpoints break answers off and live.  So an endpoint at which one broke is
- * asked once, and only if nothing listens there any more the requests that
- * broke are evidence.  A question costs a call an end, not a request.
+ * probed once, and only if nothing listens there any more the requests that
+ * broke are evidence.  A probe costs a call a crash, not a request.
  */
-#ifndef CQ_RELAYENDS_H
-#define CQ_RELAYENDS_H
+#ifndef CQ_RELAYCRASH_H
+#define CQ_RELAYCRASH_H
 
 #include "relay.h"
 
-struct relayends;
+struct relaycrash;
 
-struct relayends_opts
+struct relaycrash_opts
 {
   struct loop *loop;                               /* whose thread runs it */
   const struct relay_engine *engine;               /* adapter */
   struct quar *quar;                               /* takes the evidence */
   int64_t (*clock_ms) (void *arg, int64_t now_us); /* the platform's */
-  void (*witnessed) (void *arg, int64_t now_us);   /* there is some */
+  void (*observed) (void *arg, int64_t now_us);    /* there is some */
   void *arg;                                       /* passed to both */
 };
 
-struct relayends *relayends_new (const struct relayends_opts *opts);
+struct relaycrash *relaycrash_new (const struct relaycrash_opts *opts);
 /* The connection of request ID to E closed after RAN_US at it, not by us. */
-void relayends_broke (struct relayends *s, struct fleet_endpoint *e,
-                      const struct reqid *id, int64_t ran_us, int64_t now_us);
-void relayends_free (struct relayends *s);
+void relaycrash_broke (struct relaycrash *s, struct fleet_endpoint *e,
+                       const struct reqid *id, int64_t ran_us, int64_t now_us);
+void relaycrash_free (struct relaycrash *s);
 
 #endif
--- a/relayquar.c
+++ b/relayquar.c
@@ -44,13 +44,13 @@
     return false;
   now_ms = o->clock_ms (o->quar_arg, now_us);
   v = quar_judge (o->quar, relay_identity (r), count_endpoints (r), now_ms);
-  if (v.ends == 0)
+  if (v.crashes == 0)
     return false;
   log_event (LOG_LEVEL_INFO, "quarantine",
-             "req=%s digest=%s outcome=%s ends=%d chance=%.1e "
+             "req=%s digest=%s outcome=%s crashes=%d chance=%.1e "
              "left_ms=%" G_GINT64_FORMAT,
              r->desc.id, reqid_text (relay_identity (r), text),
-             v.held ? "held" : "passed", v.ends, v.chance,
+             v.held ? "held" : "passed", v.crashes, v.chance,
              (gint64)(v.held ? v.until_ms - now_ms : 0));
   met_add (MET_HELD, v.held);
   return v.held;
@@ -73,23 +73,23 @@
   if (!quar_any (o->quar) || !quar_suspects (o->quar, relay_identity (r)))
     return;
   f.id = *relay_identity (r);
-  f.end.at_ms = o->clock_ms (o->quar_arg, now_us);
+  f.crash.at_ms = o->clock_ms (o->quar_arg, now_us);
   if (quar_take (o->quar, &f, true))
-    o->witnessed (o->quar_arg, now_us);
+    o->observed (o->quar_arg, now_us);
 }
 
 void
-relay_witness (struct relay *r, enum send_state sent, int64_t now_us)
+relay_observe (struct relay *r, enum send_state sent, int64_t now_us)
 {
   int64_t since = r->answering ? r->first_us : r->sent_us;
 
-  if (r->rs->ends == NULL)
+  if (r->rs->crash == NULL)
     return;
   if (was_answered (r, sent))
     answered (r, now_us);
   /* What we broke off ourselves, or gave up, says nothing. */
   else if (r->stopped == NULL
            && (sent == SEND_PARTIAL || sent == SEND_REPLIED))
-    relayends_broke (r->rs->ends, r->endpoint, relay_identity (r),
-                     now_us - MAX (since, r->sent_us), now_us);
+    relaycrash_broke (r->rs->crash, r->endpoint, relay_identity (r),
+                      now_us - MAX (since, r->sent_us), now_us);
 }
--- a/relaytry.c
+++ b/relaytry.c
@@ -328,7 +328,7 @@
   if (sent != SEND_WHOLE || v.next != NEXT_FINISH)
     log_attempt (r, sent, &v, reason, error, now_us);
   tell_picking (r, sent, now_us);
-  relay_witness (r, sent, now_us);
+  relay_observe (r, sent, now_us);
   if (sent == SEND_NONE)
     r->unsent++;
   else if (sent != SEND_REFUSED)
