--- /dev/null
+++ b/regress/relayplay.c
@@ -0,0 +1,338 @@
+/* Requests that are passed on, played. */
+#include "relayplay.h"
+
+#include <glib.h>
+#include <string.h>
+
+static char *no_headers[] = { NULL };
+char *play_seal[] = { (char *)"Seal: x", NULL };
+
+/* --- the played engine ----------------------------------------------- */
+
+static void *
+engine_send (void *ctx, const struct relay_send *s,
+             const struct relay_events *events, void *arg)
+{
+  struct play *p = ctx;
+
+  g_strlcpy (p->to[p->sends % 4], s->endpoint->is.id, FLEET_NAME_SIZE);
+  p->sends++;
+  p->event = events;
+  p->arg = arg;
+  p->resume_after = s->resume_after;
+  p->left_us = s->left_us;
+  g_strlcpy (p->scope, s->cache_scope ? s->cache_scope : "", sizeof p->scope);
+  return p;
+}
+
+static void
+engine_cancel (void *ctx, void *call)
+{
+  struct play *p = ctx;
+
+  (void)call;
+  p->cancels++;
+}
+
+static void
+engine_unpause (void *ctx, void *call)
+{
+  struct play *p = ctx;
+
+  (void)call;
+  p->unpauses++;
+}
+
+static void
+engine_probe (void *ctx, const struct fleet_endpoint *e, relay_probe_done done,
+              void *arg)
+{
+  struct play *p = ctx;
+
+  (void)e;
+  p->probes++;
+  p->probe = done;
+  p->probe_arg = arg;
+}
+
+/* --- the played platform and other VMs ------------------------------- */
+
+static int64_t
+clock_ms (void *arg, int64_t now_us)
+{
+  (void)arg;
+  return now_us / CQ_US_PER_MS;
+}
+
+static void
+on_observed (void *arg, int64_t now_us)
+{
+  struct play *p = arg;
+
+  (void)now_us;
+  p->observed++;
+}
+
+static bool
+is_evidence_known (void *arg, int64_t now_us)
+{
+  struct play *p = arg;
+
+  (void)now_us;
+  return p->evidence_known;
+}
+
+/* --- the played caller ----------------------------------------------- */
+
+static void
+on_answer (void *arg, int status, const char *const *lines, const char *body,
+           size_t len)
+{
+  struct play *p = arg;
+
+  (void)lines;
+  p->status = status;
+  p->ended = 1;
+  g_string_append_len (p->got, body, (gssize)len);
+}
+
+static void
+on_begin (void *arg, int status, const char *const *lines)
+{
+  struct play *p = arg;
+
+  (void)lines;
+  p->status = status;
+}
+
+static void
+on_write (void *arg, const char *data, size_t len)
+{
+  struct play *p = arg;
+
+  g_string_append_len (p->got, data, (gssize)len);
+}
+
+static void
+on_end (void *arg, bool whole)
+{
+  struct play *p = arg;
+
+  p->ended = whole;
+}
+
+static size_t
+on_pending (void *arg)
+{
+  struct play *p = arg;
+
+  return p->untaken;
+}
+
+static bool
+on_gone (void *arg)
+{
+  struct play *p = arg;
+
+  return p->gone;
+}
+
+static void
+on_refuse (void *arg, enum relay_refusal why, int64_t retry_after_us)
+{
+  struct play *p = arg;
+
+  p->refused = (int)why;
+  p->retry_after_us = retry_after_us;
+}
+
+static const struct relay_caller caller = {
+  .answer = on_answer,
+  .begin = on_begin,
+  .write = on_write,
+  .end = on_end,
+  .pending = on_pending,
+  .gone = on_gone,
+  .refuse = on_refuse,
+};
+
+/* --- setting up ------------------------------------------------------ */
+
+struct fleet_conf *
+play_conf (int64_t version, enum fleet_kind kind, const char *key)
+{
+  struct fleet_conf *c = fleet_conf_new ();
+  struct fleet_route *r = g_new0 (struct fleet_route, 1);
+  struct fleet_workspace *w = g_new0 (struct fleet_workspace, 1);
+
+  c->version = version;
+  c->limits.body_bytes = 1000;
+  r->name = g_strdup ("r");
+  r->host = g_strdup ("h");
+  r->prefix = g_strdup ("/");
+  r->kind = kind;
+  r->timeout_us = 20 * CQ_US_PER_S;
+  r->max_attempts = 2;
+  r->resumable = kind == FLEET_STREAM;
+  r->nsplits = 1;
+  r->splits = g_new0 (struct fleet_split, 1);
+  r->splits[0].service = g_strdup ("s");
+  g_ptr_array_add (c->routes, r);
+  w->name = g_strdup ("ws");
+  w->priority = -1;
+  w->isolated = true;
+  g_ptr_array_add (c->workspaces, w);
+  g_hash_table_insert (c->keys, g_strdup (key), w);
+  fleet_conf_seal (c);
+  return c;
+}
+
+struct fleet_route *
+play_route (struct play *p)
+{
+  return p->fleet.conf->routes->pdata[0];
+}
+
+void
+play_add_endpoint (struct play *p, const char *id)
+{
+  struct fleet_listing l = { .version = 3 };
+
+  g_strlcpy (l.id, id, sizeof l.id);
+  g_strlcpy (l.service, "s", sizeof l.service);
+  g_strlcpy (l.model, "m", sizeof l.model);
+  fleet_take_listing (&p->fleet, &l, 1);
+}
+
+struct play *
+play_new (enum fleet_kind kind)
+{
+  struct play *p = g_new0 (struct play, 1);
+  struct relays_opts o = { .domain = "d", .stale_us = PLAY_STALE_US };
+
+  o.deny_us = PLAY_DENY_US;
+
+  p->loop = loop_new ();
+  fleet_init (&p->fleet);
+  fleet_take_conf (&p->fleet, play_conf (1, kind, "key"), 1);
+  p->fleet.listed = true;
+  p->fleet.fresh_us = loop_now_us ();
+  play_add_endpoint (p, "a");
+  play_add_endpoint (p, "b");
+  o.loop = p->loop;
+  o.fleet = &p->fleet;
+  o.engine.send = engine_send;
+  o.engine.cancel = engine_cancel;
+  o.engine.unpause = engine_unpause;
+  o.engine.probe = engine_probe;
+  o.engine.ctx = p;
+  p->quar = quar_new (60000);
+  p->evidence_known = true;
+  o.quar = p->quar;
+  o.clock_ms = clock_ms;
+  o.observed = on_observed;
+  o.evidence_known = is_evidence_known;
+  o.quar_arg = p;
+  o.retry_percent = 10;
+  o.retry_burst = 4;
+  o.stream_buffer = 4096;
+  o.answer_max = 4096;
+  o.seed = 1;
+  p->relays = relays_new (&o);
+  p->got = g_string_new (NULL);
+  p->refused = -1;
+  p->ended = -1;
+  p->desc = (struct relay_desc){ .id = "id",
+                                 .method = "GET",
+                                 .target = "/x",
+                                 .host = "h",
+                                 .headers = no_headers,
+                                 .key = "key",
+                                 .resume_after = -1,
+                                 .body = "",
+                                 .caller = &caller };
+  p->desc.arg = p;
+  return p;
+}
+
+void
+play_start (struct play *p)
+{
+  p->relay = relay_start (p->relays, &p->desc, loop_now_us ());
+}
+
+void
+play_free (struct play *p)
+{
+  g_assert_cmpint (relays_count (p->relays), ==, 0);
+  relays_free (p->relays);
+  quar_free (p->quar);
+  fleet_clear (&p->fleet);
+  loop_free (p->loop);
+  g_string_free (p->got, TRUE);
+  g_free (p);
+}
+
+static void
+stop_loop (void *arg, int64_t now_us)
+{
+  struct play *p = arg;
+
+  (void)now_us;
+  loop_stop (p->loop);
+}
+
+void
+play_run (struct play *p, int64_t us)
+{
+  struct loop_timer t = { .fire = stop_loop };
+
+  t.arg = p;
+  loop_arm (p->loop, &t, loop_now_us () + us);
+  loop_run (p->loop);
+}
+
+/* The engine's answer, told as far as the test wants. */
+void
+play_head (struct play *p, int status)
+{
+  struct relay_head h = { .status = status, .genuine = true, .running = -1 };
+
+  h.lines = play_seal;
+  g_assert_true (p->event->head (p->arg, &h));
+}
+
+void
+play_body (struct play *p, const char *text)
+{
+  p->event->body (p->arg, text, strlen (text));
+}
+
+void
+play_end (struct play *p, bool handed_over, bool whole)
+{
+  struct relay_end e = { .handed_over = handed_over, .whole = whole };
+
+  e.error = "";
+  p->event->end (p->arg, &e);
+}
+
+/* The attempt is let go, and a whole answer with this body comes. */
+void
+play_answer (struct play *p, const char *text)
+{
+  g_assert_true (p->event->before_send (p->arg));
+  play_head (p, 200);
+  play_body (p, text);
+  play_end (p, true, true);
+}
+
+/* The attempt is let go, and a whole answer with this head and no body comes.
+ */
+void
+play_answer_head (struct play *p, const struct relay_head *h)
+{
+  g_assert_true (p->event->before_send (p->arg));
+  g_assert_true (p->event->head (p->arg, h));
+  play_end (p, true, true);
+}
--- a/regress/units.h
+++ b/regress/units.h
@@ -25,5 +25,6 @@
 extern const struct unit load_units[];
 extern const struct unit admit_units[];
 extern const struct unit quar_units[];
+extern const struct unit relayquar_units[];
 
 #endif
