A test that fails: the store comes back from an older copy

Callers with a key that was taken away are served, and those with a new key are refused, for good. The stand-in of the store can keep a copy and come back with it, says its era in all answers, and answers 410 to polls from versions that it does not have.

--- a/regress/fakehttp.c
+++ b/regress/fakehttp.c
@@ -95,6 +95,16 @@
   return fk_reply_json (r, 200, json_object ());
 }
 
+/* A header that a role puts on all its replies. */
+static void
+add_marks (struct MHD_Response *p)
+{
+  g_autofree char *era = fk_string ("era", "");
+
+  if (era[0] != '\0')
+    MHD_add_response_header (p, "Store-Era", era);
+}
+
 enum MHD_Result
 fk_reply (struct fk_req *r, int status, const char *type, const char *body,
           size_t len)
@@ -104,6 +114,7 @@
   enum MHD_Result done;
 
   MHD_add_response_header (p, "Content-Type", type);
+  add_marks (p);
   done = MHD_queue_response (r->conn, (unsigned)status, p);
   MHD_destroy_response (p);
   return done;
@@ -167,6 +178,7 @@
   reply = MHD_create_response_from_callback (p->len, 1024, paced_read, p,
                                              paced_free);
   MHD_add_response_header (reply, "Content-Type", "application/json");
+  add_marks (reply);
   done = MHD_queue_response (r->conn, (unsigned)status, reply);
   MHD_destroy_response (reply);
   return done;
--- a/regress/fakerows.c
+++ b/regress/fakerows.c
@@ -11,6 +11,9 @@
  *   lose         so many transactions are done and not answered
  *   compact      so many polls are told that the history is gone
  *   lost_table   polls of this table are told so
+ *   keep_copy    keep what there is now
+ *   older_copy   come back with what was kept, in the next era
+ *   era          as all answers say it
  *   deaf         polls see no changes
  *   kb_s         kilobytes of an answer that leave in a second, 0 for all
  *   halt_kb      kilobytes of such an answer after which no more leave
@@ -33,6 +36,8 @@
 static GCond changed;
 static GPtrArray *rows;
 static int64_t newest;
+static GPtrArray *kept; /* rows of the copy */
+static int64_t kept_newest;
 
 static struct row *
 find (const char *table, const char *key)
@@ -70,6 +75,46 @@
   r->version = newest;
 }
 
+static GPtrArray *
+copy_rows (const GPtrArray *from)
+{
+  GPtrArray *to = g_ptr_array_new ();
+  struct row *r;
+  guint i;
+
+  for (i = 0; from != NULL && i < from->len; i++)
+    {
+      r = g_memdup2 (from->pdata[i], sizeof *r);
+      r->table = g_strdup (r->table);
+      r->key = g_strdup (r->key);
+      if (r->value != NULL)
+        r->value = g_memdup2 (r->value, r->len + 1);
+      g_ptr_array_add (to, r);
+    }
+  return to;
+}
+
+/* Under the lock.  What was acknowledged since the copy is gone, and its
+   versions are given out again. */
+static void
+copy_or_return (void)
+{
+  g_autofree char *era = NULL;
+
+  if (fk_take ("keep_copy"))
+    {
+      kept = copy_rows (rows);
+      kept_newest = newest;
+    }
+  if (!fk_take ("older_copy"))
+    return;
+  rows = copy_rows (kept);
+  newest = kept_newest;
+  era = g_strdup_printf ("%d", (int)fk_number ("era", 1) + 1);
+  fk_set_string ("era", era);
+  g_cond_broadcast (&changed);
+}
+
 static json_t *
 row_json (const struct row *r)
 {
@@ -165,13 +210,25 @@
   if (fk_take ("compact") || strcmp (table, lost) == 0)
     return fk_reply_json (r, 410, json_object ());
   g_mutex_lock (&lock);
+  if (after > newest)
+    {
+      g_mutex_unlock (&lock);
+      return fk_reply_json (r, 410, json_object ());
+    }
   list = changes (table, after);
-  while (!timeout && (json_array_size (list) == 0 || fk_number ("deaf", 0)))
+  while (!timeout && after <= newest
+         && (json_array_size (list) == 0 || fk_number ("deaf", 0)))
     {
       json_decref (list);
       timeout = !g_cond_wait_until (&changed, &lock, until);
       list = fk_number ("deaf", 0) ? json_array () : changes (table, after);
     }
+  if (after > newest)
+    {
+      json_decref (list);
+      g_mutex_unlock (&lock);
+      return fk_reply_json (r, 410, json_object ());
+    }
   done = reply_rows (r, 200, list);
   g_mutex_unlock (&lock);
   return done;
@@ -269,6 +326,9 @@
 static enum MHD_Result
 handle (struct fk_req *r)
 {
+  g_mutex_lock (&lock);
+  copy_or_return ();
+  g_mutex_unlock (&lock);
   if (g_str_has_prefix (r->path, "/row/"))
     return write_row (r);
   g_usleep ((gulong)fk_number ("slow_ms", 0) * 1000);
--- /dev/null
+++ b/regress/oldercopy.sh
@@ -0,0 +1,36 @@
+# The platform's store comes back from a copy some seconds old, while a VM is
+# turned away.  Callers with a key that was taken away since go on being served,
+# and callers with a new key are refused, for good: the store's versions went
+# back and were given out again, the VM goes on after a version of the time
+# before, and never hears of what lies between.
+. ./lib.sh || exit 1
+. ./site.sh
+revoke_ms=3000
+fill() { for _i in $(seq "$1"); do row filler x "$_i"; done; }
+start_fake rows rows
+control rows '{"era":1}'
+row op config "$(site_conf 3 '"k1"')"
+server p app
+entry a
+wait_for is_ready a
+ask a /safe/x
+
+echo "== a copy is kept; the store goes on, and the VM with it"
+control rows '{"keep_copy":1}'
+fill 20
+row op config "$(site_conf 4 '"k1"')"
+wait_for has_line "$tmp/a.log" 'event=conf outcome=in_force conf=4'
+
+echo "== the copy is all there is; the operator writes again, and goes on"
+control rows '{"turn_away":503}'
+wait_for has_line "$tmp/a.log" 'source=operator outcome=lost reason=refused'
+control rows '{"older_copy":1}'
+row op config "$(site_conf 4 '"k1"')"
+list_server p app
+row op config "$(site_conf 5 '"k2"')"
+fill 40
+control rows '{"turn_away":0}'
+wait_for is_ready a
+sleep 4
+key=k1 ask a /safe/x
+key=k2 ask a /safe/x
