A probe that shows nothing is sent again

An endpoint's process that is about to end still takes a connection, and closes it with the others: the probe sent 1 ms after a break showed neither an answer nor a refusal, and the crash left no evidence. Seen in regress/oldercopy while it was written (log: endpoint_broke outcome=silent, 1.3 ms after the break; the request then ended nothing more, so the test waited for a row that never came). Up to four probes 0.1 s apart now; /relay/probed-again fails on the code before. An endpoint that is cut off costs three probes more.

--- a/regress/test-relayquar.c
+++ b/regress/test-relayquar.c
@@ -137,6 +137,24 @@
     }
 }
 
+/*
+ * The endpoint is about to end when it is probed: it takes the connection, and
+ * closes it with the others.  That shows nothing, so it is probed again, and
+ * then nothing listens there any more.
+ */
+static void
+test_probed_again (void)
+{
+  struct play *p = play_new (FLEET_ONCE);
+
+  g_assert_false (break_off (p, RELAY_PROBE_SILENT));
+  play_run (p, 150 * CQ_US_PER_MS);
+  g_assert_cmpint (p->probes, ==, 2);
+  p->probe (p->probe_arg, RELAY_PROBE_CRASHED);
+  g_assert_cmpint (p->observed, ==, 1);
+  play_free (p);
+}
+
 /* An endpoint that was leaving ends as it said, under whatever it has. */
 static void
 test_release_is_no_end (void)
@@ -191,6 +209,7 @@
   { "/relay/held-before-send", test_held_before_send },
   { "/relay/evidence-unknown", test_evidence_unknown },
   { "/relay/end-is-asked", test_end_is_asked },
+  { "/relay/probed-again", test_probed_again },
   { "/relay/release-is-no-end", test_release_is_no_end },
   { "/relay/asked-seldom", test_asked_seldom },
   { "/relay/calm-costs-nothing", test_calm_costs_nothing },
--- a/relaycrash.c
+++ b/relaycrash.c
@@ -15,6 +15,11 @@
    does so many times a second. */
 #define PROBE_GAP_US (1 * CQ_US_PER_S)
 
+/* A process that is about to end may still take a connection, and closes it
+   with its others: a probe that shows nothing is sent again. */
+#define PROBE_AGAIN_US (100 * CQ_US_PER_MS)
+#define PROBES_MAX 4
+
 /* A request that broke. */
 struct broken
 {
@@ -32,6 +37,7 @@
   int n;                              /* entries in requests */
   int64_t broke_us;                   /* the first of them broke */
   int64_t probed_us;                  /* it was probed last */
+  int silent;                         /* probes in a row that showed nothing */
   bool probing;                       /* a probe is under way */
   struct loop_timer timer;            /* next probe, or it is dropped */
 };
@@ -101,8 +107,14 @@
       drop (s);
       return;
     }
+  if (probe == RELAY_PROBE_SILENT && ++s->silent < PROBES_MAX)
+    {
+      loop_arm (s->owner->opts.loop, &s->timer, now + PROBE_AGAIN_US);
+      return;
+    }
   if (probe == RELAY_PROBE_CRASHED)
     take_evidence (s, now);
+  s->silent = 0;
   s->n = 0;
   /* Kept for a while, so that it is not probed too often. */
   loop_arm (s->owner->opts.loop, &s->timer, s->probed_us + PROBE_GAP_US);
