Settings, endpoints and evidence after the store came back from an older copy

On a rise all is read anew, and answers of an earlier era, or to polls after a version of one, are passed over. A VM's evidence and the key for datagrams are written again. Five unit tests (/follow/older-copy and those after it) and the scripted run, which has the evidence's row beside it now.

--- a/entry.c
+++ b/entry.c
@@ -41,6 +41,7 @@
   struct partfeed *feed;         /* keeps that current */
   int64_t conf_row;              /* configuration that the feed knows */
   int64_t duty_us;               /* this VM gave orders last */
+  int64_t era;                   /* of the store, as seen last */
   struct load_table *book;       /* work of other VMs */
   struct tell *tell;             /* tells them of ours; NULL if unset */
   struct quar *quar;             /* requests that crash endpoints */
@@ -138,6 +139,9 @@
   struct entry *e = arg;
 
   orders_look (e->orders, now_us);
+  if (e->era != 0 && follow_era (e->follow) != e->era)
+    quarfeed_older_copy (e->quarfeed, now_us);
+  e->era = follow_era (e->follow);
   if (e->fleet.conf != NULL && e->fleet.conf_row != e->conf_row)
     {
       e->conf_row = e->fleet.conf_row;
--- a/fetch.c
+++ b/fetch.c
@@ -6,11 +6,12 @@
 /* One of them under way. */
 struct fetch
 {
-  GString *reply;         /* so far */
-  char *body;             /* as sent */
-  size_t reply_max;       /* bytes taken */
-  fetch_done done;        /* whom to tell */
-  fetch_step step;        /* or whom to tell bit by bit */
+  GString *reply;   /* so far */
+  char *body;       /* as sent */
+  size_t reply_max; /* bytes taken */
+  fetch_done done;  /* whom to tell */
+  fetch_step step;  /* or whom to tell bit by bit */
+  void (*header_line) (void *arg, const char *line, size_t len); /* or NULL */
   void *arg;              /* passed to either */
   int status;             /* as told */
   int64_t came_us;        /* when the transfer had ended */
@@ -18,6 +19,15 @@
   struct loop_work work;  /* further steps */
 };
 
+static void
+take_header (void *arg, const char *line, size_t len)
+{
+  struct fetch *f = arg;
+
+  if (f->header_line != NULL)
+    f->header_line (f->arg, line, len);
+}
+
 static enum xfer_take
 take_body (void *arg, int status, const char *data, size_t len)
 {
@@ -88,7 +98,7 @@
 fetch_start (struct xfer_pool *p, const struct fetch_opts *opts)
 {
   static const struct xfer_events events
-      = { .on_body = take_body, .on_end = finish };
+      = { .on_header = take_header, .on_body = take_body, .on_end = finish };
   g_autofree char *type = NULL;
   const char *headers[3] = { NULL, NULL, NULL };
   int n = 0;
@@ -100,6 +110,7 @@
   f->pool = p;
   f->done = opts->done;
   f->step = opts->step;
+  f->header_line = opts->header_line;
   f->arg = opts->arg;
   if (opts->body != NULL)
     {
--- a/fetch.h
+++ b/fetch.h
@@ -39,9 +39,11 @@
   int64_t first_ms;         /* for the reply's first byte, 0 for none */
   int64_t stall_ms;         /* without a further byte, 0 for no limit */
   size_t reply_max;         /* a longer reply is not taken */
-  fetch_done done;          /* may be NULL */
-  fetch_step step;          /* in place of done, or NULL */
-  void *arg;                /* passed to either */
+  /* A header line of the reply, before its end is told; or NULL. */
+  void (*header_line) (void *arg, const char *line, size_t len);
+  fetch_done done; /* may be NULL */
+  fetch_step step; /* in place of done, or NULL */
+  void *arg;       /* passed to all */
 };
 
 void fetch_start (struct xfer_pool *p, const struct fetch_opts *opts);
--- a/follow.c
+++ b/follow.c
@@ -87,6 +87,7 @@
   enum follow_source source; /* which */
   bool known;                /* read once, and history goes on from there */
   int64_t version;           /* to ask for changes after */
+  int64_t era;               /* that version is of */
   int64_t asked_us;          /* when the call under way was sent */
   bool reading;              /* that call reads all */
   int64_t lost_us;           /* calls fail since then; 0 if they do not */
@@ -112,6 +113,7 @@
   GRand *rand;                           /* for pauses */
   struct mark marks[MARKS];              /* the newest, oldest first */
   int nmarks;                            /* entries in marks */
+  int64_t era; /* of the platform's store, the newest seen; 0: unsaid */
   int64_t clock_low_us; /* the platform's clock is so far behind, at least */
   bool clock_known;     /* one reading was taken */
   bool stopped;         /* asks nothing more */
@@ -386,11 +388,66 @@
       fleet_wanted_current (f, at);
     }
   add_mark (s->follow, n->version, at);
-  if (n->version > s->version)
+  if (n->version > s->version || s->era != s->follow->era)
     s->version = n->version;
+  s->era = s->follow->era;
   s->known = true;
 }
 
+/* --- eras ------------------------------------------------------------ */
+
+/*
+ * The store came back from an older copy: versions went back, and are given
+ * out again.  Going on after a version of the time before, this VM would miss
+ * each change that bears a lower one: a key that was taken away would work for
+ * good.  So all is read again, and nothing is concluded from versions of
+ * before.  Entries that the copy lacks are doubted for a while, not gone:
+ * endpoints write them again.  Settings older than those in force stay out by
+ * the operators' own number.
+ */
+static void
+begin_era (struct follow *f, int64_t era, int64_t now_us)
+{
+  int i;
+
+  if (f->era != 0)
+    {
+      log_event (LOG_LEVEL_WARNING, "store_era",
+                 "outcome=older_copy era=%" G_GINT64_FORMAT
+                 " before=%" G_GINT64_FORMAT,
+                 (gint64)era, (gint64)f->era);
+      met_add (MET_OLDER_COPIES, 1);
+      f->nmarks = 0;
+      f->opts.fleet->conf_row = 0;
+      fleet_list_back (f->opts.fleet, now_us);
+      for (i = 0; i < FOLLOW_SOURCES; i++)
+        f->streams[i].known = false;
+    }
+  f->era = era;
+}
+
+/*
+ * Whether what an answer says counts.  One of the time before, on a connection
+ * that was slow, would bring back what is gone; one to a poll after a version
+ * of the time before leaves out what lies between.  A store that says no era
+ * has but one.
+ */
+static bool
+is_of_this_era (struct stream *s, const struct news *n, int64_t now_us)
+{
+  struct follow *f = s->follow;
+
+  if (n->era > f->era)
+    begin_era (f, n->era, now_us);
+  if ((n->era == f->era || n->era == 0) && (s->reading || s->era == f->era))
+    return true;
+  log_event (LOG_LEVEL_INFO, "store_era",
+             "source=%s outcome=passed_over era=%" G_GINT64_FORMAT
+             " known=%" G_GINT64_FORMAT,
+             source_names[s->source], (gint64)n->era, (gint64)f->era);
+  return false;
+}
+
 /* --- calls ----------------------------------------------------------- */
 
 static void
@@ -460,6 +517,8 @@
     return;
   if (n->code == NEWS_HISTORY_LOST)
     {
+      if (n->era > f->era)
+        begin_era (f, n->era, now);
       s->known = false;
       ask (s, now);
       return;
@@ -469,6 +528,12 @@
       note_lost (s, n, now);
       return;
     }
+  if (!is_of_this_era (s, n, now))
+    {
+      s->known = false;
+      loop_arm (f->opts.loop, &s->timer, now + PAUSE_FIRST_US);
+      return;
+    }
   note_back (s, now);
   take_news (s, n, now);
   if (f->opts.changed != NULL)
@@ -479,6 +544,12 @@
     loop_arm (f->opts.loop, &s->timer, s->asked_us + gaps[s->source]);
 }
 
+int64_t
+follow_era (const struct follow *f)
+{
+  return f->era;
+}
+
 int64_t
 follow_clock_ms (const struct follow *f, int64_t now_us)
 {
--- a/follow.h
+++ b/follow.h
@@ -54,7 +54,9 @@
 struct news
 {
   enum news_code code; /* whether the rest counts */
-  int64_t version;     /* to ask for changes after */
+  int64_t era;         /* of the platform's store, 0 if unsaid; grows each time
+                          it comes back from an older copy */
+  int64_t version;     /* to ask for changes after, in that era */
   int64_t store_ms;    /* the platform's clock at that moment, 0 if unsaid */
   int64_t bytes;       /* of the answer, also of one that did not end */
   int64_t came_us;     /* when it, or its first page, had arrived */
@@ -111,6 +113,8 @@
 int64_t follow_wait_us (int64_t current_us, int64_t age_us);
 /* The platform's clock, not behind it; 0 while no answer told it. */
 int64_t follow_clock_ms (const struct follow *f, int64_t now_us);
+/* Era of the platform's store, the newest seen; 0 if it says none. */
+int64_t follow_era (const struct follow *f);
 /* Calls under way. */
 int follow_waiting (const struct follow *f);
 
--- a/met.c
+++ b/met.c
@@ -57,6 +57,9 @@
                          "Datagrams that are no such word." },
   [MET_HELD] = { "camphorquay_quarantined_total", "counter",
                  "Requests refused since endpoints end under them." },
+  [MET_OLDER_COPIES]
+  = { "camphorquay_older_copies_total", "counter",
+      "Times that the platform's store came back from an older copy." },
   [MET_RUNNING]
   = { "camphorquay_running", "gauge", "Requests at an endpoint." },
   [MET_QUEUED] = { "camphorquay_queued", "gauge", "Requests that wait." },
--- a/quarfeed.c
+++ b/quarfeed.c
@@ -62,6 +62,8 @@
   bool polling;                    /* a poll is under way */
   bool writing;                    /* a write is under way */
   bool offering;                   /* a key is being written */
+  bool reread;                     /* the next poll reads all */
+  bool key_listed;                 /* the key was among the rows of a read */
   bool dirty;                      /* the row says less than is known */
   guint written; /* facts in the row as it was written last */
   bool stopped;  /* asks and tells nothing more */
@@ -236,6 +238,7 @@
     return;
   memcpy (f->key, row->value->data, sizeof f->key);
   f->has_key = true;
+  f->key_listed = true;
 }
 
 static void
@@ -252,7 +255,7 @@
         == 0)
       take_key (f, &g_array_index (rows->rows, struct quar_row, i));
   if (rows->code == QUAR_ROWS_OK)
-    f->has_key = true;
+    f->has_key = f->key_listed = true;
 }
 
 /* The platform holds it, as it holds all that VMs share. */
@@ -261,10 +264,11 @@
 {
   g_autoptr (GByteArray) value = NULL;
 
-  if (f->has_key || f->offering || f->stopped)
+  if ((f->has_key && f->key_listed) || f->offering || f->stopped)
     return;
   f->offering = true;
-  randombytes_buf (f->key, sizeof f->key);
+  if (!f->has_key)
+    randombytes_buf (f->key, sizeof f->key);
   value = g_byte_array_new ();
   g_byte_array_append (value, f->key, sizeof f->key);
   f->opts.ops.write (f->opts.ops.ctx, KEY_ROW, value, 0, on_offered, f);
@@ -339,11 +343,12 @@
   /* What was lost with it may be this VM's own row. */
   if (rows->code == QUAR_ROWS_HISTORY_LOST)
     {
-      f->version = 0;
+      f->reread = true;
       f->dirty = true;
     }
   if (rows->code != QUAR_ROWS_OK)
     {
+      f->reread |= !f->key_listed;
       loop_arm (f->opts.loop, &f->poll, now + drawn (f, f->pause_us));
       f->pause_us = MIN (2 * f->pause_us, PAUSE_MAX_US);
       return;
@@ -380,12 +385,28 @@
     return;
   f->polling = true;
   f->asked_us = now_us;
-  if (f->version == 0)
-    o->read (o->ctx, on_rows, f);
+  if (f->version == 0 || f->reread)
+    {
+      f->reread = false;
+      f->key_listed = false;
+      o->read (o->ctx, on_rows, f);
+    }
   else
     o->changes (o->ctx, f->version, wait_us (f, now_us), on_rows, f);
 }
 
+/* A poll that is under way may go on waiting in the new era; the read comes
+   after it. */
+void
+quarfeed_older_copy (struct quarfeed *f, int64_t now_us)
+{
+  f->reread = true;
+  f->dirty = true;
+  f->alert_us = now_us;
+  if (f->known)
+    plan_write (f, now_us);
+}
+
 static void
 on_poll (void *arg, int64_t now_us)
 {
--- a/quarfeed.h
+++ b/quarfeed.h
@@ -73,6 +73,9 @@
 void quarfeed_start (struct quarfeed *f, int64_t now_us);
 /* This VM saw something: tell the others. */
 void quarfeed_changed (struct quarfeed *f, int64_t now_us);
+/* The platform's store came back from an older copy: what was written since is
+   gone. */
+void quarfeed_older_copy (struct quarfeed *f, int64_t now_us);
 /* A datagram from another VM; false if it is none. */
 bool quarfeed_receive (struct quarfeed *f, const char *data, size_t len,
                        int64_t now_us);
--- a/regress/oldercopy.sh
+++ b/regress/oldercopy.sh
@@ -11,12 +11,18 @@
 control rows '{"era":1}'
 row op config "$(site_conf 3 '"k1"')"
 server p app
+server q app
+control q '{"crash_on":"boom"}'
 entry a
 wait_for is_ready a
 ask a /safe/x
 
 echo "== a copy is kept; the store goes on, and the VM with it"
 control rows '{"keep_copy":1}'
+while [ "$(grep -c 'event=ran.*boom' "$tmp/q.err")" = 0 ] && kill -0 "$pid_q" 2>/dev/null; do ask a /once/x -d boom >/dev/null; done
+row_of_a() { curl -s --noproxy '*' "http://127.0.0.1:$port_rows/rows-get?Table=camphorquay_crashes&part=" | grep -c '"Key":"vm/a"'; }
+has_row() { [ "$(row_of_a)" = 1 ]; }
+wait_for has_row
 fill 20
 row op config "$(site_conf 4 '"k1"')"
 wait_for has_line "$tmp/a.log" 'event=conf outcome=in_force conf=4'
@@ -25,12 +31,16 @@
 control rows '{"turn_away":503}'
 wait_for has_line "$tmp/a.log" 'source=operator outcome=lost reason=refused'
 control rows '{"older_copy":1}'
+drop_row servers i-q
 row op config "$(site_conf 4 '"k1"')"
 list_server p app
 row op config "$(site_conf 5 '"k2"')"
 fill 40
 control rows '{"turn_away":0}'
 wait_for is_ready a
-sleep 4
+sleep 5
 key=k1 ask a /safe/x
 key=k2 ask a /safe/x
+echo "== and what the VM had written is written again"
+wait_for has_row
+echo there
--- a/regress/test-follow.c
+++ b/regress/test-follow.c
@@ -29,6 +29,7 @@
   bool stop_at_wait;                           /* the next one ends the loop */
   bool stop_at_call; /* the next call of any kind does */
   int64_t store_ms;  /* its clock, as answers say */
+  int64_t era;       /* of its store, as answers say */
   int64_t read_us;   /* answers took so long to read */
 };
 
@@ -100,12 +101,17 @@
   struct news n = { .code = code, .version = version, .items = items };
   g_autoptr (GArray) none
       = g_array_new (FALSE, TRUE, sizeof (struct news_item));
+  guint i;
 
   n.store_ms = p->store_ms;
+  n.era = p->era;
   n.came_us = loop_now_us () - p->read_us;
   if (items == NULL)
     n.items = none;
   p->done[s](p->arg[s], &n);
+  /* Settings that nobody took, as the adapter frees them. */
+  for (i = 0; i < n.items->len; i++)
+    fleet_conf_unref (g_array_index (n.items, struct news_item, i).conf);
   if (items != NULL)
     g_array_free (items, TRUE);
 }
@@ -441,7 +447,142 @@
   g_assert_true (reads_after (FOLLOW_ENDPOINTS, NEWS_SILENT));
 }
 
+/* --- eras ------------------------------------------------------------ */
+
+static GArray *
+conf_item (int64_t version, int64_t row)
+{
+  GArray *a = g_array_new (FALSE, TRUE, sizeof (struct news_item));
+  struct news_item it = { .kind = NEWS_CONF, .row = row };
+
+  it.conf = fleet_conf_new ();
+  it.conf->version = version;
+  g_array_append_val (a, it);
+  return a;
+}
+
+/* Run until a call was made that follows a pause. */
+static void
+next_call (struct source *p)
+{
+  p->stop_at_call = true;
+  loop_run (p->loop);
+  p->stop_at_call = false;
+}
+
+/* Settings 4 came with change 100 of the first era, and are followed. */
+static struct source *
+source_in_first_era (void)
+{
+  struct source *p = source_new ();
+
+  p->era = 1;
+  tell (p, FOLLOW_OPERATOR, NEWS_OK, 100, conf_item (4, 100));
+  g_assert_false (p->reading[FOLLOW_OPERATOR]);
+  return p;
+}
+
+/*
+ * The store is back from an older copy, and its counter has passed the version
+ * that this VM knows: a poll is answered, and says nothing.  What lies between
+ * is read all the same, with a lower version than was known; else a key that
+ * was taken away would work for good.
+ */
+static void
+test_older_copy (void)
+{
+  struct source *p = source_in_first_era ();
+
+  p->era = 2;
+  tell (p, FOLLOW_OPERATOR, NEWS_OK, 120, NULL);
+  next_call (p);
+  g_assert_true (p->reading[FOLLOW_OPERATOR]);
+  tell (p, FOLLOW_OPERATOR, NEWS_OK, 121, conf_item (5, 70));
+  g_assert_cmpint (p->fleet.conf->version, ==, 5);
+  g_assert_cmpint (p->after[FOLLOW_OPERATOR], ==, 121);
+  source_free (p);
+}
+
+/* Its counter is far below what this VM knows: it goes on from there, and what
+   callers saw in force stays in force until the operator has written again. */
+static void
+test_older_copy_far_back (void)
+{
+  struct source *p = source_in_first_era ();
+
+  p->era = 2;
+  tell (p, FOLLOW_OPERATOR, NEWS_HISTORY_LOST, 0, NULL);
+  g_assert_true (p->reading[FOLLOW_OPERATOR]);
+  tell (p, FOLLOW_OPERATOR, NEWS_OK, 10, conf_item (3, 9));
+  g_assert_cmpint (p->fleet.conf->version, ==, 4);
+  g_assert_cmpint (p->after[FOLLOW_OPERATOR], ==, 10);
+  tell (p, FOLLOW_OPERATOR, NEWS_OK, 12, conf_item (5, 12));
+  g_assert_cmpint (p->fleet.conf->version, ==, 5);
+  source_free (p);
+}
+
+/* The list of endpoints shows the drill first: the answer to a poll for
+   settings that was under way, of the era before, counts no more. */
+static void
+test_answer_of_era_before (void)
+{
+  struct source *p = source_in_first_era ();
+
+  p->era = 2;
+  tell (p, FOLLOW_ENDPOINTS, NEWS_OK, 50, NULL);
+  p->era = 1;
+  tell (p, FOLLOW_OPERATOR, NEWS_OK, 101, conf_item (9, 101));
+  g_assert_cmpint (p->fleet.conf->version, ==, 4);
+  next_call (p);
+  g_assert_true (p->reading[FOLLOW_OPERATOR]);
+  source_free (p);
+}
+
+/* Two drills, of which this VM saw the second only. */
+static void
+test_two_older_copies (void)
+{
+  struct source *p = source_in_first_era ();
+
+  p->era = 3;
+  tell (p, FOLLOW_OPERATOR, NEWS_REFUSED, 0, NULL);
+  next_call (p);
+  tell (p, FOLLOW_OPERATOR, NEWS_OK, 300, NULL);
+  next_call (p);
+  g_assert_true (p->reading[FOLLOW_OPERATOR]);
+  tell (p, FOLLOW_OPERATOR, NEWS_OK, 300, conf_item (6, 60));
+  g_assert_cmpint (p->fleet.conf->version, ==, 6);
+  source_free (p);
+}
+
+/* Endpoints that the copy lacks write their entries again: they are doubted,
+   and taken for gone only if they do not. */
+static void
+test_older_copy_lacks_endpoint (void)
+{
+  static const char *const two[] = { "a", "b", NULL };
+  static const char *const one[] = { "a", NULL };
+  struct source *p = source_new ();
+  struct fleet_endpoint *b;
+
+  p->era = 1;
+  tell (p, FOLLOW_ENDPOINTS, NEWS_OK, 50, endpoint_items (two, false));
+  p->era = 2;
+  tell (p, FOLLOW_ENDPOINTS, NEWS_HISTORY_LOST, 0, NULL);
+  g_assert_true (p->reading[FOLLOW_ENDPOINTS]);
+  tell (p, FOLLOW_ENDPOINTS, NEWS_OK, 20, endpoint_items (one, false));
+  b = g_hash_table_lookup (p->fleet.by_id, "b");
+  g_assert_nonnull (b);
+  g_assert_cmpint (b->missing_us, !=, 0);
+  source_free (p);
+}
+
 const struct unit follow_units[] = {
+  { "/follow/older-copy", test_older_copy },
+  { "/follow/older-copy-far-back", test_older_copy_far_back },
+  { "/follow/answer-of-era-before", test_answer_of_era_before },
+  { "/follow/two-older-copies", test_two_older_copies },
+  { "/follow/older-copy-lacks-endpoint", test_older_copy_lacks_endpoint },
   { "/follow/drain-in-gap", test_drain_in_gap },
   { "/follow/paced", test_paced },
   { "/follow/wait-by-age", test_wait_by_age },
