Rows of evidence of VMs that are gone are removed

It reads all once more when the first read came before the clock, and removes one old row at each whole read (/quar/old-rows-removed, which saw one read on the code before).

--- a/quarfeed.c
+++ b/quarfeed.c
@@ -63,6 +63,7 @@
   bool writing;                    /* a write is under way */
   bool offering;                   /* a key is being written */
   bool reread;                     /* the next poll reads all */
+  bool whole;                      /* the poll under way does */
   bool key_listed;                 /* the key was among the rows of a read */
   bool dirty;                      /* the row says less than is known */
   guint written; /* facts in the row as it was written last */
@@ -288,11 +289,12 @@
 }
 
 /* Rows of VMs that were replaced say nothing any more after a time, and nobody
-   else removes them.  One at a time, by a VM that starts. */
+   else removes them.  One at a time, by whoever reads all: a VM that starts.
+ */
 static void
 collect (struct quarfeed *f, const struct quar_row *row)
 {
-  if (f->known || f->writing || strcmp (row->key, f->row) == 0)
+  if (!f->whole || f->writing || strcmp (row->key, f->row) == 0)
     return;
   f->writing = true;
   f->opts.ops.write (f->opts.ops.ctx, row->key, NULL, row->version,
@@ -357,6 +359,8 @@
   for (i = 0; i < rows->rows->len; i++)
     take_row (f, &g_array_index (rows->rows, struct quar_row, i), now);
   f->version = MAX (rows->version, 1);
+  /* Without the platform's clock no row could be told to be old. */
+  f->reread |= f->whole && f->opts.clock_ms (f->opts.arg, now) == 0;
   if (!f->known)
     log_event (LOG_LEVEL_INFO, "evidence",
                "source=table outcome=known rows=%u took_us=%" G_GINT64_FORMAT,
@@ -385,7 +389,8 @@
     return;
   f->polling = true;
   f->asked_us = now_us;
-  if (f->version == 0 || f->reread)
+  f->whole = f->version == 0 || f->reread;
+  if (f->whole)
     {
       f->reread = false;
       f->key_listed = false;
--- a/regress/test-quar.c
+++ b/regress/test-quar.c
@@ -2,7 +2,7 @@
 #include <glib.h>
 #include <string.h>
 
-#include "quar.h"
+#include "quarfeed.h"
 #include "relaycrash.h"
 #include "units.h"
 
@@ -374,6 +374,119 @@
   quar_free (q);
 }
 
+/* --- rows of VMs that are gone --------------------------------------- */
+
+/* A table of evidence that the test plays. */
+struct played_table
+{
+  quar_rows_done done; /* of the read under way */
+  void *arg;           /* passed to it */
+  int reads;           /* so far */
+  char *removed;       /* name of the row that was removed, or NULL */
+  struct loop *loop;   /* ends with the next read */
+  int64_t clock_ms;    /* of the platform, 0 while that is not known */
+};
+
+static void
+table_read (void *ctx, quar_rows_done done, void *arg)
+{
+  struct played_table *t = ctx;
+
+  t->done = done;
+  t->arg = arg;
+  if (t->reads++ > 0)
+    loop_stop (t->loop);
+}
+
+static void
+table_changes (void *ctx, int64_t version, int64_t wait_us,
+               quar_rows_done done, void *arg)
+{
+  struct played_table *t = ctx;
+
+  (void)version;
+  (void)wait_us;
+  (void)done;
+  (void)arg;
+  loop_stop (t->loop);
+}
+
+static void
+table_write (void *ctx, const char *key, const GByteArray *value,
+             int64_t expected, quar_rows_done done, void *arg)
+{
+  struct played_table *t = ctx;
+
+  (void)done;
+  (void)arg;
+  if (value != NULL)
+    return;
+  g_assert_cmpint (expected, ==, 7);
+  t->removed = g_strdup (key);
+}
+
+static int64_t
+table_clock (void *arg, int64_t now_us)
+{
+  struct played_table *t = arg;
+
+  (void)now_us;
+  return t->clock_ms;
+}
+
+/* The table holds the row of a VM that was replaced long ago. */
+static void
+answer_read (struct played_table *t)
+{
+  struct quar_rows rows = { .code = QUAR_ROWS_OK, .version = 9 };
+  g_autoptr (GArray) facts
+      = g_array_new (FALSE, FALSE, sizeof (struct quar_fact));
+  struct quar_fact f = { .id = id_of (1) };
+  struct quar_row row = { .key = (char *)"vm/gone", .version = 7 };
+
+  f.crash = (struct quar_crash){ 5, 1000, 100 };
+  g_array_append_val (facts, f);
+  row.value = quarwire_encode (facts, 1);
+  rows.rows = g_array_new (FALSE, FALSE, sizeof row);
+  g_array_append_val (rows.rows, row);
+  t->done (t->arg, &rows);
+  g_array_unref (rows.rows);
+  g_byte_array_unref (row.value);
+}
+
+/*
+ * Two thousand VMs are replaced a day, and each leaves a row.  A VM that
+ * starts removes one that says nothing any more; at its first read it does not
+ * know the platform's clock yet, and so cannot tell.
+ */
+static void
+test_old_rows_removed (void)
+{
+  struct played_table t = { .loop = loop_new () };
+  struct quarfeed_opts o = { .loop = t.loop, .vm = "a", .seed = 1 };
+  struct quar *q = quar_new (HOLD_MS);
+  struct quarfeed *f;
+
+  o.quar = q;
+  o.ops = (struct quar_ops){ table_read, table_changes, table_write, &t };
+  o.clock_ms = table_clock;
+  o.arg = &t;
+  f = quarfeed_new (&o);
+  quarfeed_start (f, loop_now_us ());
+  answer_read (&t);
+  g_assert_null (t.removed);
+  t.clock_ms = INT64_C (1000000000);
+  loop_run (t.loop);
+  g_assert_cmpint (t.reads, ==, 2);
+  answer_read (&t);
+  g_assert_cmpstr (t.removed, ==, "vm/gone");
+  quarfeed_stop (f);
+  quarfeed_free (f);
+  quar_free (q);
+  loop_free (t.loop);
+  g_free (t.removed);
+}
+
 /* --- the digest ------------------------------------------------------ */
 
 /* The same request under another attempt id is the same; of another workspace,
@@ -563,6 +676,7 @@
   { "/quar/bounded", test_bounded },
   { "/quar/order", test_order },
   { "/quar/shortest-run-kept", test_shortest_run_kept },
+  { "/quar/old-rows-removed", test_old_rows_removed },
   { "/quar/digest", test_digest },
   { "/quar/storms", test_storms },
   { NULL, NULL },
