ownerdies kills the VM once its claim has reached the table

It waits now until the stand-in has the claim, which is what "killed before the send, while the claim is written" says; nothing that it checks has changed. The pause of its last part waits likewise.

--- a/regress/faketab.c
+++ b/regress/faketab.c
@@ -25,7 +25,7 @@
 static GHashTable *frozen;  /* rows that reads show, or NULL */
 static GHashTable *objects; /* name to GString */
 static int64_t version;
-static int64_t transactions, writes, reads, second, in_second;
+static int64_t arrived, transactions, writes, reads, second, in_second;
 
 static void
 row_free (gpointer data)
@@ -240,10 +240,14 @@
   if (strcmp (r->path, "/stats") == 0)
     return fk_reply_json (
         r, 200,
-        json_pack ("{s:I,s:I,s:I}", "transactions", (json_int_t)transactions,
-                   "writes", (json_int_t)writes, "reads", (json_int_t)reads));
+        json_pack ("{s:I,s:I,s:I,s:I}", "arrived", (json_int_t)arrived,
+                   "transactions", (json_int_t)transactions, "writes",
+                   (json_int_t)writes, "reads", (json_int_t)reads));
   if (strcmp (r->path, "/dump") == 0)
     return dump (r);
+  g_mutex_lock (&lock);
+  arrived += strcmp (r->path, "/txn") == 0;
+  g_mutex_unlock (&lock);
   g_usleep ((gulong)fk_number ("slow_ms", 0) * 1000);
   if (strcmp (r->path, "/vms") == 0)
     {
--- a/regress/ownerdies.sh
+++ b/regress/ownerdies.sh
@@ -6,11 +6,15 @@
 plain_base 'deadline_ms = 1500' 'send_within_ms = 1000'
 start_vm b
 
+# more_arrived N: a claim reached the table, after N before it.
+more_arrived() { [ "$(stat table arrived)" -gt "$1" ]; }
+
 # Killed before the send: the claim is written while the owner is dying.
 start_vm a
 control table '{"slow_ms":400}'
+before=$(stat table arrived)
 call a k1 one >/dev/null & caller=$!
-wait_for has_line "$tmp/a.log" 'event=route'
+wait_for more_arrived "$before"
 die a; wait $caller
 wait_for stat_is table writes 1
 control table '{"slow_ms":0}'
@@ -38,8 +42,9 @@
 # wakes it must not send, and its refusal must be true.
 start_vm a
 control table '{"slow_ms":300}'
+before=$(stat table arrived)
 call a k4 four >/dev/null & caller=$!
-wait_for has_line "$tmp/a.log" 'event=route'
+wait_for more_arrived "$before"
 kill -STOP "$pid_a"
 sleep 1.5
 kill -CONT "$pid_a"
