A test that fails: a request that finds eight endpoints gone

Callers of a VM lost their answers when it ended with a segmentation fault: one of its requests had eight attempts behind it, four not reached and four answered by other processes at the addresses, and went on. The test plays that order. Under UBSan: relaytry.c, index 8 out of bounds for an array of 8; the write goes to the field after it.

--- a/regress/test-relay.c
+++ b/regress/test-relay.c
@@ -203,6 +203,30 @@
   play_free (p);
 }
 
+/* Guards against an attempt more than a request has room to remember. */
+static void
+test_all_gone (void)
+{
+  struct play *p = play_new (FLEET_ONCE);
+  struct relay_head h = { .status = 421, .not_run = true, .running = -1 };
+  char id[] = "c";
+  int i;
+
+  h.lines = play_seal;
+  h.other_life = true;
+  for (i = 0; i < PICK_EXCLUDE_MAX; i++, id[0]++)
+    play_add_endpoint (p, id);
+  play_start (p);
+  for (i = 0; i < PICK_EXCLUDE_MAX / 2; i++)
+    play_end (p, false, false);
+  for (; i <= PICK_EXCLUDE_MAX && p->refused < 0; i++)
+    play_answer_head (p, &h);
+  g_assert_cmpint (p->sends, ==, PICK_EXCLUDE_MAX);
+  g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
+  g_assert_cmpint (p->retry_after_us, >, 0);
+  play_free (p);
+}
+
 /*
  * Weights changed under a VM that had not heard: the endpoint refuses the
  * version that was expected.  It is alive and stays in use; taken for another
@@ -837,6 +861,7 @@
   { "/relay/once-unreached", test_once_unreached },
   { "/relay/refused-by-all", test_refused_by_all },
   { "/relay/other-life", test_other_life },
+  { "/relay/all-gone", test_all_gone },
   { "/relay/other-version", test_other_version },
   { "/relay/not-genuine", test_not_genuine },
   { "/relay/resume", test_resume },
