A request ends when it has no room for one more endpoint tried

Cause: whether an attempt is left was asked while the one that is over had not been counted yet, so a ninth went out, and its end was written past the array of eight, over the field after it. Attempts of that kind are not bounded by the route: neither an unreached endpoint nor another process at its address counts as an attempt.

The array is filled in one function, which checks its own bound.

--- a/relaytry.c
+++ b/relaytry.c
@@ -251,7 +251,8 @@
   bool ours = r->stopped != NULL && strcmp (r->stopped, "endpoint_left") != 0
               && strcmp (r->stopped, "weights_outdated") != 0;
 
-  if (r->ntried >= PICK_EXCLUDE_MAX)
+  /* The attempt that is over takes a place as well. */
+  if (r->ntried + 1 >= PICK_EXCLUDE_MAX)
     return false;
   if (sent == SEND_NONE)
     return !ours && r->unsent < UNSENT_MAX;
@@ -317,6 +318,13 @@
              (gint64)(now_us - r->sent_us), text, error);
 }
 
+static void
+remember_tried (struct relay *r)
+{
+  g_assert (r->ntried < PICK_EXCLUDE_MAX);
+  r->tried[r->ntried++] = fleet_endpoint_ref (r->endpoint);
+}
+
 /* Decide what follows an attempt that is over. */
 static void
 conclude (struct relay *r, enum send_state sent, const char *error,
@@ -333,7 +341,7 @@
     r->unsent++;
   else if (sent != SEND_REFUSED)
     r->ran = true;
-  r->tried[r->ntried++] = fleet_endpoint_ref (r->endpoint);
+  remember_tried (r);
   relay_leave (r, now_us);
   if (v.next == NEXT_FINISH && sent == SEND_WHOLE)
     answer (r, v.outcome, v.reason, now_us);
