An endpoint whose address refuses a connection rests at once

Callers of a VM waited while one request after the other asked endpoints that were gone: a failure domain had lost power, its entries stood for some seconds more, and each request learned of each endpoint by itself.

Cause: an endpoint rests after two failures in a row, since one may be the request's own. A refused connection cannot be: nothing listens there. The adapter knew that and did not pass it on.

Change: the end of an attempt says whether the connection was refused, and such an endpoint rests at once, as after two failures; each further one doubles the rest as before. /relay/absent-rests failed first: the next request went to the same endpoint. Other VMs are not told; each learns by one request.

--- a/fleet.h
+++ b/fleet.h
@@ -397,6 +397,8 @@
 int64_t pick_wait (const struct fleet *f, const struct fleet_endpoint *e,
                    int64_t now_us);
 void pick_failed (struct fleet_endpoint *e, int64_t now_us);
+/* Nothing listens at E's address. */
+void pick_absent (struct fleet_endpoint *e, int64_t now_us);
 void pick_refused (struct fleet_endpoint *e, int64_t now_us);
 
 /* Whether A changes weights before B: an order that all VMs know. */
--- a/librelay.h
+++ b/librelay.h
@@ -77,6 +77,7 @@
   bool identified;       /* that was worked out */
   bool handed_over;      /* a byte may have left */
   bool not_run;          /* the endpoint said so */
+  bool absent;           /* nothing listens at the endpoint's address */
   bool streaming;        /* the answer goes on in pieces */
   bool answering;        /* some of the attempt's answer came */
   bool unread;           /* its endpoint still reads its prompt */
--- a/pick.c
+++ b/pick.c
@@ -234,6 +234,14 @@
   e->rest_until_us = now_us + rest;
 }
 
+/* Other failures may be the request's own; this one is the endpoint's. */
+void
+pick_absent (struct fleet_endpoint *e, int64_t now_us)
+{
+  e->failures = MAX (e->failures, FAILURES_MAX - 1);
+  pick_failed (e, now_us);
+}
+
 void
 pick_refused (struct fleet_endpoint *e, int64_t now_us)
 {
--- a/regress/test-relay.c
+++ b/regress/test-relay.c
@@ -227,6 +227,30 @@
   play_free (p);
 }
 
+/* Guards against each request asking an endpoint anew that refused the
+   connection of the one before. */
+static void
+test_absent_rests (void)
+{
+  struct play *p = play_new (FLEET_IDEMPOTENT);
+  struct relay_end refused = { .refused = true, .error = "" };
+  char gone[FLEET_NAME_SIZE];
+  int i;
+
+  play_start (p);
+  g_strlcpy (gone, p->to[0], sizeof gone);
+  p->event->end (p->arg, &refused);
+  play_answer (p, "ok");
+  for (i = 0; i < 16; i++)
+    {
+      p->sends = 0;
+      play_start (p);
+      g_assert_cmpstr (p->to[0], !=, gone);
+      play_answer (p, "ok");
+    }
+  play_free (p);
+}
+
 /*
  * Weights changed under a VM that had not heard: the endpoint refuses the
  * version that was expected.  It is alive and stays in use; taken for another
@@ -862,6 +886,7 @@
   { "/relay/refused-by-all", test_refused_by_all },
   { "/relay/other-life", test_other_life },
   { "/relay/all-gone", test_all_gone },
+  { "/relay/absent-rests", test_absent_rests },
   { "/relay/other-version", test_other_version },
   { "/relay/not-genuine", test_not_genuine },
   { "/relay/resume", test_resume },
--- a/relay.h
+++ b/relay.h
@@ -106,6 +106,7 @@
 {
   bool handed_over;  /* a byte may have left */
   bool whole;        /* the answer is complete */
+  bool refused;      /* nothing listens at the endpoint's address */
   const char *error; /* the transport's words */
 };
 
--- a/relaytry.c
+++ b/relaytry.c
@@ -281,6 +281,8 @@
     pick_worked (e);
   else if (sent == SEND_REFUSED)
     pick_refused (e, now_us);
+  else if (r->absent)
+    pick_absent (e, now_us);
   else if (r->stopped == NULL || strcmp (r->stopped, "not_genuine") == 0)
     pick_failed (e, now_us);
 }
@@ -362,6 +364,7 @@
   int64_t now = loop_now_us ();
 
   r->call = NULL;
+  r->absent = end->refused;
   conclude (r, send_state_of (r, end->whole), end->error, now);
 }
 
@@ -459,6 +462,7 @@
   r->running = -1;
   r->waiting = 0;
   r->not_run = false;
+  r->absent = false;
   r->streaming = false;
   r->answering = false;
   r->paused = false;
