--- a/regress/test-xfer.c
+++ b/regress/test-xfer.c
@@ -4,6 +4,7 @@
  */
 #include <glib.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -203,10 +204,125 @@
   close (b.fds[1]);
 }
 
+/* --- kept connections ------------------------------------------------ */
+
+#define PEERS 100 /* other ends, more than libcurl keeps by itself */
+#define ROUNDS 3  /* calls to each */
+
+/* Other ends that answer each request, on connections that stay open. */
+struct peers
+{
+  struct pollfd fds[2 * PEERS]; /* listening sockets, then connections */
+  struct loop *loop;            /* of the transfers */
+  struct xfer_pool *pool;       /* likewise */
+  int ports[PEERS];             /* of the listening sockets */
+  int accepted;                 /* connections so far */
+  int left;                     /* transfers of this round */
+  gint stop;                    /* the thread is to end; atomic */
+};
+
+static void
+serve_peer (struct peers *ps, int i)
+{
+  static const char reply[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  struct pollfd *p = &ps->fds[PEERS + i];
+  char buf[1024];
+
+  if ((ps->fds[i].revents & POLLIN) != 0)
+    {
+      if (p->fd >= 0)
+        close (p->fd);
+      p->fd = accept (ps->fds[i].fd, NULL, NULL);
+      ps->accepted++;
+    }
+  else if (p->fd >= 0 && p->revents != 0)
+    {
+      if (read (p->fd, buf, sizeof buf) > 0)
+        g_assert_cmpint (write (p->fd, reply, sizeof reply - 1), >, 0);
+      else
+        {
+          close (p->fd);
+          p->fd = -1;
+        }
+    }
+}
+
+static gpointer
+play_peers (gpointer arg)
+{
+  struct peers *ps = arg;
+  int i;
+
+  while (g_atomic_int_get (&ps->stop) == 0)
+    if (poll (ps->fds, 2 * PEERS, 20) > 0)
+      for (i = 0; i < PEERS; i++)
+        serve_peer (ps, i);
+  for (i = 0; i < 2 * PEERS; i++)
+    if (ps->fds[i].fd >= 0)
+      close (ps->fds[i].fd);
+  return NULL;
+}
+
+static void
+on_peer_end (void *arg, const struct xfer_end *end)
+{
+  struct peers *ps = arg;
+
+  g_assert_cmpint (end->status, ==, 200);
+  if (--ps->left == 0)
+    loop_stop (ps->loop);
+}
+
+static void
+call_peers (struct peers *ps)
+{
+  static const struct xfer_events peer_events = { .on_end = on_peer_end };
+  struct xfer_opts o = { .method = "GET", .events = &peer_events };
+  int i;
+
+  o.arg = ps;
+  for (i = 0; i < PEERS; i++)
+    {
+      g_autofree char *url
+          = g_strdup_printf ("http://127.0.0.1:%d/x", ps->ports[i]);
+
+      o.url = url;
+      ps->left++;
+      xfer_start (ps->pool, &o);
+    }
+  loop_run (ps->loop);
+}
+
+/* Guards against a new connection for each poll where stores are many. */
+static void
+test_many_kept (void)
+{
+  struct peers *ps = g_new0 (struct peers, 1);
+  struct sockaddr_in sa;
+  GThread *t;
+  int i;
+
+  for (i = 0; i < PEERS; i++)
+    {
+      ps->fds[i] = (struct pollfd){ listen_at (&sa), POLLIN, 0 };
+      ps->fds[PEERS + i] = (struct pollfd){ -1, POLLIN, 0 };
+      ps->ports[i] = ntohs (sa.sin_port);
+    }
+  ps->loop = loop_new ();
+  ps->pool = xfer_pool_new (ps->loop);
+  t = g_thread_new ("peers", play_peers, ps);
+  for (i = 0; i < ROUNDS; i++)
+    call_peers (ps);
+  g_atomic_int_set (&ps->stop, 1);
+  g_thread_join (t);
+  g_assert_cmpint (ps->accepted, ==, PEERS);
+  xfer_pool_free (ps->pool);
+  loop_free (ps->loop);
+  g_free (ps);
+}
+
 const struct unit xfer_units[] = {
-  { "/xfer/stalled", test_stalled },
-  { "/xfer/silent", test_silent },
-  { "/xfer/slow", test_slow },
-  { "/xfer/busy", test_busy },
-  { NULL, NULL },
+  { "/xfer/stalled", test_stalled },     { "/xfer/silent", test_silent },
+  { "/xfer/slow", test_slow },           { "/xfer/busy", test_busy },
+  { "/xfer/many-kept", test_many_kept }, { NULL, NULL },
 };
