Connections that are polled for ever are kept, however many they are

Cause: 64 connections were kept, and connections in use count against that. A VM polls each store for ever; with more stores than that, the connection that had been idle longest was closed, which is the one needed next.

Change: the bound is the number of peers that were called within four seconds, some spare ones and the transfers under way; at most a quarter of the process's descriptors are for idle ones. Ruled out: no bound at all, since an address that is called once would keep its connection for four seconds.

--- a/xfer.c
+++ b/xfer.c
@@ -8,14 +8,22 @@
 #include <netinet/tcp.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/resource.h>
 
+#include "decide.h"
 #include "stall.h"
 
-#define RECEIVE_BYTES 4096L  /* libcurl's receive buffer for each transfer */
-#define IDLE_CONNECTIONS 64L /* connections kept for reuse */
+#define SCHEME "http://"    /* of all URLs */
+#define RECEIVE_BYTES 4096L /* libcurl's receive buffer for each transfer */
+#define IDLE_SPARE 16       /* kept besides one for each peer that is called */
+/* Part of the process's descriptors that may be kept idle: callers and
+   attempts need the rest. */
+#define IDLE_PART 4
 /* Idle connections are used again for this long; other ends close theirs
    after some seconds, and one that crosses our request costs a repeat. */
 #define IDLE_MAX_S 4L
+/* Between looks for peers that are no longer called. */
+#define FORGET_US (IDLE_MAX_S * CQ_US_PER_S)
 #define SILENCE_PROBE_S 1   /* seconds before the first probe, and between */
 #define SILENCE_PROBES 2    /* unanswered ones that end a connection */
 #define SILENCE_MAX_MS 2500 /* sent bytes that nobody confirms end it too */
@@ -25,6 +33,9 @@
   struct loop *loop;                    /* whose thread runs the transfers */
   CURLM *multi;                         /* all transfers */
   struct loop_timer timer;              /* libcurl's timer */
+  GHashTable *peers;                    /* address to int64_t: called then */
+  int64_t forgot_us;                    /* the last look for old ones */
+  int idle_max;                         /* of the process's descriptors */
   int count;                            /* under way, or held; atomic */
   APR_RING_HEAD (xfer_ring, xfer) live; /* these */
 };
@@ -108,6 +119,16 @@
   return 0;
 }
 
+static int
+idle_max (void)
+{
+  struct rlimit files;
+
+  if (getrlimit (RLIMIT_NOFILE, &files) != 0)
+    return IDLE_SPARE;
+  return (int)(MIN (files.rlim_cur, INT_MAX) / IDLE_PART);
+}
+
 struct xfer_pool *
 xfer_pool_new (struct loop *l)
 {
@@ -122,7 +143,8 @@
   curl_multi_setopt (p->multi, CURLMOPT_SOCKETDATA, p);
   curl_multi_setopt (p->multi, CURLMOPT_TIMERFUNCTION, set_timer);
   curl_multi_setopt (p->multi, CURLMOPT_TIMERDATA, p);
-  curl_multi_setopt (p->multi, CURLMOPT_MAXCONNECTS, IDLE_CONNECTIONS);
+  p->peers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  p->idle_max = idle_max ();
   return p;
 }
 
@@ -131,6 +153,7 @@
 {
   curl_multi_cleanup (p->multi);
   loop_disarm (&p->timer);
+  g_hash_table_destroy (p->peers);
   g_free (p);
 }
 
@@ -447,6 +470,56 @@
   __atomic_fetch_add (&p->count, n, __ATOMIC_RELAXED);
 }
 
+/* --- kept connections ------------------------------------------------ */
+
+static gboolean
+is_forgotten (gpointer address, gpointer called_us, gpointer now_us)
+{
+  const int64_t *called = called_us, *now = now_us;
+
+  (void)address;
+  return *now - *called > FORGET_US;
+}
+
+static void
+note_peer (struct xfer_pool *p, const char *url, int64_t now_us)
+{
+  const char *address = url + strlen (SCHEME);
+  char *key = g_strndup (address, strcspn (address, "/"));
+  int64_t *called = g_hash_table_lookup (p->peers, key);
+
+  if (called == NULL)
+    {
+      called = g_new (int64_t, 1);
+      g_hash_table_insert (p->peers, key, called);
+    }
+  else
+    g_free (key);
+  *called = now_us;
+}
+
+/*
+ * libcurl counts connections in use against the bound as well, and closes the
+ * one that has been idle longest.  Where more peers are polled than it keeps,
+ * that is the one that is needed next.
+ */
+static void
+bound_idle (struct xfer_pool *p, const struct xfer_opts *o, int64_t now_us)
+{
+  int peers;
+
+  if (!o->fresh)
+    note_peer (p, o->url, now_us);
+  if (now_us - p->forgot_us > FORGET_US)
+    {
+      g_hash_table_foreach_remove (p->peers, is_forgotten, &now_us);
+      p->forgot_us = now_us;
+    }
+  peers = MIN ((int)g_hash_table_size (p->peers) + IDLE_SPARE, p->idle_max);
+  curl_multi_setopt (p->multi, CURLMOPT_MAXCONNECTS,
+                     (long)(peers + xfer_count (p)));
+}
+
 struct xfer *
 xfer_start (struct xfer_pool *p, const struct xfer_opts *opts)
 {
@@ -467,6 +540,7 @@
   x->wait.since_us = loop_now_us ();
   x->quiet.fire = on_quiet;
   x->quiet.arg = x;
+  bound_idle (p, opts, x->wait.since_us);
   curl_multi_add_handle (p->multi, x->easy);
   arm_quiet (x);
   return x;
