A cold endpoint gets no more requests than it bears, from all VMs together

Cause: that an endpoint is cold, and how many requests it bears then, was not read at all. Each VM places by what it sees, and 89 VMs see the same idle endpoints at the same moment.

Change: the entry's remaining time and the service's rate are decoded; cold.c says who may send. For each cold endpoint at most as many VMs as its rate are chosen by rendezvous over the VMs that the platform lists, and each sends its part, evenly spaced, checked once more before the first byte leaves. For the others the endpoint does not exist while it is cold. Where that leaves nothing, the request is refused at once as not run, endpoints_cold.

Bound, by arithmetic: parts add up to the rate R at most, for any number of VMs (/cold/parts); a VM's sends are spaced so that no second holds more than its part (/cold/second). Where views of the list differ, each VM that wrongly takes itself for chosen adds one part; 1.5 R + 5 are allowed, so with R = 11 and parts of one request ten such VMs fit. A VM counts only when it has read its own row, and VMs that only sent datagrams do not count. A VM that is cut off or frozen sends less; one that is killed forgets its last send, and adds one request.

Ruled out by arithmetic: an equal share for each VM. 89 VMs with a ninth of a request a second each may all send in the same second.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	history.o poll.o storec.o kept.o export.o adopt.o conf.o confpost.o member.o \
 	peerrpc.o peerbody.o peerseal.o peer_xdr.o adm.o entry.o state.o listen.o srv.o
 # Requests that are passed on: beliefs of the fleet, and each request's life.
-RELAY = fleet.o pick.o load.o tell.o tellword.o evt.o relay.o relaytry.o \
+RELAY = fleet.o cold.o pick.o load.o tell.o tellword.o evt.o relay.o relaytry.o \
 	relayadmit.o relaywork.o relayquar.o relaycrash.o reqid.o quar.o \
 	quarwire.o quarfeed.o follow.o \
 	lease.o naming.o orders.o parts.o partfeed.o
@@ -71,7 +71,7 @@
 	regress/test-parts.o regress/test-xfer.o regress/test-share.o \
 	regress/test-headers.o regress/test-fresh.o regress/test-steps.o \
 	regress/test-lives.o regress/test-load.o regress/test-admit.o \
-	regress/test-quar.o regress/test-relayquar.o regress/relayplay.o
+	regress/test-quar.o regress/test-cold.o regress/test-relayquar.o regress/relayplay.o
 
 regress/test-units: $(UNITS) libplatform.a librelay.a libserver.a libwire.a libdecide.a
 	$(CC) $(CFLAGS) -o $@ $(UNITS) libplatform.a librelay.a log.o met.o loop.o xfer.o fetch.o peer_xdr.o \
--- /dev/null
+++ b/cold.c
@@ -0,0 +1,78 @@
+/* Cold endpoints: who may send there, and when. */
+#include "cold.h"
+
+#include <glib.h>
+
+#include "decide.h"
+
+/* More than a second holds a VM's part of the rate, so that no second holds
+   one request more. */
+#define PERIOD_US (CQ_US_PER_S + 10 * CQ_US_PER_MS)
+/* A part is worked out anew after this time: VMs come and go. */
+#define JUDGE_US CQ_US_PER_S
+
+void
+cold_until (struct cold *c, int64_t at_us)
+{
+  c->until_us = MAX (c->until_us, at_us);
+}
+
+bool
+cold_is (const struct cold *c, int64_t now_us)
+{
+  return now_us < c->until_us;
+}
+
+int
+cold_part (int rate, int vms, int rank)
+{
+  int chosen = MIN (rate, vms);
+
+  return rank < chosen ? rate / chosen : 0;
+}
+
+bool
+cold_is_unjudged (const struct cold *c, int64_t now_us)
+{
+  return cold_is (c, now_us)
+         && (c->judged_us == 0 || now_us - c->judged_us >= JUDGE_US);
+}
+
+void
+cold_judge (struct cold *c, int rate, int64_t now_us)
+{
+  c->rate = rate;
+  c->judged_us = now_us;
+}
+
+/* Evenly spaced, so that no second holds two parts. */
+static bool
+is_due (const struct cold *c, int64_t last_us, int64_t now_us)
+{
+  return c->rate > 0
+         && (last_us == 0 || now_us - last_us >= PERIOD_US / c->rate);
+}
+
+bool
+cold_may_place (const struct cold *c, int64_t now_us)
+{
+  return is_due (c, c->placed_us, now_us) && is_due (c, c->sent_us, now_us);
+}
+
+void
+cold_place (struct cold *c, int64_t now_us)
+{
+  c->placed_us = now_us;
+}
+
+bool
+cold_may_send (const struct cold *c, int64_t now_us)
+{
+  return is_due (c, c->sent_us, now_us);
+}
+
+void
+cold_sent (struct cold *c, int64_t now_us)
+{
+  c->sent_us = now_us;
+}
--- a/entry.c
+++ b/entry.c
@@ -253,6 +253,14 @@
   e->quarfeed = quarfeed_new (&o);
 }
 
+static int
+cold_part_of (void *arg, uint64_t endpoint, int rate)
+{
+  const struct entry *e = arg;
+
+  return e->tell != NULL ? tell_cold_part (e->tell, endpoint, rate) : 0;
+}
+
 static void
 make_relays (struct entry *e)
 {
@@ -335,6 +343,8 @@
   e->settings = cfg_ref (server_cfg (w->server));
   e->cfg = cfg_entry (e->settings);
   fleet_init (&e->fleet);
+  e->fleet.cold_part = cold_part_of;
+  e->fleet.cold_arg = e;
   e->fleet.old_max_us = e->cfg->version_ms * CQ_US_PER_MS - VERSION_MARGIN_US;
   e->fleet.factors.unread = (int)e->cfg->weigh_unread;
   e->fleet.factors.memory = (int)e->cfg->weigh_memory;
--- a/fleet.c
+++ b/fleet.c
@@ -533,6 +533,8 @@
       break;
     }
   fleet_take_version (e, l->version, FLEET_NEVER, now_us);
+  if (l->cold_us > 0)
+    cold_until (&e->cold, now_us + l->cold_us);
   /* The id is a key of the table, and equal. */
   e->is = *l;
   /* One life of an endpoint never takes its leaving back; the next may. */
@@ -578,6 +580,35 @@
     }
 }
 
+/* --- cold endpoints -------------------------------------------------- */
+
+static const struct fleet_service *
+service_of (const struct fleet *f, const struct fleet_endpoint *e)
+{
+  return f->conf != NULL
+             ? g_hash_table_lookup (f->conf->services, e->is.service)
+             : NULL;
+}
+
+void
+fleet_judge_cold (struct fleet *f, int64_t now_us)
+{
+  const struct fleet_service *s;
+  struct fleet_endpoint *e;
+  int part;
+
+  APR_RING_FOREACH (e, &f->endpoints, fleet_endpoint, link)
+  {
+    if (!cold_is_unjudged (&e->cold, now_us))
+      continue;
+    s = service_of (f, e);
+    part = 0;
+    if (s != NULL && f->cold_part != NULL)
+      part = f->cold_part (f->cold_arg, e->key, s->cold_rate);
+    cold_judge (&e->cold, part, now_us);
+  }
+}
+
 int64_t
 fleet_age_us (const struct fleet *f, int64_t now_us)
 {
--- a/fleet.h
+++ b/fleet.h
@@ -15,6 +15,8 @@
 
 #include <apr_ring.h>
 
+#include "cold.h"
+
 /* --- the operators' configuration ------------------------------------ */
 
 /* What may be repeated, and how the answer comes. */
@@ -61,6 +63,8 @@
   int64_t link_mbit_s;   /* its link, 0 if unknown */
   int64_t first_us;      /* that each of its transfers waits in addition */
   char *store_address;   /* IP:PORT if it is a store of kept KV cache */
+  int64_t cold_us;       /* an endpoint is cold for so long after a start */
+  int cold_rate;         /* requests a second that it bears then */
 };
 
 struct fleet_workspace
@@ -126,6 +130,7 @@
   int64_t version;               /* of these weights */
   int slots;                     /* requests it runs at once */
   bool draining;                 /* it is leaving */
+  int64_t cold_us;               /* it stays cold for so long, by its entry */
 };
 
 /* A wait as this VM sees it. */
@@ -176,6 +181,7 @@
   int64_t rest_until_us;   /* gets nothing until then, after failures */
   int64_t full_until_us;   /* it refused for want of room: last choice */
   int64_t reload_us;       /* when its weights were ordered, 0 if not */
+  struct cold cold;        /* whether it bears but a low rate, and whose */
   struct fleet_wait first; /* for the first piece of its answers */
 };
 
@@ -229,6 +235,9 @@
                          were named; 0 for ever */
   int64_t old_end_us; /* and nothing begins on them after so long; 0: it does
                          for ever */
+  /* This VM's part of a cold endpoint's RATE; NULL if it knows no others. */
+  int (*cold_part) (void *arg, uint64_t endpoint, int rate);
+  void *cold_arg; /* passed to it */
 };
 
 void fleet_init (struct fleet *f);
@@ -321,6 +330,9 @@
 struct fleet_endpoint *fleet_endpoint_ref (struct fleet_endpoint *e);
 void fleet_endpoint_unref (struct fleet_endpoint *e);
 
+/* Work out this VM's part of the rate of each cold endpoint. */
+void fleet_judge_cold (struct fleet *f, int64_t now_us);
+
 /* Age of the knowledge of configuration; INT64_MAX if there is none. */
 int64_t fleet_age_us (const struct fleet *f, int64_t now_us);
 
@@ -354,8 +366,9 @@
 enum pick_code
 {
   PICK_CHOSEN,
-  PICK_NONE, /* the service has no endpoint */
-  PICK_SPENT /* all were tried, or have weights that are too old */
+  PICK_NONE,  /* the service has no endpoint */
+  PICK_SPENT, /* all were tried, or have weights that are too old */
+  PICK_COLD   /* and some are cold, and have their rate of requests */
 };
 
 struct pick_choice
--- a/follow.c
+++ b/follow.c
@@ -204,6 +204,7 @@
   enum fleet_life life = fleet_life_of (old, it->listing.born_ms);
   bool again = old != NULL && life == FLEET_LIFE_YOUNGER;
   bool draining = old != NULL && old->draining;
+  bool cold = old != NULL && !again && cold_is (&old->cold, now_us);
   int64_t version = old != NULL ? old->version : 0;
   int64_t before = old != NULL ? old->is.born_ms : 0;
   struct fleet_endpoint *e;
@@ -224,6 +225,11 @@
                e->draining ? "draining" : "ready", e->is.service,
                e->is.address, e->is.domain, (gint64)e->version,
                (gint64)e->is.born_ms, (gint64)before, (gint64)it->row);
+  if (!cold && cold_is (&e->cold, now_us))
+    log_event (LOG_LEVEL_INFO, "endpoint_cold",
+               "endpoint=%s domain=%s left_us=%" G_GINT64_FORMAT
+               " row=%" G_GINT64_FORMAT,
+               e->is.id, e->is.domain, (gint64)e->is.cold_us, (gint64)it->row);
 }
 
 /* An entry that lapsed while the list could not be read is doubted first. */
--- a/pick.c
+++ b/pick.c
@@ -75,6 +75,7 @@
     [PICK_CHOSEN] = "chosen",
     [PICK_NONE] = "no_endpoint",
     [PICK_SPENT] = "all_tried",
+    [PICK_COLD] = "endpoints_cold",
   };
 
   return names[code];
@@ -329,11 +330,19 @@
   return false;
 }
 
+/* Above the rate it would crash, so it is no last resort either. */
+static bool
+is_cold (const struct fleet_endpoint *e, int64_t now_us)
+{
+  return cold_is (&e->cold, now_us) && !cold_may_place (&e->cold, now_us);
+}
+
 static enum tier
 tier_of (const struct fleet *f, const struct pick_query *q,
          const struct fleet_endpoint *e, int64_t now_us)
 {
-  if (e->draining || excluded (q, e) || too_old (f, e, now_us))
+  if (e->draining || excluded (q, e) || too_old (f, e, now_us)
+      || is_cold (e, now_us))
     return TIER_NEVER;
   if (now_us < e->rest_until_us)
     return TIER_RESTING;
@@ -347,6 +356,7 @@
 {
   int listed;     /* endpoints of the service that are not leaving */
   int count;      /* that may be chosen */
+  int cold;       /* that may not, since they are cold */
   enum tier best; /* lowest tier among them */
   int willing;    /* endpoints that take new work */
   int64_t load;   /* of these, in all */
@@ -370,6 +380,7 @@
     if (strcmp (e->is.service, q->service) != 0)
       continue;
     s.listed += !e->draining;
+    s.cold += !e->draining && is_cold (e, now_us);
     tier = tier_of (f, q, e, now_us);
     if (tier == TIER_NEVER)
       continue;
@@ -576,6 +587,14 @@
   return best;
 }
 
+static enum pick_code
+why_none (const struct survey *s)
+{
+  if (s->listed == 0)
+    return PICK_NONE;
+  return s->cold > 0 ? PICK_COLD : PICK_SPENT;
+}
+
 struct pick_choice
 pick_endpoint (const struct fleet *f, const struct pick_query *q,
                int64_t now_us)
@@ -587,7 +606,7 @@
   c.candidates = s.count;
   if (s.count == 0)
     {
-      c.code = s.listed > 0 ? PICK_SPENT : PICK_NONE;
+      c.code = why_none (&s);
       return c;
     }
   if (q->affinity != NULL)
--- /dev/null
+++ b/regress/test-cold.c
@@ -0,0 +1,141 @@
+/* Unit tests of cold endpoints: who may send there, and when. */
+#include <glib.h>
+#include <string.h>
+
+#include "cold.h"
+#include "relayplay.h"
+#include "units.h"
+
+#define RATES 40   /* requests a second, up to */
+#define VMS 100    /* VMs, up to */
+#define TRIES 5000 /* draws in the play of one VM */
+
+/* Guards against parts that add up to more than the endpoint bears. */
+static void
+test_parts (void)
+{
+  int rate, vms, rank, sum;
+
+  for (rate = 0; rate <= RATES; rate++)
+    for (vms = 1; vms <= VMS; vms++)
+      {
+        sum = 0;
+        for (rank = 0; rank < vms; rank++)
+          sum += cold_part (rate, vms, rank);
+        g_assert_cmpint (sum, <=, rate);
+        g_assert_true (rate == 0 || 2 * sum >= rate);
+      }
+}
+
+/* Guards against a second that holds more than a VM's part of the rate. */
+static void
+test_second (void)
+{
+  struct cold c = { .rate = 3 };
+  int64_t sent[TRIES];
+  g_autoptr (GRand) rand = g_rand_new_with_seed (1);
+  int64_t now = CQ_US_PER_S;
+  int i, n = 0;
+
+  for (i = 0; i < TRIES; i++, now += g_rand_int_range (rand, 0, 200000))
+    {
+      if (!cold_may_send (&c, now))
+        continue;
+      cold_sent (&c, now);
+      sent[n++] = now;
+      g_assert_true (n <= c.rate || now - sent[n - 1 - c.rate] > CQ_US_PER_S);
+    }
+  g_assert_cmpint (n, >, 100);
+}
+
+static struct fleet_endpoint *
+endpoint (struct play *p, const char *id)
+{
+  return g_hash_table_lookup (p->fleet.by_id, id);
+}
+
+static int
+one_a_second (void *arg, uint64_t key, int rate)
+{
+  (void)arg;
+  (void)key;
+  (void)rate;
+  return 1;
+}
+
+static void
+declare_cold (struct play *p)
+{
+  struct fleet_service *s = g_new0 (struct fleet_service, 1);
+
+  s->name = g_strdup ("s");
+  s->cold_us = 3 * CQ_US_PER_S;
+  s->cold_rate = 10;
+  g_hash_table_replace (p->fleet.conf->services, s->name, s);
+}
+
+/* Guards against a burst at an endpoint that bears one request a second. */
+static void
+test_burst (void)
+{
+  struct play *p = play_new (FLEET_IDEMPOTENT);
+  int i, cold = 0;
+
+  declare_cold (p);
+  p->fleet.cold_part = one_a_second;
+  cold_until (&endpoint (p, "a")->cold, loop_now_us () + 60 * CQ_US_PER_S);
+  for (i = 0; i < 20; i++)
+    {
+      p->sends = 0;
+      play_start (p);
+      cold += strcmp (p->to[0], "a") == 0;
+      play_answer (p, "ok");
+    }
+  g_assert_cmpint (cold, ==, 1);
+  play_free (p);
+}
+
+/* Guards against a request that was placed before its endpoint became cold. */
+static void
+test_cold_before_send (void)
+{
+  struct play *p = play_new (FLEET_ONCE);
+
+  declare_cold (p);
+  play_start (p);
+  cold_until (&endpoint (p, p->to[0])->cold,
+              loop_now_us () + 60 * CQ_US_PER_S);
+  g_assert_false (p->event->before_send (p->arg));
+  play_end (p, false, false);
+  g_assert_cmpint (p->sends, ==, 2);
+  g_assert_cmpstr (p->to[0], !=, p->to[1]);
+  play_answer (p, "ok");
+  g_assert_cmpstr (p->got->str, ==, "ok");
+  play_free (p);
+}
+
+/* Guards against requests that wait for endpoints that are all cold, where
+   other VMs have the rate. */
+static void
+test_all_cold (void)
+{
+  struct play *p = play_new (FLEET_ONCE);
+
+  declare_cold (p);
+  cold_until (&endpoint (p, "a")->cold, loop_now_us () + 60 * CQ_US_PER_S);
+  cold_until (&endpoint (p, "b")->cold, loop_now_us () + 60 * CQ_US_PER_S);
+  play_start (p);
+  g_assert_cmpint (p->sends, ==, 0);
+  g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
+  g_assert_cmpint (p->retry_after_us, >, 0);
+  play_free (p);
+}
+
+const struct unit cold_units[] = {
+  { "/cold/parts", test_parts },
+  { "/cold/second", test_second },
+  { "/cold/burst", test_burst },
+  { "/cold/before-send", test_cold_before_send },
+  { "/cold/all-cold", test_all_cold },
+  { NULL, NULL },
+};
--- a/regress/units.h
+++ b/regress/units.h
@@ -24,6 +24,7 @@
 extern const struct unit lives_units[];
 extern const struct unit load_units[];
 extern const struct unit admit_units[];
+extern const struct unit cold_units[];
 extern const struct unit quar_units[];
 extern const struct unit relayquar_units[];
 
--- a/relaytry.c
+++ b/relaytry.c
@@ -11,6 +11,10 @@
 #define UNSENT_MAX 4
 /* Largest event of a stream that is held until it is whole. */
 #define EVENT_MAX 65536
+/* Why an attempt is stopped, where another endpoint may do. */
+#define STOPPED_LEFT "endpoint_left"
+#define STOPPED_OUTDATED "weights_outdated"
+#define STOPPED_COLD "endpoint_cold"
 /* Callers who are refused for load return after this part of their time. */
 #define RETURN_PART 3
 /* And not before this: a second request costs about as much. */
@@ -86,11 +90,14 @@
   else if (now >= r->end_us)
     r->stopped = "deadline";
   else if (r->endpoint->draining || r->endpoint->gone)
-    r->stopped = "endpoint_left";
+    r->stopped = STOPPED_LEFT;
   else if (is_outdated (r, r->rs->opts.fleet->old_max_us, now))
-    r->stopped = "weights_outdated";
+    r->stopped = STOPPED_OUTDATED;
   else if (caller_left (r))
     r->stopped = "caller_gone";
+  else if (cold_is (&r->endpoint->cold, now)
+           && !cold_may_send (&r->endpoint->cold, now))
+    r->stopped = STOPPED_COLD;
   else if (relay_is_held (r, now))
     {
       /* Under other ids, so that it is not said to have not run. */
@@ -100,6 +107,8 @@
   r->handed_over = r->stopped == NULL;
   if (!r->handed_over)
     return false;
+  if (cold_is (&r->endpoint->cold, now))
+    cold_sent (&r->endpoint->cold, now);
   r->attempts++;
   if (r->handed_us == 0)
     {
@@ -245,11 +254,24 @@
   return out_judge (&f);
 }
 
+/* Whether another endpoint may do in its place. */
+static bool
+is_of_endpoint (const char *reason)
+{
+  static const char *const reasons[]
+      = { STOPPED_LEFT, STOPPED_OUTDATED, STOPPED_COLD };
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (reasons); i++)
+    if (strcmp (reason, reasons[i]) == 0)
+      return true;
+  return false;
+}
+
 static bool
 attempts_left (const struct relay *r, enum send_state sent)
 {
-  bool ours = r->stopped != NULL && strcmp (r->stopped, "endpoint_left") != 0
-              && strcmp (r->stopped, "weights_outdated") != 0;
+  bool ours = r->stopped != NULL && !is_of_endpoint (r->stopped);
 
   /* The attempt that is over takes a place as well. */
   if (r->ntried + 1 >= PICK_EXCLUDE_MAX)
@@ -453,6 +475,8 @@
 
   r->endpoint = fleet_endpoint_ref (c->endpoint);
   pick_sent (r->endpoint);
+  if (cold_is (&r->endpoint->cold, now_us))
+    cold_place (&r->endpoint->cold, now_us);
   r->unread = true;
   r->ahead = c->ahead;
   r->shared_unread = c->has_part ? 0 : r->work.shared - r->work.stored;
@@ -553,6 +577,7 @@
   relay_weigh (r, now_us);
   q.work = r->work;
   q.loads = o->loads;
+  fleet_judge_cold (o->fleet, now_us);
   c = pick_endpoint (o->fleet, &q, now_us);
   if (c.code == PICK_CHOSEN && is_refused (r, &c, now_us))
     refuse_late (r, now_us);
@@ -598,5 +623,5 @@
 void
 relay_withdraw (struct relay *r, int64_t now_us)
 {
-  abandon (r, "weights_outdated", now_us);
+  abandon (r, STOPPED_OUTDATED, now_us);
 }
--- a/tell.c
+++ b/tell.c
@@ -50,6 +50,7 @@
   uint64_t rank;         /* by rendezvous with this VM: the lowest are told */
   int64_t heard_us;      /* it spoke last; 0 for never */
   int64_t listed_us;     /* it came into the list here */
+  bool listed;           /* the platform lists it; else it only spoke */
 };
 
 struct tell
@@ -67,6 +68,7 @@
   int64_t list_pause_us;   /* after the next read */
   GRand *rand;             /* for pauses */
   bool written;            /* our own row stands */
+  bool listed;             /* the list that was read holds it */
   bool stopped;            /* tells and asks nothing more */
   int calls;               /* to the platform, under way */
 };
@@ -342,18 +344,48 @@
   t->list_pause_us = MIN (2 * t->list_pause_us, LIST_MAX_US);
 }
 
+static void
+take_listed (struct tell *t, const struct roster_row *row, int64_t now_us)
+{
+  struct listener *l = note_vm (t, row, "list", now_us);
+
+  if (l != NULL)
+    l->listed = true;
+  t->listed |= strcmp (row->vm, t->self.vm) == 0;
+}
+
+/* VMs that share the rates of cold endpoints. */
+static int
+count_listed (const struct tell *t)
+{
+  const struct listener *l;
+  int n = t->listed;
+  guint i;
+
+  for (i = 0; i < t->listeners->len; i++)
+    {
+      l = t->listeners->pdata[i];
+      n += l->listed;
+    }
+  return n;
+}
+
 static void
 on_list (void *arg, const GArray *list)
 {
   struct tell *t = arg;
   int64_t now = loop_now_us ();
+  int before = count_listed (t);
   guint i;
 
   t->calls--;
   if (t->stopped)
     return;
   for (i = 0; list != NULL && i < list->len; i++)
-    note_vm (t, &g_array_index (list, struct roster_row, i), "list", now);
+    take_listed (t, &g_array_index (list, struct roster_row, i), now);
+  if (count_listed (t) != before)
+    log_event (LOG_LEVEL_INFO, "vms_listed", "vms=%d before=%d self=%s",
+               count_listed (t), before, t->listed ? "yes" : "no");
   plan_list (t, now);
   tell_changed (t, now);
 }
@@ -388,6 +420,35 @@
   ask_list (arg);
 }
 
+/* --- cold endpoints -------------------------------------------------- */
+
+static uint64_t
+score (const char *vm, uint64_t endpoint)
+{
+  return XXH3_64bits_withSeed (vm, strlen (vm), endpoint);
+}
+
+/* A VM that only spoke does not count: whoever sends datagrams could take
+   parts away. */
+int
+tell_cold_part (const struct tell *t, uint64_t endpoint, int rate)
+{
+  uint64_t own = score (t->self.vm, endpoint);
+  const struct listener *l;
+  int vms = 1, rank = 0;
+  guint i;
+
+  for (i = 0; i < t->listeners->len; i++)
+    {
+      l = t->listeners->pdata[i];
+      if (!l->listed)
+        continue;
+      vms++;
+      rank += score (l->row.vm, endpoint) > own;
+    }
+  return t->listed ? cold_part (rate, vms, rank) : 0;
+}
+
 /* --- life ------------------------------------------------------------ */
 
 struct tell *
--- a/tell.h
+++ b/tell.h
@@ -57,6 +57,10 @@
 /* Tell and ask nothing more. */
 void tell_stop (struct tell *t);
 void tell_free (struct tell *t);
+/* This VM's part of the RATE of requests that the cold endpoint with key
+   ENDPOINT bears from all VMs, by the list of VMs on the platform; 0 as long
+   as this VM has not seen itself there. */
+int tell_cold_part (const struct tell *t, uint64_t endpoint, int rate);
 /* Calls to the platform under way. */
 int tell_waiting (const struct tell *t);
 
