Nothing is sent to a failure domain that the operator evacuates

Cause: the operator's row op/evacuate/DOMAIN was passed over.

Change: it is decoded beside settings and weights, in the same poll, so its age is bounded as theirs is: a VM that has not heard from the store for longer than keys count for sends nothing with a key anyway, and others are not asked to know better. No endpoint of the domain is chosen any more, and what was placed there is placed again at the last moment before its first byte leaves. Streams under way go on, orders too: weights have to be in place when it ends. With no other domain left the caller is told at once, not run, domain_evacuated. Once it is taken back the domain's endpoints count as cold for as long as their service says, since their entries tell a heartbeat later. A VM that starts reads it with its first settings. If the store comes back from an older copy, one that is not in it stays for 2.2 s, until the operator has written it again.

--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 RELAY = fleet.o cold.o pick.o load.o tell.o tellword.o evt.o relay.o relaytry.o \
 	relayadmit.o relaywork.o relayquar.o relaycrash.o reqid.o quar.o \
 	quarwire.o quarfeed.o follow.o \
-	lease.o naming.o orders.o parts.o partfeed.o
+	lease.o naming.o orders.o parts.o partfeed.o evac.o
 # The users' platform; translates only.
 PLATFORM = platform/answered.o platform/asked.o platform/decode.o platform/duty.o \
 	platform/engine.o platform/ingress.o platform/json.o platform/kvstore.o \
@@ -71,7 +71,7 @@
 	regress/test-parts.o regress/test-xfer.o regress/test-share.o \
 	regress/test-headers.o regress/test-fresh.o regress/test-steps.o \
 	regress/test-lives.o regress/test-load.o regress/test-admit.o \
-	regress/test-quar.o regress/test-cold.o regress/test-relayquar.o regress/relayplay.o
+	regress/test-quar.o regress/test-cold.o regress/test-evac.o regress/test-relayquar.o regress/relayplay.o
 
 regress/test-units: $(UNITS) libplatform.a librelay.a libserver.a libwire.a libdecide.a
 	$(CC) $(CFLAGS) -o $@ $(UNITS) libplatform.a librelay.a log.o met.o loop.o xfer.o fetch.o peer_xdr.o \
--- a/entry.c
+++ b/entry.c
@@ -5,6 +5,8 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "evac.h"
+
 /* A key that was taken away must open nothing once the operator's bound has
    passed; this much earlier covers what happens between the last look and
    the first byte. */
@@ -116,6 +118,7 @@
   struct entry *e = arg;
 
   fleet_sweep (&e->fleet, now_us);
+  evac_sweep (&e->fleet, now_us);
   if (orders_held (e->orders))
     e->duty_us = now_us;
   if (e->duty_us != 0 && now_us - e->duty_us < FREE_DUTY_US)
--- a/fleet.c
+++ b/fleet.c
@@ -171,6 +171,7 @@
   f->by_id = g_hash_table_new (g_str_hash, g_str_equal);
   f->wanted = g_array_new (FALSE, TRUE, sizeof (struct fleet_wanted));
   f->seen = g_array_new (FALSE, TRUE, sizeof (struct fleet_service_seen));
+  f->evacuated = g_array_new (FALSE, TRUE, sizeof (struct fleet_evacuation));
 }
 
 void
@@ -204,6 +205,7 @@
   g_hash_table_destroy (f->by_id);
   g_array_free (f->wanted, TRUE);
   g_array_free (f->seen, TRUE);
+  g_array_free (f->evacuated, TRUE);
   fleet_conf_unref (f->conf);
 }
 
@@ -580,6 +582,23 @@
     }
 }
 
+/* --- evacuated domains ----------------------------------------------- */
+
+bool
+fleet_is_evacuated (const struct fleet *f, const char *domain)
+{
+  const struct fleet_evacuation *v;
+  guint i;
+
+  for (i = 0; i < f->evacuated->len; i++)
+    {
+      v = &g_array_index (f->evacuated, struct fleet_evacuation, i);
+      if (strcmp (v->domain, domain) == 0)
+        return true;
+    }
+  return false;
+}
+
 /* --- cold endpoints -------------------------------------------------- */
 
 static const struct fleet_service *
--- a/fleet.h
+++ b/fleet.h
@@ -219,6 +219,14 @@
   int nfacts;                                /* entries in facts */
 };
 
+/* A failure domain that the operator evacuates. */
+struct fleet_evacuation
+{
+  char domain[FLEET_NAME_SIZE]; /* its name */
+  int64_t missing_us; /* not in a whole list since, while that is doubted; or 0
+                       */
+};
+
 struct fleet
 {
   struct fleet_conf *conf; /* in force; NULL while none is known */
@@ -228,6 +236,7 @@
   bool listed;       /* endpoints were listed once */
   GArray *wanted;    /* struct fleet_wanted */
   GArray *seen;      /* struct fleet_service_seen */
+  GArray *evacuated; /* struct fleet_evacuation */
   int64_t fresh_us;  /* the configuration was current then; 0: never */
   int64_t back_us;   /* the list could be read again since */
   struct pick_factors factors; /* as set */
@@ -330,6 +339,8 @@
 struct fleet_endpoint *fleet_endpoint_ref (struct fleet_endpoint *e);
 void fleet_endpoint_unref (struct fleet_endpoint *e);
 
+/* Whether nothing may be sent to the endpoints of DOMAIN. */
+bool fleet_is_evacuated (const struct fleet *f, const char *domain);
 /* Work out this VM's part of the rate of each cold endpoint. */
 void fleet_judge_cold (struct fleet *f, int64_t now_us);
 
@@ -366,9 +377,10 @@
 enum pick_code
 {
   PICK_CHOSEN,
-  PICK_NONE,  /* the service has no endpoint */
-  PICK_SPENT, /* all were tried, or have weights that are too old */
-  PICK_COLD   /* and some are cold, and have their rate of requests */
+  PICK_NONE,     /* the service has no endpoint */
+  PICK_SPENT,    /* all were tried, or have weights that are too old */
+  PICK_COLD,     /* and some are cold, and have their rate of requests */
+  PICK_EVACUATED /* and some stand in a domain that is evacuated */
 };
 
 struct pick_choice
--- a/follow.c
+++ b/follow.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "decide.h"
+#include "evac.h"
 #include "log.h"
 #include "met.h"
 
@@ -284,6 +285,12 @@
       if (e != NULL)
         take_removed (f, e, "entry_gone", now_us);
       break;
+    case NEWS_EVACUATION:
+      evac_begin (f, it->domain, it->row);
+      break;
+    case NEWS_READMISSION:
+      evac_end (f, it->domain, now_us);
+      break;
     case NEWS_SPOILED:
       take_spoiled (f, it, now_us);
       break;
@@ -305,6 +312,36 @@
   return false;
 }
 
+static bool
+is_evacuated_in_news (const struct news *n, const char *domain)
+{
+  const struct news_item *it;
+  guint i;
+
+  for (i = 0; i < n->items->len; i++)
+    {
+      it = &g_array_index (n->items, struct news_item, i);
+      if (it->kind == NEWS_EVACUATION && strcmp (it->domain, domain) == 0)
+        return true;
+    }
+  return false;
+}
+
+/* Of the evacuations that a whole reading does not hold the end was missed. */
+static void
+take_readmitted (struct fleet *f, const struct news *n, int64_t now_us)
+{
+  const struct fleet_evacuation *v;
+  int i;
+
+  for (i = (int)f->evacuated->len - 1; i >= 0; i--)
+    {
+      v = &g_array_index (f->evacuated, struct fleet_evacuation, i);
+      if (!is_evacuated_in_news (n, v->domain))
+        evac_missing (f, v->domain, now_us);
+    }
+}
+
 /* What a whole list does not hold was removed unseen. */
 static void
 take_absent (struct fleet *f, const struct news *n, int64_t now_us)
@@ -388,6 +425,8 @@
       take_absent (f, n, now_us);
       f->listed = true;
     }
+  if (s->reading && s->source == FOLLOW_OPERATOR)
+    take_readmitted (f, n, now_us);
   if (s->source == FOLLOW_OPERATOR)
     {
       f->fresh_us = at;
--- a/follow.h
+++ b/follow.h
@@ -18,12 +18,14 @@
 
 enum news_kind
 {
-  NEWS_CONF,     /* a configuration */
-  NEWS_WANTED,   /* a weight version was named */
-  NEWS_ENDPOINT, /* an endpoint is listed */
-  NEWS_REMOVED,  /* an endpoint's entry was removed */
-  NEWS_SPOILED   /* a row of the operator's or an endpoint's says nothing that
-                    can be used */
+  NEWS_CONF,        /* a configuration */
+  NEWS_WANTED,      /* a weight version was named */
+  NEWS_ENDPOINT,    /* an endpoint is listed */
+  NEWS_REMOVED,     /* an endpoint's entry was removed */
+  NEWS_EVACUATION,  /* the operator evacuates a failure domain */
+  NEWS_READMISSION, /* and took that back */
+  NEWS_SPOILED /* a row of the operator's or an endpoint's says nothing that
+                  can be used */
 };
 
 /* One thing the platform says. */
@@ -36,6 +38,7 @@
   int64_t version;              /* of these weights */
   struct fleet_listing listing; /* endpoint; only its id if it was removed or
                                    spoiled; "" if the row is none */
+  char domain[FLEET_NAME_SIZE]; /* evacuated, or no longer */
   const char *flaw;             /* what is wrong with a spoiled row */
 };
 
--- a/pick.c
+++ b/pick.c
@@ -76,6 +76,7 @@
     [PICK_NONE] = "no_endpoint",
     [PICK_SPENT] = "all_tried",
     [PICK_COLD] = "endpoints_cold",
+    [PICK_EVACUATED] = "domain_evacuated",
   };
 
   return names[code];
@@ -342,7 +343,7 @@
          const struct fleet_endpoint *e, int64_t now_us)
 {
   if (e->draining || excluded (q, e) || too_old (f, e, now_us)
-      || is_cold (e, now_us))
+      || is_cold (e, now_us) || fleet_is_evacuated (f, e->is.domain))
     return TIER_NEVER;
   if (now_us < e->rest_until_us)
     return TIER_RESTING;
@@ -357,6 +358,7 @@
   int listed;     /* endpoints of the service that are not leaving */
   int count;      /* that may be chosen */
   int cold;       /* that may not, since they are cold */
+  int evacuated;  /* or since their domain is evacuated */
   enum tier best; /* lowest tier among them */
   int willing;    /* endpoints that take new work */
   int64_t load;   /* of these, in all */
@@ -381,6 +383,7 @@
       continue;
     s.listed += !e->draining;
     s.cold += !e->draining && is_cold (e, now_us);
+    s.evacuated += !e->draining && fleet_is_evacuated (f, e->is.domain);
     tier = tier_of (f, q, e, now_us);
     if (tier == TIER_NEVER)
       continue;
@@ -592,7 +595,9 @@
 {
   if (s->listed == 0)
     return PICK_NONE;
-  return s->cold > 0 ? PICK_COLD : PICK_SPENT;
+  if (s->cold > 0)
+    return PICK_COLD;
+  return s->evacuated > 0 ? PICK_EVACUATED : PICK_SPENT;
 }
 
 struct pick_choice
--- /dev/null
+++ b/regress/test-evac.c
@@ -0,0 +1,106 @@
+/* Unit tests of evacuated failure domains. */
+#include <glib.h>
+#include <string.h>
+
+#include "evac.h"
+#include "relayplay.h"
+#include "units.h"
+
+#define SETTLED_US (60 * CQ_US_PER_S)
+
+static struct fleet_endpoint *
+put (struct play *p, const char *id, const char *domain)
+{
+  struct fleet_endpoint *e = g_hash_table_lookup (p->fleet.by_id, id);
+
+  g_strlcpy (e->is.domain, domain, sizeof e->is.domain);
+  return e;
+}
+
+/* Guards against a request that was placed before its endpoint's domain was
+   evacuated. */
+static void
+test_before_send (void)
+{
+  struct play *p = play_new (FLEET_ONCE);
+
+  put (p, "a", "east");
+  put (p, "b", "west");
+  play_start (p);
+  evac_begin (&p->fleet, strcmp (p->to[0], "a") == 0 ? "east" : "west", 2);
+  g_assert_false (p->event->before_send (p->arg));
+  play_end (p, false, false);
+  g_assert_cmpint (p->sends, ==, 2);
+  g_assert_cmpstr (p->to[0], !=, p->to[1]);
+  play_answer (p, "ok");
+  g_assert_cmpstr (p->got->str, ==, "ok");
+  play_free (p);
+}
+
+/* Guards against a burst at endpoints that became cold before the evacuation
+   ended, while their entries do not say so yet. */
+static void
+test_ends_cold (void)
+{
+  struct play *p = play_new (FLEET_ONCE);
+  struct fleet_service *s = g_new0 (struct fleet_service, 1);
+  int64_t now = loop_now_us ();
+  struct fleet_endpoint *a = put (p, "a", "east");
+  struct fleet_endpoint *b = put (p, "b", "west");
+
+  s->name = g_strdup ("s");
+  s->cold_us = 3 * CQ_US_PER_S;
+  g_hash_table_replace (p->fleet.conf->services, s->name, s);
+  evac_begin (&p->fleet, "east", 2);
+  evac_end (&p->fleet, "east", now);
+  g_assert_true (cold_is (&a->cold, now + s->cold_us - 1));
+  g_assert_false (cold_is (&a->cold, now + s->cold_us));
+  g_assert_false (cold_is (&b->cold, now));
+  play_free (p);
+}
+
+/* Guards against an evacuation that stays for good after its end was missed.
+ */
+static void
+test_end_missed (void)
+{
+  struct fleet f;
+
+  fleet_init (&f);
+  evac_begin (&f, "east", 2);
+  evac_begin (&f, "west", 3);
+  evac_missing (&f, "east", SETTLED_US);
+  g_assert_false (fleet_is_evacuated (&f, "east"));
+  g_assert_true (fleet_is_evacuated (&f, "west"));
+  fleet_clear (&f);
+}
+
+/* Guards against an evacuation that ends since the store came back from a copy
+   without it, and against one that the operator does not write again. */
+static void
+test_older_copy (void)
+{
+  struct fleet f;
+
+  fleet_init (&f);
+  evac_begin (&f, "east", 2);
+  evac_begin (&f, "west", 3);
+  fleet_list_back (&f, SETTLED_US);
+  evac_missing (&f, "east", SETTLED_US + 1);
+  evac_missing (&f, "west", SETTLED_US + 1);
+  evac_sweep (&f, SETTLED_US + 2);
+  g_assert_true (fleet_is_evacuated (&f, "east"));
+  evac_begin (&f, "east", 1);
+  evac_sweep (&f, 2 * SETTLED_US);
+  g_assert_true (fleet_is_evacuated (&f, "east"));
+  g_assert_false (fleet_is_evacuated (&f, "west"));
+  fleet_clear (&f);
+}
+
+const struct unit evac_units[] = {
+  { "/evac/before-send", test_before_send },
+  { "/evac/ends-cold", test_ends_cold },
+  { "/evac/end-missed", test_end_missed },
+  { "/evac/older-copy", test_older_copy },
+  { NULL, NULL },
+};
--- a/relaytry.c
+++ b/relaytry.c
@@ -13,6 +13,7 @@
 #define EVENT_MAX 65536
 /* Why an attempt is stopped, where another endpoint may do. */
 #define STOPPED_LEFT "endpoint_left"
+#define STOPPED_EVACUATED "domain_evacuated"
 #define STOPPED_OUTDATED "weights_outdated"
 #define STOPPED_COLD "endpoint_cold"
 /* Callers who are refused for load return after this part of their time. */
@@ -91,6 +92,8 @@
     r->stopped = "deadline";
   else if (r->endpoint->draining || r->endpoint->gone)
     r->stopped = STOPPED_LEFT;
+  else if (fleet_is_evacuated (r->rs->opts.fleet, r->endpoint->is.domain))
+    r->stopped = STOPPED_EVACUATED;
   else if (is_outdated (r, r->rs->opts.fleet->old_max_us, now))
     r->stopped = STOPPED_OUTDATED;
   else if (caller_left (r))
@@ -259,7 +262,7 @@
 is_of_endpoint (const char *reason)
 {
   static const char *const reasons[]
-      = { STOPPED_LEFT, STOPPED_OUTDATED, STOPPED_COLD };
+      = { STOPPED_LEFT, STOPPED_EVACUATED, STOPPED_OUTDATED, STOPPED_COLD };
   size_t i;
 
   for (i = 0; i < G_N_ELEMENTS (reasons); i++)
