Requests stay in the regions that their route and workspace name

A workspace whose prompts have to stay in one region had them sent to any endpoint, and their kept work to any store.

Cause: AllowedRegions of routes and workspaces was not read, and a VM did not know which region a failure domain is in.

Change: a VM is told the regions of domains in its settings (entry, regions; rendered from the platform's), decodes both lists, and both bind: placing, also of further attempts, fetches and saves pass over what stands elsewhere. A domain that nobody named is no home. With no endpoint at home the request is refused at once as not run, no_home. VMs pass no requests to each other, so no body leaves its region that way.

None of the deployments at hand has more than one region: played by tests only.

--- a/entry.c
+++ b/entry.c
@@ -346,6 +346,9 @@
   e->settings = cfg_ref (server_cfg (w->server));
   e->cfg = cfg_entry (e->settings);
   fleet_init (&e->fleet);
+  if (!fleet_take_regions (&e->fleet, e->cfg->regions))
+    log_event (LOG_LEVEL_ERROR, "regions", "outcome=unreadable text=\"%s\"",
+               e->cfg->regions);
   e->fleet.cold_part = cold_part_of;
   e->fleet.cold_arg = e;
   e->fleet.old_max_us = e->cfg->version_ms * CQ_US_PER_MS - VERSION_MARGIN_US;
--- a/fleet.c
+++ b/fleet.c
@@ -24,6 +24,7 @@
   g_free (r->splits);
   g_free (r->name);
   g_free (r->host);
+  g_strfreev (r->homes);
   g_free (r->prefix);
   g_free (r);
 }
@@ -42,6 +43,7 @@
 fleet_workspace_free (struct fleet_workspace *w)
 {
   g_free (w->name);
+  g_strfreev (w->homes);
   g_free (w);
 }
 
@@ -171,6 +173,7 @@
   f->by_id = g_hash_table_new (g_str_hash, g_str_equal);
   f->wanted = g_array_new (FALSE, TRUE, sizeof (struct fleet_wanted));
   f->seen = g_array_new (FALSE, TRUE, sizeof (struct fleet_service_seen));
+  f->regions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   f->evacuated = g_array_new (FALSE, TRUE, sizeof (struct fleet_evacuation));
 }
 
@@ -206,6 +209,7 @@
   g_array_free (f->wanted, TRUE);
   g_array_free (f->seen, TRUE);
   g_array_free (f->evacuated, TRUE);
+  g_hash_table_destroy (f->regions);
   fleet_conf_unref (f->conf);
 }
 
@@ -582,6 +586,49 @@
     }
 }
 
+/* --- regions --------------------------------------------------------- */
+
+bool
+fleet_take_regions (struct fleet *f, const char *text)
+{
+  g_auto (GStrv) list = g_strsplit (text, " ", -1);
+  char *equals;
+  int i;
+
+  for (i = 0; list[i] != NULL; i++)
+    {
+      if (list[i][0] == '\0')
+        continue;
+      equals = strchr (list[i], '=');
+      if (equals == NULL || equals == list[i] || equals[1] == '\0')
+        return false;
+      *equals = '\0';
+      g_hash_table_replace (f->regions, g_strdup (list[i]),
+                            g_strdup (equals + 1));
+    }
+  return true;
+}
+
+static bool
+allows (const char *const *homes, const char *region)
+{
+  if (homes == NULL)
+    return true;
+  return region != NULL && g_strv_contains (homes, region);
+}
+
+bool
+fleet_is_home (const struct fleet *f, const struct fleet_homes *homes,
+               const char *domain)
+{
+  const char *region;
+
+  if (homes->route == NULL && homes->workspace == NULL)
+    return true;
+  region = g_hash_table_lookup (f->regions, domain);
+  return allows (homes->route, region) && allows (homes->workspace, region);
+}
+
 /* --- evacuated domains ----------------------------------------------- */
 
 bool
--- a/fleet.h
+++ b/fleet.h
@@ -48,6 +48,7 @@
   bool anonymous;             /* no key is needed */
   bool sticky;                /* prompts share heads worth finding again */
   bool resumable;             /* a stream may go on at another endpoint */
+  char **homes;               /* regions it may use; NULL for all */
   struct fleet_split *splits; /* where its requests go */
   int nsplits;                /* entries in splits, at least one */
 };
@@ -72,6 +73,7 @@
   char *name;    /* told to endpoints */
   int priority;  /* goes before the route's; -1 if it has none */
   bool isolated; /* shares no cached work with others */
+  char **homes;  /* regions its requests may use; NULL for all */
 };
 
 /* Bounds on what a caller may send. */
@@ -219,6 +221,13 @@
   int nfacts;                                /* entries in facts */
 };
 
+/* Regions that bind a request; both lists do, where there are two. */
+struct fleet_homes
+{
+  const char *const *route;     /* of its route; NULL for all */
+  const char *const *workspace; /* of who asks; NULL for all */
+};
+
 /* A failure domain that the operator evacuates. */
 struct fleet_evacuation
 {
@@ -232,13 +241,14 @@
   struct fleet_conf *conf; /* in force; NULL while none is known */
   int64_t conf_row;        /* change that brought it */
   APR_RING_HEAD (fleet_ring, fleet_endpoint) endpoints; /* all listed */
-  GHashTable *by_id; /* id to struct fleet_endpoint */
-  bool listed;       /* endpoints were listed once */
-  GArray *wanted;    /* struct fleet_wanted */
-  GArray *seen;      /* struct fleet_service_seen */
-  GArray *evacuated; /* struct fleet_evacuation */
-  int64_t fresh_us;  /* the configuration was current then; 0: never */
-  int64_t back_us;   /* the list could be read again since */
+  GHashTable *by_id;   /* id to struct fleet_endpoint */
+  bool listed;         /* endpoints were listed once */
+  GArray *wanted;      /* struct fleet_wanted */
+  GArray *seen;        /* struct fleet_service_seen */
+  GArray *evacuated;   /* struct fleet_evacuation */
+  GHashTable *regions; /* failure domain to its region */
+  int64_t fresh_us;    /* the configuration was current then; 0: never */
+  int64_t back_us;     /* the list could be read again since */
   struct pick_factors factors; /* as set */
   int64_t old_max_us; /* old weights take work this long after newer ones
                          were named; 0 for ever */
@@ -339,6 +349,13 @@
 struct fleet_endpoint *fleet_endpoint_ref (struct fleet_endpoint *e);
 void fleet_endpoint_unref (struct fleet_endpoint *e);
 
+/* Take over which region each failure domain is in, DOMAIN=REGION parted by
+   spaces; false if a part says no such thing. */
+bool fleet_take_regions (struct fleet *f, const char *text);
+/* Whether a request with HOMES may use what stands in DOMAIN.  The region of
+   a domain that nobody named is no home. */
+bool fleet_is_home (const struct fleet *f, const struct fleet_homes *homes,
+                    const char *domain);
 /* Whether nothing may be sent to the endpoints of DOMAIN. */
 bool fleet_is_evacuated (const struct fleet *f, const char *domain);
 /* Work out this VM's part of the rate of each cold endpoint. */
@@ -369,6 +386,7 @@
   const char *affinity; /* part of the prompt to find again, or NULL */
   const struct fleet_endpoint *exclude[PICK_EXCLUDE_MAX]; /* tried before */
   int nexclude;                   /* entries in exclude */
+  struct fleet_homes homes;       /* regions that it may use */
   uint64_t random;                /* breaks ties */
   struct pick_work work;          /* zeros for a plain service */
   const struct load_table *loads; /* work of all VMs, or NULL */
@@ -380,6 +398,7 @@
   PICK_NONE,     /* the service has no endpoint */
   PICK_SPENT,    /* all were tried, or have weights that are too old */
   PICK_COLD,     /* and some are cold, and have their rate of requests */
+  PICK_ABROAD,   /* and some stand in no region that the request may use */
   PICK_EVACUATED /* and some stand in a domain that is evacuated */
 };
 
--- a/parts.c
+++ b/parts.c
@@ -252,18 +252,28 @@
          && now_us - s->heard_us < STORE_DEAD_US;
 }
 
+/* Kept work of a request that is bound to regions stays inside them. */
+static bool
+may_use (const struct parts_query *q, const struct parts_store *s)
+{
+  return q == NULL || q->fleet == NULL
+         || fleet_is_home (q->fleet, &q->homes, s->domain);
+}
+
 /* A store that holds the part whole; one in DOMAIN before others, since a
-   transfer takes half as long inside a failure domain. */
+   transfer takes half as long inside a failure domain.  Q, or NULL, says which
+   stores the request may use. */
 static struct parts_store *
-find_held (struct parts *p, uint64_t key, const struct part *part,
-           const char *domain, int64_t now_us)
+find_held (struct parts *p, const struct parts_query *q, uint64_t key,
+           const struct part *part, const char *domain, int64_t now_us)
 {
   struct parts_store *s, *best = NULL;
   const struct part_held *h;
 
   APR_RING_FOREACH (s, &p->stores, parts_store, link)
   {
-    if (!is_alive (s, now_us) || now_us - s->known_us > KNOWN_MAX_US)
+    if (!is_alive (s, now_us) || now_us - s->known_us > KNOWN_MAX_US
+        || !may_use (q, s))
       continue;
     h = g_hash_table_lookup (s->held, &key);
     if (h == NULL || h->tokens < part->tokens)
@@ -342,8 +352,8 @@
 /* The store where the part should be kept: the same one on every VM while
    there is room, so that two VMs do not keep it twice. */
 static struct parts_store *
-choose_store (struct parts *p, uint64_t key, const struct part *part,
-              int64_t now_us)
+choose_store (struct parts *p, const struct parts_query *q, uint64_t key,
+              const struct part *part, int64_t now_us)
 {
   int64_t fastest = fastest_transfer_us (p, now_us);
   struct parts_store *s, *best = NULL;
@@ -354,7 +364,7 @@
   {
     if (is_alive (s, now_us) && is_saving (s, key, now_us))
       return NULL;
-    if (!is_alive (s, now_us) || now_us < s->save_from_us
+    if (!is_alive (s, now_us) || !may_use (q, s) || now_us < s->save_from_us
         || now_us - s->known_us > SAVE_KNOWN_US
         || s->used + part->tokens > s->capacity * FILL_PERCENT / 100)
       continue;
@@ -419,7 +429,8 @@
   int i;
 
   for (i = 0; i < n && i < PARTS_MAX; i++)
-    if (find_held (p, key_of (scope, list[i].id), &list[i], domain, now_us)
+    if (find_held (p, NULL, key_of (scope, list[i].id), &list[i], domain,
+                   now_us)
         != NULL)
       all += list[i].tokens;
   return all;
@@ -458,13 +469,13 @@
   for (i = 0; i < q->n - 1 && i < PARTS_MAX; i++)
     {
       key = key_of (q->scope, q->list[i].id);
-      s = find_held (p, key, &q->list[i], q->domain, now_us);
+      s = find_held (p, q, key, &q->list[i], q->domain, now_us);
       if (s != NULL)
         {
           plan_fetch (plan, i, q, s, now_us);
           continue;
         }
-      s = q->outdated ? NULL : choose_store (p, key, &q->list[i], now_us);
+      s = q->outdated ? NULL : choose_store (p, q, key, &q->list[i], now_us);
       if (s == NULL)
         continue;
       note_saving (s, key, now_us);
--- a/parts.h
+++ b/parts.h
@@ -108,14 +108,16 @@
 /* What is known when a request's parts are planned. */
 struct parts_query
 {
-  const char *scope;       /* of the request */
-  const struct part *list; /* its prompt's parts; the last is its own */
-  int n;                   /* entries in list */
-  const char *domain;      /* of its endpoint */
-  int64_t fresh_us;        /* knowledge of weights was current then */
-  bool outdated;           /* newer weights than its own were named */
-  int64_t named_us;        /* not before that time; 0: not known */
-  int64_t wait_us;         /* it may wait for so long before it begins */
+  const char *scope;         /* of the request */
+  const struct part *list;   /* its prompt's parts; the last is its own */
+  int n;                     /* entries in list */
+  const char *domain;        /* of its endpoint */
+  int64_t fresh_us;          /* knowledge of weights was current then */
+  bool outdated;             /* newer weights than its own were named */
+  int64_t named_us;          /* not before that time; 0: not known */
+  int64_t wait_us;           /* it may wait for so long before it begins */
+  const struct fleet *fleet; /* knows regions; NULL: stores of all do */
+  struct fleet_homes homes;  /* regions that the request may use */
 };
 
 /* Tokens of the N parts in LIST that stores hold whole. */
--- a/pick.c
+++ b/pick.c
@@ -72,11 +72,9 @@
 pick_code_name (enum pick_code code)
 {
   static const char *const names[] = {
-    [PICK_CHOSEN] = "chosen",
-    [PICK_NONE] = "no_endpoint",
-    [PICK_SPENT] = "all_tried",
-    [PICK_COLD] = "endpoints_cold",
-    [PICK_EVACUATED] = "domain_evacuated",
+    [PICK_CHOSEN] = "chosen",   [PICK_NONE] = "no_endpoint",
+    [PICK_SPENT] = "all_tried", [PICK_COLD] = "endpoints_cold",
+    [PICK_ABROAD] = "no_home",  [PICK_EVACUATED] = "domain_evacuated",
   };
 
   return names[code];
@@ -343,7 +341,8 @@
          const struct fleet_endpoint *e, int64_t now_us)
 {
   if (e->draining || excluded (q, e) || too_old (f, e, now_us)
-      || is_cold (e, now_us) || fleet_is_evacuated (f, e->is.domain))
+      || is_cold (e, now_us) || fleet_is_evacuated (f, e->is.domain)
+      || !fleet_is_home (f, &q->homes, e->is.domain))
     return TIER_NEVER;
   if (now_us < e->rest_until_us)
     return TIER_RESTING;
@@ -359,6 +358,7 @@
   int count;      /* that may be chosen */
   int cold;       /* that may not, since they are cold */
   int evacuated;  /* or since their domain is evacuated */
+  int abroad;     /* or since their region is no home of the request */
   enum tier best; /* lowest tier among them */
   int willing;    /* endpoints that take new work */
   int64_t load;   /* of these, in all */
@@ -383,6 +383,7 @@
       continue;
     s.listed += !e->draining;
     s.cold += !e->draining && is_cold (e, now_us);
+    s.abroad += !e->draining && !fleet_is_home (f, &q->homes, e->is.domain);
     s.evacuated += !e->draining && fleet_is_evacuated (f, e->is.domain);
     tier = tier_of (f, q, e, now_us);
     if (tier == TIER_NEVER)
@@ -597,7 +598,9 @@
     return PICK_NONE;
   if (s->cold > 0)
     return PICK_COLD;
-  return s->evacuated > 0 ? PICK_EVACUATED : PICK_SPENT;
+  if (s->evacuated > 0)
+    return PICK_EVACUATED;
+  return s->abroad > 0 ? PICK_ABROAD : PICK_SPENT;
 }
 
 struct pick_choice
--- a/regress/site.sh
+++ b/regress/site.sh
@@ -48,6 +48,7 @@
 		-e "s/{{Ip}}:{{PortRange.0}}/127.0.0.1:0/" \
 		-e "s/{{Bounds.RevokeMs}}/${revoke_ms:-5000}/" \
 		-e "s/{{Bounds.ConfigApplyMs}}/${apply_ms:-2000}/" \
+		-e 's/{{#Zones}}.*{{.Zones}}/d1=r1 d2=r2/' \
 		-e "s/{{Bounds.LeaseMs}}/${lease_ms:-3000}/" \
 		-e "s/{{Bounds.VersionMs}}/${version_ms:-12000}/" "$top/platform/vm.ini.tmpl" >"$tmp/$1.site.ini"
 	if grep -q '{{' "$tmp/$1.site.ini"; then fail "template: $(grep '{{' "$tmp/$1.site.ini")"; fi
--- /dev/null
+++ b/regress/test-homes.c
@@ -0,0 +1,172 @@
+/* Unit tests of requests that are bound to regions. */
+#include <glib.h>
+#include <string.h>
+
+#include "../platform/platform.h"
+#include "relayplay.h"
+#include "units.h"
+
+static char **
+regions (const char *text)
+{
+  return g_strsplit (text, " ", -1);
+}
+
+/* A VM that knows two domains, in two regions, with an endpoint each. */
+static struct play *
+two_regions (void)
+{
+  static const char *const domains[][2] = { { "a", "east" }, { "b", "west" } };
+  struct play *p = play_new (FLEET_ONCE);
+  struct fleet_endpoint *e;
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (domains); i++)
+    {
+      e = g_hash_table_lookup (p->fleet.by_id, domains[i][0]);
+      g_strlcpy (e->is.domain, domains[i][1], sizeof e->is.domain);
+    }
+  g_assert_true (fleet_take_regions (&p->fleet, "east=r1 west=r2"));
+  return p;
+}
+
+static struct fleet_workspace *
+workspace (struct play *p)
+{
+  return p->fleet.conf->workspaces->pdata[0];
+}
+
+/* Guards against a request that leaves the region of its route, also when it
+   is tried again. */
+static void
+test_route (void)
+{
+  struct play *p = two_regions ();
+  int i;
+
+  play_route (p)->homes = regions ("r2 r3");
+  for (i = 0; i < 8; i++)
+    {
+      p->sends = 0;
+      play_start (p);
+      g_assert_cmpstr (p->to[0], ==, "b");
+      play_answer (p, "ok");
+    }
+  play_start (p);
+  play_end (p, false, false);
+  g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
+  play_free (p);
+}
+
+/* Guards against a list that counts in place of the other: both bind. */
+static void
+test_both (void)
+{
+  struct play *p = two_regions ();
+
+  workspace (p)->homes = regions ("r1");
+  play_start (p);
+  g_assert_cmpstr (p->to[0], ==, "a");
+  play_answer (p, "ok");
+  play_route (p)->homes = regions ("r2");
+  p->sends = 0;
+  play_start (p);
+  g_assert_cmpint (p->sends, ==, 0);
+  g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
+  g_assert_cmpint (p->retry_after_us, >, 0);
+  play_free (p);
+}
+
+/* Guards against a domain of which nobody said the region. */
+static void
+test_unnamed (void)
+{
+  struct play *p = two_regions ();
+  struct fleet_endpoint *b = g_hash_table_lookup (p->fleet.by_id, "b");
+
+  g_strlcpy (b->is.domain, "new", sizeof b->is.domain);
+  workspace (p)->homes = regions ("r2");
+  play_start (p);
+  g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
+  g_assert_false (fleet_take_regions (&p->fleet, "east"));
+  g_assert_false (fleet_take_regions (&p->fleet, "=r1"));
+  g_assert_false (fleet_take_regions (&p->fleet, "east="));
+  play_free (p);
+}
+
+/* Guards against kept work that a store in another region gets. */
+static void
+test_stores (void)
+{
+  static const struct part prompt[] = { { "draft", 8000 }, { "own", 2000 } };
+  struct play *p = two_regions ();
+  struct fleet_conf *c = fleet_conf_new ();
+  struct fleet_service *s = g_new0 (struct fleet_service, 1);
+  struct parts_query q = { .scope = "m.v1", .list = prompt, .n = 2 };
+  g_auto (GStrv) home = regions ("r2");
+  struct parts_store *store;
+  struct parts_plan plan;
+  struct parts parts;
+
+  s->name = g_strdup ("store");
+  s->store_address = g_strdup ("store");
+  s->domain = g_strdup ("east");
+  s->memory_tokens = 100000;
+  s->link_mbit_s = 250000;
+  g_hash_table_replace (c->services, s->name, s);
+  parts_init (&parts);
+  parts_take_conf (&parts, c);
+  fleet_conf_unref (c);
+  store = parts_find_store (&parts, "store");
+  parts_forget (store, 7, 0, 0);
+  parts_heard (store, 50000, 10 * CQ_US_PER_S);
+  parts_known (store, 10 * CQ_US_PER_S);
+  q.domain = "west";
+  q.fresh_us = 10 * CQ_US_PER_S;
+  q.fleet = &p->fleet;
+  q.homes.workspace = (const char *const *)home;
+  parts_plan (&parts, &q, 10 * CQ_US_PER_S, &plan);
+  g_assert_cmpint (plan.nsave, ==, 0);
+  q.homes.workspace = NULL;
+  parts_plan (&parts, &q, 10 * CQ_US_PER_S, &plan);
+  g_assert_cmpint (plan.nsave, ==, 1);
+  parts_clear (&parts);
+  play_free (p);
+}
+
+/* Guards against homes that are passed over where settings are read. */
+static void
+test_read (void)
+{
+  static const char text[]
+      = "{\"Version\":1,\"Routes\":[{\"Name\":\"r\",\"Host\":\"h\","
+        "\"Prefix\":\"/\",\"Service\":\"s\",\"AllowedRegions\":[\"r1\",7]}],"
+        "\"Tenants\":[{\"Name\":\"t\",\"AllowedRegions\":[\"r2\"]},"
+        "{\"Name\":\"u\",\"AllowedRegions\":[]}],"
+        "\"Services\":[{\"Name\":\"s\",\"ColdStartS\":2.5,\"ColdPerS\":11.0}]"
+        "}";
+  struct fleet_conf *c = pdecode_conf (text, strlen (text));
+  const struct fleet_route *r;
+  const struct fleet_workspace *t, *u;
+  const struct fleet_service *s;
+
+  g_assert_nonnull (c);
+  r = c->routes->pdata[0];
+  t = c->workspaces->pdata[0];
+  u = c->workspaces->pdata[1];
+  s = g_hash_table_lookup (c->services, "s");
+  g_assert_cmpstr (r->homes[0], ==, "r1");
+  g_assert_cmpstr (r->homes[1], ==, "");
+  g_assert_null (r->homes[2]);
+  g_assert_cmpstr (t->homes[0], ==, "r2");
+  g_assert_null (u->homes);
+  g_assert_cmpint (s->cold_us, ==, 2500000);
+  g_assert_cmpint (s->cold_rate, ==, 11);
+  fleet_conf_unref (c);
+}
+
+const struct unit homes_units[] = {
+  { "/homes/route", test_route },     { "/homes/both", test_both },
+  { "/homes/unnamed", test_unnamed }, { "/homes/stores", test_stores },
+  { "/homes/read", test_read },       { NULL, NULL },
+};
--- a/relaytry.c
+++ b/relaytry.c
@@ -414,6 +414,16 @@
                alone ? r->workspace->name : NULL);
 }
 
+static struct fleet_homes
+homes_of (const struct relay *r)
+{
+  struct fleet_homes h = { .route = (const char *const *)r->route->homes };
+
+  if (r->workspace != NULL)
+    h.workspace = (const char *const *)r->workspace->homes;
+  return h;
+}
+
 /* Parts that stores keep. */
 static void
 plan_parts (struct relay *r, const struct pick_choice *c, int64_t now_us)
@@ -432,6 +442,8 @@
   q.outdated = newer != NULL;
   q.named_us = MAX (fleet_outdated_since (o->fleet, c->endpoint), 0);
   q.wait_us = c->wait_us;
+  q.fleet = o->fleet;
+  q.homes = homes_of (r);
   parts_plan (o->parts, &q, now_us, &r->kept);
 }
 
@@ -576,6 +588,7 @@
   q.affinity = r->route->sticky ? relay_affinity (&r->desc) : NULL;
   memcpy (q.exclude, r->tried, sizeof q.exclude);
   q.nexclude = r->ntried;
+  q.homes = homes_of (r);
   q.random = relay_draw (r->rs);
   relay_weigh (r, now_us);
   q.work = r->work;
--- a/settings_gen.c
+++ b/settings_gen.c
@@ -133,6 +133,10 @@
     1000, NULL,
     "For experiments: the same of kept parts to be had at the prompt's own "
     "endpoint." },
+  { "regions", CFG_STRING, offsetof (struct cfg_entry, regions), "", 0, 0,
+    NULL,
+    "Region of each failure domain, DOMAIN=REGION parted by spaces; a request "
+    "that is bound to regions uses no domain that is not named." },
   { "retry_percent", CFG_INT, offsetof (struct cfg_entry, retry_percent), "10",
     0, 100, NULL,
     "Requests sent to a second endpoint, as a share of a service's "
@@ -280,7 +284,7 @@
     "This VM and its place." },
   { "platform", false, keys_platform, 8, sizeof (struct cfg_platform),
     "The platform's services." },
-  { "entry", false, keys_entry, 14, sizeof (struct cfg_entry),
+  { "entry", false, keys_entry, 15, sizeof (struct cfg_entry),
     "Requests that come through a platform's balancer." },
   { "workspace", true, keys_workspace, 9, sizeof (struct cfg_workspace),
     "A customer of the system." },
--- a/settings_gen.h
+++ b/settings_gen.h
@@ -104,6 +104,9 @@
                            out. */
   int64_t weigh_parts;  /* For experiments: the same of kept parts to be had at
                            the prompt's own endpoint. */
+  char *regions; /* Region of each failure domain, DOMAIN=REGION parted by
+                    spaces; a request that is bound to regions uses no domain
+                    that is not named. */
   int64_t retry_percent; /* Requests sent to a second endpoint, as a share of a
                             service's requests. */
   int64_t retry_burst;   /* Such requests allowed before any were earned. */
