A crash after which the request was sent on counts by itself

Cause: crashes within a tenth of a second count once, since a failure domain that loses power crashes many endpoints under the same frequent request. A request that is repeated at once crashes the next endpoint within that time.

Change: a run that began after the crash before it, and went on for 30 ms, shows that its endpoint outlived that crash: so that one counts by itself. Endpoints that lose power together do not: runs there had begun before.

/quar/repeated-at-once failed first; /quar/storms and the others as they were.

--- a/quar.c
+++ b/quar.c
@@ -11,6 +11,9 @@
  * request, and that counts once.
  */
 #define MOMENT_MS 100
+/* A run that began after the crash before it, and went on for so long, shows
+   that its endpoint had outlived that. */
+#define OUTLIVED_MS 30
 /* Requests looked at as causes of other crashes: the worst ones. */
 #define CAUSES_MAX 16
 /* So many are enough whatever the chance, but only for the first hold: where
@@ -237,20 +240,32 @@
 
 /* --- verdict --------------------------------------------------------- */
 
+/* Whether E is no part of the moment that began at FIRST_MS and of which the
+   crash at BEFORE_MS was the last. */
+static bool
+is_apart (const struct quar_crash *e, int64_t first_ms, int64_t before_ms)
+{
+  return e->at_ms - first_ms > MOMENT_MS
+         || (e->ran_ms >= OUTLIVED_MS && e->at_ms - e->ran_ms >= before_ms);
+}
+
 /* Moments at which endpoints crashed under R. */
 static int
 moments (const struct record *r)
 {
-  int64_t last = 0;
+  const struct quar_crash *e, *before = NULL;
+  int64_t first = 0;
   int n = 0;
   int i;
 
-  for (i = 0; i < r->n; i++)
-    if (i == 0 || r->crashes[i].is.at_ms - last > MOMENT_MS)
-      {
-        last = r->crashes[i].is.at_ms;
-        n++;
-      }
+  for (i = 0; i < r->n; i++, before = e)
+    {
+      e = &r->crashes[i].is;
+      if (before != NULL && !is_apart (e, first, before->at_ms))
+        continue;
+      first = e->at_ms;
+      n++;
+    }
   return n;
 }
 
@@ -411,15 +426,15 @@
 weigh (const struct quar *q, const struct record *r, double rate,
        struct quar_verdict *v)
 {
+  const struct quar_crash *e, *before = NULL;
   int64_t last = 0;
   int i;
 
   *v = (struct quar_verdict){ .chance = 1 };
-  for (i = 0; i < r->n; i++)
+  for (i = 0; i < r->n; i++, before = e)
     {
-      const struct quar_crash *e = &r->crashes[i].is;
-
-      if ((v->crashes > 0 && e->at_ms - last <= MOMENT_MS)
+      e = &r->crashes[i].is;
+      if ((v->crashes > 0 && !is_apart (e, last, before->at_ms))
           || is_explained (q, r, e->endpoint))
         continue;
       v->chance *= MIN (1.0, rate * (double)MAX (e->ran_ms, RAN_MIN_MS));
--- a/regress/test-quar.c
+++ b/regress/test-quar.c
@@ -100,6 +100,21 @@
   quar_free (q);
 }
 
+/* Guards against a request that is repeated at once, and so takes a service of
+   four endpoints down in a moment, with its crashes taken for one. */
+static void
+test_repeated_at_once (void)
+{
+  struct quar *q = quar_new (HOLD_MS);
+
+  ended (q, 1, 11, 17000, 84);
+  ended (q, 1, 12, 17066, 65);
+  ended (q, 1, 13, 17190, 52);
+  ended (q, 1, 14, 17241, 51);
+  g_assert_true (is_held (q, 1, 21000));
+  quar_free (q);
+}
+
 /* An endpoint that answers a request whole lives on: what ended before ended
    for another reason. */
 static void
@@ -667,6 +682,7 @@
   { "/quar/third-end-holds", test_third_end_holds },
   { "/quar/end-counts-once", test_end_counts_once },
   { "/quar/power-counts-once", test_power_counts_once },
+  { "/quar/repeated-at-once", test_repeated_at_once },
   { "/quar/answer-clears", test_answer_clears },
   { "/quar/bystander", test_bystander },
   { "/quar/two-at-once", test_two_at_once },
