--- a/entry.c
+++ b/entry.c
@@ -4,6 +4,7 @@
 #include <sodium.h>
 #include <string.h>
 #include <unistd.h>
+#include <xxhash.h>
 
 #include "evac.h"
 
@@ -25,6 +26,8 @@
 /* The VM that gave orders last frees parts of outdated weights for this long:
    endpoints on old weights may have had some more to save. */
 #define FREE_DUTY_US (10 * CQ_US_PER_S)
+/* A VM may send a suspect request for so long, and then another one. */
+#define SUSPECT_TURN_MS 2000
 #define SWEEP_US (500 * CQ_US_PER_MS) /* between looks at missing entries */
 #define READY_CONNECTIONS 16          /* the balancer needs one */
 #define READY_MEMORY 2048             /* bytes a connection */
@@ -242,6 +245,18 @@
   return quarfeed_receive (e->quarfeed, data, len, now_us);
 }
 
+/* Another VM each time, since the one whose turn it is may be gone. */
+static bool
+has_suspect_turn (void *arg, const struct reqid *id, int64_t now_us)
+{
+  const struct entry *e = arg;
+  int64_t turn = platform_ms (arg, now_us) / SUSPECT_TURN_MS;
+
+  return e->tell == NULL
+         || tell_is_first (
+             e->tell, XXH3_64bits_withSeed (id, sizeof *id, (uint64_t)turn));
+}
+
 static void
 make_quarfeed (struct entry *e)
 {
@@ -279,6 +294,7 @@
   o.clock_ms = platform_ms;
   o.observed = on_observed;
   o.evidence_known = is_evidence_known;
+  o.suspect_turn = has_suspect_turn;
   o.quar_arg = e;
   o.domain = vm->domain;
   o.stale_us = e->cfg->revoke_ms * CQ_US_PER_MS - REVOKE_MARGIN_US;
--- a/librelay.h
+++ b/librelay.h
@@ -75,6 +75,7 @@
   int unsent;            /* that were not */
   struct reqid identity; /* what is asked; once it is identified */
   bool identified;       /* that was worked out */
+  bool suspect;          /* when it was looked at last */
   bool handed_over;      /* a byte may have left */
   bool not_run;          /* the endpoint said so */
   bool absent;           /* nothing listens at the endpoint's address */
@@ -133,8 +134,17 @@
 
 /* What R asks, worked out when it is needed first. */
 const struct reqid *relay_identity (struct relay *r);
-/* Whether it is refused since endpoints ended under it; tells the log. */
-bool relay_is_held (struct relay *r, int64_t now_us);
+/* What quarantine says of a request. */
+enum relay_hold
+{
+  HOLD_NONE,   /* it may go on */
+  HOLD_TURN,   /* it is suspect, and runs elsewhere or not now */
+  HOLD_CRASHES /* it is refused since endpoints ended under it */
+};
+
+/* Ask that before each attempt and again before its first byte; tells the log.
+ */
+enum relay_hold relay_hold (struct relay *r, int64_t now_us);
 /* An attempt at R's endpoint is over: it broke off, or was answered whole. */
 void relay_observe (struct relay *r, enum send_state sent, int64_t now_us);
 
--- a/met.c
+++ b/met.c
@@ -57,6 +57,10 @@
                          "Datagrams that are no such word." },
   [MET_HELD] = { "camphorquay_quarantined_total", "counter",
                  "Requests refused since endpoints end under them." },
+  [MET_DEFERRED]
+  = { "camphorquay_deferred_total", "counter",
+      "Requests refused for now, since one like it runs and may crash its "
+      "endpoint." },
   [MET_OLDER_COPIES]
   = { "camphorquay_older_copies_total", "counter",
       "Times that the platform's store came back from an older copy." },
--- a/quar.c
+++ b/quar.c
@@ -21,6 +21,8 @@
 #define CRASHES_SURE 6
 /* How likely the crashes may be to have come together by chance. */
 #define CHANCE_MAX 1e-11
+/* The same, from which on a request is suspect. */
+#define CHANCE_SUSPECT 1e-6
 /* A crash shows some ms after it, so shorter runs are no stronger evidence. */
 #define RAN_MIN_MS 50
 /* Facts are kept for so long after the last one, or after the hold. */
@@ -496,6 +498,8 @@
   weigh (q, r, rate_of_others (crashes, r, caused, endpoints), &v);
   v.held = (v.crashes >= CRASHES_SURE || is_beyond_chance (&v))
            && now_ms < v.until_ms;
+  v.suspect = !v.held && v.crashes >= CRASHES_MIN && v.chance <= CHANCE_SUSPECT
+              && now_ms < v.until_ms;
   return v;
 }
 
--- a/quar.h
+++ b/quar.h
@@ -42,6 +42,7 @@
 struct quar_verdict
 {
   bool held;        /* it is refused */
+  bool suspect;     /* not yet, but it may run at one place at a time only */
   int crashes;      /* moments at which endpoints crashed under it, that no
                     other request explains better */
   double chance;    /* that these came together by chance */
--- a/regress/relayplay.h
+++ b/regress/relayplay.h
@@ -40,6 +40,7 @@
   relay_probe_done probe;           /* question under way, or NULL */
   void *probe_arg;                  /* for it */
   int probes;                       /* questions so far */
+  bool turn;                        /* this VM may send suspect requests */
 };
 
 /* Lines of an endpoint's own answer; ends with NULL. */
--- a/regress/test-relayquar.c
+++ b/regress/test-relayquar.c
@@ -5,16 +5,15 @@
 #include "relayplay.h"
 #include "units.h"
 
-/* Another VM saw four endpoints end under the request, half a second apart.
- */
+/* Another VM saw N endpoints end under the request, half a second apart. */
 static void
-condemn (struct play *p, const char *workspace)
+accuse (struct play *p, const char *workspace, int n)
 {
   struct quar_fact f = { .done = false };
   int64_t i;
 
   reqid_of (&p->desc, workspace, &f.id);
-  for (i = 0; i < 4; i++)
+  for (i = 0; i < n; i++)
     {
       f.crash.endpoint = (uint64_t)(100 + i);
       f.crash.at_ms = loop_now_us () / CQ_US_PER_MS - 2000 + 500 * i;
@@ -23,6 +22,12 @@
     }
 }
 
+static void
+condemn (struct play *p, const char *workspace)
+{
+  accuse (p, workspace, 4);
+}
+
 /*
  * A request under which four endpoints ended comes again under another id.
  * It goes to no endpoint, and its caller is not told "not run", nor to come
@@ -80,6 +85,87 @@
   play_free (p);
 }
 
+static bool
+has_turn (void *arg, const struct reqid *id, int64_t now_us)
+{
+  struct play *p = arg;
+
+  (void)id;
+  (void)now_us;
+  return p->turn;
+}
+
+/* Guards against a request under which three endpoints ended and that runs at
+   several VMs, or twice at one, before the fourth crash is known. */
+static void
+test_suspect_alone (void)
+{
+  struct play *p = play_new (FLEET_IDEMPOTENT);
+  const struct relay_events *event;
+  void *arg;
+
+  p->relays->opts.suspect_turn = has_turn;
+  accuse (p, "ws", 3);
+  play_start (p);
+  g_assert_cmpint (p->sends, ==, 0);
+  g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
+  g_assert_cmpint (p->retry_after_us, >, 0);
+  p->turn = true;
+  play_start (p);
+  g_assert_cmpint (p->sends, ==, 1);
+  event = p->event;
+  arg = p->arg;
+  g_assert_true (event->before_send (arg));
+  p->refused = -1;
+  play_start (p);
+  g_assert_cmpint (p->sends, ==, 1);
+  g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
+  p->refused = -1;
+  play_end (p, true, false);
+  /* Nor is it repeated by itself. */
+  g_assert_cmpint (p->sends, ==, 1);
+  g_assert_cmpint (p->refused, ==, RELAY_UNKNOWN);
+  play_run (p, 1000);
+  p->probe (p->probe_arg, RELAY_PROBE_ALIVE);
+  play_run (p, 1200000);
+  play_free (p);
+}
+
+/* Guards against a suspect request that was placed before it became suspect.
+ */
+static void
+test_suspect_before_send (void)
+{
+  struct play *p = play_new (FLEET_ONCE);
+
+  p->relays->opts.suspect_turn = has_turn;
+  play_start (p);
+  accuse (p, "ws", 3);
+  g_assert_false (p->event->before_send (p->arg));
+  play_end (p, false, false);
+  g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
+  g_assert_cmpint (p->sends, ==, 1);
+  play_free (p);
+}
+
+/* Guards against a request that stays suspect after it was answered whole. */
+static void
+test_suspect_answered (void)
+{
+  struct play *p = play_new (FLEET_ONCE);
+
+  p->relays->opts.suspect_turn = has_turn;
+  p->turn = true;
+  accuse (p, "ws", 3);
+  play_start (p);
+  play_answer (p, "a");
+  p->turn = false;
+  play_start (p);
+  g_assert_cmpint (p->sends, ==, 2);
+  play_answer (p, "a");
+  play_free (p);
+}
+
 /* A VM that starts has not read what the others saw: it says "not run". */
 static void
 test_evidence_unknown (void)
@@ -207,6 +293,9 @@
   { "/relay/held", test_held },
   { "/relay/held-by-workspace", test_held_by_workspace },
   { "/relay/held-before-send", test_held_before_send },
+  { "/relay/suspect-alone", test_suspect_alone },
+  { "/relay/suspect-before-send", test_suspect_before_send },
+  { "/relay/suspect-answered", test_suspect_answered },
   { "/relay/evidence-unknown", test_evidence_unknown },
   { "/relay/end-is-asked", test_end_is_asked },
   { "/relay/probed-again", test_probed_again },
--- a/relay.h
+++ b/relay.h
@@ -174,6 +174,9 @@
   void (*observed) (void *arg, int64_t now_us);
   /* Whether what other VMs saw was read; with quar. */
   bool (*evidence_known) (void *arg, int64_t now_us);
+  /* Whether this VM is the one that may send a suspect request now; with quar.
+   */
+  bool (*suspect_turn) (void *arg, const struct reqid *id, int64_t now_us);
   void *quar_arg;       /* passed to these */
   const char *domain;   /* of this VM */
   int64_t stale_us;     /* keys count for nothing once older */
--- a/relaytry.c
+++ b/relaytry.c
@@ -78,6 +78,25 @@
   return true;
 }
 
+/* Other VMs' evidence may have come since the request was placed. */
+static void
+check_hold (struct relay *r, int64_t now_us)
+{
+  switch (relay_hold (r, now_us))
+    {
+    case HOLD_NONE:
+      break;
+    case HOLD_TURN:
+      r->stopped = "suspect";
+      break;
+    case HOLD_CRASHES:
+      /* Under other ids, so that it is not said to have not run. */
+      r->ran = true;
+      r->stopped = "crashes_endpoints";
+      break;
+    }
+}
+
 static bool
 before_send (void *arg)
 {
@@ -101,12 +120,8 @@
   else if (cold_is (&r->endpoint->cold, now)
            && !cold_may_send (&r->endpoint->cold, now))
     r->stopped = STOPPED_COLD;
-  else if (relay_is_held (r, now))
-    {
-      /* Under other ids, so that it is not said to have not run. */
-      r->ran = true;
-      r->stopped = "crashes_endpoints";
-    }
+  else
+    check_hold (r, now);
   r->handed_over = r->stopped == NULL;
   if (!r->handed_over)
     return false;
@@ -279,6 +294,9 @@
   /* The attempt that is over takes a place as well. */
   if (r->ntried + 1 >= PICK_EXCLUDE_MAX)
     return false;
+  /* Whether its endpoint crashed shows some ms after this. */
+  if (r->suspect && sent != SEND_NONE && sent != SEND_REFUSED)
+    return false;
   if (sent == SEND_NONE)
     return !ours && r->unsent < UNSENT_MAX;
   return r->attempts < r->route->max_attempts;
@@ -580,8 +598,14 @@
       give_up_unplaced (r, "settings_stale", RETRY_LATER_US, now_us);
       return;
     }
-  if (relay_is_held (r, now_us))
+  switch (relay_hold (r, now_us))
     {
+    case HOLD_NONE:
+      break;
+    case HOLD_TURN:
+      give_up_unplaced (r, "suspect", RETRY_SOON_US, now_us);
+      return;
+    case HOLD_CRASHES:
       give_up_held (r, now_us);
       return;
     }
--- a/tell.c
+++ b/tell.c
@@ -420,33 +420,44 @@
   ask_list (arg);
 }
 
-/* --- cold endpoints -------------------------------------------------- */
+/* --- duties by rendezvous -------------------------------------------- */
 
 static uint64_t
-score (const char *vm, uint64_t endpoint)
+score (const char *vm, uint64_t key)
 {
-  return XXH3_64bits_withSeed (vm, strlen (vm), endpoint);
+  return XXH3_64bits_withSeed (vm, strlen (vm), key);
 }
 
-/* A VM that only spoke does not count: whoever sends datagrams could take
-   parts away. */
-int
-tell_cold_part (const struct tell *t, uint64_t endpoint, int rate)
+/* Listed VMs that come before this one for KEY.  A VM that only spoke does not
+   count: whoever sends datagrams could take duties away. */
+static int
+rank_for (const struct tell *t, uint64_t key)
 {
-  uint64_t own = score (t->self.vm, endpoint);
+  uint64_t own = score (t->self.vm, key);
   const struct listener *l;
-  int vms = 1, rank = 0;
+  int rank = 0;
   guint i;
 
   for (i = 0; i < t->listeners->len; i++)
     {
       l = t->listeners->pdata[i];
-      if (!l->listed)
-        continue;
-      vms++;
-      rank += score (l->row.vm, endpoint) > own;
+      rank += l->listed && score (l->row.vm, key) > own;
     }
-  return t->listed ? cold_part (rate, vms, rank) : 0;
+  return rank;
+}
+
+int
+tell_cold_part (const struct tell *t, uint64_t endpoint, int rate)
+{
+  if (!t->listed)
+    return 0;
+  return cold_part (rate, count_listed (t), rank_for (t, endpoint));
+}
+
+bool
+tell_is_first (const struct tell *t, uint64_t key)
+{
+  return t->listed && rank_for (t, key) == 0;
 }
 
 /* --- life ------------------------------------------------------------ */
--- a/tell.h
+++ b/tell.h
@@ -61,6 +61,9 @@
    ENDPOINT bears from all VMs, by the list of VMs on the platform; 0 as long
    as this VM has not seen itself there. */
 int tell_cold_part (const struct tell *t, uint64_t endpoint, int rate);
+/* Whether this VM comes first, of those that the platform lists, for what has
+   digest KEY. */
+bool tell_is_first (const struct tell *t, uint64_t key);
 /* Calls to the platform under way. */
 int tell_waiting (const struct tell *t);
 
