One answer from an endpoint that fell behind refuses nobody

Callers of VMs that see one answer in a step were refused in calm seconds: 6 in a hundred while one of 48 endpoints was behind.

Cause: the share let in is steered by the mean of a step's answers; of one answer that is the answer itself, and its slope counts threefold.

--- a/admit.c
+++ b/admit.c
@@ -69,10 +69,22 @@
 
 /* --- the share that is let in ----------------------------------------- */
 
+/* Of few answers a single one from an endpoint that fell behind would cut the
+   share for seconds: pressure that was low counts as high when two steps in a
+   row show that. */
+static int64_t
+believed (const struct admit *a, int64_t mean)
+{
+  bool few = a->answers < DOUBT && a->pressure < SHARE_ALL;
+
+  return few ? MIN (mean, a->last_mean) : mean;
+}
+
 static void
 step (struct admit *a)
 {
-  int64_t mean = a->pressure_sum / a->answers;
+  int64_t seen = a->pressure_sum / a->answers;
+  int64_t mean = believed (a, seen);
   int64_t move
       = GAIN_LEVEL * (SHARE_ALL - mean) - GAIN_SLOPE * (mean - a->pressure);
   int64_t share = MAX (a->keep, SHARE_LEAST);
@@ -82,6 +94,7 @@
   move = move * share / SHARE_UP / SHARE_ALL;
   move = move * a->answers / (a->answers + DOUBT);
   a->keep = (int)CLAMP (a->keep + move, KEEP_MIN, SHARE_ALL);
+  a->last_mean = seen;
   a->pressure += (mean - a->pressure) * a->answers / (a->answers + DOUBT);
 }
 
--- a/decide.h
+++ b/decide.h
@@ -124,6 +124,7 @@
 {
   int keep;             /* permille of the work asked for that is let in */
   int64_t pressure;     /* smoothed, permille of its aim */
+  int64_t last_mean;    /* the same of the last step, not smoothed */
   int64_t step_us;      /* when keep was changed last */
   int64_t seen_us;      /* when the last answer came, 0 for never */
   int answers;          /* since the last step */
