--- a/regress/modelkeys.c
+++ b/regress/modelkeys.c
@@ -1,5 +1,6 @@
 /*
- * Model check of keys: how long one that was taken away opens something.
+ * Model check of keys, and of evacuations: how long a key that was taken away
+ * opens something, and a domain that is evacuated gets something.
  *
  * A VM follows the operator's table with the real follow, and asks before each
  * first byte as requests that are passed on do.  Answers are lost, given late
@@ -13,6 +14,7 @@
 #include "modelworld.h"
 
 /* Shorter than the usual five seconds, so that three lost calls reach it. */
+#define DOMAIN "east" /* that is evacuated */
 #define BOUND_US (4500 * MS)
 #define MARGIN_US (300 * MS)  /* as entry.c has it */
 #define BYTE_US (250 * MS)    /* from the last look to the first byte */
@@ -28,11 +30,12 @@
 /* Safeguards that a case may switch off, and what it may add. */
 enum keys_off
 {
-  OFF_AGE = 1,      /* knowledge that is too old opens nothing */
-  OFF_GIVEN = 2,    /* it is as old as its answer, not as its arrival */
-  OFF_LOOK = 4,     /* it is looked at again before the first byte */
-  OFF_MARGIN = 8,   /* that look is early enough for the byte to leave */
-  WITH_JUMPS = 1024 /* the platform's clock may jump */
+  OFF_AGE = 1,       /* knowledge that is too old opens nothing */
+  OFF_GIVEN = 2,     /* it is as old as its answer, not as its arrival */
+  OFF_LOOK = 4,      /* it is looked at again before the first byte */
+  OFF_MARGIN = 8,    /* that look is early enough for the byte to leave */
+  WITH_JUMPS = 1024, /* the platform's clock may jump */
+  EVACUATION = 2048  /* a domain is evacuated, and no key is taken away */
 };
 
 /* A call of the VM at the store. */
@@ -75,11 +78,27 @@
   return c;
 }
 
-/* The answer as it was given: a whole configuration or no change. */
+/* Version 2 of what the operator says. */
+static struct news_item
+second_item (void)
+{
+  struct news_item it = { .kind = NEWS_CONF, .row = 2 };
+
+  if (world_is_off (EVACUATION))
+    {
+      it.kind = NEWS_EVACUATION;
+      g_strlcpy (it.domain, DOMAIN, sizeof it.domain);
+    }
+  else
+    it.conf = make_conf (true);
+  return it;
+}
+
+/* The answer as it was given: all that is newer than was asked for. */
 static void
 tell (struct event *e)
 {
-  struct news_item it = { .kind = NEWS_CONF };
+  struct news_item it = { .kind = NEWS_CONF, .row = 1 };
   g_autoptr (GArray) items = g_array_new (FALSE, TRUE, sizeof it);
   struct news n
       = { .code = e->reply.code == LEASE_DONE ? NEWS_OK : NEWS_SILENT };
@@ -88,10 +107,14 @@
   n.store_ms = e->reply.store_ms;
   n.came_us = world.now_us;
   n.items = items;
-  if (n.code == NEWS_OK && n.version > e->after)
+  if (n.code == NEWS_OK && e->after < 1)
+    {
+      it.conf = make_conf (false);
+      g_array_append_val (items, it);
+    }
+  if (n.code == NEWS_OK && e->after < 2 && n.version == 2)
     {
-      it.row = n.version;
-      it.conf = make_conf (n.version == 2);
+      it = second_item ();
       g_array_append_val (items, it);
     }
   e->news (e->arg, &n);
@@ -198,7 +221,8 @@
     return false;
   if (!faulty && relay_is_stale (&r, world.now_us))
     model_fail ("knowledge too old though all went well", 0);
-  return !relay_is_stale (&r, world.now_us) && !relay_key_is_gone (&r);
+  return !relay_is_stale (&r, world.now_us) && !relay_key_is_gone (&r)
+         && !fleet_is_evacuated (f, DOMAIN);
 }
 
 /* Just before the first byte. */
@@ -211,7 +235,10 @@
       int64_t late = world.now_us + BYTE_US - revoked_us - BOUND_US;
 
       if (late > 0)
-        model_fail ("a key opens what it must not", late / MS);
+        model_fail (world_is_off (EVACUATION)
+                        ? "an evacuated domain gets a request"
+                        : "a key opens what it must not",
+                    late / MS);
     }
 }
 
@@ -316,5 +343,12 @@
   { "it is as old as its answer, not its arrival", run, OFF_GIVEN, 2, 1 },
   { "a look at it before the first byte", run, OFF_LOOK, 2, 1 },
   { "a margin for that byte to leave", run, OFF_MARGIN, 3, 1 },
+  { "nothing, and a domain is evacuated", run, EVACUATION, 2, 1 },
+  { "likewise, knowledge that is too old opens nothing", run,
+    EVACUATION | OFF_AGE, 2, 1 },
+  { "likewise, it is as old as its answer", run, EVACUATION | OFF_GIVEN, 2,
+    1 },
+  { "likewise, a look at it before the first byte", run, EVACUATION | OFF_LOOK,
+    2, 1 },
   { NULL, NULL, 0, 0, 0 },
 };
