A VM writes its row in the list of VMs again after an older copy

A VM that started after the copy was made is in no list that is read later: it is told no work, gets no part of a cold endpoint's rate, and others take its turn.

Cause: the row is written once at the start, and the store that came back from an older copy has lost it. Change: a rise of the era has it written again, by all VMs within one to three seconds, also where the first write was under way.

regress/oldercopy, with a VM that starts after the copy: its row was never back, and is now.

--- a/entry.c
+++ b/entry.c
@@ -146,7 +146,11 @@
 
   orders_look (e->orders, now_us);
   if (e->era != 0 && follow_era (e->follow) != e->era)
-    quarfeed_older_copy (e->quarfeed, now_us);
+    {
+      quarfeed_older_copy (e->quarfeed, now_us);
+      if (e->tell != NULL)
+        tell_older_copy (e->tell, now_us);
+    }
   e->era = follow_era (e->follow);
   if (e->fleet.conf != NULL && e->fleet.conf_row != e->conf_row)
     {
--- a/regress/oldercopy.sh
+++ b/regress/oldercopy.sh
@@ -23,6 +23,10 @@
 row_of_a() { curl -s --noproxy '*' "http://127.0.0.1:$port_rows/rows-get?Table=camphorquay_crashes&part=" | grep -c '"Key":"vm/a"'; }
 has_row() { [ "$(row_of_a)" = 1 ]; }
 wait_for has_row
+entry b
+row_of_b() { curl -s --noproxy '*' "http://127.0.0.1:$port_rows/rows-get?Table=camphorquay_vms&part=" | grep -c '"Key":"b"'; }
+is_listed() { [ "$(row_of_b)" = 1 ]; }
+wait_for is_listed
 fill 20
 row op config "$(site_conf 4 '"k1"')"
 wait_for has_line "$tmp/a.log" 'event=conf outcome=in_force conf=4'
@@ -44,3 +48,6 @@
 echo "== and what the VM had written is written again"
 wait_for has_row
 echo there
+echo "== also that a VM is there which started since the copy"
+wait_for is_listed
+echo there
--- a/tell.c
+++ b/tell.c
@@ -36,6 +36,9 @@
    Later ones only find VMs that never spoke. */
 #define LIST_FIRST_US (500 * CQ_US_PER_MS)
 #define LIST_MAX_US (60 * CQ_US_PER_S)
+/* All VMs write their rows again after an older copy, spread over this time.
+ */
+#define REWRITE_US (2 * CQ_US_PER_S)
 /* VMs that are known; names cost a sender nothing. */
 #define VMS_MAX 4096
 /* Datagrams taken in one turn of the loop. */
@@ -69,6 +72,7 @@
   GRand *rand;             /* for pauses */
   bool written;            /* our own row stands */
   bool listed;             /* the list that was read holds it */
+  bool outdated;           /* the write under way is of the era before */
   bool stopped;            /* tells and asks nothing more */
   int calls;               /* to the platform, under way */
 };
@@ -396,7 +400,8 @@
   struct tell *t = arg;
 
   t->calls--;
-  t->written = written;
+  t->written = written && !t->outdated;
+  t->outdated = false;
   if (!t->stopped)
     ask_list (t);
 }
@@ -420,6 +425,16 @@
   ask_list (arg);
 }
 
+void
+tell_older_copy (struct tell *t, int64_t now_us)
+{
+  t->written = false;
+  t->outdated = t->calls > 0;
+  t->list_pause_us = REWRITE_US;
+  if (!t->stopped && t->calls == 0)
+    plan_list (t, now_us);
+}
+
 /* --- duties by rendezvous -------------------------------------------- */
 
 static uint64_t
--- a/tell.h
+++ b/tell.h
@@ -52,6 +52,9 @@
 struct tell *tell_new (const struct tell_opts *opts);
 /* This VM's work at an endpoint changed: the others hear within some ms. */
 void tell_changed (struct tell *t, int64_t now_us);
+/* The platform's store came back from an older copy, which may lack this VM's
+   row. */
+void tell_older_copy (struct tell *t, int64_t now_us);
 /* Send a datagram of another kind to the VMs that are told. */
 void tell_send (struct tell *t, const GByteArray *datagram);
 /* Tell and ask nothing more. */
