--- a/regress/test-steps.c
+++ b/regress/test-steps.c
@@ -684,7 +684,7 @@
       f->timers[k].arg = f;
       f->order[k] = i;
       loop_arm (f->loop, &f->timers[k],
-                now + 100 * g_rand_int_range (rand, -100, 300));
+                now + INT64_C (100) * g_rand_int_range (rand, -100, 300));
     }
   loop_run (f->loop);
   g_assert_cmpint (f->left, ==, 0);
--- a/regress/test-xfer.c
+++ b/regress/test-xfer.c
@@ -254,7 +254,7 @@
   int i;
 
   while (g_atomic_int_get (&ps->stop) == 0)
-    if (poll (ps->fds, 2 * PEERS, 20) > 0)
+    if (poll (ps->fds, (nfds_t)2 * PEERS, 20) > 0)
       for (i = 0; i < PEERS; i++)
         serve_peer (ps, i);
   for (i = 0; i < 2 * PEERS; i++)
