--- a/met.c
+++ b/met.c
@@ -61,6 +61,14 @@
   = { "camphorquay_deferred_total", "counter",
       "Requests refused for now, since one like it runs and may crash its "
       "endpoint." },
+  [MET_COLD] = { "camphorquay_refused_cold_total", "counter",
+                 "Requests refused since the endpoints left are cold." },
+  [MET_EVACUATED]
+  = { "camphorquay_refused_evacuated_total", "counter",
+      "Requests refused since the domains left are evacuated." },
+  [MET_ABROAD] = { "camphorquay_refused_no_home_total", "counter",
+                   "Requests refused since no endpoint left is in a region "
+                   "that they may use." },
   [MET_OLDER_COPIES]
   = { "camphorquay_older_copies_total", "counter",
       "Times that the platform's store came back from an older copy." },
--- a/relaytry.c
+++ b/relaytry.c
@@ -585,6 +585,17 @@
                  wait - spread, now_us);
 }
 
+static void
+count_unplaced (enum pick_code code)
+{
+  if (code == PICK_COLD)
+    met_add (MET_COLD, 1);
+  else if (code == PICK_EVACUATED)
+    met_add (MET_EVACUATED, 1);
+  else if (code == PICK_ABROAD)
+    met_add (MET_ABROAD, 1);
+}
+
 /* Find an endpoint for the next attempt, or give up. */
 void
 relay_place (struct relay *r, int64_t now_us)
@@ -624,7 +635,10 @@
   else if (c.code == PICK_CHOSEN)
     attempt (r, &c, now_us);
   else
-    give_up_unplaced (r, pick_code_name (c.code), RETRY_SOON_US, now_us);
+    {
+      count_unplaced (c.code);
+      give_up_unplaced (r, pick_code_name (c.code), RETRY_SOON_US, now_us);
+    }
 }
 
 /* End the attempt without an answer. */
