--- a/regress/fakerows.c
+++ b/regress/fakerows.c
@@ -15,6 +15,7 @@
  *   older_copy   come back with what was kept, in the next era
  *   era          as all answers say it
  *   deaf         polls see no changes
+ *   page_rows    rows of an answer, 500 unless said
  *   kb_s         kilobytes of an answer that leave in a second, 0 for all
  *   halt_kb      kilobytes of such an answer after which no more leave
  */
@@ -135,9 +136,9 @@
 }
 
 static enum MHD_Result
-reply_rows (struct fk_req *r, int status, json_t *list)
+reply_page (struct fk_req *r, int status, json_t *list, bool more)
 {
-  json_t *doc = json_pack ("{s:o,s:b,s:I,s:I}", "Rows", list, "HasMore", 0,
+  json_t *doc = json_pack ("{s:o,s:b,s:I,s:I}", "Rows", list, "HasMore", more,
                            "Ver", (json_int_t)newest, "NowMs",
                            (json_int_t)(g_get_monotonic_time () / 1000));
   int64_t kb_s = fk_number ("kb_s", 0);
@@ -146,6 +147,21 @@
                   : fk_reply_json (r, status, doc);
 }
 
+static enum MHD_Result
+reply_rows (struct fk_req *r, int status, json_t *list)
+{
+  return reply_page (r, status, list, false);
+}
+
+static int
+by_key (gconstpointer a, gconstpointer b)
+{
+  const struct row *const *ra = a;
+  const struct row *const *rb = b;
+
+  return strcmp ((*ra)->key, (*rb)->key);
+}
+
 static const char *
 argument (struct fk_req *r, const char *name)
 {
@@ -160,6 +176,8 @@
 {
   const char *table = argument (r, "Table");
   const char *from = argument (r, "From");
+  g_autoptr (GPtrArray) found = g_ptr_array_new ();
+  guint page = (guint)fk_number ("page_rows", 500);
   json_t *list = json_array ();
   enum MHD_Result done;
   guint i;
@@ -171,9 +189,12 @@
 
       if (strcmp (o->table, table) == 0 && o->value != NULL
           && strcmp (o->key, from) >= 0)
-        json_array_append_new (list, row_json (o));
+        g_ptr_array_add (found, o);
     }
-  done = reply_rows (r, 200, list);
+  g_ptr_array_sort (found, by_key);
+  for (i = 0; i < MIN (found->len, page); i++)
+    json_array_append_new (list, row_json (found->pdata[i]));
+  done = reply_page (r, 200, list, found->len > page);
   g_mutex_unlock (&lock);
   return done;
 }
--- a/regress/test-cold.c
+++ b/regress/test-cold.c
@@ -4,6 +4,7 @@
 
 #include "cold.h"
 #include "relayplay.h"
+#include "tell.h"
 #include "units.h"
 
 #define RATES 40   /* requests a second, up to */
@@ -48,6 +49,34 @@
   g_assert_cmpint (n, >, 100);
 }
 
+/* Guards against VMs that are gone and keep their share of duties, and against
+   live ones that lose theirs since they are read more often than they write.
+ */
+static void
+test_roster_age (void)
+{
+  struct roster_age a = { .version = 0 };
+  int i;
+
+  for (i = 0; i < 50; i++)
+    roster_read (&a, 1, false);
+  g_assert_true (roster_counts (&a));
+  for (i = 0; i < 50; i++)
+    {
+      roster_read (&a, 2 + i / 4, true);
+      g_assert_true (roster_counts (&a));
+    }
+  for (i = 0; i < 5; i++)
+    roster_read (&a, a.version, true);
+  g_assert_false (roster_counts (&a));
+  g_assert_false (roster_is_gone (&a));
+  roster_read (&a, 100, true);
+  g_assert_true (roster_counts (&a));
+  for (i = 0; i < 10; i++)
+    roster_read (&a, 100, true);
+  g_assert_true (roster_is_gone (&a));
+}
+
 static struct fleet_endpoint *
 endpoint (struct play *p, const char *id)
 {
@@ -134,6 +163,7 @@
 const struct unit cold_units[] = {
   { "/cold/parts", test_parts },
   { "/cold/second", test_second },
+  { "/roster/age", test_roster_age },
   { "/cold/burst", test_burst },
   { "/cold/before-send", test_cold_before_send },
   { "/cold/all-cold", test_all_cold },
--- a/tell.c
+++ b/tell.c
@@ -39,6 +39,14 @@
 /* All VMs write their rows again after an older copy, spread over this time.
  */
 #define REWRITE_US (2 * CQ_US_PER_S)
+/* Reads of the list, a longest pause apart, in which a VM has not written its
+   row: it has no share in duties then, and later the row is removed.  Live VMs
+   write before each such read. */
+#define ABSENT_READS 5
+#define GONE_READS 10
+/* A row that could not be written is written again after half to one and a
+   half times this. */
+#define WRITE_AGAIN_US (500 * CQ_US_PER_MS)
 /* VMs that are known; names cost a sender nothing. */
 #define VMS_MAX 4096
 /* Datagrams taken in one turn of the loop. */
@@ -53,7 +61,9 @@
   uint64_t rank;         /* by rendezvous with this VM: the lowest are told */
   int64_t heard_us;      /* it spoke last; 0 for never */
   int64_t listed_us;     /* it came into the list here */
-  bool listed;           /* the platform lists it; else it only spoke */
+  bool listed;           /* the platform listed it; else it only spoke */
+  bool in_list;          /* the last list that was read holds it */
+  struct roster_age age; /* of its row; with listed */
 };
 
 struct tell
@@ -337,7 +347,33 @@
 
 /* --- the list -------------------------------------------------------- */
 
-static void ask_list (struct tell *t);
+void
+roster_read (struct roster_age *a, int64_t version, bool steady)
+{
+  if (version != a->version)
+    a->unchanged = 0;
+  else if (steady)
+    a->unchanged++;
+  a->version = version;
+}
+
+bool
+roster_counts (const struct roster_age *a)
+{
+  return a->unchanged < ABSENT_READS;
+}
+
+bool
+roster_is_gone (const struct roster_age *a)
+{
+  return a->unchanged >= GONE_READS;
+}
+
+static bool
+has_duties (const struct listener *l)
+{
+  return l->listed && roster_counts (&l->age);
+}
 
 static void
 plan_list (struct tell *t, int64_t now_us)
@@ -354,10 +390,51 @@
   struct listener *l = note_vm (t, row, "list", now_us);
 
   if (l != NULL)
-    l->listed = true;
+    {
+      l->listed = true;
+      l->in_list = true;
+      roster_read (&l->age, row->version, t->list_pause_us == LIST_MAX_US);
+    }
   t->listed |= strcmp (row->vm, t->self.vm) == 0;
 }
 
+/* Whoever comes first for a row removes it, so that not all VMs do. */
+static void
+remove_row (struct tell *t, const struct listener *l)
+{
+  const struct roster_ops *o = &t->opts.ops;
+  uint64_t key = XXH3_64bits (l->row.vm, strlen (l->row.vm));
+
+  log_event (LOG_LEVEL_INFO, "vm_gone",
+             "name=%s unchanged=%d version=%" G_GINT64_FORMAT, l->row.vm,
+             l->age.unchanged, (gint64)l->age.version);
+  if (tell_is_first (t, key))
+    o->remove (o->ctx, l->row.vm, l->age.version);
+}
+
+/* What the list that was read says of VMs that are gone. */
+static void
+take_absent (struct tell *t)
+{
+  struct listener *l;
+  int i;
+
+  for (i = (int)t->listeners->len - 1; i >= 0; i--)
+    {
+      l = t->listeners->pdata[i];
+      if (!l->listed)
+        continue;
+      if (!l->in_list)
+        roster_read (&l->age, l->age.version, true);
+      if (!roster_is_gone (&l->age))
+        continue;
+      if (l->in_list)
+        remove_row (t, l);
+      else
+        g_ptr_array_remove_index (t->listeners, (guint)i);
+    }
+}
+
 /* VMs that share the rates of cold endpoints. */
 static int
 count_listed (const struct tell *t)
@@ -369,7 +446,7 @@
   for (i = 0; i < t->listeners->len; i++)
     {
       l = t->listeners->pdata[i];
-      n += l->listed;
+      n += has_duties (l);
     }
   return n;
 }
@@ -385,8 +462,12 @@
   t->calls--;
   if (t->stopped)
     return;
+  for (i = 0; i < t->listeners->len; i++)
+    ((struct listener *)t->listeners->pdata[i])->in_list = false;
   for (i = 0; list != NULL && i < list->len; i++)
     take_listed (t, &g_array_index (list, struct roster_row, i), now);
+  if (list != NULL)
+    take_absent (t);
   if (count_listed (t) != before)
     log_event (LOG_LEVEL_INFO, "vms_listed", "vms=%d before=%d self=%s",
                count_listed (t), before, t->listed ? "yes" : "no");
@@ -394,35 +475,51 @@
   tell_changed (t, now);
 }
 
+static void
+read_list (struct tell *t)
+{
+  t->calls++;
+  t->opts.ops.read (t->opts.ops.ctx, on_list, t);
+}
+
 static void
 on_written (void *arg, bool written)
 {
   struct tell *t = arg;
+  gint32 again = (gint32)WRITE_AGAIN_US;
 
   t->calls--;
   t->written = written && !t->outdated;
   t->outdated = false;
-  if (!t->stopped)
-    ask_list (t);
+  if (t->stopped)
+    return;
+  if (t->written)
+    read_list (t);
+  else
+    loop_arm (t->opts.loop, &t->list,
+              loop_now_us () + again / 2
+                  + g_rand_int_range (t->rand, 0, again));
 }
 
 static void
-ask_list (struct tell *t)
+write_row (struct tell *t)
 {
-  const struct roster_ops *o = &t->opts.ops;
-
   t->calls++;
-  if (t->written)
-    o->read (o->ctx, on_list, t);
-  else
-    o->write (o->ctx, &t->self, on_written, t);
+  t->opts.ops.write (t->opts.ops.ctx, &t->self, on_written, t);
 }
 
+/* At the longest pause the row is written again, which tells that this VM
+   lives. */
 static void
 on_list_due (void *arg, int64_t now_us)
 {
+  struct tell *t = arg;
+
   (void)now_us;
-  ask_list (arg);
+  if (t->written && t->list_pause_us < LIST_MAX_US)
+    read_list (t);
+  else
+    write_row (t);
 }
 
 void
@@ -456,7 +553,7 @@
   for (i = 0; i < t->listeners->len; i++)
     {
       l = t->listeners->pdata[i];
-      rank += l->listed && score (l->row.vm, key) > own;
+      rank += has_duties (l) && score (l->row.vm, key) > own;
     }
   return rank;
 }
--- a/tell.h
+++ b/tell.h
@@ -15,6 +15,7 @@
   char vm[LOAD_VM_SIZE];         /* its name */
   char domain[LOAD_VM_SIZE];     /* its failure domain */
   char address[FLEET_NAME_SIZE]; /* IP:PORT where it hears others */
+  int64_t version; /* of the row; grows each time that VM writes it */
 };
 
 /* The rows were read, or LIST is NULL: no answer, or none that can be read. */
@@ -26,9 +27,26 @@
   void (*write) (void *ctx, const struct roster_row *self,
                  void (*done) (void *arg, bool written), void *arg);
   void (*read) (void *ctx, roster_done done, void *arg);
-  void *ctx; /* passed to both */
+  /* Remove the row of VM if its version is still VERSION; nobody waits. */
+  void (*remove) (void *ctx, const char *vm, int64_t version);
+  void *ctx; /* passed to all */
 };
 
+/* How long a VM has not written its row, counted in reads of the list. */
+struct roster_age
+{
+  int64_t version; /* as read last */
+  int unchanged;   /* reads in a row that showed it */
+};
+
+/* A read showed the row at VERSION.  STEADY: VMs have had the time to write it
+   again since the read before.  Pure, as are the next two. */
+void roster_read (struct roster_age *a, int64_t version, bool steady);
+/* Whether the VM has a share in duties. */
+bool roster_counts (const struct roster_age *a);
+/* Whether its row is to be removed. */
+bool roster_is_gone (const struct roster_age *a);
+
 struct tell_opts
 {
   struct loop *loop; /* whose thread runs it */
