Stores are followed closely by as many VMs as they have room for

A store holds twelve calls at once, so most polls were turned away and came again after 0.2 to 0.4 s.

Change: three quarters of the calls that a store says it holds are for VMs drawn by rendezvous over the list of VMs, which poll it without a pause, as before, and save parts there. The others ask each 1.3 to 3.8 s, which keeps what they know young enough for fetches, and save nothing there. The bounds of age and their proofs are as they were: a fetch needs knowledge of 5 s, a save of 1.5 s. With nine VMs and fewer all follow closely, so the small deployments are as they were.

--- a/entry.c
+++ b/entry.c
@@ -186,6 +186,14 @@
   follow_start (e->follow);
 }
 
+static bool
+is_among (void *arg, uint64_t key, int places)
+{
+  const struct entry *e = arg;
+
+  return e->tell == NULL || tell_is_among (e->tell, key, places);
+}
+
 static void
 make_feed (struct entry *e)
 {
@@ -193,6 +201,8 @@
 
   parts_init (&e->parts);
   entry_adapter.partfeed_ops (&o.ops, e->worker->pool);
+  o.is_among = is_among;
+  o.arg = e;
   o.seed = seed_of (cfg_vm (e->settings));
   e->feed = partfeed_new (&o);
 }
--- a/fleet.h
+++ b/fleet.h
@@ -64,6 +64,7 @@
   int64_t link_mbit_s;   /* its link, 0 if unknown */
   int64_t first_us;      /* that each of its transfers waits in addition */
   char *store_address;   /* IP:PORT if it is a store of kept KV cache */
+  int calls_max;         /* that a store holds at once; 0 if unsaid */
   int64_t cold_us;       /* an endpoint is cold for so long after a start */
   int cold_rate;         /* requests a second that it bears then */
 };
--- a/partfeed.c
+++ b/partfeed.c
@@ -2,6 +2,7 @@
 #include "partfeed.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #include "decide.h"
 #include "log.h"
@@ -29,6 +30,17 @@
 /* Between calls to free at one store, for its events to tell. */
 #define FREE_EVERY_US (600 * CQ_US_PER_MS)
 
+/* Calls that a store holds at once, if it does not say. */
+#define CALLS_USUAL 12
+/* Of these, percent for VMs that follow it closely, each of which has one
+   under way nearly all the time. */
+#define CLOSE_PERCENT 75
+/* The other VMs ask so often: what they know is then young enough for
+   fetches. */
+#define LOOSE_US (2500 * CQ_US_PER_MS)
+/* Who follows closely is looked up anew after this time. */
+#define JUDGE_US (2 * CQ_US_PER_S)
+
 /* One store that is followed. */
 struct watch
 {
@@ -42,6 +54,7 @@
   bool lost;                   /* the last call failed */
   int64_t pace_us;             /* mean pause between polls, 0 for none */
   int64_t asked_us;            /* the call under way was sent */
+  int64_t judged_us;           /* whether closely was looked up; 0 for never */
   bool freeing;                /* a call to free is under way */
   int64_t freed_us;            /* the last one was sent */
   GArray *freed;               /* struct part_held that it names */
@@ -69,13 +82,19 @@
   loop_arm (w->feed->opts.loop, &w->timer, now_us + pause_us);
 }
 
+static bool
+is_paced (const struct watch *w)
+{
+  return w->pace_us > 0 || !w->store->close;
+}
+
 /* Half to one and a half times the pace: VMs that were turned away together
    must not return together. */
 static int64_t
-drawn_pause (struct watch *w)
+drawn_pause (struct watch *w, int64_t pace_us)
 {
-  return w->pace_us / 2
-         + g_rand_int_range (w->feed->rand, 0, (gint32)w->pace_us + 1);
+  return pace_us / 2
+         + g_rand_int_range (w->feed->rand, 0, (gint32)pace_us + 1);
 }
 
 static void
@@ -174,7 +193,7 @@
   if (n->code == PARTS_CROWDED)
     {
       slow_down (w);
-      pause_then_ask (w, drawn_pause (w), now);
+      pause_then_ask (w, drawn_pause (w, w->pace_us), now);
       return;
     }
   if (is_of_earlier_life (w->store, n))
@@ -210,10 +229,37 @@
       take_events (w, n);
       parts_known (w->store, w->asked_us);
     }
-  if (w->pace_us == 0 || w->need_list)
+  if (!is_paced (w) || w->need_list)
     ask (w, now);
   else
-    pause_then_ask (w, drawn_pause (w), now);
+    pause_then_ask (
+        w, drawn_pause (w, w->store->close ? w->pace_us : LOOSE_US), now);
+}
+
+/*
+ * A store holds some calls at once, and VMs may be many more: each that polls
+ * all stores without a pause takes its place from another.  As many as have
+ * room follow a store closely, and save parts there; the others ask often
+ * enough to fetch.
+ */
+static void
+judge (struct watch *w, int64_t now_us)
+{
+  const struct partfeed_opts *o = &w->feed->opts;
+  int calls = w->store->calls_max > 0 ? w->store->calls_max : CALLS_USUAL;
+  uint64_t key = XXH3_64bits (w->store->address, strlen (w->store->address));
+  bool close;
+
+  if (w->judged_us != 0 && now_us - w->judged_us < JUDGE_US)
+    return;
+  close = o->is_among == NULL
+          || o->is_among (o->arg, key, MAX (calls * CLOSE_PERCENT / 100, 1));
+  if (w->judged_us == 0 || close != w->store->close)
+    log_event (LOG_LEVEL_INFO, "store", "store=%s outcome=%s calls_max=%d",
+               w->store->address, close ? "close" : "loose",
+               w->store->calls_max);
+  w->store->close = close;
+  w->judged_us = now_us;
 }
 
 static void
@@ -223,6 +269,7 @@
 
   if (w->busy || w->feed->stopped || !w->store->listed)
     return;
+  judge (w, now_us);
   w->busy = true;
   w->asked_us = now_us;
   w->listing = w->need_list;
@@ -230,7 +277,7 @@
     o->list (o->ctx, w->store->address, on_news, w);
   else
     o->events (o->ctx, w->store->address, w->store->next,
-               w->pace_us == 0 ? WAIT_US : SHORT_WAIT_US, on_news, w);
+               is_paced (w) ? SHORT_WAIT_US : WAIT_US, on_news, w);
 }
 
 static struct watch *
--- a/partfeed.h
+++ b/partfeed.h
@@ -56,7 +56,11 @@
   struct loop *loop;       /* whose thread runs it */
   struct parts *parts;     /* directory to keep current */
   struct partfeed_ops ops; /* adapter */
-  uint64_t seed;           /* of pauses */
+  /* Whether this VM is among the PLACES that come first, of all VMs, for what
+     has digest KEY; NULL if there are no others. */
+  bool (*is_among) (void *arg, uint64_t key, int places);
+  void *arg;     /* passed to it */
+  uint64_t seed; /* of pauses */
 };
 
 struct partfeed;
--- a/parts.c
+++ b/parts.c
@@ -145,6 +145,7 @@
                                        g_free);
       s->saving = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
                                          g_free);
+      s->close = true;
       APR_RING_ELEM_INIT (s, link);
       APR_RING_INSERT_TAIL (&p->stores, s, parts_store, link);
     }
@@ -152,6 +153,7 @@
     g_strlcpy (s->domain, sv->domain, sizeof s->domain);
   s->capacity = sv->memory_tokens;
   s->link_mbit_s = sv->link_mbit_s;
+  s->calls_max = sv->calls_max;
   s->first_us = sv->first_us;
   s->listed = true;
 }
@@ -364,8 +366,8 @@
   {
     if (is_alive (s, now_us) && is_saving (s, key, now_us))
       return NULL;
-    if (!is_alive (s, now_us) || !may_use (q, s) || now_us < s->save_from_us
-        || now_us - s->known_us > SAVE_KNOWN_US
+    if (!is_alive (s, now_us) || !s->close || !may_use (q, s)
+        || now_us < s->save_from_us || now_us - s->known_us > SAVE_KNOWN_US
         || s->used + part->tokens > s->capacity * FILL_PERCENT / 100)
       continue;
     score = score_of (s, key);
--- a/parts.h
+++ b/parts.h
@@ -62,6 +62,8 @@
   GHashTable *held;                  /* key to struct part_held */
   GHashTable *saving;                /* key to when a save was asked for */
   bool listed;                       /* still in the configuration */
+  int calls_max;                     /* that it holds at once; 0 if unsaid */
+  bool close; /* it is followed closely, so that parts may be saved there */
 };
 
 struct parts
--- a/regress/test-parts.c
+++ b/regress/test-parts.c
@@ -439,6 +439,64 @@
   loop_free (p.loop);
 }
 
+static bool
+is_among (void *arg, uint64_t key, int places)
+{
+  const bool *among = arg;
+
+  (void)key;
+  (void)places;
+  return *among;
+}
+
+/* Guards against polls without a pause, by more VMs than a store has room for:
+   one that follows it loosely pauses, knows enough for fetches all the while,
+   and has nothing saved there. */
+static void
+test_loose_follower (void)
+{
+  struct played p = { .loop = loop_new () };
+  struct partfeed_opts o = { .loop = p.loop, .parts = &p.parts, .seed = 1 };
+  struct fleet_conf *c = fleet_conf_new ();
+  struct parts_query q = query ();
+  struct parts_plan plan;
+  bool among = false;
+  int64_t began, now;
+  int i;
+
+  o.ops.events = ask_events;
+  o.ops.list = ask_list;
+  o.ops.ctx = &p;
+  o.is_among = is_among;
+  o.arg = &among;
+  add_store (c, "fast", 100000, 250000, 500);
+  parts_init (&p.parts);
+  p.feed = partfeed_new (&o);
+  partfeed_take_conf (p.feed, c);
+  tell (&p, PARTS_ANSWERED);
+  p.stop_at_poll = true;
+  for (i = 0; i < 2; i++)
+    {
+      began = loop_now_us ();
+      tell (&p, PARTS_ANSWERED);
+      loop_run (p.loop);
+      now = loop_now_us ();
+      g_assert_cmpint (now - began, >=, S);
+      g_assert_cmpint (now - began, <, 4 * S);
+      g_assert_cmpint (p.wait_us, <, S);
+    }
+  keep (&p.parts, "fast", "draft", 8000);
+  q.fresh_us = now;
+  parts_plan (&p.parts, &q, now, &plan);
+  g_assert_cmpint (plan.nfetch, ==, 1);
+  g_assert_cmpint (plan.nsave, ==, 0);
+  partfeed_stop (p.feed);
+  partfeed_free (p.feed);
+  parts_clear (&p.parts);
+  fleet_conf_unref (c);
+  loop_free (p.loop);
+}
+
 /*
  * A store starts again.  An answer of its life before, still on the way, lists
  * parts that are gone: fetched, they would be missed, or be read by half where
@@ -495,6 +553,7 @@
   { "/parts/no-fetch-of-part-saved-again", test_no_fetch_of_part_saved_again },
   { "/parts/no-save-on-old-knowledge", test_no_save_on_old_knowledge },
   { "/partfeed/crowded-store", test_crowded_store },
+  { "/partfeed/loose-follower", test_loose_follower },
   { "/partfeed/store-of-life-before", test_store_of_life_before },
   { NULL, NULL },
 };
--- a/tell.c
+++ b/tell.c
@@ -566,6 +566,12 @@
   return cold_part (rate, count_listed (t), rank_for (t, endpoint));
 }
 
+bool
+tell_is_among (const struct tell *t, uint64_t key, int places)
+{
+  return !t->listed || rank_for (t, key) < places;
+}
+
 bool
 tell_is_first (const struct tell *t, uint64_t key)
 {
--- a/tell.h
+++ b/tell.h
@@ -82,6 +82,9 @@
    ENDPOINT bears from all VMs, by the list of VMs on the platform; 0 as long
    as this VM has not seen itself there. */
 int tell_cold_part (const struct tell *t, uint64_t endpoint, int rate);
+/* Whether this VM is among the PLACES that come first, of those that the
+   platform lists, for what has digest KEY; true while it knows no list. */
+bool tell_is_among (const struct tell *t, uint64_t key, int places);
 /* Whether this VM comes first, of those that the platform lists, for what has
    digest KEY. */
 bool tell_is_first (const struct tell *t, uint64_t key);
