Loose followers of many stores pause longer

Change: the mean pause is 50 ms for each store that there is, 1.2 s at the least and 2.5 s at the most, past which knowledge would be too old for fetches.

--- a/partfeed.c
+++ b/partfeed.c
@@ -35,9 +35,12 @@
 /* Of these, percent for VMs that follow it closely, each of which has one
    under way nearly all the time. */
 #define CLOSE_PERCENT 75
-/* The other VMs ask so often: what they know is then always young enough for
-   fetches, and part of the time for saves. */
-#define LOOSE_US (1200 * CQ_US_PER_MS)
+/* The other VMs pause so long for each store that there is, within these
+   bounds: polls cost the same however many stores are polled, until what is
+   known would be too old for fetches. */
+#define LOOSE_STORE_US (50 * CQ_US_PER_MS)
+#define LOOSE_MIN_US (1200 * CQ_US_PER_MS)
+#define LOOSE_MAX_US (2500 * CQ_US_PER_MS)
 /* Who follows closely is looked up anew after this time. */
 #define JUDGE_US (2 * CQ_US_PER_S)
 
@@ -65,6 +68,7 @@
   struct partfeed_opts opts;                 /* as made */
   APR_RING_HEAD (watch_ring, watch) watches; /* by store */
   GRand *rand;                               /* for pauses */
+  int stores;                                /* that are listed */
   bool stopped;                              /* asks nothing more */
 };
 
@@ -88,6 +92,12 @@
   return w->pace_us > 0 || !w->store->close;
 }
 
+static int64_t
+loose_us (const struct partfeed *f)
+{
+  return CLAMP (f->stores * LOOSE_STORE_US, LOOSE_MIN_US, LOOSE_MAX_US);
+}
+
 /* Half to one and a half times the pace: VMs that were turned away together
    must not return together. */
 static int64_t
@@ -233,7 +243,8 @@
     ask (w, now);
   else
     pause_then_ask (
-        w, drawn_pause (w, w->store->close ? w->pace_us : LOOSE_US), now);
+        w, drawn_pause (w, w->store->close ? w->pace_us : loose_us (w->feed)),
+        now);
 }
 
 /*
@@ -299,6 +310,9 @@
   struct watch *w;
 
   parts_take_conf (f->opts.parts, c);
+  f->stores = 0;
+  APR_RING_FOREACH (s, &f->opts.parts->stores, parts_store, link)
+  f->stores += s->listed;
   APR_RING_FOREACH (s, &f->opts.parts->stores, parts_store, link)
   {
     w = watch_of (f, s);
