--- a/Makefile
+++ b/Makefile
@@ -119,7 +119,7 @@
 FUZZED = prompt.c strm.c peer_xdr.c platform/answered.c platform/asked.c \
 	platform/decode.c platform/json.c platform/kvstore.c platform/pieces.c \
 	platform/rows.c platform/roster.c \
-	platform/quarrows.c quar.c quarwire.c tellword.c fleet.c evt.c lease.c fetch.c xfer.c stall.c loop.c
+	platform/quarrows.c quar.c quarwire.c tellword.c fleet.c cold.c evt.c lease.c fetch.c xfer.c stall.c loop.c
 regress/fuzz-input: regress/fuzz-input.c $(FUZZED) wire.h
 	clang -std=gnu11 -D_GNU_SOURCE -g -O1 $(LIB_CFLAGS) -I. \
 		-fsanitize=fuzzer,address,undefined -o $@ \
