--- a/cold.c
+++ b/cold.c
@@ -41,38 +41,6 @@
 void
 cold_judge (struct cold *c, int rate, int64_t now_us)
 {
-  c->rate = rate;
+  c->pace.gap_us = rate > 0 ? PERIOD_US / rate : 0;
   c->judged_us = now_us;
 }
-
-/* Evenly spaced, so that no second holds two parts. */
-static bool
-is_due (const struct cold *c, int64_t last_us, int64_t now_us)
-{
-  return c->rate > 0
-         && (last_us == 0 || now_us - last_us >= PERIOD_US / c->rate);
-}
-
-bool
-cold_may_place (const struct cold *c, int64_t now_us)
-{
-  return is_due (c, c->placed_us, now_us) && is_due (c, c->sent_us, now_us);
-}
-
-void
-cold_place (struct cold *c, int64_t now_us)
-{
-  c->placed_us = now_us;
-}
-
-bool
-cold_may_send (const struct cold *c, int64_t now_us)
-{
-  return is_due (c, c->sent_us, now_us);
-}
-
-void
-cold_sent (struct cold *c, int64_t now_us)
-{
-  c->sent_us = now_us;
-}
--- a/cold.h
+++ b/cold.h
@@ -14,14 +14,14 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "pace.h"
+
 /* An endpoint as this VM sees it; zeros if it never was cold. */
 struct cold
 {
   int64_t until_us;  /* cold until then */
-  int64_t placed_us; /* this VM chose it last, while cold */
-  int64_t sent_us;   /* this VM sent a request last, while cold */
-  int64_t judged_us; /* rate was set */
-  int rate;          /* requests a second that this VM may send */
+  int64_t judged_us; /* the pace was set */
+  struct pace pace;  /* of this VM's requests while it is cold */
 };
 
 /* It is cold until AT_US, unless that is known to be later. */
@@ -32,12 +32,8 @@
 int cold_part (int rate, int vms, int rank);
 /* Whether the part has to be worked out, for the first time or anew. */
 bool cold_is_unjudged (const struct cold *c, int64_t now_us);
+/* This VM may send RATE requests a second; evenly spaced, so that no second
+   holds two parts. */
 void cold_judge (struct cold *c, int rate, int64_t now_us);
-/* Whether this VM may choose the endpoint now; it did. */
-bool cold_may_place (const struct cold *c, int64_t now_us);
-void cold_place (struct cold *c, int64_t now_us);
-/* Whether it may send there now, at the last moment; it did. */
-bool cold_may_send (const struct cold *c, int64_t now_us);
-void cold_sent (struct cold *c, int64_t now_us);
 
 #endif
--- a/pick.c
+++ b/pick.c
@@ -333,7 +333,7 @@
 static bool
 is_cold (const struct fleet_endpoint *e, int64_t now_us)
 {
-  return cold_is (&e->cold, now_us) && !cold_may_place (&e->cold, now_us);
+  return cold_is (&e->cold, now_us) && !pace_may_place (&e->cold.pace, now_us);
 }
 
 static enum tier
--- a/regress/test-cold.c
+++ b/regress/test-cold.c
@@ -32,19 +32,21 @@
 static void
 test_second (void)
 {
-  struct cold c = { .rate = 3 };
+  struct cold c = { 0 };
+  const int rate = 3;
   int64_t sent[TRIES];
   g_autoptr (GRand) rand = g_rand_new_with_seed (1);
   int64_t now = CQ_US_PER_S;
   int i, n = 0;
 
+  cold_judge (&c, rate, now);
   for (i = 0; i < TRIES; i++, now += g_rand_int_range (rand, 0, 200000))
     {
-      if (!cold_may_send (&c, now))
+      if (!pace_may_send (&c.pace, now))
         continue;
-      cold_sent (&c, now);
+      pace_sent (&c.pace, now);
       sent[n++] = now;
-      g_assert_true (n <= c.rate || now - sent[n - 1 - c.rate] > CQ_US_PER_S);
+      g_assert_true (n <= rate || now - sent[n - 1 - rate] > CQ_US_PER_S);
     }
   g_assert_cmpint (n, >, 100);
 }
--- a/relaytry.c
+++ b/relaytry.c
@@ -118,7 +118,7 @@
   else if (caller_left (r))
     r->stopped = "caller_gone";
   else if (cold_is (&r->endpoint->cold, now)
-           && !cold_may_send (&r->endpoint->cold, now))
+           && !pace_may_send (&r->endpoint->cold.pace, now))
     r->stopped = STOPPED_COLD;
   else
     check_hold (r, now);
@@ -126,7 +126,7 @@
   if (!r->handed_over)
     return false;
   if (cold_is (&r->endpoint->cold, now))
-    cold_sent (&r->endpoint->cold, now);
+    pace_sent (&r->endpoint->cold.pace, now);
   r->attempts++;
   if (r->handed_us == 0)
     {
@@ -509,7 +509,7 @@
   r->endpoint = fleet_endpoint_ref (c->endpoint);
   pick_sent (r->endpoint);
   if (cold_is (&r->endpoint->cold, now_us))
-    cold_place (&r->endpoint->cold, now_us);
+    pace_place (&r->endpoint->cold.pace, now_us);
   r->unread = true;
   r->ahead = c->ahead;
   r->shared_unread = c->has_part ? 0 : r->work.shared - r->work.stored;
