Limits that endpoints name are decoded and logged

The log could not tell whether an answer bore a limit, nor whether one was in force when a request was sent. endpoint_limit lines say what a VM believes and from which answer; send lines bear the limit of the endpoint.

--- a/fleet.h
+++ b/fleet.h
@@ -16,6 +16,7 @@
 #include <apr_ring.h>
 
 #include "cold.h"
+#include "limit.h"
 
 /* --- the operators' configuration ------------------------------------ */
 
@@ -185,6 +186,7 @@
   int64_t full_until_us;   /* it refused for want of room: last choice */
   int64_t reload_us;       /* when its weights were ordered, 0 if not */
   struct cold cold;        /* whether it bears but a low rate, and whose */
+  struct limit limit;      /* that it named for all VMs */
   struct fleet_wait first; /* for the first piece of its answers */
 };
 
--- /dev/null
+++ b/notice.h
@@ -0,0 +1,35 @@
+/*
+ * Notices: what an endpoint says of itself in its answers, besides the answer.
+ *
+ * An answer needs no platform, so a notice reaches a VM that is cut off from
+ * it, and is newer than the endpoint's entry there.
+ */
+#ifndef CQ_NOTICE_H
+#define CQ_NOTICE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+struct fleet_endpoint;
+
+/* The notices of one answer, decoded; zeros for none. */
+struct notice
+{
+  bool limit_said;     /* it names a limit, be it readable or not */
+  int64_t limit_milli; /* requests in 1000 s that it takes from all VMs, -1 if
+                          that cannot be read */
+};
+
+/* Where notices come from. */
+struct notice_from
+{
+  const char *source; /* for the log: what was asked */
+  int64_t sent_us;    /* when that was sent */
+  bool whole;         /* the answer would bear all notices that stand */
+};
+
+/* E says so in an answer. */
+void notice_take (struct fleet_endpoint *e, const struct notice *n,
+                  const struct notice_from *from, int64_t now_us);
+
+#endif
--- a/regress/test-headers.c
+++ b/regress/test-headers.c
@@ -257,6 +257,43 @@
     }
 }
 
+/* Guards against limits that are read wrong: a stray text would stop all
+   requests to an endpoint, or none. */
+static void
+test_limit (void)
+{
+  static const struct
+  {
+    const char *line; /* of the head */
+    bool said;        /* it names a limit */
+    int64_t milli;    /* which */
+  } cases[] = {
+    { "Server-Limit: 3.4", true, 3400 },
+    { "server-limit:  12 ", true, 12000 },
+    { "Server-Limit: 0", true, 0 },
+    { "Server-Limit: 0.2", true, 200 },
+    { "Server-Limit: -1", true, -1 },
+    { "Server-Limit: nan", true, -1 },
+    { "Server-Limit: 1e300", true, -1 },
+    { "Server-Limit: inf", true, -1 },
+    { "Server-Limit: 3 a second", true, -1 },
+    { "Server-Limit:", true, -1 },
+    { "X-Server-Load: 1,0,8", false, 0 },
+  };
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const char *lines[] = { cases[i].line, NULL };
+      struct panswered a;
+
+      answer (&a, lines, 200);
+      g_assert_true (a.head.notice.limit_said == cases[i].said);
+      g_assert_cmpint (a.head.notice.limit_milli, ==, cases[i].milli);
+      panswered_clear (&a);
+    }
+}
+
 const struct unit header_units[] = {
   { "/headers/usual", test_usual },
   { "/headers/not-the-callers", test_not_the_callers },
@@ -267,5 +304,6 @@
   { "/headers/answer", test_answer },
   { "/headers/answer-of-two", test_answer_of_two },
   { "/headers/answer-version", test_answer_version },
+  { "/headers/limit", test_limit },
   { NULL, NULL },
 };
--- a/relay.h
+++ b/relay.h
@@ -15,6 +15,7 @@
 #include "fleet.h"
 #include "load.h"
 #include "loop.h"
+#include "notice.h"
 #include "parts.h"
 #include "quar.h"
 
@@ -99,7 +100,8 @@
   int running;        /* requests that run at it, -1 if unsaid */
   int waiting;        /* and wait there; 0 if unsaid */
   int64_t version;    /* weights that ran, 0 if unsaid */
-  char **lines;       /* "Name: value" lines for the caller */
+  struct notice notice; /* what the endpoint says of itself */
+  char **lines;         /* "Name: value" lines for the caller */
 };
 
 struct relay_end
--- a/relaytry.c
+++ b/relaytry.c
@@ -152,6 +152,22 @@
     fleet_doubt_version (r->endpoint);
 }
 
+/*
+ * Another life at the address says nothing of this endpoint.  An answer that
+ * ran bears all notices; one that was refused or belongs to another request
+ * may lack some.
+ */
+static void
+take_notice (struct relay *r, const struct relay_head *head, int64_t now_us)
+{
+  struct notice_from from = { .source = "answer", .sent_us = r->sent_us };
+
+  if (head->other_life)
+    return;
+  from.whole = head->genuine && !head->not_run;
+  notice_take (r->endpoint, &head->notice, &from, now_us);
+}
+
 static bool
 on_head (void *arg, const struct relay_head *head)
 {
@@ -165,6 +181,7 @@
   if (head->running >= 0)
     pick_reported (r->endpoint, head->running + head->waiting, now);
   take_version (r, head, now);
+  take_notice (r, head, now);
   /* That life is over, so nothing was sent to an endpoint of the service. */
   if (head->other_life)
     {
@@ -547,14 +564,17 @@
       "wait_us=%" G_GINT64_FORMAT
       " fetch=%d save=%d fetch_tokens=%" G_GINT64_FORMAT
       " version=%" G_GINT64_FORMAT " newer=%" G_GINT64_FORMAT
-      " newer_us=%" G_GINT64_FORMAT " left_us=%" G_GINT64_FORMAT
-      " conf=%" G_GINT64_FORMAT " conf_age_us=%" G_GINT64_FORMAT,
+      " newer_us=%" G_GINT64_FORMAT " limit_milli=%" G_GINT64_FORMAT
+      " left_us=%" G_GINT64_FORMAT " conf=%" G_GINT64_FORMAT
+      " conf_age_us=%" G_GINT64_FORMAT,
       r->desc.id, r->route->name, c->endpoint->is.id, c->load, c->candidates,
       c->over_bound, (gint64)c->ahead, (gint64)c->held, (gint64)c->wait_us,
       r->kept.nfetch, r->kept.nsave, (gint64)r->kept.fetch_tokens,
       (gint64)s.version, (gint64)(newer != NULL ? newer->version : 0),
-      (gint64)newer_us (o->fleet, c->endpoint, now_us), (gint64)s.left_us,
-      (gint64)r->conf->version, (gint64)fleet_age_us (o->fleet, now_us));
+      (gint64)newer_us (o->fleet, c->endpoint, now_us),
+      (gint64)(r->endpoint->limit.named ? r->endpoint->limit.milli : -1),
+      (gint64)s.left_us, (gint64)r->conf->version,
+      (gint64)fleet_age_us (o->fleet, now_us));
   relay_tell_work (r, now_us);
   r->call = o->engine.send (o->engine.ctx, &s, &events, r);
 }
