--- a/regress/fakesrv.c
+++ b/regress/fakesrv.c
@@ -19,6 +19,7 @@
  *   silent       read requests and never answer
  *   crash_on     the process dies under a run whose body holds this text
  *   late_order   so many orders get no answer and are carried out later
+ *   limit        the limit that all answers to requests name, as text
  *   born         start of its life, as its report says; another one is a
  *                restart under its id: it takes orders from number 0 again,
  *                and late ones of before still come
@@ -161,11 +162,22 @@
   put (fd, text, strlen (text));
 }
 
+/* Headers in which it speaks of itself. */
+static char *
+notices (void)
+{
+  g_autofree char *limit = fk_string ("limit", "");
+
+  return limit[0] != '\0' ? g_strdup_printf ("Server-Limit: %s\r\n", limit)
+                          : g_strdup ("");
+}
+
 /* Headers that a server puts on its answers. */
 static char *
 marks (const struct in *in)
 {
   g_autofree char *id = header (in, "X-Attempt-Id");
+  g_autofree char *n = notices ();
   bool other = fk_take ("other_id");
   bool bare = fk_take ("no_seal");
   int64_t v;
@@ -174,9 +186,10 @@
   v = version;
   g_mutex_unlock (&lock);
   return g_strdup_printf ("X-Attempt-Id: %s\r\nX-Server-Load: 1,0,8\r\n"
-                          "X-Weight-Versions: %" G_GINT64_FORMAT "\r\n%s",
+                          "X-Weight-Versions: %" G_GINT64_FORMAT "\r\n%s%s",
                           other ? "another" : (id != NULL ? id : ""),
-                          (gint64)v, bare ? "" : "X-Server-Seal: 3e1b.07\r\n");
+                          (gint64)v, bare ? "" : "X-Server-Seal: 3e1b.07\r\n",
+                          n);
 }
 
 static void
