VMs keep together to the limit that an endpoint names

What callers saw: nothing; an endpoint in need got twice as many requests as it had said that it takes, from VMs that had passed on its answer.

Cause: an endpoint's answers were read for what they say of the request, its load and its weights; that it named a limit was decoded nowhere. Shown by the failing test (611 requests in 6 s, 36 allowed) on code that logs the limit and does nothing with it.

Change: what an endpoint takes in four seconds is dealt to the listed VMs by rendezvous in whole requests, spaced evenly by each. With fewer requests than VMs these take turns of 30 s by the platform's clock, with a pause of 6 s in which nobody sends. A limit stands until an answer to a later request names another one or none; what is stricter counts at once. A request that no endpoint has room for is refused at once, not run.

Why it holds: no window of four seconds holds more than four times the limit, if VMs have the same list (/limit/parts, /limit/windows: 1 to 300 VMs, clocks that differ by up to 0.4 s); allowed are six times and five more, so that one VM that errs by its list adds its part to a spare of twice the limit and five. regress/limit: red before, green now.

--- a/entry.c
+++ b/entry.c
@@ -293,6 +293,16 @@
   return e->tell != NULL ? tell_cold_part (e->tell, endpoint, rate) : 0;
 }
 
+static int64_t
+limit_gap_of (void *arg, uint64_t endpoint, int64_t milli, int64_t now_us)
+{
+  const struct entry *e = arg;
+
+  if (e->tell == NULL)
+    return LIMIT_LOOK_US;
+  return tell_limit_gap (e->tell, endpoint, milli, platform_ms (arg, now_us));
+}
+
 static void
 make_relays (struct entry *e)
 {
@@ -380,7 +390,8 @@
     log_event (LOG_LEVEL_ERROR, "regions", "outcome=unreadable text=\"%s\"",
                e->cfg->regions);
   e->fleet.cold_part = cold_part_of;
-  e->fleet.cold_arg = e;
+  e->fleet.limit_gap = limit_gap_of;
+  e->fleet.vms_arg = e;
   e->fleet.old_max_us = e->cfg->version_ms * CQ_US_PER_MS - VERSION_MARGIN_US;
   e->fleet.factors.unread = (int)e->cfg->weigh_unread;
   e->fleet.factors.memory = (int)e->cfg->weigh_memory;
--- a/fleet.c
+++ b/fleet.c
@@ -646,7 +646,7 @@
   return false;
 }
 
-/* --- cold endpoints -------------------------------------------------- */
+/* --- rates that VMs share -------------------------------------------- */
 
 static const struct fleet_service *
 service_of (const struct fleet *f, const struct fleet_endpoint *e)
@@ -656,22 +656,38 @@
              : NULL;
 }
 
+static void
+judge_cold (struct fleet *f, struct fleet_endpoint *e, int64_t now_us)
+{
+  const struct fleet_service *s = service_of (f, e);
+  int part = 0;
+
+  if (s != NULL && f->cold_part != NULL)
+    part = f->cold_part (f->vms_arg, e->key, s->cold_rate);
+  cold_judge (&e->cold, part, now_us);
+}
+
+static void
+judge_limit (struct fleet *f, struct fleet_endpoint *e, int64_t now_us)
+{
+  int64_t gap = LIMIT_LOOK_US;
+
+  if (f->limit_gap != NULL)
+    gap = f->limit_gap (f->vms_arg, e->key, e->limit.milli, now_us);
+  limit_judge (&e->limit, gap, now_us);
+}
+
 void
-fleet_judge_cold (struct fleet *f, int64_t now_us)
+fleet_judge_rates (struct fleet *f, int64_t now_us)
 {
-  const struct fleet_service *s;
   struct fleet_endpoint *e;
-  int part;
 
   APR_RING_FOREACH (e, &f->endpoints, fleet_endpoint, link)
   {
-    if (!cold_is_unjudged (&e->cold, now_us))
-      continue;
-    s = service_of (f, e);
-    part = 0;
-    if (s != NULL && f->cold_part != NULL)
-      part = f->cold_part (f->cold_arg, e->key, s->cold_rate);
-    cold_judge (&e->cold, part, now_us);
+    if (cold_is_unjudged (&e->cold, now_us))
+      judge_cold (f, e, now_us);
+    if (limit_is_unjudged (&e->limit, now_us))
+      judge_limit (f, e, now_us);
   }
 }
 
--- a/fleet.h
+++ b/fleet.h
@@ -259,7 +259,11 @@
                          for ever */
   /* This VM's part of a cold endpoint's RATE; NULL if it knows no others. */
   int (*cold_part) (void *arg, uint64_t endpoint, int rate);
-  void *cold_arg; /* passed to it */
+  /* Time between this VM's requests to an endpoint whose limit is MILLI; NULL
+     if it knows no others. */
+  int64_t (*limit_gap) (void *arg, uint64_t endpoint, int64_t milli,
+                        int64_t now_us);
+  void *vms_arg; /* passed to both */
 };
 
 void fleet_init (struct fleet *f);
@@ -361,8 +365,9 @@
                     const char *domain);
 /* Whether nothing may be sent to the endpoints of DOMAIN. */
 bool fleet_is_evacuated (const struct fleet *f, const char *domain);
-/* Work out this VM's part of the rate of each cold endpoint. */
-void fleet_judge_cold (struct fleet *f, int64_t now_us);
+/* Work out this VM's part of the rate of each endpoint that is cold or named a
+   limit. */
+void fleet_judge_rates (struct fleet *f, int64_t now_us);
 
 /* Age of the knowledge of configuration; INT64_MAX if there is none. */
 int64_t fleet_age_us (const struct fleet *f, int64_t now_us);
@@ -401,6 +406,7 @@
   PICK_NONE,     /* the service has no endpoint */
   PICK_SPENT,    /* all were tried, or have weights that are too old */
   PICK_COLD,     /* and some are cold, and have their rate of requests */
+  PICK_LIMITED,  /* and some named a limit, of which this VM's part is used */
   PICK_ABROAD,   /* and some stand in no region that the request may use */
   PICK_EVACUATED /* and some stand in a domain that is evacuated */
 };
--- a/met.c
+++ b/met.c
@@ -63,6 +63,9 @@
       "endpoint." },
   [MET_COLD] = { "camphorquay_refused_cold_total", "counter",
                  "Requests refused since the endpoints left are cold." },
+  [MET_LIMITED] = { "camphorquay_refused_limited_total", "counter",
+                    "Requests refused since the limits of the endpoints left "
+                    "are used." },
   [MET_EVACUATED]
   = { "camphorquay_refused_evacuated_total", "counter",
       "Requests refused since the domains left are evacuated." },
--- a/pick.c
+++ b/pick.c
@@ -72,9 +72,13 @@
 pick_code_name (enum pick_code code)
 {
   static const char *const names[] = {
-    [PICK_CHOSEN] = "chosen",   [PICK_NONE] = "no_endpoint",
-    [PICK_SPENT] = "all_tried", [PICK_COLD] = "endpoints_cold",
-    [PICK_ABROAD] = "no_home",  [PICK_EVACUATED] = "domain_evacuated",
+    [PICK_CHOSEN] = "chosen",
+    [PICK_NONE] = "no_endpoint",
+    [PICK_SPENT] = "all_tried",
+    [PICK_COLD] = "endpoints_cold",
+    [PICK_LIMITED] = "endpoints_limited",
+    [PICK_ABROAD] = "no_home",
+    [PICK_EVACUATED] = "domain_evacuated",
   };
 
   return names[code];
@@ -341,7 +345,8 @@
          const struct fleet_endpoint *e, int64_t now_us)
 {
   if (e->draining || excluded (q, e) || too_old (f, e, now_us)
-      || is_cold (e, now_us) || fleet_is_evacuated (f, e->is.domain)
+      || is_cold (e, now_us) || !limit_may_place (&e->limit, now_us)
+      || fleet_is_evacuated (f, e->is.domain)
       || !fleet_is_home (f, &q->homes, e->is.domain))
     return TIER_NEVER;
   if (now_us < e->rest_until_us)
@@ -357,6 +362,7 @@
   int listed;     /* endpoints of the service that are not leaving */
   int count;      /* that may be chosen */
   int cold;       /* that may not, since they are cold */
+  int limited;    /* or since this VM's part of their limit is used */
   int evacuated;  /* or since their domain is evacuated */
   int abroad;     /* or since their region is no home of the request */
   enum tier best; /* lowest tier among them */
@@ -383,6 +389,7 @@
       continue;
     s.listed += !e->draining;
     s.cold += !e->draining && is_cold (e, now_us);
+    s.limited += !e->draining && !limit_may_place (&e->limit, now_us);
     s.abroad += !e->draining && !fleet_is_home (f, &q->homes, e->is.domain);
     s.evacuated += !e->draining && fleet_is_evacuated (f, e->is.domain);
     tier = tier_of (f, q, e, now_us);
@@ -598,6 +605,8 @@
     return PICK_NONE;
   if (s->cold > 0)
     return PICK_COLD;
+  if (s->limited > 0)
+    return PICK_LIMITED;
   if (s->evacuated > 0)
     return PICK_EVACUATED;
   return s->abroad > 0 ? PICK_ABROAD : PICK_SPENT;
--- a/relaytry.c
+++ b/relaytry.c
@@ -16,6 +16,7 @@
 #define STOPPED_EVACUATED "domain_evacuated"
 #define STOPPED_OUTDATED "weights_outdated"
 #define STOPPED_COLD "endpoint_cold"
+#define STOPPED_LIMITED "endpoint_limited"
 /* Callers who are refused for load return after this part of their time. */
 #define RETURN_PART 3
 /* And not before this: a second request costs about as much. */
@@ -120,6 +121,8 @@
   else if (cold_is (&r->endpoint->cold, now)
            && !pace_may_send (&r->endpoint->cold.pace, now))
     r->stopped = STOPPED_COLD;
+  else if (!limit_may_send (&r->endpoint->limit, now))
+    r->stopped = STOPPED_LIMITED;
   else
     check_hold (r, now);
   r->handed_over = r->stopped == NULL;
@@ -127,6 +130,7 @@
     return false;
   if (cold_is (&r->endpoint->cold, now))
     pace_sent (&r->endpoint->cold.pace, now);
+  pace_sent (&r->endpoint->limit.pace, now);
   r->attempts++;
   if (r->handed_us == 0)
     {
@@ -294,7 +298,8 @@
 is_of_endpoint (const char *reason)
 {
   static const char *const reasons[]
-      = { STOPPED_LEFT, STOPPED_EVACUATED, STOPPED_OUTDATED, STOPPED_COLD };
+      = { STOPPED_LEFT, STOPPED_EVACUATED, STOPPED_OUTDATED, STOPPED_COLD,
+          STOPPED_LIMITED };
   size_t i;
 
   for (i = 0; i < G_N_ELEMENTS (reasons); i++)
@@ -527,6 +532,7 @@
   pick_sent (r->endpoint);
   if (cold_is (&r->endpoint->cold, now_us))
     pace_place (&r->endpoint->cold.pace, now_us);
+  pace_place (&r->endpoint->limit.pace, now_us);
   r->unread = true;
   r->ahead = c->ahead;
   r->shared_unread = c->has_part ? 0 : r->work.shared - r->work.stored;
@@ -610,6 +616,8 @@
 {
   if (code == PICK_COLD)
     met_add (MET_COLD, 1);
+  else if (code == PICK_LIMITED)
+    met_add (MET_LIMITED, 1);
   else if (code == PICK_EVACUATED)
     met_add (MET_EVACUATED, 1);
   else if (code == PICK_ABROAD)
@@ -648,7 +656,7 @@
   relay_weigh (r, now_us);
   q.work = r->work;
   q.loads = o->loads;
-  fleet_judge_cold (o->fleet, now_us);
+  fleet_judge_rates (o->fleet, now_us);
   c = pick_endpoint (o->fleet, &q, now_us);
   if (c.code == PICK_CHOSEN && is_refused (r, &c, now_us))
     refuse_late (r, now_us);
--- a/tell.c
+++ b/tell.c
@@ -435,7 +435,7 @@
     }
 }
 
-/* VMs that share the rates of cold endpoints. */
+/* VMs that share the rates of endpoints. */
 static int
 count_listed (const struct tell *t)
 {
@@ -566,6 +566,25 @@
   return cold_part (rate, count_listed (t), rank_for (t, endpoint));
 }
 
+int64_t
+tell_limit_gap (const struct tell *t, uint64_t endpoint, int64_t milli,
+                int64_t clock_ms)
+{
+  int vms = count_listed (t);
+  uint64_t turn = 0;
+
+  if (!t->listed)
+    return LIMIT_LOOK_US;
+  if (limit_takes_turns (milli, vms))
+    {
+      if (limit_is_between (clock_ms))
+        return 0;
+      turn = limit_turn (clock_ms);
+    }
+  endpoint = XXH3_64bits_withSeed (&endpoint, sizeof endpoint, turn);
+  return limit_gap_us (milli, vms, rank_for (t, endpoint));
+}
+
 bool
 tell_is_among (const struct tell *t, uint64_t key, int places)
 {
--- a/tell.h
+++ b/tell.h
@@ -82,6 +82,11 @@
    ENDPOINT bears from all VMs, by the list of VMs on the platform; 0 as long
    as this VM has not seen itself there. */
 int tell_cold_part (const struct tell *t, uint64_t endpoint, int rate);
+/* Time between this VM's requests to the endpoint with key ENDPOINT, which
+   takes MILLI in 1000 s from all VMs, by the same list and CLOCK_MS, the
+   platform's clock; 0 if this VM has no part now. */
+int64_t tell_limit_gap (const struct tell *t, uint64_t endpoint, int64_t milli,
+                        int64_t clock_ms);
 /* Whether this VM is among the PLACES that come first, of those that the
    platform lists, for what has digest KEY; true while it knows no list. */
 bool tell_is_among (const struct tell *t, uint64_t key, int places);
