Limits are heard in answers to orders, reports and probes too

The same cause elsewhere: the VM that orders weights, and one that asks whether an endpoint is there, read of these answers only what they asked for. An endpoint that names its limit to them alone was sent requests as before. Such an answer may name a limit; that it names none takes nothing back, since only an answer to a request is known to bear what stands. /orders/notices would not build before; 244 unit tests and the model checks pass.

--- a/orders.c
+++ b/orders.c
@@ -447,8 +447,18 @@
     t->again_us = MIN (2 * t->again_us, ORDER_MAX_US);
 }
 
+/* Answers to orders and questions need not bear all notices that stand. */
 static void
-on_ordered (void *arg, enum order_code code)
+take_notice (struct task *t, const struct notice *notice, const char *source,
+             int64_t sent_us, int64_t now_us)
+{
+  struct notice_from from = { .source = source, .sent_us = sent_us };
+
+  notice_take (t->endpoint, notice, &from, now_us);
+}
+
+static void
+on_ordered (void *arg, enum order_code code, const struct notice *notice)
 {
   static const char *const names[] = {
     [ORDER_ACCEPTED] = "accepted", [ORDER_HOLDS] = "holds",
@@ -460,6 +470,8 @@
   int64_t now = loop_now_us ();
 
   t->busy = false;
+  if (notice != NULL)
+    take_notice (t, notice, "order", t->since_us, now);
   log_event (LOG_LEVEL_INFO, "order",
              "endpoint=%s outcome=%s model=%s version=%" G_GINT64_FORMAT
              " seq=%" G_GINT64_FORMAT " fence=%" G_GINT64_FORMAT,
@@ -567,6 +579,7 @@
       return;
     }
   take_version (t, s, now);
+  take_notice (t, &s->notice, "report", t->asked_us, now);
   if (!needs_order (o, t->endpoint))
     look (o, now);
   else if (t->phase == TASK_LOADING && !s->busy
--- a/orders.h
+++ b/orders.h
@@ -12,6 +12,7 @@
 #include "fleet.h"
 #include "lease.h"
 #include "loop.h"
+#include "notice.h"
 
 /* --- the lease's row ------------------------------------------------- */
 
@@ -40,12 +41,13 @@
 /* What an endpoint says about itself. */
 struct endpoint_state
 {
-  bool reached;    /* it answered */
-  int64_t born_ms; /* start of the life that answered, 0 if unsaid */
-  bool busy;       /* it carries out an order */
-  int64_t seq;     /* orders it has taken */
-  int64_t version; /* weights of its model */
-  int running;     /* requests it runs and holds */
+  bool reached;         /* it answered */
+  int64_t born_ms;      /* start of the life that answered, 0 if unsaid */
+  bool busy;            /* it carries out an order */
+  int64_t seq;          /* orders it has taken */
+  int64_t version;      /* weights of its model */
+  int running;          /* requests it runs and holds */
+  struct notice notice; /* what it says of itself besides */
 };
 
 typedef void (*state_done) (void *arg, const struct endpoint_state *state);
@@ -70,7 +72,9 @@
   ORDER_UNKNOWN   /* no answer: it may be carried out, even later */
 };
 
-typedef void (*order_done) (void *arg, enum order_code code);
+/* NOTICE is NULL if that endpoint did not answer. */
+typedef void (*order_done) (void *arg, enum order_code code,
+                            const struct notice *notice);
 
 struct orders_ops
 {
--- a/regress/modelworld.c
+++ b/regress/modelworld.c
@@ -487,7 +487,7 @@
 static void
 answer_order (struct event *e)
 {
-  e->order (e->arg, e->code);
+  e->order (e->arg, e->code, NULL);
 }
 
 /* Endpoints do not look at fences: whatever comes is carried out. */
--- a/regress/test-orders.c
+++ b/regress/test-orders.c
@@ -128,6 +128,8 @@
   int64_t last_seq;        /* precondition of the last one */
   int64_t last_fence;      /* of the last one */
   int64_t later_us;        /* what is_later waits for */
+  struct notice in_report; /* what the endpoint says in reports */
+  struct notice in_order;  /* and in answers to orders */
 };
 
 static int64_t
@@ -215,6 +217,7 @@
       s.seq = s.busy;
     }
   s.version = st->version;
+  s.notice = st->in_report;
   done (arg, &s);
 }
 
@@ -226,7 +229,7 @@
 
   if (!may_send (arg))
     {
-      done (arg, ORDER_REJECTED);
+      done (arg, ORDER_REJECTED, NULL);
       return;
     }
   /* Whoever takes over now knows from the row how long to wait. */
@@ -245,7 +248,7 @@
       st->busy = st->hold_busy;
       st->version = st->hold_busy ? st->version : o->version;
     }
-  done (arg, st->lose_orders ? ORDER_UNKNOWN : ORDER_ACCEPTED);
+  done (arg, st->lose_orders ? ORDER_UNKNOWN : ORDER_ACCEPTED, &st->in_order);
 }
 
 static struct stage *
@@ -1103,6 +1106,33 @@
   stage_free (running);
 }
 
+/* Guards against limits that are heard only in answers to requests. */
+static void
+test_notices (void)
+{
+  struct stage *st = stage_new ();
+  const struct fleet_endpoint *e = g_hash_table_lookup (st->fleet.by_id, "e");
+
+  st->in_report = (struct notice){ .limit_said = true, .limit_milli = 5000 };
+  name_version (st);
+  wait_until (st, was_sent);
+  g_assert_true (e->limit.named);
+  g_assert_cmpint (e->limit.milli, ==, 5000);
+  stage_free (st);
+
+  st = stage_new ();
+  e = g_hash_table_lookup (st->fleet.by_id, "e");
+  st->in_order = (struct notice){ .limit_said = true, .limit_milli = 4000 };
+  name_version (st);
+  wait_until (st, was_sent);
+  g_assert_true (e->limit.named);
+  /* A report need not name what stands. */
+  wait_until (st, is_released);
+  g_assert_cmpint (e->limit.milli, ==, 4000);
+  g_assert_true (e->limit.named);
+  stage_free (st);
+}
+
 const struct unit orders_units[] = {
   { "/lease/clock", test_clock },
   { "/lease/no-overlap", test_no_overlap },
@@ -1131,6 +1161,7 @@
   { "/orders/named-while-loading", test_named_while_loading },
   { "/orders/successor-waits-for-orders", test_successor_waits_for_orders },
   { "/orders/stop-releases", test_stop_releases },
+  { "/orders/notices", test_notices },
   { "/orders/older-naming", test_older_naming },
   { "/orders/named-without-endpoints", test_named_without_endpoints },
   { NULL, NULL },
--- a/regress/test-quar.c
+++ b/regress/test-quar.c
@@ -380,7 +380,7 @@
       relaycrash_broke (c, &e, &id, (i == 40 ? 50 : 500 + i) * INT64_C (1000),
                         loop_now_us ());
     }
-  probe.done (probe.arg, RELAY_PROBE_CRASHED);
+  probe.done (probe.arg, RELAY_PROBE_CRASHED, NULL);
   quar_own (q, facts, G_MAXUINT);
   g_assert_cmpuint (facts->len, ==, 16);
   g_assert_true (quar_suspects (q, &id));
--- a/regress/test-relayquar.c
+++ b/regress/test-relayquar.c
@@ -126,7 +126,7 @@
   g_assert_cmpint (p->sends, ==, 1);
   g_assert_cmpint (p->refused, ==, RELAY_UNKNOWN);
   play_run (p, 1000);
-  p->probe (p->probe_arg, RELAY_PROBE_ALIVE);
+  p->probe (p->probe_arg, RELAY_PROBE_ALIVE, NULL);
   play_run (p, 1200000);
   play_free (p);
 }
@@ -194,7 +194,7 @@
   play_end (p, true, false);
   g_assert_cmpint (p->refused, ==, RELAY_UNKNOWN);
   if (p->probe != NULL)
-    p->probe (p->probe_arg, probe);
+    p->probe (p->probe_arg, probe, NULL);
   p->probe = NULL;
   return quar_suspects (p->quar, &id);
 }
@@ -236,7 +236,7 @@
   g_assert_false (break_off (p, RELAY_PROBE_SILENT));
   play_run (p, 150 * CQ_US_PER_MS);
   g_assert_cmpint (p->probes, ==, 2);
-  p->probe (p->probe_arg, RELAY_PROBE_CRASHED);
+  p->probe (p->probe_arg, RELAY_PROBE_CRASHED, NULL);
   g_assert_cmpint (p->observed, ==, 1);
   play_free (p);
 }
--- a/relay.h
+++ b/relay.h
@@ -140,7 +140,9 @@
   RELAY_PROBE_SILENT   /* no answer: it may be cut off */
 };
 
-typedef void (*relay_probe_done) (void *arg, enum relay_probe probe);
+/* NOTICE is NULL unless that endpoint answered. */
+typedef void (*relay_probe_done) (void *arg, enum relay_probe probe,
+                                  const struct notice *notice);
 
 struct relay_engine
 {
--- a/relaycrash.c
+++ b/relaycrash.c
@@ -87,7 +87,15 @@
 }
 
 static void
-on_probe (void *arg, enum relay_probe probe)
+take_notice (struct suspect *s, const struct notice *notice, int64_t now_us)
+{
+  struct notice_from from = { .source = "probe", .sent_us = s->probed_us };
+
+  notice_take (s->endpoint, notice, &from, now_us);
+}
+
+static void
+on_probe (void *arg, enum relay_probe probe, const struct notice *notice)
 {
   static const char *const names[] = {
     [RELAY_PROBE_ALIVE] = "alive",
@@ -107,6 +115,8 @@
       drop (s);
       return;
     }
+  if (notice != NULL)
+    take_notice (s, notice, now);
   if (probe == RELAY_PROBE_SILENT && ++s->silent < PROBES_MAX)
     {
       loop_arm (s->owner->opts.loop, &s->timer, now + PROBE_AGAIN_US);
