What an endpoint's answer says of its leaving is decoded and logged

The log could not tell whether an answer said that its endpoint leaves. An endpoint line with outcome=said_leaving says so, from which answer, and what the list said then.

--- a/fleet.h
+++ b/fleet.h
@@ -172,6 +172,7 @@
   int refs;                             /* the list, and requests at it */
   bool draining;           /* sticky: some source said that it leaves */
   bool gone;               /* it is listed no more */
+  bool said_leaving;       /* it said so itself, in an answer */
   int64_t missing_us;      /* missing since, while that is doubted; or 0 */
   int64_t version;         /* weights by its last word on any channel */
   int64_t version_us;      /* when that word came */
--- a/notice.c
+++ b/notice.c
@@ -26,9 +26,24 @@
                (gint64)(now_us - from->sent_us));
 }
 
+static void
+take_leaving (struct fleet_endpoint *e, const struct notice *n,
+              const struct notice_from *from, int64_t now_us)
+{
+  if (!n->leaving || e->said_leaving)
+    return;
+  e->said_leaving = true;
+  log_event (LOG_LEVEL_INFO, "endpoint",
+             "endpoint=%s outcome=said_leaving listed=%s source=%s running=%d "
+             "sent_before_us=%" G_GINT64_FORMAT,
+             e->is.id, e->is.draining ? "draining" : "ready", from->source,
+             e->running, (gint64)(now_us - from->sent_us));
+}
+
 void
 notice_take (struct fleet_endpoint *e, const struct notice *n,
              const struct notice_from *from, int64_t now_us)
 {
   take_limit (e, n, from, now_us);
+  take_leaving (e, n, from, now_us);
 }
--- a/notice.h
+++ b/notice.h
@@ -18,6 +18,7 @@
   bool limit_said;     /* it names a limit, be it readable or not */
   int64_t limit_milli; /* requests in 1000 s that it takes from all VMs, -1 if
                           that cannot be read */
+  bool leaving;        /* it leaves */
 };
 
 /* Where notices come from. */
--- a/regress/test-headers.c
+++ b/regress/test-headers.c
@@ -257,6 +257,32 @@
     }
 }
 
+/* Guards against endpoints that are taken to leave, or to stay, by a header
+   that says otherwise. */
+static void
+test_leaving (void)
+{
+  static const char *const leave[] = { "Server-Leaving: 1", NULL };
+  static const char *const twice[]
+      = { "HTTP/1.1 100 Continue", "Server-Leaving: 1", "HTTP/1.1 200 OK",
+          NULL };
+  static const char *const stay[] = { "Server-Leaving: 0", NULL };
+  struct notice n = { .leaving = false };
+  struct panswered a;
+
+  answer (&a, leave, 503);
+  g_assert_true (a.head.notice.leaving);
+  panswered_clear (&a);
+  answer (&a, stay, 200);
+  g_assert_false (a.head.notice.leaving);
+  panswered_clear (&a);
+  answer (&a, twice, 200);
+  g_assert_false (a.head.notice.leaving);
+  panswered_clear (&a);
+  pnotice_take_line (&n, "server-leaving:1\r\n", 18);
+  g_assert_true (n.leaving);
+}
+
 /* Guards against limits that are read wrong: a stray text would stop all
    requests to an endpoint, or none. */
 static void
@@ -304,6 +330,7 @@
   { "/headers/answer", test_answer },
   { "/headers/answer-of-two", test_answer_of_two },
   { "/headers/answer-version", test_answer_version },
+  { "/headers/leaving", test_leaving },
   { "/headers/limit", test_limit },
   { NULL, NULL },
 };
--- a/regress/test-orders.c
+++ b/regress/test-orders.c
@@ -1106,7 +1106,7 @@
   stage_free (running);
 }
 
-/* Guards against limits that are heard only in answers to requests. */
+/* Guards against notices that are heard only in answers to requests. */
 static void
 test_notices (void)
 {
