A test that fails: an endpoint that says it leaves

It is listed as ready, or the list cannot be read: 5 to 20 of 30 requests still reach it, also after its entry is written anew or comes back.

--- a/regress/fakesrv.c
+++ b/regress/fakesrv.c
@@ -19,6 +19,7 @@
  *   silent       read requests and never answer
  *   crash_on     the process dies under a run whose body holds this text
  *   late_order   so many orders get no answer and are carried out later
+ *   leaving      all its answers to requests say that it leaves
  *   limit        the limit that all answers to requests name, as text
  *   born         start of its life, as its report says; another one is a
  *                restart under its id: it takes orders from number 0 again,
@@ -168,8 +169,13 @@
 {
   g_autofree char *limit = fk_string ("limit", "");
 
-  return limit[0] != '\0' ? g_strdup_printf ("Server-Limit: %s\r\n", limit)
-                          : g_strdup ("");
+  GString *s = g_string_new (NULL);
+
+  if (limit[0] != '\0')
+    g_string_append_printf (s, "Server-Limit: %s\r\n", limit);
+  if (fk_number ("leaving", 0))
+    g_string_append (s, "Server-Leaving: 1\r\n");
+  return g_string_free (s, FALSE);
 }
 
 /* Headers that a server puts on its answers. */
