An endpoint that says it leaves in an answer gets nothing more

What callers saw: nothing; their requests went to an endpoint 2.6 to 11.5 s after it had told their VM that it leaves, 2 s being allowed, and some would have ended with it.

Cause: a VM learned of an endpoint's leaving from its entry on the platform alone, which it cannot read while the platform is away and which says ready until the platform has taken the endpoint's report. Shown by /notice/leaving and /notice/leaving-before-send, red on code that decodes the answer and does nothing with it.

Change: the answer marks that life of the endpoint as leaving, as its entry would, so all that holds for endpoints that leave holds at once: no new request, a check before the first byte, no orders. No entry takes that back.

Why it holds: the mark needs no platform and is looked at just before each send.

--- a/notice.c
+++ b/notice.c
@@ -33,6 +33,7 @@
   if (!n->leaving || e->said_leaving)
     return;
   e->said_leaving = true;
+  e->draining = true;
   log_event (LOG_LEVEL_INFO, "endpoint",
              "endpoint=%s outcome=said_leaving listed=%s source=%s running=%d "
              "sent_before_us=%" G_GINT64_FORMAT,
--- /dev/null
+++ b/regress/test-notice.c
@@ -0,0 +1,117 @@
+/* Unit tests of what endpoints say of themselves in their answers. */
+#include <glib.h>
+#include <string.h>
+
+#include "relayplay.h"
+#include "units.h"
+
+static struct fleet_endpoint *
+endpoint (struct play *p, const char *id)
+{
+  return g_hash_table_lookup (p->fleet.by_id, id);
+}
+
+/* Start a request that is placed at A. */
+static void
+start_at_a (struct play *p)
+{
+  for (;;)
+    {
+      p->sends = 0;
+      play_start (p);
+      if (strcmp (p->to[0], "a") == 0)
+        return;
+      play_answer (p, "ok");
+    }
+}
+
+static void
+say (struct play *p, const struct notice *n)
+{
+  struct relay_head h = { .status = 200, .genuine = true, .running = -1 };
+
+  h.lines = play_seal;
+  h.notice = *n;
+  play_answer_head (p, &h);
+}
+
+/* Requests of twenty that go to A. */
+static int
+count_at_a (struct play *p)
+{
+  int i, n = 0;
+
+  for (i = 0; i < 20; i++)
+    {
+      p->sends = 0;
+      play_start (p);
+      n += strcmp (p->to[0], "a") == 0;
+      play_answer (p, "ok");
+    }
+  return n;
+}
+
+/* Guards against an endpoint that says it leaves and is listed as ready. */
+static void
+test_leaving (void)
+{
+  static const struct notice leaving = { .leaving = true };
+  struct play *p = play_new (FLEET_IDEMPOTENT);
+  struct fleet_listing ready;
+
+  start_at_a (p);
+  say (p, &leaving);
+  g_assert_cmpint (count_at_a (p), ==, 0);
+  ready = endpoint (p, "a")->is;
+  fleet_take_listing (&p->fleet, &ready, loop_now_us ());
+  g_assert_cmpint (count_at_a (p), ==, 0);
+  /* The next life has said nothing. */
+  ready.born_ms = 1700000000000;
+  fleet_take_listing (&p->fleet, &ready, loop_now_us ());
+  g_assert_cmpint (count_at_a (p), >, 0);
+  play_free (p);
+}
+
+/* Guards against a request that was placed before its endpoint said that it
+   leaves. */
+static void
+test_leaving_before_send (void)
+{
+  static const struct notice leaving = { .leaving = true };
+  static const struct notice_from from = { .source = "answer", .whole = true };
+  struct play *p = play_new (FLEET_ONCE);
+
+  play_start (p);
+  notice_take (endpoint (p, p->to[0]), &leaving, &from, loop_now_us ());
+  g_assert_false (p->event->before_send (p->arg));
+  play_end (p, false, false);
+  g_assert_cmpint (p->sends, ==, 2);
+  g_assert_cmpstr (p->to[0], !=, p->to[1]);
+  play_answer (p, "ok");
+  play_free (p);
+}
+
+/* Guards against the answer of whoever has the address of an endpoint now. */
+static void
+test_other_life (void)
+{
+  struct play *p = play_new (FLEET_ONCE);
+  struct relay_head h = { .status = 421, .not_run = true, .running = -1 };
+
+  h.other_life = true;
+  h.notice.limit_said = true;
+  h.notice.limit_milli = 1000;
+  h.lines = play_seal;
+  play_start (p);
+  play_answer_head (p, &h);
+  g_assert_false (endpoint (p, p->to[0])->limit.named);
+  play_answer (p, "ok");
+  play_free (p);
+}
+
+const struct unit notice_units[] = {
+  { "/notice/leaving", test_leaving },
+  { "/notice/leaving-before-send", test_leaving_before_send },
+  { "/notice/other-life", test_other_life },
+  { NULL, NULL },
+};
