What an endpoint said of itself outlives its entry

Cause: all that a VM believes of an endpoint's life was freed with its entry, and an entry that returned made a new life of it. /notice/entry-returns and regress/leaving were red.

Change: lives that leave, named a limit or still have requests are remembered when their entry goes, up to 512, and taken back when the same life (id and start) is listed again. An answer that comes in between counts. That also covers an endpoint that was seen leaving, was dropped, and stands as ready in an older copy of the list.

Why it holds: a life is the same struct before and after, so nothing can be forgotten on the way; a later start under the id is another life. The bound is tested (/notice/former-bounded: 5,000 that leave).

--- a/fleet.c
+++ b/fleet.c
@@ -12,6 +12,9 @@
  */
 #define RETURN_WAIT_US INT64_C (2200000)
 
+/* Endpoints that are listed no more and are remembered. */
+#define FORMER_MAX 512
+
 /* --- configuration --------------------------------------------------- */
 
 void
@@ -170,6 +173,7 @@
   memset (f, 0, sizeof *f);
   f->factors = (struct pick_factors){ 100, 100, 100 };
   APR_RING_INIT (&f->endpoints, fleet_endpoint, link);
+  APR_RING_INIT (&f->former, fleet_endpoint, link);
   f->by_id = g_hash_table_new (g_str_hash, g_str_equal);
   f->wanted = g_array_new (FALSE, TRUE, sizeof (struct fleet_wanted));
   f->seen = g_array_new (FALSE, TRUE, sizeof (struct fleet_service_seen));
@@ -191,13 +195,60 @@
   return e;
 }
 
+/* --- former endpoints ------------------------------------------------ */
+
+static void
+forget (struct fleet *f, struct fleet_endpoint *e)
+{
+  APR_RING_REMOVE (e, link);
+  f->nformer--;
+  fleet_endpoint_unref (e);
+}
+
+/* It said of itself what binds, or is still asked and may. */
+static bool
+is_remembered (const struct fleet_endpoint *e)
+{
+  return e->draining || e->limit.named || e->refs > 1;
+}
+
 static void
 drop (struct fleet *f, struct fleet_endpoint *e)
 {
   e->gone = true;
   g_hash_table_remove (f->by_id, e->is.id);
   APR_RING_REMOVE (e, link);
-  fleet_endpoint_unref (e);
+  APR_RING_INSERT_TAIL (&f->former, e, fleet_endpoint, link);
+  f->nformer++;
+  if (!is_remembered (e))
+    forget (f, e);
+  else if (f->nformer > FORMER_MAX)
+    forget (f, APR_RING_FIRST (&f->former));
+}
+
+static struct fleet_endpoint *
+find_former (const struct fleet *f, const struct fleet_listing *l)
+{
+  struct fleet_endpoint *e;
+
+  APR_RING_FOREACH (e, &f->former, fleet_endpoint, link)
+  {
+    if (strcmp (e->is.id, l->id) == 0 && e->is.born_ms == l->born_ms)
+      return e;
+  }
+  return NULL;
+}
+
+/* The same life is listed again: an entry that lapsed, or an older copy of the
+   list. */
+static void
+take_back (struct fleet *f, struct fleet_endpoint *e)
+{
+  APR_RING_REMOVE (e, link);
+  f->nformer--;
+  e->gone = false;
+  APR_RING_INSERT_TAIL (&f->endpoints, e, fleet_endpoint, link);
+  g_hash_table_insert (f->by_id, e->is.id, e);
 }
 
 void
@@ -205,6 +256,8 @@
 {
   while (!APR_RING_EMPTY (&f->endpoints, fleet_endpoint, link))
     drop (f, APR_RING_FIRST (&f->endpoints));
+  while (!APR_RING_EMPTY (&f->former, fleet_endpoint, link))
+    forget (f, APR_RING_FIRST (&f->former));
   g_hash_table_destroy (f->by_id);
   g_array_free (f->wanted, TRUE);
   g_array_free (f->seen, TRUE);
@@ -491,8 +544,14 @@
 static struct fleet_endpoint *
 add_life (struct fleet *f, const struct fleet_listing *l, int64_t now_us)
 {
-  struct fleet_endpoint *e = g_new0 (struct fleet_endpoint, 1);
+  struct fleet_endpoint *e = find_former (f, l);
 
+  if (e != NULL)
+    {
+      take_back (f, e);
+      return e;
+    }
+  e = g_new0 (struct fleet_endpoint, 1);
   e->refs = 1;
   e->is = *l;
   e->version = l->version;
--- a/fleet.h
+++ b/fleet.h
@@ -172,7 +172,6 @@
   int refs;                             /* the list, and requests at it */
   bool draining;           /* sticky: some source said that it leaves */
   bool gone;               /* it is listed no more */
-  bool said_leaving;       /* it said so itself, in an answer */
   int64_t missing_us;      /* missing since, while that is doubted; or 0 */
   int64_t version;         /* weights by its last word on any channel */
   int64_t version_us;      /* when that word came */
@@ -245,14 +244,17 @@
   struct fleet_conf *conf; /* in force; NULL while none is known */
   int64_t conf_row;        /* change that brought it */
   APR_RING_HEAD (fleet_ring, fleet_endpoint) endpoints; /* all listed */
-  GHashTable *by_id;   /* id to struct fleet_endpoint */
-  bool listed;         /* endpoints were listed once */
-  GArray *wanted;      /* struct fleet_wanted */
-  GArray *seen;        /* struct fleet_service_seen */
-  GArray *evacuated;   /* struct fleet_evacuation */
-  GHashTable *regions; /* failure domain to its region */
-  int64_t fresh_us;    /* the configuration was current then; 0: never */
-  int64_t back_us;     /* the list could be read again since */
+  struct fleet_ring former; /* listed no more, oldest first: what they said of
+                               themselves binds if they are listed again */
+  int nformer;              /* entries in former */
+  GHashTable *by_id;        /* id to struct fleet_endpoint */
+  bool listed;              /* endpoints were listed once */
+  GArray *wanted;           /* struct fleet_wanted */
+  GArray *seen;             /* struct fleet_service_seen */
+  GArray *evacuated;        /* struct fleet_evacuation */
+  GHashTable *regions;      /* failure domain to its region */
+  int64_t fresh_us;         /* the configuration was current then; 0: never */
+  int64_t back_us;          /* the list could be read again since */
   struct pick_factors factors; /* as set */
   int64_t old_max_us; /* old weights take work this long after newer ones
                          were named; 0 for ever */
--- a/notice.c
+++ b/notice.c
@@ -30,15 +30,14 @@
 take_leaving (struct fleet_endpoint *e, const struct notice *n,
               const struct notice_from *from, int64_t now_us)
 {
-  if (!n->leaving || e->said_leaving)
+  if (!n->leaving || e->draining)
     return;
-  e->said_leaving = true;
   e->draining = true;
   log_event (LOG_LEVEL_INFO, "endpoint",
-             "endpoint=%s outcome=said_leaving listed=%s source=%s running=%d "
+             "endpoint=%s outcome=said_leaving source=%s running=%d "
              "sent_before_us=%" G_GINT64_FORMAT,
-             e->is.id, e->is.draining ? "draining" : "ready", from->source,
-             e->running, (gint64)(now_us - from->sent_us));
+             e->is.id, from->source, e->running,
+             (gint64)(now_us - from->sent_us));
 }
 
 void
--- a/regress/test-notice.c
+++ b/regress/test-notice.c
@@ -72,6 +72,49 @@
   play_free (p);
 }
 
+/* Guards against beliefs that go with an endpoint's entry: it lapsed, or the
+   list is an older copy. */
+static void
+test_entry_returns (void)
+{
+  static const struct notice leaving = { .leaving = true };
+  struct play *p = play_new (FLEET_IDEMPOTENT);
+  struct fleet_listing ready = endpoint (p, "a")->is;
+
+  start_at_a (p);
+  fleet_take_missing (&p->fleet, endpoint (p, "a"), loop_now_us ());
+  g_assert_null (endpoint (p, "a"));
+  fleet_take_listing (&p->fleet, &ready, loop_now_us ());
+  /* Its answer comes when the entry is back. */
+  say (p, &leaving);
+  g_assert_cmpint (count_at_a (p), ==, 0);
+  fleet_take_missing (&p->fleet, endpoint (p, "a"), loop_now_us ());
+  g_assert_cmpint (count_at_a (p), ==, 0);
+  fleet_take_listing (&p->fleet, &ready, loop_now_us ());
+  g_assert_cmpint (count_at_a (p), ==, 0);
+  play_free (p);
+}
+
+/* Guards against memory that grows with all endpoints that ever left. */
+static void
+test_former_bounded (void)
+{
+  struct fleet f;
+  struct fleet_listing l = { .draining = true };
+  int i;
+
+  fleet_init (&f);
+  for (i = 0; i < 5000; i++)
+    {
+      g_snprintf (l.id, sizeof l.id, "i-%d", i);
+      fleet_take_missing (&f, fleet_take_listing (&f, &l, 1), 1);
+    }
+  g_assert_cmpint (f.nformer, <, 1000);
+  l.draining = false;
+  g_assert_true (fleet_take_listing (&f, &l, 2)->draining);
+  fleet_clear (&f);
+}
+
 /* Guards against a request that was placed before its endpoint said that it
    leaves. */
 static void
@@ -111,6 +154,8 @@
 
 const struct unit notice_units[] = {
   { "/notice/leaving", test_leaving },
+  { "/notice/entry-returns", test_entry_returns },
+  { "/notice/former-bounded", test_former_bounded },
   { "/notice/leaving-before-send", test_leaving_before_send },
   { "/notice/other-life", test_other_life },
   { NULL, NULL },
