Rest that an endpoint asks for is decoded and logged

The log could not tell for how long an endpoint that turned a request away asked for rest. endpoint_rest lines say so, from which answer.

--- a/fleet.h
+++ b/fleet.h
@@ -184,6 +184,7 @@
   int failures;            /* in a row */
   int64_t rest_until_us;   /* gets nothing until then, after failures */
   int64_t full_until_us;   /* it refused for want of room: last choice */
+  int64_t asked_rest_us;   /* it wants nothing from this VM until then */
   int64_t reload_us;       /* when its weights were ordered, 0 if not */
   struct cold cold;        /* whether it bears but a low rate, and whose */
   struct limit limit;      /* that it named for all VMs */
--- a/notice.c
+++ b/notice.c
@@ -1,9 +1,13 @@
 /* Notices: what an endpoint says of itself in its answers. */
 #include "notice.h"
 
+#include "decide.h"
 #include "fleet.h"
 #include "log.h"
 
+/* No endpoint is left out for longer by one answer. */
+#define REST_MAX_US (3600 * CQ_US_PER_S)
+
 static void
 take_limit (struct fleet_endpoint *e, const struct notice *n,
             const struct notice_from *from, int64_t now_us)
@@ -40,10 +44,28 @@
              (gint64)(now_us - from->sent_us));
 }
 
+/* Answers overtake each other: the latest end counts. */
+static void
+take_rest (struct fleet_endpoint *e, const struct notice *n,
+           const struct notice_from *from, int64_t now_us)
+{
+  int64_t until = now_us + MIN (n->rest_us, REST_MAX_US);
+
+  if (n->rest_us <= 0 || until <= e->asked_rest_us)
+    return;
+  e->asked_rest_us = until;
+  log_event (LOG_LEVEL_INFO, "endpoint_rest",
+             "endpoint=%s asked_us=%" G_GINT64_FORMAT
+             " source=%s sent_before_us=%" G_GINT64_FORMAT,
+             e->is.id, (gint64)n->rest_us, from->source,
+             (gint64)(now_us - from->sent_us));
+}
+
 void
 notice_take (struct fleet_endpoint *e, const struct notice *n,
              const struct notice_from *from, int64_t now_us)
 {
   take_limit (e, n, from, now_us);
   take_leaving (e, n, from, now_us);
+  take_rest (e, n, from, now_us);
 }
--- a/notice.h
+++ b/notice.h
@@ -19,6 +19,8 @@
   int64_t limit_milli; /* requests in 1000 s that it takes from all VMs, -1 if
                           that cannot be read */
   bool leaving;        /* it leaves */
+  int64_t rest_us; /* it turned the request away, and wants none from this VM
+                      for so long; 0 if unsaid */
 };
 
 /* Where notices come from. */
--- a/orders.c
+++ b/orders.c
@@ -568,6 +568,7 @@
   t->busy = false;
   if (!s->reached)
     {
+      take_notice (t, &s->notice, "report", t->asked_us, now);
       if (t->phase == TASK_ASKING)
         task_set (t, TASK_SKIPPED, now);
       return;
--- a/regress/test-headers.c
+++ b/regress/test-headers.c
@@ -283,6 +283,38 @@
   g_assert_true (n.leaving);
 }
 
+/* Guards against rest that was not asked for, and rest that is not heard. */
+static void
+test_rest (void)
+{
+  static const struct
+  {
+    const char *line; /* of the head */
+    int status;       /* of the answer */
+    int64_t us;       /* of rest */
+  } cases[] = {
+    { "Retry-After: 3", 503, 3000000 },
+    { "retry-after: 0.25", 503, 250000 },
+    { "Retry-After: 3", 200, 0 },
+    { "Retry-After: 3", 500, 0 },
+    { "Retry-After: -3", 503, 0 },
+    { "Retry-After: Wed, 21 Oct 2026 07:28:00 GMT", 503, 0 },
+    { "Retry-After: 1e18", 503, 0 },
+    { "Retry-After:", 503, 0 },
+  };
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const char *lines[] = { cases[i].line, NULL };
+      struct panswered a;
+
+      answer (&a, lines, cases[i].status);
+      g_assert_cmpint (a.head.notice.rest_us, ==, cases[i].us);
+      panswered_clear (&a);
+    }
+}
+
 /* Guards against limits that are read wrong: a stray text would stop all
    requests to an endpoint, or none. */
 static void
@@ -331,6 +363,7 @@
   { "/headers/answer-of-two", test_answer_of_two },
   { "/headers/answer-version", test_answer_version },
   { "/headers/leaving", test_leaving },
+  { "/headers/rest", test_rest },
   { "/headers/limit", test_limit },
   { NULL, NULL },
 };
