A test that fails: an endpoint that asks for rest

It turns requests away with Retry-After and gets 12 more in two seconds; 12 callers are refused though another endpoint has room.

--- a/regress/fakesrv.c
+++ b/regress/fakesrv.c
@@ -6,6 +6,7 @@
  *   id           its id; a request that expects another gets 421
  *   delay_ms     time a run takes
  *   refuse       so many requests are refused as not executed
+ *   rest         seconds of rest that each such refusal asks for, as text
  *   drop         so many runs are not answered: the connection closes
  *   close_after  close the connection after each answer without saying so
  *   other_id     so many answers bear another request's id
@@ -217,10 +218,14 @@
 refuse (const struct in *in, int status)
 {
   g_autofree char *id = fk_string ("id", "");
+  g_autofree char *rest = fk_string ("rest", "");
+  g_autofree char *line = rest[0] != '\0' && status == 503
+                              ? g_strdup_printf ("Retry-After: %s\r\n", rest)
+                              : g_strdup ("");
   g_autofree char *text = g_strdup_printf (
       "HTTP/1.1 %d X\r\nX-Not-Executed: 1\r\nX-Instance-Id: %s\r\n"
-      "Content-Length: 0\r\n\r\n",
-      status, id);
+      "%sContent-Length: 0\r\n\r\n",
+      status, id, line);
 
   put_text (in->fd, text);
 }
@@ -358,6 +363,7 @@
     }
   if (fk_take ("refuse"))
     {
+      fk_log ("refused", "target=%s", in->target);
       refuse (in, 503);
       return true;
     }
