An endpoint that asks for rest gets nothing from the VM that it asked

An endpoint that refuses at once holds no load, so the choice by load preferred it. Shown by /notice/rest and regress/rest, red on code that decodes it and does nothing with it.

Where all endpoints left rest, the caller is refused at once, not run, and told when the first one has rested.

--- a/fleet.c
+++ b/fleet.c
@@ -209,7 +209,7 @@
 static bool
 is_remembered (const struct fleet_endpoint *e)
 {
-  return e->draining || e->limit.named || e->refs > 1;
+  return e->draining || e->limit.named || e->asked_rest_us > 0 || e->refs > 1;
 }
 
 static void
--- a/fleet.h
+++ b/fleet.h
@@ -411,6 +411,7 @@
   PICK_SPENT,    /* all were tried, or have weights that are too old */
   PICK_COLD,     /* and some are cold, and have their rate of requests */
   PICK_LIMITED,  /* and some named a limit, of which this VM's part is used */
+  PICK_RESTING,  /* and some asked this VM to send them nothing for a while */
   PICK_ABROAD,   /* and some stand in no region that the request may use */
   PICK_EVACUATED /* and some stand in a domain that is evacuated */
 };
@@ -426,6 +427,7 @@
   bool has_part;   /* the last shared part is there, or being read */
   int64_t wait_us; /* expected there for the first piece of an answer */
   int over_bound;  /* endpoints passed over for load */
+  int64_t rest_us; /* until the first one has rested; with PICK_RESTING */
   int64_t version; /* weights it is believed to have */
 };
 
@@ -433,6 +435,8 @@
                                   const struct pick_query *q, int64_t now_us);
 const char *pick_code_name (enum pick_code code);
 
+/* Whether E asked this VM to send it nothing now. */
+bool pick_rests (const struct fleet_endpoint *e, int64_t now_us);
 /* Requests expected at E now. */
 int pick_load (const struct fleet_endpoint *e, int64_t now_us);
 
--- a/met.c
+++ b/met.c
@@ -66,6 +66,9 @@
   [MET_LIMITED] = { "camphorquay_refused_limited_total", "counter",
                     "Requests refused since the limits of the endpoints left "
                     "are used." },
+  [MET_RESTING] = { "camphorquay_refused_resting_total", "counter",
+                    "Requests refused since the endpoints left asked for "
+                    "rest." },
   [MET_EVACUATED]
   = { "camphorquay_refused_evacuated_total", "counter",
       "Requests refused since the domains left are evacuated." },
--- a/pick.c
+++ b/pick.c
@@ -77,6 +77,7 @@
     [PICK_SPENT] = "all_tried",
     [PICK_COLD] = "endpoints_cold",
     [PICK_LIMITED] = "endpoints_limited",
+    [PICK_RESTING] = "endpoints_resting",
     [PICK_ABROAD] = "no_home",
     [PICK_EVACUATED] = "domain_evacuated",
   };
@@ -252,6 +253,12 @@
   e->full_until_us = now_us + FULL_US;
 }
 
+bool
+pick_rests (const struct fleet_endpoint *e, int64_t now_us)
+{
+  return now_us < e->asked_rest_us;
+}
+
 int
 pick_load (const struct fleet_endpoint *e, int64_t now_us)
 {
@@ -346,7 +353,7 @@
 {
   if (e->draining || excluded (q, e) || too_old (f, e, now_us)
       || is_cold (e, now_us) || !limit_may_place (&e->limit, now_us)
-      || fleet_is_evacuated (f, e->is.domain)
+      || pick_rests (e, now_us) || fleet_is_evacuated (f, e->is.domain)
       || !fleet_is_home (f, &q->homes, e->is.domain))
     return TIER_NEVER;
   if (now_us < e->rest_until_us)
@@ -359,15 +366,17 @@
 /* What is known of the endpoints of the service before one is chosen. */
 struct survey
 {
-  int listed;     /* endpoints of the service that are not leaving */
-  int count;      /* that may be chosen */
-  int cold;       /* that may not, since they are cold */
-  int limited;    /* or since this VM's part of their limit is used */
-  int evacuated;  /* or since their domain is evacuated */
-  int abroad;     /* or since their region is no home of the request */
-  enum tier best; /* lowest tier among them */
-  int willing;    /* endpoints that take new work */
-  int64_t load;   /* of these, in all */
+  int listed;        /* endpoints of the service that are not leaving */
+  int count;         /* that may be chosen */
+  int cold;          /* that may not, since they are cold */
+  int limited;       /* or since this VM's part of their limit is used */
+  int resting;       /* or since they asked for rest */
+  int64_t rested_us; /* when the first of these has rested */
+  int evacuated;     /* or since their domain is evacuated */
+  int abroad;        /* or since their region is no home of the request */
+  enum tier best;    /* lowest tier among them */
+  int willing;       /* endpoints that take new work */
+  int64_t load;      /* of these, in all */
 };
 
 static bool
@@ -379,7 +388,7 @@
 static struct survey
 look (const struct fleet *f, const struct pick_query *q, int64_t now_us)
 {
-  struct survey s = { .best = TIER_NEVER };
+  struct survey s = { .best = TIER_NEVER, .rested_us = INT64_MAX };
   const struct fleet_endpoint *e;
   enum tier tier;
 
@@ -390,6 +399,11 @@
     s.listed += !e->draining;
     s.cold += !e->draining && is_cold (e, now_us);
     s.limited += !e->draining && !limit_may_place (&e->limit, now_us);
+    if (!e->draining && pick_rests (e, now_us))
+      {
+        s.resting++;
+        s.rested_us = MIN (s.rested_us, e->asked_rest_us);
+      }
     s.abroad += !e->draining && !fleet_is_home (f, &q->homes, e->is.domain);
     s.evacuated += !e->draining && fleet_is_evacuated (f, e->is.domain);
     tier = tier_of (f, q, e, now_us);
@@ -607,6 +621,8 @@
     return PICK_COLD;
   if (s->limited > 0)
     return PICK_LIMITED;
+  if (s->resting > 0)
+    return PICK_RESTING;
   if (s->evacuated > 0)
     return PICK_EVACUATED;
   return s->abroad > 0 ? PICK_ABROAD : PICK_SPENT;
@@ -624,6 +640,7 @@
   if (s.count == 0)
     {
       c.code = why_none (&s);
+      c.rest_us = c.code == PICK_RESTING ? s.rested_us - now_us : 0;
       return c;
     }
   if (q->affinity != NULL)
--- a/regress/test-notice.c
+++ b/regress/test-notice.c
@@ -134,6 +134,74 @@
   play_free (p);
 }
 
+/* A refusal that asks for REST_US comes. */
+static void
+refuse (struct play *p, int64_t rest_us)
+{
+  struct relay_head h = { .status = 503, .not_run = true, .running = -1 };
+
+  h.lines = play_seal;
+  h.notice.rest_us = rest_us;
+  play_answer_head (p, &h);
+}
+
+/* Guards against requests to an endpoint that asked for rest, also once its
+   entry is back, and against one that is never asked again. */
+static void
+test_rest (void)
+{
+  struct play *p = play_new (FLEET_IDEMPOTENT);
+  struct fleet_listing ready = endpoint (p, "a")->is;
+
+  start_at_a (p);
+  refuse (p, 60 * CQ_US_PER_S);
+  play_answer (p, "ok");
+  g_assert_cmpint (count_at_a (p), ==, 0);
+  fleet_take_missing (&p->fleet, endpoint (p, "a"), loop_now_us ());
+  fleet_take_listing (&p->fleet, &ready, loop_now_us ());
+  g_assert_cmpint (count_at_a (p), ==, 0);
+  endpoint (p, "a")->asked_rest_us = loop_now_us ();
+  endpoint (p, "a")->full_until_us = 0;
+  g_assert_cmpint (count_at_a (p), >, 0);
+  play_free (p);
+}
+
+/* Guards against a shorter rest that is heard later and ends a longer one. */
+static void
+test_rest_longest (void)
+{
+  static const struct notice_from from = { .source = "answer" };
+  struct notice n = { .rest_us = 5 * CQ_US_PER_S };
+  struct play *p = play_new (FLEET_IDEMPOTENT);
+  struct fleet_endpoint *e = endpoint (p, "a");
+
+  notice_take (e, &n, &from, CQ_US_PER_S);
+  n.rest_us = CQ_US_PER_S;
+  notice_take (e, &n, &from, 2 * CQ_US_PER_S);
+  g_assert_true (pick_rests (e, 6 * CQ_US_PER_S - 1));
+  g_assert_false (pick_rests (e, 6 * CQ_US_PER_S));
+  play_free (p);
+}
+
+/* Guards against a request that was placed before its endpoint asked for rest,
+   and against callers who wait for endpoints that all rest. */
+static void
+test_all_rest (void)
+{
+  struct play *p = play_new (FLEET_ONCE);
+
+  play_start (p);
+  endpoint (p, "a")->asked_rest_us = loop_now_us () + 3 * CQ_US_PER_S;
+  endpoint (p, "b")->asked_rest_us = loop_now_us () + 8 * CQ_US_PER_S;
+  g_assert_false (p->event->before_send (p->arg));
+  play_end (p, false, false);
+  g_assert_cmpint (p->sends, ==, 1);
+  g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
+  g_assert_cmpint (p->retry_after_us, >, 2500 * CQ_US_PER_MS);
+  g_assert_cmpint (p->retry_after_us, <, 4 * CQ_US_PER_S);
+  play_free (p);
+}
+
 /* Guards against the answer of whoever has the address of an endpoint now. */
 static void
 test_other_life (void)
@@ -157,6 +225,9 @@
   { "/notice/entry-returns", test_entry_returns },
   { "/notice/former-bounded", test_former_bounded },
   { "/notice/leaving-before-send", test_leaving_before_send },
+  { "/notice/rest", test_rest },
+  { "/notice/rest-longest", test_rest_longest },
+  { "/notice/all-rest", test_all_rest },
   { "/notice/other-life", test_other_life },
   { NULL, NULL },
 };
--- a/relaytry.c
+++ b/relaytry.c
@@ -17,6 +17,7 @@
 #define STOPPED_OUTDATED "weights_outdated"
 #define STOPPED_COLD "endpoint_cold"
 #define STOPPED_LIMITED "endpoint_limited"
+#define STOPPED_RESTING "endpoint_resting"
 /* Callers who are refused for load return after this part of their time. */
 #define RETURN_PART 3
 /* And not before this: a second request costs about as much. */
@@ -123,6 +124,8 @@
     r->stopped = STOPPED_COLD;
   else if (!limit_may_send (&r->endpoint->limit, now))
     r->stopped = STOPPED_LIMITED;
+  else if (pick_rests (r->endpoint, now))
+    r->stopped = STOPPED_RESTING;
   else
     check_hold (r, now);
   r->handed_over = r->stopped == NULL;
@@ -298,8 +301,8 @@
 is_of_endpoint (const char *reason)
 {
   static const char *const reasons[]
-      = { STOPPED_LEFT, STOPPED_EVACUATED, STOPPED_OUTDATED, STOPPED_COLD,
-          STOPPED_LIMITED };
+      = { STOPPED_LEFT, STOPPED_EVACUATED, STOPPED_OUTDATED,
+          STOPPED_COLD, STOPPED_LIMITED,   STOPPED_RESTING };
   size_t i;
 
   for (i = 0; i < G_N_ELEMENTS (reasons); i++)
@@ -618,6 +621,8 @@
     met_add (MET_COLD, 1);
   else if (code == PICK_LIMITED)
     met_add (MET_LIMITED, 1);
+  else if (code == PICK_RESTING)
+    met_add (MET_RESTING, 1);
   else if (code == PICK_EVACUATED)
     met_add (MET_EVACUATED, 1);
   else if (code == PICK_ABROAD)
@@ -665,7 +670,8 @@
   else
     {
       count_unplaced (c.code);
-      give_up_unplaced (r, pick_code_name (c.code), RETRY_SOON_US, now_us);
+      give_up_unplaced (r, pick_code_name (c.code),
+                        MAX (c.rest_us, RETRY_SOON_US), now_us);
     }
 }
 
