Comments of placing, admission and polls lose the story of their values

Reasons stay; figures of how values were chosen leave the code (machine code of the five objects is the same).

--- a/admit.c
+++ b/admit.c
@@ -23,8 +23,7 @@
 #define STEP_US (100 * CQ_US_PER_MS)
 /* Requests that may wait at an endpoint, permille of those that run there: a
    newcomer waits for a part of one request's time, and a place that comes free
-   is taken at once.  Mean worth under 1, 1.5 and 2.6 times the load of three
-   services, by this figure: 333 0.51, 600 0.51, 1000 0.49, 2000 0.48. */
+   is taken at once. */
 #define QUEUE_AIM 750
 /* Pressure over this, permille of its aim, says no more than that: a single
    endpoint that fell behind does not stand for all. */
@@ -195,9 +194,8 @@
  * the most urgent callers first, and to those who ask for the first time
  * before those who were refused.  The latter can only be late.  Let in alike,
  * they take up to four in ten places, each from a caller who could have been
- * in time, who then returns in turn (served under 2.6 times the load of three
- * services: 0.54 alike, 0.57 so).  Without the equal part the lowest ranks get
- * nothing while an overload lasts.
+ * in time, who then returns in turn.  Without the equal part the lowest ranks
+ * get nothing while an overload lasts.
  */
 int
 admit_keep_rank (const struct admit *a, int rank, int keep)
--- a/follow.c
+++ b/follow.c
@@ -38,17 +38,14 @@
  */
 #define STALL_US (500 * CQ_US_PER_MS)
 /*
- * Taken of an answer.  A route takes 260 to 400 bytes on the wire, so this
- * holds 10,400 to 16,000.  A VM takes 13 MB at its peak without routes, 18 MB
- * with 4,200, 25 MB with 10,000 and 28 MB with 13,000, of the 88 MB that the
- * smallest ones have; the time on a small link bounds an answer, not memory.
+ * Taken of an answer.  A route takes some 300 bytes on the wire.  The time on
+ * a small link bounds an answer, not memory.
  */
 #define ANSWER_MAX_BYTES 4194304
 /*
- * Read of an answer in one turn of the loop.  To read 4,249 routes at once
- * held the loop of a VM with 0.12 of a core for 0.88 s: callers that hung up
- * meanwhile were seen too late.  40 pieces, 40 routes or 40 KB of base64, take
- * 0.2 to 0.4 ms of a core, 2 to 3 ms of such a VM.
+ * Read of an answer in one turn of the loop.  Thousands of routes read at once
+ * would hold the loop for most of a second on a small VM, and callers that
+ * hang up meanwhile would be seen too late.
  */
 #define STEP_PIECES 40
 /* The smallest VMs' link, 10 Mbit/s, of which requests may take half. */
--- a/orders.c
+++ b/orders.c
@@ -500,9 +500,8 @@
   t->order.seq = seq;
   /*
    * Runs that go on are whole, and what they make is found by nobody else.
-   * Waiting for them to end held an endpoint for three seconds, for a load of
-   * 1.3 s: the longest stream of the last ones takes two (sum of worth over
-   * twelve days 5.64 when runs end first, 6.49 when they go on).
+   * Waiting for them to end would hold the endpoint idle for longer than the
+   * load itself takes.
    */
   t->order.runs_go_on = true;
   t->busy = true;
--- a/partfeed.c
+++ b/partfeed.c
@@ -10,14 +10,12 @@
 /* The longest that a store lets a poll wait. */
 #define WAIT_US (1000 * CQ_US_PER_MS)
 /*
- * A store holds some ten polls at once, and VMs may be many: with 78 of them
- * most polls were turned away, and most VMs knew of nothing that was stored.
+ * A store holds some ten polls at once, and VMs may be many: then most polls
+ * are turned away, and most VMs know of nothing that is stored.
  * One that is turned away pauses between short polls, twice as long each
  * time, up to the longest; a quarter less after each answer.  A save needs
- * knowledge of 1.5 s: with pauses of up to 4 s that ended slowly, most VMs
- * could have nothing saved.  Worth over three days with 71 VMs before eleven
- * stores, by the longest pause: 4 s 0.292, 1.5 s 0.344, 0.8 s 0.387, 0.4 s
- * 0.420.
+ * knowledge of 1.5 s: with long pauses that end slowly, most VMs could have
+ * nothing saved.
  */
 #define SHORT_WAIT_US (200 * CQ_US_PER_MS)
 #define PACE_FIRST_US (200 * CQ_US_PER_MS)
--- a/pick.c
+++ b/pick.c
@@ -26,20 +26,16 @@
 #define REPORT_MAX_US INT64_C (1000000)
 /* A request leaves its sticky endpoint when that has twice the mean load, and
    some: the bound of consistent hashing with bounded loads.  A tighter bound
-   evens the load out, and has more parts read anew (sum of worth over seven
-   days of trouble 2.36 at 125%, 2.44 at 150%, 2.58 at 200%, 2.52 at 300%). */
+   evens the load out, and has more parts read anew. */
 #define BOUND_PERCENT 200
 #define BOUND_SPARE 3
 /* Costs that differ by less count as equal: VMs know of each other what was
-   some ms ago, and an answer is late by hundreds.  With 3, 10 and 30 ms worth
-   over three days of trouble was 0.61, 0.60 and 0.61. */
+   some ms ago, and an answer is late by hundreds. */
 #define EQUAL_US INT64_C (20000)
 /*
  * Work ahead counts by this part of its time: some of it is read before the
  * request comes, and a request that leaves its home for it has its parts read
- * anew there, which others then wait for.  Worth with 30, 50 and 100 percent:
- * 0.615, 0.611 and 0.604 where memory holds four prompts and tokens are large,
- * 0.505, 0.464 and 0.443 where it holds fifteen (0.504 without).
+ * anew there, which others then wait for.
  */
 #define AHEAD_PERCENT 30
 /* Memory that prompts may take; the rest is for what is generated. */
@@ -58,12 +54,10 @@
 /* Old answers count a sixteenth less with each new one. */
 #define LEARN_WEIGHT 16
 /* Endpoints that change weights at once: two load fastest each, and more take
-   places away that the others need (sum of worth over twelve days 6.78 with
-   two, 6.66 with three). */
+   places away that the others need. */
 #define RELOAD_WIDTH 2
 /* One of so many, where that is more: the platform loads a fifth of a large
-   service's endpoints as fast as one.  With two at once, some fifty of 140 had
-   changed when the bound was over. */
+   service's endpoints as fast as one. */
 #define RELOAD_SHARE 5
 /* Times as many once old weights get no more work: nothing is lost by it. */
 #define RELOAD_LATE 2
@@ -539,15 +533,11 @@
  * The cheapest endpoint whose load is under the bound; of equal ones that
  * where the affinity points, so that load spreads though VMs know little, and
  * returns to one place.  Placed by load alone, as far as a VM hears of it, all
- * VMs meet where one was idle half a second ago (worth 0.51 to 0.40 on six
- * days).  Endpoints whose weights are about to change get work until they
- * refuse it, which they do at once: kept free, they took places away from the
- * others (sum of worth over twelve days 6.78 with those in turn kept free and
- * 6.49 with one more, 6.82 with none).  Weights make no difference while old
- * ones still count: sent to new weights first, all requests meet two endpoints
- * that have to read every prompt anew, and answers take seconds (sum of worth
- * over twelve days with changes of weights 5.14 with new weights first, 5.64
- * without).
+ * VMs meet where one was idle half a second ago.  Endpoints whose weights are
+ * about to change get work until they refuse it, which they do at once: kept
+ * free, they take places away from the others.  Weights make no difference
+ * while old ones still count: sent to new weights first, all requests meet two
+ * endpoints that have to read every prompt anew, and answers take seconds.
  */
 static struct fleet_endpoint *
 choose_sticky (const struct fleet *f, const struct pick_query *q,
