Scripted runs end only processes that still run

At its end a script killed all process numbers that it had ever started. The shell knows which of its jobs still run, so that is asked.

--- a/regress/config.sh
+++ b/regress/config.sh
@@ -88,7 +88,6 @@
 EOF
 $bin serve --base "$tmp/base.ini" --overlay "$tmp/alone.site.ini" >"$tmp/alone.log" 2>&1 &
 pid_alone=$!
-pids="$pids $pid_alone"
 wait_for has_line "$tmp/alone.log" 'event=listen'
 vm_alone=$(sed -n 's/.*event=listen address=\([^ ]*\).*/\1/p' "$tmp/alone.log")
 sleep 4
--- a/regress/fresh.sh
+++ b/regress/fresh.sh
@@ -54,7 +54,6 @@
 control table '{"slow_ms":1000}'
 reads=$(stat table reads)
 ctl c apply "$tmp/change.ini" >"$tmp/apply" 2>&1 &
-pids="$pids $!"
 wait_for more reads "$reads"
 # The head was read, so the commit leaves; it takes a second.
 sleep 0.4
--- a/regress/lib.sh
+++ b/regress/lib.sh
@@ -8,13 +8,13 @@
 bin=${CQ_BIN:-$top/camphorquay}
 fake=$top/regress/fake
 tmp=$(mktemp -d)
-pids=
 wait_bound=${WAIT_BOUND:-60}
 
 cleanup() {
 	status=$?
 	exec 2>/dev/null
-	for p in $pids; do kill -CONT "$p" 2>/dev/null; kill -9 "$p" 2>/dev/null; done
+	# Only what still runs: the number of a process that ended may be another's.
+	for p in $(jobs -pr); do kill -CONT "$p" 2>/dev/null; kill -9 "$p" 2>/dev/null; done
 	wait 2>/dev/null
 	if [ -n "${KEEP:-}" ]; then echo "kept $tmp"; else rm -rf "$tmp"; fi
 	exit $status
@@ -41,7 +41,6 @@
 start_fake() {
 	$fake "$2" 0 >"$tmp/$1.out" 2>"$tmp/$1.err" &
 	eval "pid_$1=$!"
-	pids="$pids $!"
 	wait_for has_line "$tmp/$1.out" '^port='
 	eval "port_$1=$(sed -n 's/^port=//p' "$tmp/$1.out")"
 }
@@ -52,7 +51,6 @@
 	# shellcheck disable=SC2154
 	$fake "$2" "$_port" >"$tmp/$1.out" 2>"$tmp/$1.err" &
 	eval "pid_$1=$!"
-	pids="$pids $!"
 	wait_for has_line "$tmp/$1.out" '^port='
 }
 
@@ -101,7 +99,6 @@
 	$bin serve --base "$tmp/base.ini" --overlay "$tmp/$1.site.ini" \
 		>>"$tmp/$1.log" 2>&1 &
 	eval "pid_$1=$!"
-	pids="$pids $!"
 	wait_for has_line "$tmp/$1.log" 'level=info.*event=listen'
 	eval "vm_$1=$(sed -n 's/.*event=listen address=\([^ ]*\).*/\1/p' "$tmp/$1.log" | head -1)"
 	eval "wait_for curl -sf --noproxy '*' \"http://\$vm_$1/healthz\""
--- a/regress/logstall.sh
+++ b/regress/logstall.sh
@@ -14,7 +14,6 @@
 exec 8<>"$tmp/log"
 $bin serve --base "$tmp/a.base.ini" --overlay "$tmp/a.site.ini" >&8 2>/dev/null &
 pid_a=$!
-pids="$pids $pid_a"
 listens() {
 	dd bs=65536 count=1 iflag=nonblock <"$tmp/log" 2>/dev/null >>"$tmp/seen"
 	[ "$(grep -c event=listen "$tmp/seen")" = 3 ]
--- a/regress/site.sh
+++ b/regress/site.sh
@@ -56,7 +56,6 @@
 	: >"$tmp/$1.log"
 	$bin serve --base "$tmp/$1.base.ini" --overlay "$tmp/$1.site.ini" >>"$tmp/$1.log" 2>&1 &
 	eval "pid_$1=$!"
-	pids="$pids $!"
 	wait_for has_line "$tmp/$1.log" 'event=phase phase=1'
 	# The product's own interface, callers, the balancer: in this order.
 	_n=0
--- a/regress/tell.sh
+++ b/regress/tell.sh
@@ -22,7 +22,6 @@
 control e '{"events":2,"delay_ms":60000}'
 control f '{"events":2,"delay_ms":60000}'
 id=long ask a /tell/x -d p --max-time 60 -H 'X-Deadline-Ms: 60000' -H 'X-Prompt-Prefix: aa:13000,bb:4000' >/dev/null 2>&1 &
-pids="$pids $!"
 wait_for long_runs
 home=$(ran_at long)
 control e '{"delay_ms":0}'
