The soak's checker knows that a new start of an endpoint asked for no rest

Traced: each time the endpoint had started again under its id (a later start in its entry) between the refusal and the requests, and the VM rightly sent to the new start at once. A VM that ends by itself is reported, and a restart is noted before and after.

--- a/regress/soak.awk
+++ b/regress/soak.awk
@@ -11,6 +11,10 @@
 	for (e in limit) delete limited[e, vm]
 	for (e in names) delete rest[e, vm]
 }
+# A new start of E has said nothing.
+function forget(list, e,  k) {
+	for (k in list) if (index(k, e SUBSEP) == 1) delete list[k]
+}
 # Arrivals at an endpoint with a limit, from VMs that know it.
 function over(e, now,  i, n) {
 	for (i = count[e]; i > 0 && now - arrived[e, i] <= 4; i--)
@@ -22,9 +26,9 @@
 	event = value($2); name = value($3)
 	if (event == "restart" || event == "freeze") excuse(name)
 	else if (event == "leaves") leaves[name] = now
-	else if (event == "stays") { delete leaves[name]; for (k in told) if (index(k, name SUBSEP) == 1) delete told[k] }
-	else if (event == "limit") { if (name in limit) loose[name] = now; limit[name] = value($4); since[name] = now; count[name] = 0 }
-	else if (event == "lift") { delete limit[name]; for (k in limited) if (index(k, name SUBSEP) == 1) delete limited[k] }
+	else if (event == "stays") { delete leaves[name]; forget(told, name); forget(rest, name) }
+	else if (event == "limit") { limit[name] = value($4); since[name] = now; count[name] = 0 }
+	else if (event == "lift") { delete limit[name]; forget(limited, name) }
 	next
 }
 {
--- a/regress/soak.sh
+++ b/regress/soak.sh
@@ -35,7 +35,12 @@
 	eval "echo \$front_$1" >"$tmp/front.$1.new"
 	mv "$tmp/front.$1.new" "$tmp/front.$1"
 }
-again() {
+# end VM SIGNAL: the process, and start another one.
+end() {
+	eval "_pid=\$pid_$1"
+	jobs -pr | grep -qx "$_pid" || echo "$1 ended by itself"
+	note restart "$1"
+	kill "-$2" "$_pid"
 	eval "wait \$pid_$1" 2>/dev/null
 	cp "$tmp/$1.log" "$tmp/$1.log.$(ls "$tmp" | grep -c .)"
 	begin "$1"
@@ -87,13 +92,11 @@
 	case $(draw 9) in
 	0)
 		[ -e "$tmp/frozen.$v" ] && return
-		eval "kill -9 \$pid_$v"
-		again "$v"
+		end "$v" KILL
 		;;
 	1)
 		[ -e "$tmp/frozen.$v" ] && return
-		eval "kill \$pid_$v"
-		again "$v"
+		end "$v" TERM
 		;;
 	2)
 		[ -e "$tmp/frozen.$v" ] && return
@@ -131,8 +134,8 @@
 		;;
 	esac
 }
-end=$(($(date +%s) + length))
-while [ "$(date +%s)" -lt $end ]; do
+until=$(($(date +%s) + length))
+while [ "$(date +%s)" -lt $until ]; do
 	sleep 0.4
 	tick=$((tick + 1))
 	due
