A start that is heard of late does not end rest or a limit

Cause: an endpoint that starts again under its id answers before its entry says so, up to a second and more. What it said in answers in that time was put down to the start before, and was forgotten with it when the entry came.

Change: a later start of an endpoint takes over the limit and the rest that are known. Leaving is not taken over: the start before is the one that left.

Why it holds: whichever start said it, rest ends by itself, and an answer that names no limit lifts it. The path is that of lives that start again under their id; nothing else changes.

--- a/fleet.c
+++ b/fleet.c
@@ -564,6 +564,26 @@
   return e;
 }
 
+/*
+ * A start is heard of up to seconds after it, and what the endpoint said in
+ * answers since then was put down to the start before.  Both bind for a while
+ * only: rest ends by itself, and an answer without the limit lifts it.
+ */
+static struct fleet_endpoint *
+start_again (struct fleet *f, struct fleet_endpoint *old,
+             const struct fleet_listing *l, int64_t now_us)
+{
+  struct limit limit = old->limit;
+  int64_t rest = old->asked_rest_us;
+  struct fleet_endpoint *e;
+
+  drop (f, old);
+  e = add_life (f, l, now_us);
+  e->limit = limit;
+  e->asked_rest_us = rest;
+  return e;
+}
+
 struct fleet_endpoint *
 fleet_take_birth (struct fleet *f, struct fleet_endpoint *e, int64_t born_ms,
                   int64_t now_us)
@@ -574,8 +594,7 @@
   l.draining = false;
   /* It starts with the weights that it had. */
   l.version = e->version;
-  drop (f, e);
-  return add_life (f, &l, now_us);
+  return start_again (f, e, &l, now_us);
 }
 
 struct fleet_endpoint *
@@ -590,9 +609,7 @@
     case FLEET_LIFE_UNSAID:
       return e;
     case FLEET_LIFE_YOUNGER:
-      if (e != NULL)
-        drop (f, e);
-      e = add_life (f, l, now_us);
+      e = e != NULL ? start_again (f, e, l, now_us) : add_life (f, l, now_us);
       break;
     case FLEET_LIFE_SAME:
       break;
--- a/regress/relayplay.c
+++ b/regress/relayplay.c
@@ -336,3 +336,20 @@
   g_assert_true (p->event->head (p->arg, h));
   play_end (p, true, true);
 }
+
+struct fleet_endpoint *
+play_endpoint (struct play *p, const char *id)
+{
+  return g_hash_table_lookup (p->fleet.by_id, id);
+}
+
+void
+play_moves_on (struct play *p)
+{
+  g_assert_false (p->event->before_send (p->arg));
+  play_end (p, false, false);
+  g_assert_cmpint (p->sends, ==, 2);
+  g_assert_cmpstr (p->to[0], !=, p->to[1]);
+  play_answer (p, "ok");
+  g_assert_cmpstr (p->got->str, ==, "ok");
+}
--- a/regress/relayplay.h
+++ b/regress/relayplay.h
@@ -57,6 +57,10 @@
 struct play *play_new (enum fleet_kind kind);
 /* The request comes. */
 void play_start (struct play *p);
+/* The endpoint that is listed as ID, or NULL. */
+struct fleet_endpoint *play_endpoint (struct play *p, const char *id);
+/* The attempt must not be let go, and a second endpoint answers instead. */
+void play_moves_on (struct play *p);
 /* All requests must have ended. */
 void play_free (struct play *p);
 /* Run the loop for US. */
--- a/regress/rest.sh
+++ b/regress/rest.sh
@@ -54,3 +54,12 @@
 control q '{"refuse":0}'
 wait_for eval '[ "$(ask a /open/x)" = 200 ]'
 echo "answered"
+
+echo "== its entry says later that it has started again"
+start_fake r server
+control r '{"id":"i-r","refuse":100000,"rest":"60"}'
+list_server r app '' '' ready 1700000000000
+wait_for eval 'ask a /safe/x; [ "$(refused r)" -ge 1 ]'
+list_server r app '' '' ready 1700000001000
+wait_for has_line "$tmp/a.log" 'endpoint=i-r outcome=started_again_ready'
+spent r 2
--- a/regress/test-cold.c
+++ b/regress/test-cold.c
@@ -79,12 +79,6 @@
   g_assert_true (roster_is_gone (&a));
 }
 
-static struct fleet_endpoint *
-endpoint (struct play *p, const char *id)
-{
-  return g_hash_table_lookup (p->fleet.by_id, id);
-}
-
 static int
 one_a_second (void *arg, uint64_t key, int rate)
 {
@@ -114,7 +108,8 @@
 
   declare_cold (p);
   p->fleet.cold_part = one_a_second;
-  cold_until (&endpoint (p, "a")->cold, loop_now_us () + 60 * CQ_US_PER_S);
+  cold_until (&play_endpoint (p, "a")->cold,
+              loop_now_us () + 60 * CQ_US_PER_S);
   for (i = 0; i < 20; i++)
     {
       p->sends = 0;
@@ -134,14 +129,9 @@
 
   declare_cold (p);
   play_start (p);
-  cold_until (&endpoint (p, p->to[0])->cold,
+  cold_until (&play_endpoint (p, p->to[0])->cold,
               loop_now_us () + 60 * CQ_US_PER_S);
-  g_assert_false (p->event->before_send (p->arg));
-  play_end (p, false, false);
-  g_assert_cmpint (p->sends, ==, 2);
-  g_assert_cmpstr (p->to[0], !=, p->to[1]);
-  play_answer (p, "ok");
-  g_assert_cmpstr (p->got->str, ==, "ok");
+  play_moves_on (p);
   play_free (p);
 }
 
@@ -153,8 +143,10 @@
   struct play *p = play_new (FLEET_ONCE);
 
   declare_cold (p);
-  cold_until (&endpoint (p, "a")->cold, loop_now_us () + 60 * CQ_US_PER_S);
-  cold_until (&endpoint (p, "b")->cold, loop_now_us () + 60 * CQ_US_PER_S);
+  cold_until (&play_endpoint (p, "a")->cold,
+              loop_now_us () + 60 * CQ_US_PER_S);
+  cold_until (&play_endpoint (p, "b")->cold,
+              loop_now_us () + 60 * CQ_US_PER_S);
   play_start (p);
   g_assert_cmpint (p->sends, ==, 0);
   g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
--- a/regress/test-evac.c
+++ b/regress/test-evac.c
@@ -28,12 +28,7 @@
   put (p, "b", "west");
   play_start (p);
   evac_begin (&p->fleet, strcmp (p->to[0], "a") == 0 ? "east" : "west", 2);
-  g_assert_false (p->event->before_send (p->arg));
-  play_end (p, false, false);
-  g_assert_cmpint (p->sends, ==, 2);
-  g_assert_cmpstr (p->to[0], !=, p->to[1]);
-  play_answer (p, "ok");
-  g_assert_cmpstr (p->got->str, ==, "ok");
+  play_moves_on (p);
   play_free (p);
 }
 
--- a/regress/test-limit.c
+++ b/regress/test-limit.c
@@ -185,12 +185,6 @@
   g_assert_false (l.named);
 }
 
-static struct fleet_endpoint *
-endpoint (struct play *p, const char *id)
-{
-  return g_hash_table_lookup (p->fleet.by_id, id);
-}
-
 static int64_t
 one_in_ten_s (void *arg, uint64_t key, int64_t milli, int64_t now_us)
 {
@@ -237,7 +231,7 @@
       play_answer (p, "ok");
     }
   g_assert_cmpint (n, ==, 0);
-  g_assert_true (endpoint (p, "a")->limit.named);
+  g_assert_true (play_endpoint (p, "a")->limit.named);
   play_free (p);
 }
 
@@ -250,12 +244,8 @@
 
   p->fleet.limit_gap = one_in_ten_s;
   play_start (p);
-  limit_name (&endpoint (p, p->to[0])->limit, 100, 0, loop_now_us ());
-  g_assert_false (p->event->before_send (p->arg));
-  play_end (p, false, false);
-  g_assert_cmpint (p->sends, ==, 2);
-  g_assert_cmpstr (p->to[0], !=, p->to[1]);
-  play_answer (p, "ok");
+  limit_name (&play_endpoint (p, p->to[0])->limit, 100, 0, loop_now_us ());
+  play_moves_on (p);
   play_free (p);
 }
 
@@ -266,8 +256,8 @@
   struct play *p = play_new (FLEET_ONCE);
 
   p->fleet.limit_gap = one_in_ten_s;
-  limit_name (&endpoint (p, "a")->limit, 100, 0, loop_now_us ());
-  limit_name (&endpoint (p, "b")->limit, 100, 0, loop_now_us ());
+  limit_name (&play_endpoint (p, "a")->limit, 100, 0, loop_now_us ());
+  limit_name (&play_endpoint (p, "b")->limit, 100, 0, loop_now_us ());
   play_start (p);
   g_assert_cmpint (p->sends, ==, 0);
   g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
--- a/regress/test-notice.c
+++ b/regress/test-notice.c
@@ -5,12 +5,6 @@
 #include "relayplay.h"
 #include "units.h"
 
-static struct fleet_endpoint *
-endpoint (struct play *p, const char *id)
-{
-  return g_hash_table_lookup (p->fleet.by_id, id);
-}
-
 /* Start a request that is placed at A. */
 static void
 start_at_a (struct play *p)
@@ -62,7 +56,7 @@
   start_at_a (p);
   say (p, &leaving);
   g_assert_cmpint (count_at_a (p), ==, 0);
-  ready = endpoint (p, "a")->is;
+  ready = play_endpoint (p, "a")->is;
   fleet_take_listing (&p->fleet, &ready, loop_now_us ());
   g_assert_cmpint (count_at_a (p), ==, 0);
   /* The next life has said nothing. */
@@ -79,16 +73,16 @@
 {
   static const struct notice leaving = { .leaving = true };
   struct play *p = play_new (FLEET_IDEMPOTENT);
-  struct fleet_listing ready = endpoint (p, "a")->is;
+  struct fleet_listing ready = play_endpoint (p, "a")->is;
 
   start_at_a (p);
-  fleet_take_missing (&p->fleet, endpoint (p, "a"), loop_now_us ());
-  g_assert_null (endpoint (p, "a"));
+  fleet_take_missing (&p->fleet, play_endpoint (p, "a"), loop_now_us ());
+  g_assert_null (play_endpoint (p, "a"));
   fleet_take_listing (&p->fleet, &ready, loop_now_us ());
   /* Its answer comes when the entry is back. */
   say (p, &leaving);
   g_assert_cmpint (count_at_a (p), ==, 0);
-  fleet_take_missing (&p->fleet, endpoint (p, "a"), loop_now_us ());
+  fleet_take_missing (&p->fleet, play_endpoint (p, "a"), loop_now_us ());
   g_assert_cmpint (count_at_a (p), ==, 0);
   fleet_take_listing (&p->fleet, &ready, loop_now_us ());
   g_assert_cmpint (count_at_a (p), ==, 0);
@@ -125,12 +119,8 @@
   struct play *p = play_new (FLEET_ONCE);
 
   play_start (p);
-  notice_take (endpoint (p, p->to[0]), &leaving, &from, loop_now_us ());
-  g_assert_false (p->event->before_send (p->arg));
-  play_end (p, false, false);
-  g_assert_cmpint (p->sends, ==, 2);
-  g_assert_cmpstr (p->to[0], !=, p->to[1]);
-  play_answer (p, "ok");
+  notice_take (play_endpoint (p, p->to[0]), &leaving, &from, loop_now_us ());
+  play_moves_on (p);
   play_free (p);
 }
 
@@ -151,21 +141,47 @@
 test_rest (void)
 {
   struct play *p = play_new (FLEET_IDEMPOTENT);
-  struct fleet_listing ready = endpoint (p, "a")->is;
+  struct fleet_listing ready = play_endpoint (p, "a")->is;
 
   start_at_a (p);
   refuse (p, 60 * CQ_US_PER_S);
   play_answer (p, "ok");
   g_assert_cmpint (count_at_a (p), ==, 0);
-  fleet_take_missing (&p->fleet, endpoint (p, "a"), loop_now_us ());
+  fleet_take_missing (&p->fleet, play_endpoint (p, "a"), loop_now_us ());
   fleet_take_listing (&p->fleet, &ready, loop_now_us ());
   g_assert_cmpint (count_at_a (p), ==, 0);
-  endpoint (p, "a")->asked_rest_us = loop_now_us ();
-  endpoint (p, "a")->full_until_us = 0;
+  play_endpoint (p, "a")->asked_rest_us = loop_now_us ();
+  play_endpoint (p, "a")->full_until_us = 0;
   g_assert_cmpint (count_at_a (p), >, 0);
   play_free (p);
 }
 
+/* Guards against notices that are put down to the start before: the endpoint
+   has started again, says them, and its entry says so later. */
+static void
+test_start_heard_late (void)
+{
+  struct play *p = play_new (FLEET_IDEMPOTENT);
+  struct fleet_listing l = play_endpoint (p, "a")->is;
+  static const struct notice limit
+      = { .limit_said = true, .limit_milli = 1000 };
+  static const struct notice_from from = { .source = "answer", .whole = true };
+
+  start_at_a (p);
+  refuse (p, 60 * CQ_US_PER_S);
+  play_answer (p, "ok");
+  notice_take (play_endpoint (p, "a"), &limit, &from, loop_now_us ());
+  l.born_ms = 1700000000000;
+  fleet_take_listing (&p->fleet, &l, loop_now_us ());
+  g_assert_cmpint (count_at_a (p), ==, 0);
+  g_assert_true (play_endpoint (p, "a")->limit.named);
+  fleet_take_birth (&p->fleet, play_endpoint (p, "a"), l.born_ms + 1,
+                    loop_now_us ());
+  g_assert_cmpint (count_at_a (p), ==, 0);
+  g_assert_true (play_endpoint (p, "a")->limit.named);
+  play_free (p);
+}
+
 /* Guards against a shorter rest that is heard later and ends a longer one. */
 static void
 test_rest_longest (void)
@@ -173,7 +189,7 @@
   static const struct notice_from from = { .source = "answer" };
   struct notice n = { .rest_us = 5 * CQ_US_PER_S };
   struct play *p = play_new (FLEET_IDEMPOTENT);
-  struct fleet_endpoint *e = endpoint (p, "a");
+  struct fleet_endpoint *e = play_endpoint (p, "a");
 
   notice_take (e, &n, &from, CQ_US_PER_S);
   n.rest_us = CQ_US_PER_S;
@@ -191,8 +207,8 @@
   struct play *p = play_new (FLEET_ONCE);
 
   play_start (p);
-  endpoint (p, "a")->asked_rest_us = loop_now_us () + 3 * CQ_US_PER_S;
-  endpoint (p, "b")->asked_rest_us = loop_now_us () + 8 * CQ_US_PER_S;
+  play_endpoint (p, "a")->asked_rest_us = loop_now_us () + 3 * CQ_US_PER_S;
+  play_endpoint (p, "b")->asked_rest_us = loop_now_us () + 8 * CQ_US_PER_S;
   g_assert_false (p->event->before_send (p->arg));
   play_end (p, false, false);
   g_assert_cmpint (p->sends, ==, 1);
@@ -215,7 +231,7 @@
   h.lines = play_seal;
   play_start (p);
   play_answer_head (p, &h);
-  g_assert_false (endpoint (p, p->to[0])->limit.named);
+  g_assert_false (play_endpoint (p, p->to[0])->limit.named);
   play_answer (p, "ok");
   play_free (p);
 }
@@ -226,6 +242,7 @@
   { "/notice/former-bounded", test_former_bounded },
   { "/notice/leaving-before-send", test_leaving_before_send },
   { "/notice/rest", test_rest },
+  { "/notice/start-heard-late", test_start_heard_late },
   { "/notice/rest-longest", test_rest_longest },
   { "/notice/all-rest", test_all_rest },
   { "/notice/other-life", test_other_life },
