Endpoints whose reports say no start are ordered new weights

Cause: there entries of endpoints say when they started and their reports do not. A report without a start counted as news that cannot be placed, 2,699 of them were passed over in nine seconds, and no order was ever sent. Shown by the log (endpoint lines, outcome=passed_over source=report) and by /orders/report-without-start, red before.

Change: such a report counts. It comes from whoever is at the address now, and an order names the count of orders that this one gave.

Why it holds: a report that was asked of a start that is over since is still passed over (the endpoint is gone), and one with an earlier start too. Of a later start that is not listed yet the count is its own, so the order fits it; its weights are taken from its entry when that comes.

--- a/orders.c
+++ b/orders.c
@@ -516,7 +516,9 @@
  * Whether the life that answered is the one that the task is about.  A younger
  * one counts its orders anew, and what was ordered before may fit its count:
  * it gets a task of its own, that begins with a question.  An older one is
- * over, and one that says no start cannot be placed.
+ * over.  A report that says no start comes from whoever is at the address now,
+ * and an order names the count that this one gave, so it is carried out there
+ * or refused.
  */
 static bool
 is_same_life (struct task *t, const struct endpoint_state *s, int64_t now_us)
@@ -524,7 +526,7 @@
   struct fleet_endpoint *e = t->endpoint;
   enum fleet_life life = fleet_life_of (e, s->born_ms);
 
-  if (e->gone || life == FLEET_LIFE_SAME)
+  if (e->gone || life == FLEET_LIFE_SAME || life == FLEET_LIFE_UNSAID)
     return !e->gone;
   log_event (LOG_LEVEL_INFO, "endpoint",
              "endpoint=%s outcome=%s source=report born_ms=%" G_GINT64_FORMAT
--- a/regress/test-orders.c
+++ b/regress/test-orders.c
@@ -474,6 +474,22 @@
   stage_free (st);
 }
 
+/* Guards against endpoints that are never ordered, since their entries say
+   when they started and their reports do not. */
+static void
+test_report_without_start (void)
+{
+  struct stage *st = stage_new ();
+
+  st->born_ms = 0;
+  endpoint_of (st)->is.born_ms = 2000;
+  name_version (st);
+  wait_until (st, is_released);
+  g_assert_cmpint (st->orders_sent, ==, 1);
+  g_assert_cmpint (endpoint_of (st)->version, ==, 2);
+  stage_free (st);
+}
+
 /*
  * After the change an order to the life before is carried out, and weights go
  * back; callers' requests are refused there.  The doubt that their answers
@@ -1141,6 +1157,7 @@
   { "/orders/unknown", test_order_unknown },
   { "/orders/restart-while-loading", test_restart_while_loading },
   { "/orders/report-of-life-before", test_report_of_life_before },
+  { "/orders/report-without-start", test_report_without_start },
   { "/orders/weights-fell", test_weights_fell },
   { "/orders/naming-recorded", test_naming_recorded },
   { "/orders/naming-unrecorded", test_naming_unrecorded },
