Stores: no more VMs poll a store than it can keep current

Cause: every VM polls every store, and each store accepts some twelve calls at a time, whatever the number of VMs.

Change: beside the VMs that poll without pauses, as many VMs follow a store, by rendezvous, as the remaining calls keep younger than a fetch needs; 84 with twelve calls. The others do not poll it, and neither fetch nor save there. The VM that frees outdated parts follows all stores. Until a VM knows the others, it waits for three seconds instead of polling all stores at its start.

Deployments of up to 84 VMs are not affected. /partfeed/followers-bounded fails without the bound (it does not build against the former interface).

--- a/entry.c
+++ b/entry.c
@@ -125,12 +125,16 @@
 on_sweep (void *arg, int64_t now_us)
 {
   struct entry *e = arg;
+  bool frees;
 
   fleet_remove_missing (&e->fleet, now_us);
   evac_sweep (&e->fleet, now_us);
   if (orders_has_lease (e->orders))
     e->orders_held_us = now_us;
-  if (e->orders_held_us != 0 && now_us - e->orders_held_us < FREE_OUTDATED_US)
+  frees = e->orders_held_us != 0
+          && now_us - e->orders_held_us < FREE_OUTDATED_US;
+  partfeed_follow_all (e->partfeed, frees, now_us);
+  if (frees)
     partfeed_free_outdated (e->partfeed, &e->fleet, now_us);
   loop_arm (e->worker->loop, &e->sweep_timer, now_us + SWEEP_INTERVAL_US);
 }
@@ -202,6 +206,14 @@
          || loadgossip_ranks_within (e->load_gossip, key, places);
 }
 
+static bool
+is_rank_known (void *arg)
+{
+  const struct entry *e = arg;
+
+  return e->load_gossip == NULL || loadgossip_is_listed (e->load_gossip);
+}
+
 static void
 make_partfeed (struct entry *e)
 {
@@ -210,6 +222,7 @@
   parts_init (&e->parts);
   entry_adapter.partfeed_ops (&o.ops, e->worker->pool);
   o.ranks_within = is_vm_among;
+  o.is_rank_known = is_rank_known;
   o.arg = e;
   o.seed = seed_of (cfg_vm (e->settings));
   e->partfeed = partfeed_new (&o);
--- a/loadgossip.c
+++ b/loadgossip.c
@@ -598,6 +598,12 @@
   return limit_interval_us (milli, vms, own_rank (t, endpoint));
 }
 
+bool
+loadgossip_is_listed (const struct loadgossip *t)
+{
+  return t->listed;
+}
+
 bool
 loadgossip_ranks_within (const struct loadgossip *t, uint64_t key, int places)
 {
--- a/loadgossip.h
+++ b/loadgossip.h
@@ -98,6 +98,8 @@
 int64_t loadgossip_limit_interval (const struct loadgossip *t,
                                    uint64_t endpoint, int64_t milli,
                                    int64_t clock_ms);
+/* Whether this VM has read its own row in the roster. */
+bool loadgossip_is_listed (const struct loadgossip *t);
 /* Whether this VM is among the first PLACES VMs of the roster by rendezvous
    hashing for KEY; true until this VM has read its own row there. */
 bool loadgossip_ranks_within (const struct loadgossip *t, uint64_t key,
--- a/partfeed.c
+++ b/partfeed.c
@@ -42,9 +42,13 @@
 #define SPACED_PER_STORE_US (50 * CQ_US_PER_MS)
 #define SPACED_MIN_US (1200 * CQ_US_PER_MS)
 #define SPACED_MAX_US (2500 * CQ_US_PER_MS)
-/* Interval at which a VM checks again whether it is to poll a store
-   continuously. */
+/* Interval at which a VM checks again whether it is to poll a store, and
+   whether continuously. */
 #define RANK_CHECK_US (2 * CQ_US_PER_S)
+/* The same while its rank among the VMs is not known, and how long after the
+   start it waits for that. */
+#define RANK_UNKNOWN_CHECK_US (200 * CQ_US_PER_MS)
+#define RANK_WAIT_US (3 * CQ_US_PER_S)
 
 /* One store that is followed. */
 struct watch
@@ -60,6 +64,7 @@
   int64_t pace_us;  /* mean pause between polls after refusals, 0 for none */
   int64_t sent_us;  /* when the call in progress was sent */
   int64_t rank_checked_us; /* rank was checked last then; 0 for never */
+  bool followed;           /* this VM polls the store */
   bool freeing;            /* a call to free parts is in progress */
   int64_t free_sent_us;    /* when the last such call was sent */
   GArray *freed;           /* struct part_stored, the parts of that call */
@@ -71,7 +76,9 @@
   APR_RING_HEAD (watch_ring, watch) watches; /* by store */
   GRand *rand;                               /* for pauses */
   int stores;                                /* number of configured stores */
-  bool stopped;                              /* no more calls are started */
+  int64_t started_us;                        /* time of the start */
+  bool follows_all; /* all stores are polled, whatever this VM's rank */
+  bool stopped;     /* no more calls are started */
 };
 
 static void start_poll (struct watch *w, int64_t now_us);
@@ -256,30 +263,75 @@
                    now);
 }
 
+int
+partfeed_max_continuous (int calls_max)
+{
+  int calls = calls_max > 0 ? calls_max : CALLS_DEFAULT;
+
+  return MAX (calls * CONTINUOUS_PERCENT / 100, 1);
+}
+
+int
+partfeed_max_followers (int calls_max)
+{
+  int calls = calls_max > 0 ? calls_max : CALLS_DEFAULT;
+  int continuous = partfeed_max_continuous (calls_max);
+
+  return continuous
+         + (int)((calls - continuous) * PARTS_FETCH_SYNC_AGE_US
+                 / PACED_POLL_WAIT_US);
+}
+
+static bool
+ranks_within (const struct watch *w, int places)
+{
+  const struct partfeed_opts *o = &w->feed->opts;
+  uint64_t key = XXH3_64bits (w->store->address, strlen (w->store->address));
+
+  return o->ranks_within == NULL || o->ranks_within (o->arg, key, places);
+}
+
+static bool
+is_rank_awaited (const struct partfeed *f, int64_t now_us)
+{
+  return f->opts.is_rank_known != NULL && !f->opts.is_rank_known (f->opts.arg)
+         && now_us - f->started_us < RANK_WAIT_US;
+}
+
 /*
  * A store accepts a limited number of concurrent calls, and there may be many
  * more VMs: each VM that polls without pauses displaces another one.  So only
  * as many VMs as the store has room for poll it continuously; the others pause
- * between polls.
+ * between polls.  Beyond the number whose contents the remaining calls keep
+ * recent enough for fetches, further VMs would only be refused, and do not
+ * poll the store.
  */
 static void
 choose_polling (struct watch *w, int64_t now_us)
 {
-  const struct partfeed_opts *o = &w->feed->opts;
-  int calls = w->store->calls_max > 0 ? w->store->calls_max : CALLS_DEFAULT;
-  uint64_t key = XXH3_64bits (w->store->address, strlen (w->store->address));
-  bool continuous;
+  int calls = w->store->calls_max;
+  bool continuous, followed;
 
   if (w->rank_checked_us != 0 && now_us - w->rank_checked_us < RANK_CHECK_US)
     return;
-  continuous = o->ranks_within == NULL
-               || o->ranks_within (o->arg, key,
-                                   MAX (calls * CONTINUOUS_PERCENT / 100, 1));
-  if (w->rank_checked_us == 0 || continuous != w->store->continuous)
+  if (is_rank_awaited (w->feed, now_us))
+    {
+      w->followed = false;
+      return;
+    }
+  continuous = ranks_within (w, partfeed_max_continuous (calls));
+  followed = continuous || w->feed->follows_all
+             || ranks_within (w, partfeed_max_followers (calls));
+  if (w->rank_checked_us == 0 || continuous != w->store->continuous
+      || followed != w->followed)
     log_event (LOG_LEVEL_INFO, "store", "store=%s outcome=%s calls_max=%d",
-               w->store->address, continuous ? "close" : "loose",
-               w->store->calls_max);
+               w->store->address,
+               continuous ? "close"
+               : followed ? "loose"
+                          : "not_followed",
+               calls);
   w->store->continuous = continuous;
+  w->followed = followed;
   w->rank_checked_us = now_us;
 }
 
@@ -291,6 +343,13 @@
   if (w->busy || w->feed->stopped || !w->store->configured)
     return;
   choose_polling (w, now_us);
+  if (!w->followed)
+    {
+      schedule_poll (
+          w, w->rank_checked_us == 0 ? RANK_UNKNOWN_CHECK_US : RANK_CHECK_US,
+          now_us);
+      return;
+    }
   w->busy = true;
   w->sent_us = now_us;
   w->listing = w->need_list;
@@ -343,6 +402,22 @@
   }
 }
 
+void
+partfeed_follow_all (struct partfeed *f, bool all, int64_t now_us)
+{
+  struct watch *w;
+
+  if (f->follows_all == all || f->stopped)
+    return;
+  f->follows_all = all;
+  APR_RING_FOREACH (w, &f->watches, watch, link)
+  {
+    w->rank_checked_us = 0;
+    if (!w->followed)
+      start_poll (w, now_us);
+  }
+}
+
 /* --- freeing --------------------------------------------------------- */
 
 /* Events report the removals, too, but one event in a hundred is lost. */
@@ -443,6 +518,7 @@
 
   f->opts = *opts;
   f->rand = g_rand_new_with_seed ((guint32)opts->seed);
+  f->started_us = loop_now_us ();
   APR_RING_INIT (&f->watches, watch, link);
   return f;
 }
--- a/partfeed.h
+++ b/partfeed.h
@@ -62,7 +62,10 @@
   /* Whether this VM is among the first PLACES of all VMs by rendezvous hashing
      for KEY; NULL if there are no other VMs. */
   bool (*ranks_within) (void *arg, uint64_t key, int places);
-  void *arg;     /* passed to ranks_within */
+  /* Whether the other VMs are known, so that ranks_within can be relied on;
+     NULL if they always are. */
+  bool (*is_rank_known) (void *arg);
+  void *arg;     /* passed to both */
   uint64_t seed; /* for randomized pauses */
 };
 
@@ -71,6 +74,13 @@
 struct partfeed *partfeed_new (const struct partfeed_opts *opts);
 /* The configuration changed: follow its stores. */
 void partfeed_take_conf (struct partfeed *f, const struct fleet_conf *c);
+/* Poll all stores, also those that this VM ranks too low for: a VM that frees
+   outdated parts has to know them all. */
+void partfeed_follow_all (struct partfeed *f, bool all, int64_t now_us);
+/* How many VMs may poll a store that accepts CALLS_MAX concurrent calls, 0 if
+   unknown: without pauses, and in all. */
+int partfeed_max_continuous (int calls_max);
+int partfeed_max_followers (int calls_max);
 /* Free the parts of outdated weights that nobody can be reading at NOW_US. */
 void partfeed_free_outdated (struct partfeed *f, const struct fleet *fleet,
                              int64_t now_us);
--- a/parts.c
+++ b/parts.c
@@ -35,14 +35,13 @@
  * is just being saved again: the request would read an incomplete part.  A VM
  * that has not detected the restart still considers the part complete.  So a
  * fetch requires that the store's contents were synchronized at most
- * FETCH_SYNC_AGE_US ago.  And a VM that detects a new incarnation saves
+ * PARTS_FETCH_SYNC_AGE_US ago.  And a VM that detects a new incarnation saves
  * nothing there for SETTLE_US: until then older information has expired on all
  * VMs, with the fetches that were begun by it, and with 700 ms for clock
  * differences and the duration of calls.
  */
-#define FETCH_SYNC_AGE_US (5 * CQ_US_PER_S)
 #define SETTLE_US                                                             \
-  (FETCH_SYNC_AGE_US + FETCH_MAX_MS * CQ_US_PER_MS + 700 * CQ_US_PER_MS)
+  (PARTS_FETCH_SYNC_AGE_US + FETCH_MAX_MS * CQ_US_PER_MS + 700 * CQ_US_PER_MS)
 /*
  * A VM that has not detected the restart may itself save a part again that
  * others still fetch.  So a save requires that the store's contents were
@@ -282,7 +281,8 @@
 
   APR_RING_FOREACH (s, &p->stores, parts_store, link)
   {
-    if (!is_alive (s, now_us) || now_us - s->synced_us > FETCH_SYNC_AGE_US
+    if (!is_alive (s, now_us)
+        || now_us - s->synced_us > PARTS_FETCH_SYNC_AGE_US
         || !may_use_store (q, s))
       continue;
     h = g_hash_table_lookup (s->stored, &key);
--- a/parts.h
+++ b/parts.h
@@ -26,6 +26,9 @@
 #define PARTS_ID_SIZE 40    /* size of a part's id, including its NUL */
 #define PARTS_SCOPE_SIZE 96 /* size of a scope's name, including its NUL */
 #define PARTS_FREE_MAX 200  /* parts freed in one call */
+/* A part is fetched only if the store's contents were synchronized at most
+   this long ago. */
+#define PARTS_FETCH_SYNC_AGE_US INT64_C (5000000)
 
 /* A part of a prompt; arrays of parts are in the prompt's order. */
 struct part
--- a/regress/test-parts.c
+++ b/regress/test-parts.c
@@ -446,14 +446,14 @@
   loop_free (p.loop);
 }
 
+/* A VM that is among the first ones only if *ARG, and always a follower. */
 static bool
 ranks_within (void *arg, uint64_t key, int places)
 {
   const bool *among = arg;
 
   (void)key;
-  (void)places;
-  return *among;
+  return *among || places > partfeed_max_continuous (0);
 }
 
 /* Guards against continuous polls by more VMs than a store accepts.  A VM that
@@ -511,6 +511,87 @@
   loop_free (p.loop);
 }
 
+/* A VM's rank for a store. */
+struct rank
+{
+  int rank;      /* VMs before this one */
+  bool is_known; /* the other VMs are known */
+};
+
+static bool
+rank_is_within (void *arg, uint64_t key, int places)
+{
+  const struct rank *r = arg;
+
+  (void)key;
+  return r->rank < places;
+}
+
+static bool
+rank_is_known (void *arg)
+{
+  const struct rank *r = arg;
+
+  return r->is_known;
+}
+
+/* Whether a VM with RANK calls the store at its start, with ALL also one that
+   frees parts. */
+static bool
+is_polled_at_rank (struct rank rank, bool all)
+{
+  struct simulated_store p = { .loop = loop_new () };
+  struct partfeed_opts o = { .loop = p.loop, .parts = &p.parts, .seed = 1 };
+  struct fleet_conf *c = fleet_conf_new ();
+
+  o.ops.events = poll_events;
+  o.ops.list = read_list;
+  o.ops.ctx = &p;
+  o.ranks_within = rank_is_within;
+  o.is_rank_known = rank_is_known;
+  o.arg = &rank;
+  add_store (c, "fast", 10000, 250000, 500);
+  parts_init (&p.parts);
+  p.feed = partfeed_new (&o);
+  partfeed_take_conf (p.feed, c);
+  partfeed_follow_all (p.feed, all, loop_now_us ());
+  partfeed_stop (p.feed);
+  partfeed_free (p.feed);
+  parts_clear (&p.parts);
+  fleet_conf_unref (c);
+  loop_free (p.loop);
+  return p.done != NULL;
+}
+
+/* Guards against polls of a store that grow with the number of VMs: with
+   hundreds of VMs nearly all of them are refused. */
+static void
+test_followers_bounded (void)
+{
+  static const int sizes[] = { 10, 100, 1000, 10000 };
+  int max = partfeed_max_followers (12);
+  struct rank rank = { .is_known = true };
+  int followers;
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (sizes); i++)
+    {
+      followers = 0;
+      for (rank.rank = 0; rank.rank < MIN (sizes[i], 2 * max); rank.rank++)
+        followers += is_polled_at_rank (rank, false);
+      g_assert_cmpint (followers, ==, MIN (sizes[i], max));
+    }
+  /* What the polls of all followers occupy is within the store's calls. */
+  g_assert_cmpint (partfeed_max_continuous (12), <, 12);
+  g_assert_cmpint ((max - partfeed_max_continuous (12)) * 200, <=,
+                   (12 - partfeed_max_continuous (12)) * 5000);
+  rank.rank = 10 * max;
+  g_assert_true (is_polled_at_rank (rank, true));
+  rank.is_known = false;
+  rank.rank = 0;
+  g_assert_false (is_polled_at_rank (rank, false));
+}
+
 /*
  * A store restarts.  A delayed reply of its previous incarnation lists parts
  * that no longer exist: a fetch of them would find nothing, or an incomplete
@@ -568,6 +649,7 @@
   { "/parts/no-save-on-old-knowledge", test_no_save_on_old_knowledge },
   { "/partfeed/crowded-store", test_crowded_store },
   { "/partfeed/loose-follower", test_loose_follower },
+  { "/partfeed/followers-bounded", test_followers_bounded },
   { "/partfeed/store-of-life-before", test_store_of_life_before },
   { NULL, NULL },
 };
