--- a/entry.c
+++ b/entry.c
@@ -54,6 +54,8 @@
   struct load_table *loads;    /* load reported by other VMs */
   struct loadgossip
       *load_gossip;          /* exchanges load with other VMs; NULL if unset */
+  struct mirrorfeed *mirror; /* reads lists from other VMs; NULL if unset */
+  struct mirrorhttp *mirror_http; /* answers their requests */
   struct quar *quar;         /* evidence about requests that crash endpoints */
   struct quarfeed *quarfeed; /* shares quar with other VMs */
   struct relays *relays;     /* requests under way */
@@ -62,6 +64,7 @@
   struct http_listener *ready_listener;   /* readiness probes */
   int caller_fd;                          /* listening socket */
   int ready_fd;                           /* listening socket */
+  int list_fd;                            /* listening socket, or -1 */
   struct loop_timer sweep_timer;          /* next periodic check */
   bool logged_ready;                      /* readiness when last logged */
 };
@@ -193,7 +196,17 @@
   o.max_age_us = denial_max_age_us (e->cfg);
   entry_adapter.follow_ops (e->store, &o.ops);
   o.seed = seed_of (cfg_vm (server_cfg (e->worker->server)));
+  if (e->mirror != NULL)
+    {
+      mirrorfeed_follow_ops (e->mirror, &o.ops);
+      o.observe = mirrorfeed_observe;
+      o.is_reader = mirrorfeed_is_reader;
+      o.is_hearer = mirrorfeed_is_hearer;
+      o.mirror_arg = e->mirror;
+    }
   e->follow = follow_new (&o);
+  if (e->mirror != NULL)
+    mirrorfeed_attach (e->mirror, e->follow);
   follow_start (e->follow);
 }
 
@@ -356,6 +369,68 @@
   e->relays = relays_new (&o);
 }
 
+/* --- lists from other VMs -------------------------------------------- */
+
+static bool
+list_peers (void *arg, bool near, GArray *peers)
+{
+  const struct entry *e = arg;
+
+  return e->load_gossip != NULL
+         && loadgossip_list_peers (e->load_gossip, near, peers);
+}
+
+static int64_t
+list_roster (void *arg, GArray *rows)
+{
+  const struct entry *e = arg;
+
+  return e->load_gossip != NULL ? loadgossip_list_roster (e->load_gossip, rows)
+                                : 0;
+}
+
+static const uint8_t *
+seal_key (void *arg)
+{
+  const struct entry *e = arg;
+
+  return quarfeed_key (e->quarfeed);
+}
+
+static int
+link_mbit_s (const struct entry *e)
+{
+  double link = g_ascii_strtod (e->cfg->link_mbit_s, NULL);
+
+  return link > 0 && link < G_MAXINT ? (int)link : 0;
+}
+
+/* Returns false if its address cannot be listened on. */
+static bool
+make_mirror (struct entry *e)
+{
+  const struct cfg_vm *vm = cfg_vm (e->settings);
+  struct mirrorfeed_opts o = { .loop = e->worker->loop, .arg = e };
+
+  e->list_fd = server_listen (e->worker->server, e->cfg->tell);
+  if (e->list_fd < 0)
+    return false;
+  entry_adapter.follow_ops (e->store, &o.direct);
+  entry_adapter.roster_ops (e->store, &o.direct_roster);
+  mirrorhttp_ops (&o.ops, e->worker->pool);
+  o.vm = vm->name;
+  o.link_mbit_s = link_mbit_s (e);
+  o.min_vms = (int)e->cfg->share_vms;
+  o.drain_ms = e->cfg->drain_ms;
+  o.list_peers = list_peers;
+  o.list_roster = list_roster;
+  o.seal_key = seal_key;
+  o.seed = seed_of (vm);
+  e->mirror = mirrorfeed_new (&o);
+  e->mirror_http = mirrorhttp_open (e->worker, e->list_fd, e->mirror);
+  return e->mirror_http != NULL;
+}
+
 /* Returns false if an address is set but cannot be listened on. */
 static bool
 make_load_gossip (struct entry *e)
@@ -364,9 +439,16 @@
   struct loadgossip_opts o
       = { .loop = e->worker->loop, .collect_load = relays_collect_load };
 
+  g_autofree char *list_address = NULL;
+
   if (e->cfg->tell[0] == '\0')
     return true;
-  entry_adapter.roster_ops (e->store, &o.ops);
+  if (!make_mirror (e))
+    return false;
+  mirrorfeed_roster_ops (e->mirror, &o.ops);
+  list_address = server_address (e->list_fd, e->cfg->tell);
+  o.list_address = list_address;
+  o.link_mbit_s = link_mbit_s (e);
   o.ctx = e->relays;
   o.load_table = e->loads;
   o.on_other_datagram = receive_evidence;
@@ -410,6 +492,7 @@
   struct entry *e = g_new0 (struct entry, 1);
 
   e->worker = w;
+  e->list_fd = -1;
   e->settings = cfg_ref (server_cfg (w->server));
   e->cfg = cfg_entry (e->settings);
   fleet_init (&e->fleet);
@@ -458,6 +541,8 @@
 {
   orders_stop (e->orders);
   follow_stop (e->follow);
+  if (e->mirror != NULL)
+    mirrorfeed_stop (e->mirror);
   partfeed_stop (e->partfeed);
   quarfeed_stop (e->quarfeed);
   if (e->load_gossip != NULL)
@@ -470,6 +555,7 @@
 {
   http_listener_close (e->caller_listener);
   http_listener_close (e->ready_listener);
+  mirrorhttp_close (e->mirror_http);
 }
 
 int
@@ -490,6 +576,7 @@
   if (e == NULL)
     return;
   follow_free (e->follow);
+  mirrorfeed_free (e->mirror);
   quarfeed_free (e->quarfeed);
   orders_free (e->orders);
   partfeed_free (e->partfeed);
@@ -503,6 +590,8 @@
   entry_adapter.close (e->store);
   close (e->caller_fd);
   close (e->ready_fd);
+  if (e->list_fd >= 0)
+    close (e->list_fd);
   cfg_free (e->settings);
   g_free (e);
 }
--- a/entry.h
+++ b/entry.h
@@ -7,6 +7,7 @@
 
 #include "follow.h"
 #include "libserver.h"
+#include "mirrorhttp.h"
 #include "orders.h"
 #include "partfeed.h"
 #include "quarfeed.h"
--- a/follow.c
+++ b/follow.c
@@ -20,6 +20,12 @@
    more, and might be repeated immediately. */
 #define OPERATOR_WAIT_MIN_US (100 * CQ_US_PER_MS)
 #define ENDPOINTS_WAIT_US (2000 * CQ_US_PER_MS)
+/* The same for a VM that other VMs read from, since they add their own
+   pauses. */
+#define READER_WAIT_US (1000 * CQ_US_PER_MS)
+/* Time that is left for polls of its own, before the settings are too old, to
+   a VM whose settings other VMs confirm. */
+#define HEARER_SPARE_US (1500 * CQ_US_PER_MS)
 /* Time for a reply to begin, in addition to the wait: twice sixty times the
    platform's usual 4 ms.  With the wait, a lost poll ends after at most 2.7 s,
    and two or three more fit in before the settings are too old to accept
@@ -60,6 +66,10 @@
    moment, and must not all return at the same moment. */
 #define PAUSE_FIRST_US (60 * CQ_US_PER_MS)
 #define PAUSE_MAX_US (500 * CQ_US_PER_MS)
+/* Pause after a call that found only replies that are too old, with a random
+   addition of up to the same length: other VMs may be about to have newer
+   ones, and asking them costs the platform nothing. */
+#define STALE_PAUSE_US (200 * CQ_US_PER_MS)
 /* Entries of live endpoints lapse only after an outage longer than this. */
 #define OUTAGE_US (1000 * CQ_US_PER_MS)
 
@@ -73,6 +83,7 @@
   [FOLLOW_REFUSED] = "refused",     [FOLLOW_NO_REPLY] = "silent",
   [FOLLOW_STALLED] = "stalled",     [FOLLOW_INCOMPLETE] = "broken",
   [FOLLOW_TOO_LARGE] = "too_large", [FOLLOW_MALFORMED] = "unreadable",
+  [FOLLOW_TRUNCATED] = "truncated", [FOLLOW_STALE] = "stale",
 };
 
 /* Minimum interval between the starts of two polls. */
@@ -89,6 +100,9 @@
   bool synced;        /* read as a whole; polls for changes may follow */
   int64_t version;    /* version to poll for changes after */
   int64_t era;        /* era of that version */
+  int64_t current_us; /* what is known was current then; 0 for never read */
+  int64_t newest_row; /* newest change that a reply held, or may have missed */
+  int depth;          /* VMs between the platform and this one */
   int64_t sent_us;    /* when the call in progress was sent */
   bool full_read;     /* that call reads the whole state */
   int64_t failing_us; /* calls have failed since then; 0 if they succeed */
@@ -308,21 +322,6 @@
     }
 }
 
-static bool
-is_in_reply (const struct follow_reply *n, const char *id)
-{
-  const struct follow_item *it;
-  guint i;
-
-  for (i = 0; i < n->items->len; i++)
-    {
-      it = &g_array_index (n->items, struct follow_item, i);
-      if (it->kind == FOLLOW_ITEM_ENDPOINT && strcmp (it->listing.id, id) == 0)
-        return true;
-    }
-  return false;
-}
-
 static bool
 is_evacuated_in_reply (const struct follow_reply *n, const char *domain)
 {
@@ -362,13 +361,23 @@
 remove_unlisted_endpoints (struct fleet *f, const struct follow_reply *n,
                            int64_t now_us)
 {
+  g_autoptr (GHashTable) listed = g_hash_table_new (g_str_hash, g_str_equal);
   struct fleet_endpoint *e, *next;
+  struct follow_item *it;
+  guint i;
 
+  for (i = 0; i < n->items->len; i++)
+    {
+      it = &g_array_index (n->items, struct follow_item, i);
+      if (it->kind == FOLLOW_ITEM_ENDPOINT)
+        g_hash_table_add (listed, it->listing.id);
+    }
   for (e = APR_RING_FIRST (&f->endpoints);
        e != APR_RING_SENTINEL (&f->endpoints, fleet_endpoint, link); e = next)
     {
       next = APR_RING_NEXT (e, link);
-      if (!is_in_reply (n, e->listing.id) && e->missing_since_us == 0)
+      if (!g_hash_table_contains (listed, e->listing.id)
+          && e->missing_since_us == 0)
         apply_removed (f, e, "not_listed", now_us);
     }
 }
@@ -429,10 +438,24 @@
       (gint64)first->row);
 }
 
+/* Record the newest change.  A full read does not return rows that were
+   removed, the newest of which may have any number up to its version. */
+static void
+note_newest_row (struct stream *s, const struct follow_reply *n)
+{
+  guint i;
+
+  if (s->full_read)
+    s->newest_row = n->version;
+  for (i = 0; i < n->items->len; i++)
+    s->newest_row = MAX (s->newest_row,
+                         g_array_index (n->items, struct follow_item, i).row);
+}
+
 static void
 apply_reply (struct stream *s, const struct follow_reply *n, int64_t now_us)
 {
-  int64_t at = reply_current_at (s->follow, s, n);
+  int64_t at = n->relayed ? n->current_us : reply_current_at (s->follow, s, n);
   struct fleet *f = s->follow->opts.fleet;
   guint i;
 
@@ -457,6 +480,83 @@
     s->version = n->version;
   s->era = s->follow->era;
   s->synced = true;
+  s->current_us = MAX (s->current_us, at);
+  s->depth = n->depth;
+  note_newest_row (s, n);
+}
+
+/* --- what other VMs report ------------------------------------------- */
+
+static bool
+is_hearer (const struct follow *f, int64_t now_us)
+{
+  return f->opts.is_hearer != NULL
+         && f->opts.is_hearer (f->opts.mirror_arg, now_us);
+}
+
+static bool
+is_reader (const struct follow *f, int64_t now_us)
+{
+  return f->opts.is_reader != NULL
+         && f->opts.is_reader (f->opts.mirror_arg, now_us);
+}
+
+/* Time of the next poll for the operators' changes at a VM whose settings
+   other VMs confirm: only if they stop. */
+static int64_t
+hearer_poll_us (const struct follow *f, int64_t now_us)
+{
+  return MAX (now_us, f->opts.fleet->conf_current_us + f->opts.max_age_us
+                          - HEARER_SPARE_US);
+}
+
+/*
+ * Another VM knows all changes of the operators up to a version, and since
+ * when there was no later one.  If the newest of them is known here, too, this
+ * VM's settings were the newest at that time.  Otherwise the changes are read
+ * from the platform at once.
+ */
+static void
+confirm_operator (struct follow *f, const struct follow_reply *n,
+                  int64_t now_us)
+{
+  struct stream *s = &f->streams[FOLLOW_OPERATOR];
+  struct fleet *fl = f->opts.fleet;
+
+  if (!n->relayed || !n->operator_known || !s->synced || s->era != f->era
+      || n->era != f->era)
+    return;
+  if (n->operator_row > s->version)
+    {
+      start_call (s, now_us);
+      return;
+    }
+  s->version = MAX (s->version, n->operator_version);
+  if (n->operator_current_us <= fl->conf_current_us)
+    return;
+  fl->conf_current_us = n->operator_current_us;
+  s->current_us = n->operator_current_us;
+  fleet_confirm_wanted (fl, n->operator_current_us);
+  if (!s->busy && s->failing_us == 0)
+    loop_arm (f->opts.loop, &s->timer, hearer_poll_us (f, now_us));
+}
+
+void
+follow_get_state (const struct follow *f, struct follow_state *state)
+{
+  const struct stream *list = &f->streams[FOLLOW_ENDPOINTS];
+  const struct stream *operator= & f->streams[FOLLOW_OPERATOR];
+
+  memset (state, 0, sizeof *state);
+  state->era = f->era;
+  if (list->era == f->era)
+    state->list_current_us = list->current_us;
+  state->list_depth = list->depth;
+  if (!operator->synced || operator->era != f->era)
+    return;
+  state->operator_row = operator->newest_row;
+  state->operator_version = operator->version;
+  state->operator_current_us = f->opts.fleet->conf_current_us;
 }
 
 /* --- eras ------------------------------------------------------------ */
@@ -486,7 +586,11 @@
       f->opts.fleet->conf_row = 0;
       fleet_list_recovered (f->opts.fleet, now_us);
       for (i = 0; i < FOLLOW_SOURCES; i++)
-        f->streams[i].synced = false;
+        {
+          f->streams[i].synced = false;
+          f->streams[i].current_us = 0;
+          f->streams[i].newest_row = 0;
+        }
     }
   f->era = era;
 }
@@ -536,19 +640,23 @@
  * a second of a small link, after each short outage.  If the reply to a poll
  * was too large, a full read may be smaller, since it holds each row once.
  * Entries of endpoints expire during an outage, and only a full read shows
- * which.
+ * which; but the VMs that this one reads from do that, and report the removals
+ * as changes.
  */
 static bool
 may_poll_again (const struct stream *s, enum follow_status code)
 {
-  return s->source == FOLLOW_OPERATOR
-         && (code == FOLLOW_NO_REPLY || code == FOLLOW_STALLED
-             || code == FOLLOW_REFUSED);
+  return code == FOLLOW_STALE
+         || (s->source == FOLLOW_OPERATOR
+             && (code == FOLLOW_NO_REPLY || code == FOLLOW_STALLED
+                 || code == FOLLOW_REFUSED));
 }
 
 static void
 handle_failure (struct stream *s, const struct follow_reply *n, int64_t now_us)
 {
+  int64_t pause;
+
   /* The cause of an outage may change while it lasts. */
   if (s->failing_us == 0 || s->failure != n->status)
     {
@@ -563,14 +671,29 @@
   if (s->failing_us == 0)
     s->failing_us = s->sent_us;
   s->synced = s->synced && may_poll_again (s, n->status);
-  loop_arm (s->follow->opts.loop, &s->timer,
-            now_us + s->pause_us
-                + (int64_t)g_rand_int_range (s->follow->rand, 0,
-                                             (gint32)s->pause_us));
-  if (s->pause_us < PAUSE_MAX_US)
+  pause = n->status == FOLLOW_STALE ? STALE_PAUSE_US : s->pause_us;
+  loop_arm (
+      s->follow->opts.loop, &s->timer,
+      now_us + pause
+          + (int64_t)g_rand_int_range (s->follow->rand, 0, (gint32)pause));
+  if (n->status != FOLLOW_STALE && s->pause_us < PAUSE_MAX_US)
     s->pause_us *= 2;
 }
 
+static void
+schedule_next_call (struct stream *s, int64_t now_us)
+{
+  struct follow *f = s->follow;
+
+  if (s->source == FOLLOW_OPERATOR && is_hearer (f, now_us))
+    loop_arm (f->opts.loop, &s->timer, hearer_poll_us (f, now_us));
+  else if (s->full_read || now_us - s->sent_us >= min_intervals_us[s->source])
+    start_call (s, now_us);
+  else
+    loop_arm (f->opts.loop, &s->timer,
+              s->sent_us + min_intervals_us[s->source]);
+}
+
 static void
 on_reply (void *arg, const struct follow_reply *n)
 {
@@ -602,13 +725,12 @@
     }
   handle_success (s, now);
   apply_reply (s, n, now);
+  if (f->opts.observe != NULL)
+    f->opts.observe (f->opts.mirror_arg, s->source, s->full_read, n);
+  confirm_operator (f, n, now);
   if (f->opts.on_change != NULL)
     f->opts.on_change (f->opts.arg, now);
-  if (s->full_read || now - s->sent_us >= min_intervals_us[s->source])
-    start_call (s, now);
-  else
-    loop_arm (f->opts.loop, &s->timer,
-              s->sent_us + min_intervals_us[s->source]);
+  schedule_next_call (s, now);
 }
 
 int64_t
@@ -634,11 +756,12 @@
 poll_wait_us (const struct stream *s, int64_t now_us)
 {
   const struct follow_opts *o = &s->follow->opts;
+  int64_t wait = ENDPOINTS_WAIT_US;
 
-  if (s->source == FOLLOW_ENDPOINTS)
-    return ENDPOINTS_WAIT_US;
-  return follow_poll_wait_us (o->max_age_us,
-                              fleet_conf_age_us (o->fleet, now_us));
+  if (s->source == FOLLOW_OPERATOR)
+    wait = follow_poll_wait_us (o->max_age_us,
+                                fleet_conf_age_us (o->fleet, now_us));
+  return is_reader (s->follow, now_us) ? MIN (wait, READER_WAIT_US) : wait;
 }
 
 static void
--- a/follow.h
+++ b/follow.h
@@ -54,6 +54,8 @@
   FOLLOW_STALLED,      /* part of a reply, and then no byte for too long */
   FOLLOW_INCOMPLETE, /* a reply that ended early or took too long as a whole */
   FOLLOW_TOO_LARGE,  /* a reply over the size limit */
+  FOLLOW_TRUNCATED,  /* there are more rows than rows_max */
+  FOLLOW_STALE,      /* only replies whose content is too old could be had */
   FOLLOW_MALFORMED   /* a complete reply that cannot be parsed */
 };
 
@@ -67,6 +69,16 @@
   int64_t bytes;    /* size of the reply, also of an incomplete one */
   int64_t received_us; /* when the reply, or its first page, had arrived */
   GArray *items;       /* struct follow_item */
+  /* Another VM sent the reply, and what follows is set. */
+  bool relayed;
+  int depth;          /* VMs between the platform and this one */
+  int64_t current_us; /* its content was current at this time or later */
+  /* That VM also reported up to which version it knows all changes of the
+     operators, when it was known to be current, and the newest change. */
+  bool operator_known;
+  int64_t operator_row;        /* newest change */
+  int64_t operator_version;    /* all changes up to it are known */
+  int64_t operator_current_us; /* none was made later before this time */
 };
 
 typedef void (*follow_done) (void *arg, const struct follow_reply *reply);
@@ -79,6 +91,8 @@
   int64_t total_us;      /* for the whole reply */
   size_t bytes_max;      /* size limit of a reply */
   int pieces_per_turn; /* pieces (routes, rows) parsed in one loop iteration */
+  int rows_max; /* rows after which a full read ends as FOLLOW_TRUNCATED; 0 for
+                   no limit */
 };
 
 /* The platform, as an adapter offers it.  DONE is always called exactly
@@ -108,6 +122,27 @@
   /* Called after each reply that was applied; may be NULL. */
   void (*on_change) (void *arg, int64_t now_us);
   void *arg; /* passed to on_change */
+  /* Called with each reply that was applied; may be NULL. */
+  void (*observe) (void *arg, enum follow_source source, bool full,
+                   const struct follow_reply *reply);
+  /* Whether other VMs read from this one, and whether this one reads the list
+     of endpoints from others; may be NULL. */
+  bool (*is_reader) (void *arg, int64_t now_us);
+  bool (*is_hearer) (void *arg, int64_t now_us);
+  void *mirror_arg; /* passed to the three callbacks above */
+};
+
+/* What is known of both sources, to be reported to other VMs. */
+struct follow_state
+{
+  int64_t era;              /* newest era of the store */
+  int64_t list_current_us;  /* the list of endpoints was current then; 0 if it
+                               was never read */
+  int list_depth;           /* VMs between the platform and this one */
+  int64_t operator_row;     /* newest change of the operators */
+  int64_t operator_version; /* all their changes up to it are known */
+  int64_t operator_current_us; /* none was made later before this time; 0 if
+                                  nothing is known */
 };
 
 struct follow;
@@ -125,6 +160,7 @@
 int64_t follow_clock_ms (const struct follow *f, int64_t now_us);
 /* Newest era of the platform's store that was seen; 0 if it gives none. */
 int64_t follow_era (const struct follow *f);
+void follow_get_state (const struct follow *f, struct follow_state *state);
 /* Calls in progress. */
 int follow_pending_calls (const struct follow *f);
 
--- a/httpserver.c
+++ b/httpserver.c
@@ -71,6 +71,47 @@
   resume (r);
 }
 
+/* A reply of two parts. */
+struct parts_reply
+{
+  struct MHD_IoVec parts[2]; /* what is sent */
+  GByteArray *head;          /* memory of the first part */
+  void (*sent) (void *arg);  /* called once nothing is used any more */
+  void *arg;                 /* passed to sent */
+};
+
+static void
+free_parts (void *cls)
+{
+  struct parts_reply *p = cls;
+
+  p->sent (p->arg);
+  g_byte_array_unref (p->head);
+  g_free (p);
+}
+
+void
+req_respond_parts (struct req *r, int status, const GByteArray *head,
+                   GBytes *rows, void (*sent) (void *arg), void *arg)
+{
+  struct parts_reply *p = g_new0 (struct parts_reply, 1);
+  gsize len;
+
+  p->head = g_byte_array_sized_new (head->len);
+  g_byte_array_append (p->head, head->data, head->len);
+  p->sent = sent;
+  p->arg = arg;
+  p->parts[0].iov_base = p->head->data;
+  p->parts[0].iov_len = p->head->len;
+  p->parts[1].iov_base = g_bytes_get_data (rows, &len);
+  p->parts[1].iov_len = len;
+  r->response = MHD_create_response_from_iovec (p->parts, len > 0 ? 2 : 1,
+                                                free_parts, p);
+  r->status = status;
+  close_when_stopping (r);
+  resume (r);
+}
+
 /* --- streams --------------------------------------------------------- */
 
 size_t
--- a/libserver.h
+++ b/libserver.h
@@ -137,6 +137,9 @@
 /* Listens on ADDRESS.  Returns the descriptor, or -1 after logging the error.
  */
 int server_listen (struct server *s, const char *address);
+/* The address that FD listens on, which was opened for ADDRESS; the caller
+   frees it. */
+char *server_address (int fd, const char *address);
 
 /* Returns the settings in force.  The pointer stays valid until the calling
    thread returns to its event loop, and for OLD_CFG_US after a change
@@ -283,6 +286,10 @@
 void req_set_idle_timeout (struct req *r, unsigned idle_s);
 void req_respond (struct req *r, int status, const char *const *lines,
                   const char *body, size_t len);
+/* Replies with HEAD, which is copied, and ROWS after it, which is not; SENT is
+   called with ARG once the reply was sent or given up. */
+void req_respond_parts (struct req *r, int status, const GByteArray *head,
+                        GBytes *rows, void (*sent) (void *arg), void *arg);
 void req_stream_open (struct req *r, int status, const char *const *lines);
 void req_stream_write (struct req *r, const char *data, size_t len);
 void req_stream_close (struct req *r, bool whole, const char *name,
--- a/listen.c
+++ b/listen.c
@@ -71,3 +71,12 @@
              port_of (fd), s->nworkers);
   return fd;
 }
+
+char *
+server_address (int fd, const char *address)
+{
+  apr_port_t port;
+  g_autofree char *host = split_address (address, &port);
+
+  return g_strdup_printf ("%s:%d", host, port_of (fd));
+}
--- a/loadgossip.c
+++ b/loadgossip.c
@@ -86,6 +86,8 @@
   GRand *rand;                  /* for pauses */
   bool written;                 /* this VM's row is on the platform */
   bool listed;                  /* it is in a roster that was read */
+  int64_t listed_us;   /* when the roster was read last; 0 for never */
+  int64_t own_version; /* of this VM's row in that roster */
   bool write_outdated; /* the write in progress began before the store was
                           restored */
   bool stopped;        /* sends no messages and starts no calls */
@@ -199,9 +201,14 @@
   struct peer *l = find_peer (t, row->vm);
   apr_sockaddr_t *to;
 
-  if (strcmp (row->vm, t->self.vm) == 0
-      || (l != NULL && strcmp (l->row.address, row->address) == 0))
+  if (strcmp (row->vm, t->self.vm) == 0)
     return l;
+  if (l != NULL && strcmp (l->row.address, row->address) == 0)
+    {
+      if (row->list_address[0] != '\0')
+        l->row = *row;
+      return l;
+    }
   if (l == NULL && t->peers->len >= VMS_MAX)
     return NULL;
   to = address_of (t, row->address);
@@ -299,7 +306,7 @@
          const apr_sockaddr_t *from, int64_t now_us)
 {
   struct load_gossip w;
-  struct roster_row row;
+  struct roster_row row = { .version = 0 };
   struct peer *l;
   char *ip;
 
@@ -406,7 +413,11 @@
       roster_note_version (&l->age, row->version,
                            t->list_pause_us == LIST_PAUSE_MAX_US);
     }
-  t->listed |= strcmp (row->vm, t->self.vm) == 0;
+  if (strcmp (row->vm, t->self.vm) == 0)
+    {
+      t->listed = true;
+      t->own_version = row->version;
+    }
 }
 
 /* Only the VM that ranks first for the row removes it, so that not all VMs
@@ -479,7 +490,10 @@
   for (i = 0; list != NULL && i < list->len; i++)
     handle_listed_row (t, &g_array_index (list, struct roster_row, i), now);
   if (list != NULL)
-    expire_rows (t);
+    {
+      expire_rows (t);
+      t->listed_us = now;
+    }
   if (count_active (t) != before)
     log_event (LOG_LEVEL_INFO, "vms_listed", "vms=%d before=%d self=%s",
                count_active (t), before, t->listed ? "yes" : "no");
@@ -616,6 +630,48 @@
   return t->listed && own_rank (t, key) == 0;
 }
 
+/* --- lists for other VMs --------------------------------------------- */
+
+bool
+loadgossip_list_peers (const struct loadgossip *t, bool near, GArray *peers)
+{
+  const struct peer *l;
+  struct mirror_peer p;
+  guint i;
+
+  for (i = 0; t->listed && i < t->peers->len; i++)
+    {
+      l = t->peers->pdata[i];
+      if ((near && !l->near) || !is_active_peer (l)
+          || l->row.list_address[0] == '\0')
+        continue;
+      g_strlcpy (p.vm, l->row.vm, sizeof p.vm);
+      g_strlcpy (p.address, l->row.list_address, sizeof p.address);
+      p.link_mbit_s = l->row.link_mbit_s;
+      g_array_append_val (peers, p);
+    }
+  return t->listed;
+}
+
+int64_t
+loadgossip_list_roster (const struct loadgossip *t, GArray *rows)
+{
+  const struct peer *l;
+  struct roster_row own = t->self;
+  guint i;
+
+  for (i = 0; t->listed && i < t->peers->len; i++)
+    {
+      l = t->peers->pdata[i];
+      if (l->in_list)
+        g_array_append_val (rows, l->row);
+    }
+  own.version = t->own_version;
+  if (t->listed)
+    g_array_append_val (rows, own);
+  return t->listed ? t->listed_us : 0;
+}
+
 /* --- lifecycle ------------------------------------------------------- */
 
 struct loadgossip *
@@ -629,6 +685,10 @@
   t->peers = g_ptr_array_new_with_free_func (g_free);
   g_strlcpy (t->self.vm, opts->vm, sizeof t->self.vm);
   g_strlcpy (t->self.domain, opts->domain, sizeof t->self.domain);
+  g_strlcpy (t->self.list_address,
+             opts->list_address != NULL ? opts->list_address : "",
+             sizeof t->self.list_address);
+  t->self.link_mbit_s = opts->link_mbit_s;
   g_strlcpy (t->message.vm, opts->vm, sizeof t->message.vm);
   g_strlcpy (t->message.domain, opts->domain, sizeof t->message.domain);
   t->message.incarnation = (uint64_t)g_get_real_time ();
--- a/loadgossip.h
+++ b/loadgossip.h
@@ -9,13 +9,18 @@
 #include "fleet.h"
 #include "load.h"
 #include "loop.h"
+#include "mirrorpick.h"
 
 /* Row of a VM in the roster. */
 struct roster_row
 {
-  char vm[LOAD_VM_SIZE];         /* its name */
-  char domain[LOAD_VM_SIZE];     /* its failure domain */
-  char address[FLEET_NAME_SIZE]; /* IP:PORT where it receives datagrams */
+  char vm[LOAD_VM_SIZE];              /* its name */
+  char domain[LOAD_VM_SIZE];          /* its failure domain */
+  char address[FLEET_NAME_SIZE];      /* IP:PORT where it receives datagrams */
+  char list_address[FLEET_NAME_SIZE]; /* IP:PORT where it answers requests for
+                                         the platform's lists; "" if it does
+                                         not */
+  int link_mbit_s;                    /* bandwidth of its link; 0 if unknown */
   int64_t version; /* of the row; grows each time that VM writes it */
 };
 
@@ -63,12 +68,14 @@
      May be NULL. */
   bool (*on_other_datagram) (void *ctx, const char *data, size_t len,
                              int64_t now_us);
-  void *on_other_ctx;    /* passed to the callback above */
-  struct roster_ops ops; /* adapter */
-  const char *vm;        /* this VM's name */
-  const char *domain;    /* its failure domain */
-  const char *listen;    /* IP:PORT; port 0 lets the kernel choose */
-  uint64_t seed;         /* for randomized pauses */
+  void *on_other_ctx;       /* passed to the callback above */
+  struct roster_ops ops;    /* adapter */
+  const char *vm;           /* this VM's name */
+  const char *domain;       /* its failure domain */
+  const char *listen;       /* IP:PORT; port 0 lets the kernel choose */
+  const char *list_address; /* as in this VM's row */
+  int link_mbit_s;          /* as in this VM's row */
+  uint64_t seed;            /* for randomized pauses */
 };
 
 struct loadgossip;
@@ -107,6 +114,14 @@
 /* Whether this VM is the first of the roster by rendezvous hashing for KEY;
    false until it has read its own row there. */
 bool loadgossip_ranks_first (const struct loadgossip *t, uint64_t key);
+/* Append the other active VMs that answer requests for lists to PEERS, as
+   struct mirror_peer, with NEAR only those of this VM's failure domain; false
+   until this VM has read its own row in the roster. */
+bool loadgossip_list_peers (const struct loadgossip *t, bool near,
+                            GArray *peers);
+/* Append the roster that was read last to ROWS, as struct roster_row; returns
+   when it was read, 0 for never. */
+int64_t loadgossip_list_roster (const struct loadgossip *t, GArray *rows);
 /* Calls to the platform in progress. */
 int loadgossip_pending_calls (const struct loadgossip *t);
 
--- a/met.c
+++ b/met.c
@@ -82,6 +82,17 @@
   [MET_STORE_RESTORES]
   = { "camphorquay_older_copies_total", "counter",
       "Times that the platform's store came back from an older copy." },
+  [MET_LIST_HEARD] = { "camphorquay_list_heard_total", "counter",
+                       "Replies about the platform's lists from other VMs." },
+  [MET_LIST_STALE] = { "camphorquay_list_stale_total", "counter",
+                       "Such replies that were too old to be used." },
+  [MET_LIST_FAILED] = { "camphorquay_list_failed_total", "counter",
+                        "Requests for these lists without a valid reply." },
+  [MET_LIST_DIRECT]
+  = { "camphorquay_list_direct_total", "counter",
+      "Reads and polls of these lists on the platform itself." },
+  [MET_LIST_SERVED] = { "camphorquay_list_served_total", "counter",
+                        "Replies about these lists to other VMs." },
   [MET_RUNNING]
   = { "camphorquay_running", "gauge", "Requests at an endpoint." },
   [MET_QUEUED] = { "camphorquay_queued", "gauge", "Requests that wait." },
--- /dev/null
+++ b/mirrorfeed.c
@@ -0,0 +1,882 @@
+/* Reads the platform's lists from other VMs of the failure domain. */
+#include "mirrorfeed.h"
+
+#include <sodium.h>
+#include <string.h>
+
+#include "decide.h"
+#include "log.h"
+#include "met.h"
+
+/* Removed rows that are remembered for hearers that have not heard of them. */
+#define REMOVED_MAX 4096
+/* The choice of readers is made again after this time. */
+#define CHOICE_US (2 * CQ_US_PER_S)
+/* A VM does not act as a reader until it has known the roster for this long:
+   while all VMs start, the first roster that it reads lacks most of them. */
+#define SETTLE_US (1500 * CQ_US_PER_MS)
+/* Rows of the list of endpoints that a VM reads from the platform before it
+   knows other VMs.  A list that is not longer costs one small call. */
+#define PROBE_ROWS 200
+/* If the list is longer, it waits for other VMs this long. */
+#define PEERS_WAIT_US (4 * CQ_US_PER_S)
+#define PEERS_CHECK_US (100 * CQ_US_PER_MS)
+/* What a hearer's own pause between two calls, and a VM that is silent, may
+   add to the age of a reply. */
+#define HEARER_DELAY_MS 1700
+/* Where endpoints drain for a shorter time, no VM can hear of it in time from
+   others. */
+#define DRAIN_MIN_MS (HEARER_DELAY_MS + 1300)
+/* VMs that one call asks before it falls back on the platform. */
+#define ASKED_MAX 4
+/* Backoff from a VM that did not reply, doubled up to the maximum; and from
+   one that replied, but has nothing recent itself. */
+#define BACKOFF_FIRST_US (1 * CQ_US_PER_S)
+#define BACKOFF_MAX_US (16 * CQ_US_PER_S)
+#define BACKOFF_STALE_US (300 * CQ_US_PER_MS)
+/* If other VMs reply but have nothing recent, the platform probably serves
+   nobody; it is asked directly at this interval, plus up to the same at
+   random. */
+#define DIRECT_INTERVAL_US (3 * CQ_US_PER_S)
+/* Encoded rows are reused for replies within this time. */
+#define ENCODED_US (500 * CQ_US_PER_MS)
+/* Two reads of the roster are further apart than this; two ages of the same
+   one differ by less. */
+#define ROSTER_SAME_US (200 * CQ_US_PER_MS)
+/* Size limit of a reply. */
+#define REPLY_MAX_BYTES 8388608
+/* Sources that are remembered; VMs come and go under new names. */
+#define SOURCES_MAX 256
+
+/* What this VM knows of another one as a source. */
+struct source
+{
+  int64_t backoff_until_us; /* it is not asked before */
+  int64_t backoff_us;       /* backoff after the next failure */
+  bool is_platform_old;     /* by its reply, the platform serves it no more */
+};
+
+struct mirrorfeed
+{
+  struct mirrorfeed_opts opts; /* as made */
+  const struct follow *follow; /* its state is served; set by attach */
+  struct mirror *endpoints;    /* copy of the list of endpoints */
+  int64_t era;                 /* of that copy */
+  struct mirror_choice choice; /* whom to ask */
+  int64_t choose_again_us;     /* it is valid until then */
+  int64_t known_us;            /* when the roster was first known; or 0 */
+  int64_t started_us;          /* time of the start */
+  int64_t direct_us;           /* the platform may be asked from then on */
+  int64_t roster_us;   /* the roster that was heard last was current then */
+  GHashTable *sources; /* VM's name to struct source */
+  char last_source[LOAD_VM_SIZE];                  /* VM that replied last */
+  GRand *rand;                                     /* for pauses */
+  GBytes *encoded;                                 /* all endpoints, encoded */
+  uint8_t encoded_digest[MIRRORWIRE_DIGEST_BYTES]; /* of encoded */
+  int64_t encoded_us;                              /* when that was made */
+  int64_t encoded_current_us; /* its rows were current at that time */
+  int64_t encoded_version;    /* version that it covers */
+  bool stopped;               /* no more calls are started */
+};
+
+/* A call of a follower, or a read of the roster, in progress. */
+struct call
+{
+  struct mirrorfeed *feed;     /* owner */
+  enum mirror_table table;     /* table that is read */
+  bool full;                   /* all rows, not changes */
+  int64_t version;             /* changes after it */
+  int64_t wait_us;             /* of a poll of the platform */
+  struct follow_limits limits; /* of a call to the platform */
+  follow_done done;            /* callback of a follower */
+  roster_done roster;          /* or of a read of the roster */
+  void *arg;                   /* passed to the callback */
+  guint next;                  /* place in the order of the next VM to ask */
+  int asked;                   /* VMs asked so far */
+  int platform_old;        /* of these, how many the platform serves no more */
+  struct mirror_peer peer; /* VM that is being asked */
+  int64_t asked_us;        /* when it was asked */
+  uint8_t nonce[MIRRORWIRE_NONCE_BYTES]; /* of the request */
+  struct loop_timer timer; /* looks again whether other VMs are known */
+};
+
+static void ask_next (struct call *c);
+
+/* --- whom to ask ----------------------------------------------------- */
+
+static void
+log_choice (const struct mirrorfeed *m, enum mirror_role before)
+{
+  const struct mirror_choice *c = &m->choice;
+
+  if (c->role != before)
+    log_event (LOG_LEVEL_INFO, "list_role",
+               "outcome=%s before=%s vms=%d readers=%d rank=%d link_mbit_s=%d",
+               mirrorpick_role_name (c->role), mirrorpick_role_name (before),
+               c->vms, c->readers, c->rank, m->opts.link_mbit_s);
+}
+
+static enum mirror_role
+choose (struct mirrorfeed *m, int64_t now_us)
+{
+  g_autoptr (GArray) peers
+      = g_array_new (FALSE, TRUE, sizeof (struct mirror_peer));
+  enum mirror_role before = m->choice.role;
+
+  if (before != MIRROR_UNKNOWN && now_us < m->choose_again_us)
+    return before;
+  if (!m->opts.list_peers (m->opts.arg, true, peers))
+    return before;
+  if ((int)peers->len + 1 < m->opts.min_vms)
+    {
+      g_array_set_size (peers, 0);
+      m->opts.list_peers (m->opts.arg, false, peers);
+    }
+  if (m->known_us == 0)
+    m->known_us = now_us;
+  m->choose_again_us = now_us + CHOICE_US;
+  mirrorpick_choose (&m->choice, m->opts.vm, m->opts.link_mbit_s, peers,
+                     m->opts.drain_ms >= DRAIN_MIN_MS ? m->opts.min_vms
+                                                      : G_MAXINT);
+  if (m->choice.role == MIRROR_READER && now_us - m->known_us < SETTLE_US)
+    {
+      m->choice.role = MIRROR_HEARER;
+      m->choose_again_us = m->known_us + SETTLE_US;
+    }
+  log_choice (m, before);
+  return m->choice.role;
+}
+
+bool
+mirrorfeed_is_reader (void *m, int64_t now_us)
+{
+  return choose (m, now_us) == MIRROR_READER;
+}
+
+bool
+mirrorfeed_is_hearer (void *m, int64_t now_us)
+{
+  return choose (m, now_us) == MIRROR_HEARER;
+}
+
+static struct source *
+source_of (struct mirrorfeed *m, const char *vm)
+{
+  struct source *s = g_hash_table_lookup (m->sources, vm);
+
+  if (s == NULL)
+    {
+      if (g_hash_table_size (m->sources) >= SOURCES_MAX)
+        g_hash_table_remove_all (m->sources);
+      s = g_new0 (struct source, 1);
+      s->backoff_us = BACKOFF_FIRST_US;
+      g_hash_table_insert (m->sources, g_strdup (vm), s);
+    }
+  return s;
+}
+
+static void
+source_failed (struct call *c, const char *reason, int64_t now_us)
+{
+  struct source *s = source_of (c->feed, c->peer.vm);
+
+  if (s->backoff_us == BACKOFF_FIRST_US)
+    log_event (LOG_LEVEL_INFO, "list_source",
+               "vm=%s outcome=failed reason=%s took_us=%" G_GINT64_FORMAT,
+               c->peer.vm, reason, (gint64)(now_us - c->asked_us));
+  s->backoff_until_us = now_us + s->backoff_us;
+  s->backoff_us = MIN (2 * s->backoff_us, BACKOFF_MAX_US);
+  s->is_platform_old = false;
+  met_add (MET_LIST_FAILED, 1);
+}
+
+/* A VM replied, but has nothing recent.  If it reads the platform itself, or
+   is about to do so, asking the platform directly is probably of no use. */
+static void
+source_stale (struct call *c, const struct mirror_reply *r, int64_t now_us)
+{
+  struct mirrorfeed *m = c->feed;
+  struct source *s = source_of (m, c->peer.vm);
+
+  s->backoff_until_us = now_us + BACKOFF_STALE_US;
+  s->is_platform_old = r->status == MIRROR_NOT_READY
+                           ? now_us - m->started_us < PEERS_WAIT_US
+                           : r->depth == 1;
+  c->platform_old += s->is_platform_old;
+  met_add (MET_LIST_STALE, 1);
+}
+
+static void
+source_replied (struct call *c, const struct mirror_reply *r)
+{
+  struct mirrorfeed *m = c->feed;
+
+  source_of (m, c->peer.vm)->backoff_us = BACKOFF_FIRST_US;
+  met_add (MET_LIST_HEARD, 1);
+  if (strcmp (m->last_source, c->peer.vm) == 0)
+    return;
+  g_strlcpy (m->last_source, c->peer.vm, sizeof m->last_source);
+  log_event (LOG_LEVEL_INFO, "list_source",
+             "vm=%s outcome=heard table=%s depth=%d age_ms=%" G_GINT64_FORMAT
+             " version=%" G_GINT64_FORMAT,
+             c->peer.vm, c->table == MIRROR_ROSTER ? "roster" : "endpoints",
+             r->depth, (gint64)r->age_ms, (gint64)r->version);
+}
+
+/* --- calls ----------------------------------------------------------- */
+
+static void
+call_free (struct call *c)
+{
+  loop_disarm (&c->timer);
+  g_free (c);
+}
+
+static void
+finish_without_rows (struct call *c, enum follow_status status, int64_t era)
+{
+  g_autoptr (GArray) none
+      = g_array_new (FALSE, TRUE, sizeof (struct follow_item));
+  struct follow_reply r = { .status = status, .era = era, .items = none };
+
+  if (c->roster != NULL)
+    c->roster (c->arg, NULL);
+  else
+    c->done (c->arg, &r);
+  call_free (c);
+}
+
+/* Hands the call over to the platform's adapter. */
+static void
+call_directly (struct call *c)
+{
+  const struct mirrorfeed_opts *o = &c->feed->opts;
+
+  met_add (MET_LIST_DIRECT, 1);
+  if (c->roster != NULL)
+    o->direct_roster.read (o->direct_roster.ctx, c->roster, c->arg);
+  else if (c->full)
+    o->direct.read (o->direct.ctx, FOLLOW_ENDPOINTS, &c->limits, c->done,
+                    c->arg);
+  else
+    o->direct.changes (o->direct.ctx, FOLLOW_ENDPOINTS, c->version, c->wait_us,
+                       &c->limits, c->done, c->arg);
+  call_free (c);
+}
+
+/* No VM that may be asked is left. */
+static void
+fall_back (struct call *c, int64_t now_us)
+{
+  struct mirrorfeed *m = c->feed;
+
+  if (c->platform_old > 0 && now_us < m->direct_us)
+    {
+      finish_without_rows (c, FOLLOW_STALE, 0);
+      return;
+    }
+  if (c->platform_old > 0)
+    m->direct_us = now_us + DIRECT_INTERVAL_US
+                   + g_rand_int_range (m->rand, 0, DIRECT_INTERVAL_US);
+  call_directly (c);
+}
+
+/* --- replies of other VMs -------------------------------------------- */
+
+/* Receives the rows of a reply. */
+struct rows_reader
+{
+  GArray *items;  /* struct follow_item, or struct roster_row */
+  bool is_roster; /* which of them */
+  bool valid;     /* no row was malformed */
+};
+
+static void
+read_listing (GArray *items, const struct mirror_row *row, bool *valid)
+{
+  struct follow_item it = { .row = row->version };
+
+  it.kind = row->removed ? FOLLOW_ITEM_ENDPOINT_REMOVED : FOLLOW_ITEM_ENDPOINT;
+  if (row->removed)
+    *valid &= g_strlcpy (it.listing.id, row->key, sizeof it.listing.id)
+              < sizeof it.listing.id;
+  else
+    *valid &= mirrorwire_decode_listing (row->key, row->value, row->len,
+                                         &it.listing);
+  if (*valid)
+    g_array_append_val (items, it);
+}
+
+static void
+read_row (void *arg, const struct mirror_row *row)
+{
+  struct rows_reader *r = arg;
+  struct roster_row vm;
+
+  if (!r->is_roster)
+    read_listing (r->items, row, &r->valid);
+  else if (mirrorwire_decode_vm (row->key, row->version, row->value, row->len,
+                                 &vm))
+    g_array_append_val (r->items, vm);
+  else
+    r->valid = false;
+}
+
+/* Rows travel with the newest first, and are applied in the order of their
+   changes. */
+static void
+reverse (GArray *items)
+{
+  struct follow_item it;
+  guint i;
+
+  for (i = 0; i < items->len / 2; i++)
+    {
+      struct follow_item *a = &g_array_index (items, struct follow_item, i);
+      struct follow_item *b
+          = &g_array_index (items, struct follow_item, items->len - 1 - i);
+
+      it = *a;
+      *a = *b;
+      *b = it;
+    }
+}
+
+static void
+finish_endpoints (struct call *c, const struct mirror_reply *r, GArray *items,
+                  size_t len)
+{
+  struct follow_reply n = { .status = FOLLOW_OK, .items = items };
+
+  reverse (items);
+  n.era = r->era;
+  n.version = r->version;
+  n.bytes = (int64_t)len;
+  n.received_us = loop_now_us ();
+  n.relayed = true;
+  n.depth = r->depth;
+  n.current_us = c->asked_us - r->age_ms * CQ_US_PER_MS;
+  n.operator_known = r->operator_age_ms >= 0;
+  n.operator_row = r->operator_row;
+  n.operator_version = r->operator_version;
+  n.operator_current_us = c->asked_us - r->operator_age_ms * CQ_US_PER_MS;
+  c->done (c->arg, &n);
+  call_free (c);
+}
+
+/* A roster that was not read again since the last reply says nothing of which
+   VMs still write their rows. */
+static void
+finish_roster (struct call *c, const struct mirror_reply *r,
+               const GArray *list)
+{
+  struct mirrorfeed *m = c->feed;
+  int64_t current = c->asked_us - r->age_ms * CQ_US_PER_MS;
+  bool is_newer = current > m->roster_us + ROSTER_SAME_US;
+
+  if (is_newer)
+    m->roster_us = current;
+  c->roster (c->arg, is_newer ? list : NULL);
+  call_free (c);
+}
+
+/* Whether a reply is of use: it must not be older than what is known here. */
+static bool
+is_recent (const struct call *c, const struct mirror_reply *r)
+{
+  const struct mirrorfeed *m = c->feed;
+
+  if (c->table == MIRROR_ROSTER)
+    return r->status == MIRROR_OK;
+  return r->status != MIRROR_NOT_READY && r->era >= m->era
+         && r->age_ms <= m->opts.drain_ms - HEARER_DELAY_MS
+         && !(c->full && r->era == m->era
+              && r->version < mirror_version (m->endpoints));
+}
+
+static bool
+finish_with_rows (struct call *c, const struct mirror_reply *r,
+                  const uint8_t *rows, size_t len)
+{
+  struct rows_reader reader = { .valid = true };
+  bool valid;
+
+  reader.is_roster = c->table == MIRROR_ROSTER;
+  reader.items = g_array_new (FALSE, TRUE,
+                              reader.is_roster ? sizeof (struct roster_row)
+                                               : sizeof (struct follow_item));
+  valid
+      = mirrorwire_decode_rows (rows, len, read_row, &reader) && reader.valid;
+  if (valid)
+    source_replied (c, r);
+  if (valid && reader.is_roster)
+    finish_roster (c, r, reader.items);
+  else if (valid)
+    finish_endpoints (c, r, reader.items, len);
+  g_array_free (reader.items, TRUE);
+  return valid;
+}
+
+static void
+on_answer (void *arg, const uint8_t *data, size_t len)
+{
+  struct call *c = arg;
+  struct mirrorfeed *m = c->feed;
+  const uint8_t *key = m->opts.seal_key (m->opts.arg);
+  int64_t now = loop_now_us ();
+  struct mirror_reply r;
+  const uint8_t *rows;
+
+  if (m->stopped)
+    {
+      finish_without_rows (c, FOLLOW_NO_REPLY, 0);
+      return;
+    }
+  if (data == NULL || key == NULL
+      || !mirrorwire_open_reply (data, len, key, c->nonce, &r, &rows))
+    {
+      source_failed (c, data == NULL ? "silent" : "invalid", now);
+      ask_next (c);
+    }
+  else if (!is_recent (c, &r))
+    {
+      source_stale (c, &r, now);
+      ask_next (c);
+    }
+  else if (r.status == MIRROR_HISTORY_LOST)
+    finish_without_rows (c, FOLLOW_HISTORY_LOST, r.era);
+  else if (!finish_with_rows (c, &r, rows, len - (size_t)(rows - data)))
+    {
+      source_failed (c, "invalid", now);
+      ask_next (c);
+    }
+}
+
+/* --- requests -------------------------------------------------------- */
+
+/* Finds the next VM to ask.  One that had nothing recent a moment ago counts
+   as if it had been asked. */
+static bool
+find_next (struct call *c, int64_t now_us)
+{
+  const GArray *order = c->feed->choice.order;
+  const struct source *s;
+
+  while (order != NULL && c->next < order->len && c->asked < ASKED_MAX)
+    {
+      c->peer = g_array_index (order, struct mirror_peer, c->next++);
+      s = g_hash_table_lookup (c->feed->sources, c->peer.vm);
+      if (s == NULL || now_us >= s->backoff_until_us)
+        return true;
+      c->platform_old += s->is_platform_old;
+    }
+  return false;
+}
+
+static void
+send_request (struct call *c, const uint8_t *key)
+{
+  struct mirrorfeed *m = c->feed;
+  struct mirror_request r = { .table = c->table, .era = m->era };
+  g_autoptr (GByteArray) request = NULL;
+
+  randombytes_buf (c->nonce, sizeof c->nonce);
+  memcpy (r.nonce, c->nonce, sizeof r.nonce);
+  r.since = c->full ? 0 : c->version;
+  request = mirrorwire_seal_request (&r, key);
+  c->asked++;
+  c->asked_us = loop_now_us ();
+  m->opts.ops.ask (m->opts.ops.ctx, c->peer.address, request, REPLY_MAX_BYTES,
+                   on_answer, c);
+}
+
+static void
+ask_next (struct call *c)
+{
+  const uint8_t *key = c->feed->opts.seal_key (c->feed->opts.arg);
+  int64_t now = loop_now_us ();
+
+  if (key != NULL && find_next (c, now))
+    send_request (c, key);
+  else
+    fall_back (c, now);
+}
+
+/* --- the followers' interface ---------------------------------------- */
+
+static bool
+is_key_known (const struct mirrorfeed *m)
+{
+  return m->opts.seal_key (m->opts.arg) != NULL;
+}
+
+/* Starts the call as the role of this VM requires. */
+static void
+route_call (struct call *c)
+{
+  struct mirrorfeed *m = c->feed;
+  int64_t now = loop_now_us ();
+  bool waits = now - m->started_us < PEERS_WAIT_US;
+
+  if (m->stopped)
+    finish_without_rows (c, FOLLOW_NO_REPLY, 0);
+  else if (choose (m, now) == MIRROR_HEARER && is_key_known (m))
+    ask_next (c);
+  else if (waits && c->full
+           && (m->choice.role == MIRROR_UNKNOWN
+               || m->choice.role == MIRROR_HEARER))
+    loop_arm (m->opts.loop, &c->timer, now + PEERS_CHECK_US);
+  else
+    call_directly (c);
+}
+
+static void
+on_check (void *arg, int64_t now_us)
+{
+  (void)now_us;
+  route_call (arg);
+}
+
+static struct call *
+call_new (struct mirrorfeed *m, enum mirror_table table, bool full, void *arg)
+{
+  struct call *c = g_new0 (struct call, 1);
+
+  c->feed = m;
+  c->table = table;
+  c->full = full;
+  c->arg = arg;
+  c->timer.fire = on_check;
+  c->timer.arg = c;
+  return c;
+}
+
+/* A list that is too long for the probe is read from other VMs, once they are
+   known. */
+static void
+on_probed (void *arg, const struct follow_reply *reply)
+{
+  struct call *c = arg;
+
+  if (reply->status == FOLLOW_TRUNCATED)
+    {
+      route_call (c);
+      return;
+    }
+  c->done (c->arg, reply);
+  call_free (c);
+}
+
+static void
+read_all (void *ctx, enum follow_source source,
+          const struct follow_limits *limits, follow_done done, void *arg)
+{
+  struct mirrorfeed *m = ctx;
+  const struct follow_ops *o = &m->opts.direct;
+  struct follow_limits probe = *limits;
+  struct call *c;
+
+  if (source != FOLLOW_ENDPOINTS)
+    {
+      o->read (o->ctx, source, limits, done, arg);
+      return;
+    }
+  c = call_new (m, MIRROR_ENDPOINTS, true, arg);
+  c->limits = *limits;
+  c->done = done;
+  if (choose (m, loop_now_us ()) != MIRROR_UNKNOWN)
+    {
+      route_call (c);
+      return;
+    }
+  probe.rows_max = PROBE_ROWS;
+  o->read (o->ctx, source, &probe, on_probed, c);
+}
+
+static void
+poll_changes (void *ctx, enum follow_source source, int64_t version,
+              int64_t wait_us, const struct follow_limits *limits,
+              follow_done done, void *arg)
+{
+  struct mirrorfeed *m = ctx;
+  const struct follow_ops *o = &m->opts.direct;
+  struct call *c;
+
+  if (source != FOLLOW_ENDPOINTS)
+    {
+      o->changes (o->ctx, source, version, wait_us, limits, done, arg);
+      return;
+    }
+  c = call_new (m, MIRROR_ENDPOINTS, false, arg);
+  c->version = version;
+  c->wait_us = wait_us;
+  c->limits = *limits;
+  c->done = done;
+  route_call (c);
+}
+
+void
+mirrorfeed_follow_ops (struct mirrorfeed *m, struct follow_ops *ops)
+{
+  ops->read = read_all;
+  ops->changes = poll_changes;
+  ops->ctx = m;
+}
+
+/* --- the roster ------------------------------------------------------ */
+
+static void
+write_roster (void *ctx, const struct roster_row *self,
+              void (*done) (void *arg, bool written), void *arg)
+{
+  const struct roster_ops *o = &((struct mirrorfeed *)ctx)->opts.direct_roster;
+
+  o->write (o->ctx, self, done, arg);
+}
+
+static void
+remove_from_roster (void *ctx, const char *vm, int64_t version)
+{
+  const struct roster_ops *o = &((struct mirrorfeed *)ctx)->opts.direct_roster;
+
+  o->remove (o->ctx, vm, version);
+}
+
+/* Other VMs are known from an earlier read; the first one is direct. */
+static void
+read_roster (void *ctx, roster_done done, void *arg)
+{
+  struct mirrorfeed *m = ctx;
+  struct call *c = call_new (m, MIRROR_ROSTER, true, arg);
+
+  c->roster = done;
+  if (choose (m, loop_now_us ()) == MIRROR_HEARER && is_key_known (m))
+    ask_next (c);
+  else
+    call_directly (c);
+}
+
+void
+mirrorfeed_roster_ops (struct mirrorfeed *m, struct roster_ops *ops)
+{
+  ops->write = write_roster;
+  ops->read = read_roster;
+  ops->remove = remove_from_roster;
+  ops->ctx = m;
+}
+
+/* --- the copy -------------------------------------------------------- */
+
+static void
+copy_item (struct mirrorfeed *m, const struct follow_item *it)
+{
+  g_autoptr (GByteArray) value = NULL;
+
+  if (it->kind == FOLLOW_ITEM_ENDPOINT)
+    {
+      value = mirrorwire_encode_listing (&it->listing);
+      mirror_put (m->endpoints, it->listing.id, it->row, value->data,
+                  value->len);
+    }
+  else if (it->listing.id[0] != '\0')
+    mirror_remove (m->endpoints, it->listing.id, it->row);
+}
+
+void
+mirrorfeed_observe (void *arg, enum follow_source source, bool full,
+                    const struct follow_reply *reply)
+{
+  struct mirrorfeed *m = arg;
+  guint i;
+
+  if (source != FOLLOW_ENDPOINTS)
+    return;
+  if (reply->era > m->era)
+    {
+      mirror_reset (m->endpoints);
+      m->era = reply->era;
+    }
+  mirror_begin (m->endpoints, full, reply->version);
+  for (i = 0; i < reply->items->len; i++)
+    copy_item (m, &g_array_index (reply->items, struct follow_item, i));
+  mirror_end (m->endpoints);
+}
+
+/* --- answering ------------------------------------------------------- */
+
+static void
+append_row (void *arg, const struct mirror_row *row)
+{
+  g_array_append_vals (arg, row, 1);
+}
+
+/* Makes the encoding of all endpoints that replies share, unless there is a
+   recent one. */
+static void
+update_encoded (struct mirrorfeed *m, const struct follow_state *s,
+                int64_t now_us)
+{
+  bool is_same = m->encoded != NULL
+                 && m->encoded_version == mirror_version (m->endpoints);
+  g_autoptr (GArray) rows = NULL;
+
+  if (is_same)
+    m->encoded_current_us = s->list_current_us;
+  if (is_same || (m->encoded != NULL && now_us - m->encoded_us < ENCODED_US))
+    return;
+  rows = g_array_new (FALSE, FALSE, sizeof (struct mirror_row));
+  mirror_each (m->endpoints, 0, append_row, rows);
+  g_clear_pointer (&m->encoded, g_bytes_unref);
+  m->encoded = mirrorwire_encode_rows (rows);
+  mirrorwire_digest (m->encoded, m->encoded_digest);
+  m->encoded_us = now_us;
+  m->encoded_current_us = s->list_current_us;
+  m->encoded_version = mirror_version (m->endpoints);
+}
+
+static GBytes *
+encode_changes (struct mirrorfeed *m, int64_t since)
+{
+  g_autoptr (GArray) rows
+      = g_array_new (FALSE, FALSE, sizeof (struct mirror_row));
+
+  mirror_each (m->endpoints, since, append_row, rows);
+  return mirrorwire_encode_rows (rows);
+}
+
+static GBytes *
+encode_roster (struct mirrorfeed *m, int64_t now_us, struct mirror_reply *r)
+{
+  g_autoptr (GArray) vms
+      = g_array_new (FALSE, FALSE, sizeof (struct roster_row));
+  g_autoptr (GArray) rows
+      = g_array_new (FALSE, FALSE, sizeof (struct mirror_row));
+  g_autoptr (GPtrArray) values
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)g_byte_array_unref);
+  int64_t current = m->opts.list_roster (m->opts.arg, vms);
+  guint i;
+
+  if (current == 0)
+    r->status = MIRROR_NOT_READY;
+  r->age_ms = (now_us - current) / CQ_US_PER_MS + 1;
+  for (i = 0; current != 0 && i < vms->len; i++)
+    {
+      const struct roster_row *vm = &g_array_index (vms, struct roster_row, i);
+      GByteArray *value = mirrorwire_encode_vm (vm);
+      struct mirror_row row = { .key = vm->vm, .version = vm->version };
+
+      row.value = value->data;
+      row.len = value->len;
+      g_ptr_array_add (values, value);
+      g_array_append_val (rows, row);
+    }
+  return mirrorwire_encode_rows (rows);
+}
+
+static bool
+are_endpoints_known (const struct mirrorfeed *m, const struct follow_state *s)
+{
+  return s->list_current_us != 0 && s->era == m->era
+         && mirror_is_complete (m->endpoints)
+         && mirror_count (m->endpoints) <= MIRRORWIRE_ROWS_MAX;
+}
+
+static GBytes *
+encode_endpoints (struct mirrorfeed *m, const struct mirror_request *q,
+                  const struct follow_state *s, int64_t now_us,
+                  struct mirror_reply *r)
+{
+  r->version = mirror_version (m->endpoints);
+  r->age_ms = (now_us - s->list_current_us) / CQ_US_PER_MS + 1;
+  r->operator_row = s->operator_row;
+  r->operator_version = s->operator_version;
+  if (s->operator_current_us != 0)
+    r->operator_age_ms = (now_us - s->operator_current_us) / CQ_US_PER_MS + 1;
+  if (!are_endpoints_known (m, s))
+    r->status = MIRROR_NOT_READY;
+  else if (q->since > 0
+           && (q->era != m->era
+               || !mirror_has_changes (m->endpoints, q->since)))
+    r->status = MIRROR_HISTORY_LOST;
+  else if (q->since > 0)
+    return encode_changes (m, q->since);
+  if (r->status != MIRROR_OK)
+    return g_bytes_new (NULL, 0);
+  update_encoded (m, s, now_us);
+  r->version = m->encoded_version;
+  r->age_ms = (now_us - m->encoded_current_us) / CQ_US_PER_MS + 1;
+  return g_bytes_ref (m->encoded);
+}
+
+bool
+mirrorfeed_answer (struct mirrorfeed *m, const uint8_t *data, size_t len,
+                   int64_t now_us, struct mirror_answer *answer)
+{
+  const uint8_t *key = m->opts.seal_key (m->opts.arg);
+  uint8_t digest[MIRRORWIRE_DIGEST_BYTES];
+  struct mirror_reply r = { .operator_age_ms = -1 };
+  struct follow_state state = { 0 };
+  struct mirror_request q;
+
+  if (key == NULL || m->stopped
+      || !mirrorwire_open_request (data, len, key, &q))
+    return false;
+  if (m->follow != NULL)
+    follow_get_state (m->follow, &state);
+  memcpy (r.nonce, q.nonce, sizeof r.nonce);
+  r.era = state.era;
+  r.depth = state.list_depth + 1;
+  answer->rows = q.table == MIRROR_ROSTER
+                     ? encode_roster (m, now_us, &r)
+                     : encode_endpoints (m, &q, &state, now_us, &r);
+  if (answer->rows == m->encoded)
+    memcpy (digest, m->encoded_digest, sizeof digest);
+  else
+    mirrorwire_digest (answer->rows, digest);
+  answer->head = mirrorwire_seal_reply (&r, digest, key);
+  met_add (MET_LIST_SERVED, 1);
+  return true;
+}
+
+/* --- lifecycle ------------------------------------------------------- */
+
+struct mirrorfeed *
+mirrorfeed_new (const struct mirrorfeed_opts *opts)
+{
+  struct mirrorfeed *m = g_new0 (struct mirrorfeed, 1);
+
+  m->opts = *opts;
+  m->endpoints = mirror_new (REMOVED_MAX);
+  m->sources = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  m->rand = g_rand_new_with_seed ((guint32)opts->seed);
+  m->started_us = loop_now_us ();
+  m->direct_us = m->started_us + PEERS_WAIT_US
+                 + g_rand_int_range (m->rand, 0, DIRECT_INTERVAL_US);
+  return m;
+}
+
+void
+mirrorfeed_attach (struct mirrorfeed *m, const struct follow *f)
+{
+  m->follow = f;
+}
+
+void
+mirrorfeed_stop (struct mirrorfeed *m)
+{
+  m->stopped = true;
+}
+
+void
+mirrorfeed_free (struct mirrorfeed *m)
+{
+  if (m == NULL)
+    return;
+  mirror_free (m->endpoints);
+  if (m->choice.order != NULL)
+    g_array_free (m->choice.order, TRUE);
+  g_clear_pointer (&m->encoded, g_bytes_unref);
+  g_hash_table_destroy (m->sources);
+  g_rand_free (m->rand);
+  g_free (m);
+}
--- /dev/null
+++ b/mirrorhttp.c
@@ -0,0 +1,175 @@
+/* Requests for the platform's lists between VMs, over HTTP. */
+#include "mirrorhttp.h"
+
+#include <string.h>
+
+#include "fetch.h"
+
+#define LIST_PATH "/list"
+/* Time until the first byte of a reply, and between two further bytes: the
+   next VM is to be asked before what is known here is too old. */
+#define FIRST_BYTE_MS 500
+#define STALL_MS 500
+/* For a whole reply: 1.2 MB over half of a link of 10 Mbit/s take 2 s. */
+#define TOTAL_MS 6000
+/* Connections of other VMs, each of which keeps one open. */
+#define CONNECTIONS_MAX 256
+#define CONNECTION_IDLE_S 10
+#define CONNECTION_MEMORY 4096
+/* Large replies that are sent at once: each takes the link from requests, and
+   a VM that is turned away finds another source. */
+#define LARGE_REPLIES_MAX 8
+#define LARGE_REPLY_BYTES 65536
+
+struct mirrorhttp
+{
+  struct mirrorfeed *feed;        /* answers the requests */
+  struct http_listener *listener; /* receives them */
+  int large;                      /* large replies being sent */
+};
+
+/* --- answering ------------------------------------------------------- */
+
+static void
+on_head (struct req *r, const char *method)
+{
+  r->body_max = MIRRORWIRE_REQUEST_MAX;
+  if (strcmp (method, "POST") != 0 || strcmp (r->path, LIST_PATH) != 0)
+    req_respond (r, 404, NULL, "", 0);
+}
+
+/* A reply that counts as large until it was sent. */
+struct sent_rows
+{
+  GBytes *rows;            /* kept until then */
+  struct mirrorhttp *http; /* NULL if it is not large */
+};
+
+static void
+on_sent (void *arg)
+{
+  struct sent_rows *s = arg;
+
+  if (s->http != NULL)
+    s->http->large--;
+  g_bytes_unref (s->rows);
+  g_free (s);
+}
+
+static void
+send_answer (struct req *r, struct mirror_answer *a)
+{
+  struct mirrorhttp *m = r->listener->owner;
+  bool is_large = g_bytes_get_size (a->rows) > LARGE_REPLY_BYTES;
+  struct sent_rows *s;
+
+  if (is_large && m->large >= LARGE_REPLIES_MAX)
+    {
+      req_respond (r, 503, NULL, "", 0);
+      g_bytes_unref (a->rows);
+    }
+  else
+    {
+      s = g_new0 (struct sent_rows, 1);
+      s->rows = a->rows;
+      s->http = is_large ? m : NULL;
+      m->large += is_large;
+      req_respond_parts (r, 200, a->head, a->rows, on_sent, s);
+    }
+  g_byte_array_unref (a->head);
+}
+
+static void
+on_start (struct req *r)
+{
+  struct mirrorhttp *m = r->listener->owner;
+  struct mirror_answer a;
+
+  if (r->excess == EXCESS_NONE
+      && mirrorfeed_answer (m->feed, (const uint8_t *)r->body->str,
+                            r->body->len, loop_now_us (), &a))
+    send_answer (r, &a);
+  else
+    req_respond (r, 403, NULL, "", 0);
+}
+
+static const struct http_listener_ops listener_ops = {
+  .head = on_head,
+  .start = on_start,
+};
+
+struct mirrorhttp *
+mirrorhttp_open (struct worker *w, int listen_fd, struct mirrorfeed *feed)
+{
+  struct mirrorhttp *m = g_new0 (struct mirrorhttp, 1);
+  struct http_listener_opts o = { .ops = &listener_ops, .owner = m };
+
+  m->feed = feed;
+  o.close_from = PHASE_STOPPED;
+  o.connections = CONNECTIONS_MAX;
+  o.idle_timeout_s = CONNECTION_IDLE_S;
+  o.connection_memory = CONNECTION_MEMORY;
+  m->listener = http_listener_open (w, listen_fd, &o);
+  if (m->listener != NULL)
+    return m;
+  g_free (m);
+  return NULL;
+}
+
+void
+mirrorhttp_close (struct mirrorhttp *m)
+{
+  if (m == NULL)
+    return;
+  http_listener_close (m->listener);
+  g_free (m);
+}
+
+/* --- asking ---------------------------------------------------------- */
+
+struct ask
+{
+  mirror_asked done; /* callback */
+  void *arg;         /* passed to it */
+};
+
+static void
+on_reply (void *arg, int status, const GString *body)
+{
+  struct ask *a = arg;
+
+  if (status == 200)
+    a->done (a->arg, (const uint8_t *)body->str, body->len);
+  else
+    a->done (a->arg, NULL, 0);
+  g_free (a);
+}
+
+static void
+ask_vm (void *ctx, const char *address, const GByteArray *request,
+        size_t reply_max_bytes, mirror_asked done, void *arg)
+{
+  g_autofree char *url = g_strconcat ("http://", address, LIST_PATH, NULL);
+  struct fetch_opts o = { .method = "POST", .url = url };
+  struct ask *a = g_new0 (struct ask, 1);
+
+  a->done = done;
+  a->arg = arg;
+  o.body = (const char *)request->data;
+  o.body_len = request->len;
+  o.content_type = "application/octet-stream";
+  o.first_byte_timeout_ms = FIRST_BYTE_MS;
+  o.stall_timeout_ms = STALL_MS;
+  o.timeout_ms = TOTAL_MS;
+  o.reply_max_bytes = reply_max_bytes;
+  o.done = on_reply;
+  o.arg = a;
+  fetch_start (ctx, &o);
+}
+
+void
+mirrorhttp_ops (struct mirror_ops *ops, struct xfer_pool *pool)
+{
+  ops->ask = ask_vm;
+  ops->ctx = pool;
+}
--- /dev/null
+++ b/mirrorhttp.h
@@ -0,0 +1,18 @@
+/* Requests for the platform's lists between VMs, over HTTP. */
+#ifndef CQ_MIRRORHTTP_H
+#define CQ_MIRRORHTTP_H
+
+#include "libserver.h"
+#include "mirrorfeed.h"
+
+struct mirrorhttp;
+
+/* Listens on LISTEN_FD, which the caller keeps, and answers from FEED; returns
+   NULL on failure. */
+struct mirrorhttp *mirrorhttp_open (struct worker *w, int listen_fd,
+                                    struct mirrorfeed *feed);
+void mirrorhttp_close (struct mirrorhttp *m);
+/* Fills OPS with the transport of requests to other VMs. */
+void mirrorhttp_ops (struct mirror_ops *ops, struct xfer_pool *pool);
+
+#endif
--- a/peer.h
+++ b/peer.h
@@ -21,6 +21,10 @@
 #define PEER_WORK_MAX 40
 #define PEER_FACTS_MAX 128
 #define PEER_REQUEST_BYTES 16
+#define PEER_NONCE_BYTES 16
+#define PEER_DIGEST_BYTES 32
+#define PEER_ROW_MAX 1024
+#define PEER_ROWS_MAX 65536
 
 struct peer_member {
 	char *name;
@@ -91,6 +95,68 @@
 };
 typedef struct peer_work peer_work;
 
+struct peer_row {
+	char *key;
+	u_quad_t change;
+	bool_t removed;
+	struct {
+		u_int value_len;
+		char *value_val;
+	} value;
+};
+typedef struct peer_row peer_row;
+
+struct peer_rows {
+	struct {
+		u_int rows_len;
+		peer_row *rows_val;
+	} rows;
+};
+typedef struct peer_rows peer_rows;
+
+struct peer_listing {
+	char *address;
+	char *service;
+	char *domain;
+	char *model;
+	u_quad_t started_ms;
+	u_quad_t weights;
+	u_int slots;
+	bool_t draining;
+	u_int cold_ms;
+};
+typedef struct peer_listing peer_listing;
+
+struct peer_vm {
+	char *domain;
+	char *address;
+	char *list_address;
+	u_int link_mbit_s;
+};
+typedef struct peer_vm peer_vm;
+
+struct peer_list_request {
+	char nonce[PEER_NONCE_BYTES];
+	u_int table;
+	u_quad_t era;
+	u_quad_t since;
+};
+typedef struct peer_list_request peer_list_request;
+
+struct peer_list_reply {
+	char nonce[PEER_NONCE_BYTES];
+	u_int status;
+	u_int depth;
+	u_quad_t era;
+	u_quad_t change;
+	u_quad_t age_ms;
+	u_quad_t operator_row;
+	u_quad_t operator_change;
+	u_quad_t operator_age_ms;
+	char digest[PEER_DIGEST_BYTES];
+};
+typedef struct peer_list_reply peer_list_reply;
+
 struct peer_fact {
 	char request[PEER_REQUEST_BYTES];
 	u_quad_t endpoint;
@@ -162,6 +228,12 @@
 extern  bool_t xdr_peer_changes (XDR *, peer_changes*);
 extern  bool_t xdr_peer_work_entry (XDR *, peer_work_entry*);
 extern  bool_t xdr_peer_work (XDR *, peer_work*);
+extern  bool_t xdr_peer_row (XDR *, peer_row*);
+extern  bool_t xdr_peer_rows (XDR *, peer_rows*);
+extern  bool_t xdr_peer_listing (XDR *, peer_listing*);
+extern  bool_t xdr_peer_vm (XDR *, peer_vm*);
+extern  bool_t xdr_peer_list_request (XDR *, peer_list_request*);
+extern  bool_t xdr_peer_list_reply (XDR *, peer_list_reply*);
 extern  bool_t xdr_peer_fact (XDR *, peer_fact*);
 extern  bool_t xdr_peer_facts (XDR *, peer_facts*);
 extern  bool_t xdr_peer_proc (XDR *, peer_proc*);
@@ -177,6 +249,12 @@
 extern bool_t xdr_peer_changes ();
 extern bool_t xdr_peer_work_entry ();
 extern bool_t xdr_peer_work ();
+extern bool_t xdr_peer_row ();
+extern bool_t xdr_peer_rows ();
+extern bool_t xdr_peer_listing ();
+extern bool_t xdr_peer_vm ();
+extern bool_t xdr_peer_list_request ();
+extern bool_t xdr_peer_list_reply ();
 extern bool_t xdr_peer_fact ();
 extern bool_t xdr_peer_facts ();
 extern bool_t xdr_peer_proc ();
--- a/peer.x
+++ b/peer.x
@@ -11,6 +11,10 @@
 const PEER_WORK_MAX = 40;
 const PEER_FACTS_MAX = 128;
 const PEER_REQUEST_BYTES = 16;
+const PEER_NONCE_BYTES = 16;
+const PEER_DIGEST_BYTES = 32;
+const PEER_ROW_MAX = 1024;
+const PEER_ROWS_MAX = 65536;
 
 /* A VM as it says of itself, or as others say of it. */
 struct peer_member
@@ -81,6 +85,71 @@
   peer_work_entry entries<PEER_WORK_MAX>;
 };
 
+/* A row of one of the platform's tables, as a VM passes it on.  The value is
+   one of the two bodies below; it is empty if the row was removed. */
+struct peer_row
+{
+  string key<PEER_NAME_MAX>;
+  unsigned hyper change;
+  bool removed;
+  opaque value<PEER_ROW_MAX>;
+};
+
+struct peer_rows
+{
+  peer_row rows<PEER_ROWS_MAX>;
+};
+
+/* An endpoint as the platform lists it. */
+struct peer_listing
+{
+  string address<PEER_NAME_MAX>;
+  string service<PEER_NAME_MAX>;
+  string domain<PEER_NAME_MAX>;
+  string model<PEER_NAME_MAX>;
+  unsigned hyper started_ms;
+  unsigned hyper weights;
+  unsigned int slots;
+  bool draining;
+  unsigned int cold_ms;
+};
+
+/* A VM as the platform lists it. */
+struct peer_vm
+{
+  string domain<PEER_NAME_MAX>;
+  string address<PEER_NAME_MAX>;
+  string list_address<PEER_NAME_MAX>;
+  unsigned int link_mbit_s;
+};
+
+/* Asks for the rows of a table that changed after a version; for all rows if
+   that is 0.  Sealed. */
+struct peer_list_request
+{
+  opaque nonce[PEER_NONCE_BYTES];
+  unsigned int table;
+  unsigned hyper era;
+  unsigned hyper since;
+};
+
+/* The sealed head of a reply; the rows follow it and are bound to it by their
+   digest.  Ages are those at which the sender knew what it says to be current;
+   the operators' row is the newest of their changes up to operator_change. */
+struct peer_list_reply
+{
+  opaque nonce[PEER_NONCE_BYTES];
+  unsigned int status;
+  unsigned int depth;
+  unsigned hyper era;
+  unsigned hyper change;
+  unsigned hyper age_ms;
+  unsigned hyper operator_row;
+  unsigned hyper operator_change;
+  unsigned hyper operator_age_ms;
+  opaque digest[PEER_DIGEST_BYTES];
+};
+
 /* What a VM saw of a request: that the endpoint with this key ended under it,
    or, if that is 0, that one answered it whole. */
 struct peer_fact
--- a/peer_xdr.c
+++ b/peer_xdr.c
@@ -175,6 +175,121 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_row (XDR *xdrs, peer_row *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->key, PEER_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->change))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->removed))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->value.value_val, (u_int *) &objp->value.value_len, PEER_ROW_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_rows (XDR *xdrs, peer_rows *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, PEER_ROWS_MAX,
+		sizeof (peer_row), (xdrproc_t) xdr_peer_row))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_listing (XDR *xdrs, peer_listing *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->address, PEER_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->service, PEER_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->domain, PEER_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->model, PEER_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->started_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->weights))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slots))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->draining))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->cold_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_vm (XDR *xdrs, peer_vm *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->domain, PEER_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->address, PEER_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->list_address, PEER_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->link_mbit_s))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_list_request (XDR *xdrs, peer_list_request *objp)
+{
+	register int32_t *buf;
+
+	int i;
+	 if (!xdr_opaque (xdrs, objp->nonce, PEER_NONCE_BYTES))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->table))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->era))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->since))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_list_reply (XDR *xdrs, peer_list_reply *objp)
+{
+	register int32_t *buf;
+
+	int i;
+	 if (!xdr_opaque (xdrs, objp->nonce, PEER_NONCE_BYTES))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->depth))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->era))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->change))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->operator_row))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->operator_change))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->operator_age_ms))
+		 return FALSE;
+	 if (!xdr_opaque (xdrs, objp->digest, PEER_DIGEST_BYTES))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_fact (XDR *xdrs, peer_fact *objp)
 {
--- a/quarfeed.c
+++ b/quarfeed.c
@@ -451,6 +451,12 @@
   return f->is_synced || now_us - f->started_us > READY_TIMEOUT_US;
 }
 
+const uint8_t *
+quarfeed_key (const struct quarfeed *f)
+{
+  return f->has_key ? f->key : NULL;
+}
+
 /* --- start and end --------------------------------------------------- */
 
 static void
--- a/quarfeed.h
+++ b/quarfeed.h
@@ -90,6 +90,9 @@
 /* Whether the table was read, or requests are to be served without it because
    the start was more than 1 s ago. */
 bool quarfeed_is_ready (const struct quarfeed *f, int64_t now_us);
+/* The key that all VMs share, of QUARWIRE_KEY_BYTES; NULL while it is not
+   known. */
+const uint8_t *quarfeed_key (const struct quarfeed *f);
 /* Send no more calls and datagrams. */
 void quarfeed_stop (struct quarfeed *f);
 void quarfeed_free (struct quarfeed *f);
--- a/regress/fakerows.c
+++ b/regress/fakerows.c
@@ -16,6 +16,7 @@
  *   era          as all answers say it
  *   deaf         polls see no changes
  *   page_rows    rows of an answer, 500 unless said
+ *   GET /stats   how many calls it had, and how many rows it sent
  *   kb_s         kilobytes of an answer that leave in a second, 0 for all
  *   halt_kb      kilobytes of such an answer after which no more leave
  */
@@ -37,7 +38,8 @@
 static GCond changed;
 static GPtrArray *rows;
 static int64_t newest;
-static GPtrArray *kept; /* rows of the copy */
+static int64_t calls, sent; /* answered calls, and rows sent in them */
+static GPtrArray *kept;     /* rows of the copy */
 static int64_t kept_newest;
 
 static struct row *
@@ -143,6 +145,7 @@
                            (json_int_t)(g_get_monotonic_time () / 1000));
   int64_t kb_s = fk_number ("kb_s", 0);
 
+  sent += (int64_t)json_array_size (list);
   return kb_s > 0 ? fk_reply_paced (r, status, doc, kb_s)
                   : fk_reply_json (r, status, doc);
 }
@@ -178,6 +181,7 @@
   const char *from = argument (r, "From");
   g_autoptr (GPtrArray) found = g_ptr_array_new ();
   guint page = (guint)fk_number ("page_rows", 500);
+  gint64 limit = g_ascii_strtoll (argument (r, "Limit"), NULL, 10);
   json_t *list = json_array ();
   enum MHD_Result done;
   guint i;
@@ -192,6 +196,8 @@
         g_ptr_array_add (found, o);
     }
   g_ptr_array_sort (found, by_key);
+  if (limit > 0)
+    page = MIN (page, (guint)limit);
   for (i = 0; i < MIN (found->len, page); i++)
     json_array_append_new (list, row_json (found->pdata[i]));
   done = reply_page (r, 200, list, found->len > page);
@@ -352,6 +358,11 @@
   g_mutex_unlock (&lock);
   if (g_str_has_prefix (r->path, "/row/"))
     return write_row (r);
+  if (strcmp (r->path, "/stats") == 0)
+    return fk_reply_json (r, 200,
+                          json_pack ("{s:I,s:I}", "calls", (json_int_t)calls,
+                                     "rows", (json_int_t)sent));
+  __atomic_fetch_add (&calls, 1, __ATOMIC_RELAXED);
   g_usleep ((gulong)fk_number ("slow_ms", 0) * 1000);
   while (fk_number ("silent", 0))
     g_usleep (20000);
--- a/regress/site.sh
+++ b/regress/site.sh
@@ -46,6 +46,8 @@
 		-e "s/{{Listen.[A-Za-z]*}}/127.0.0.1:0/" \
 		-e "s/{{Platform.Address}}/127.0.0.1:$port_rows/" \
 		-e "s/{{Ip}}:{{PortRange.0}}/127.0.0.1:0/" \
+		-e "s/{{Limits.LinkMbps}}/${link_mbit_s:-1000.0}/" \
+		-e "s/{{Bounds.DrainMs}}/${drain_ms:-3000}/" \
 		-e "s/{{Bounds.RevokeMs}}/${revoke_ms:-5000}/" \
 		-e "s/{{Bounds.ConfigApplyMs}}/${apply_ms:-2000}/" \
 		-e 's/{{#Zones}}.*{{.Zones}}/d1=r1 d2=r2/' \
@@ -53,6 +55,7 @@
 		-e "s/{{Bounds.VersionMs}}/${version_ms:-12000}/" "$top/platform/vm.ini.tmpl" >"$tmp/$1.site.ini"
 	if grep -q '{{' "$tmp/$1.site.ini"; then fail "template: $(grep '{{' "$tmp/$1.site.ini")"; fi
 	sed "s/^drain_notice_ms.*/drain_notice_ms = 300/" "$top/deploy/base.ini" >"$tmp/$1.base.ini"
+	[ -z "${share_vms:-}" ] || printf '\n[entry]\nshare_vms = %s\n' "$share_vms" >>"$tmp/$1.base.ini"
 	: >"$tmp/$1.log"
 	$bin serve --base "$tmp/$1.base.ini" --overlay "$tmp/$1.site.ini" >>"$tmp/$1.log" 2>&1 &
 	eval "pid_$1=$!"
--- a/regress/test-parts.c
+++ b/regress/test-parts.c
@@ -583,8 +583,8 @@
     }
   /* What the polls of all followers occupy is within the store's calls. */
   g_assert_cmpint (partfeed_max_continuous (12), <, 12);
-  g_assert_cmpint ((max - partfeed_max_continuous (12)) * 200, <=,
-                   (12 - partfeed_max_continuous (12)) * 5000);
+  g_assert_cmpint (max - partfeed_max_continuous (12), <=,
+                   (12 - partfeed_max_continuous (12)) * 5000 / 200);
   rank.rank = 10 * max;
   g_assert_true (is_polled_at_rank (rank, true));
   rank.is_known = false;
--- a/settings_gen.c
+++ b/settings_gen.c
@@ -105,6 +105,18 @@
   { "tell", CFG_ADDRESS, offsetof (struct cfg_entry, tell), "", 0, 0, NULL,
     "Address and port where other VMs tell of their work at endpoints; empty, "
     "and none is told or heard." },
+  { "link_mbit_s", CFG_STRING, offsetof (struct cfg_entry, link_mbit_s), "", 0,
+    0, NULL,
+    "Megabits a second of this VM's link; VMs with more are preferred as "
+    "readers of the platform's lists." },
+  { "share_vms", CFG_INT, offsetof (struct cfg_entry, share_vms), "12", 2,
+    100000, NULL,
+    "VMs of a failure domain, or of all domains where each has fewer, from "
+    "which on a few of them read the platform's lists for the others." },
+  { "drain_ms", CFG_INT, offsetof (struct cfg_entry, drain_ms), "2000", 100,
+    600000, NULL,
+    "Milliseconds for which an endpoint that is listed as draining still "
+    "accepts requests." },
   { "revoke_ms", CFG_INT, offsetof (struct cfg_entry, revoke_ms), "5000", 1000,
     600000, NULL,
     "Milliseconds after which a key that was taken away must open nothing." },
@@ -284,7 +296,7 @@
     "This VM and its place." },
   { "platform", false, keys_platform, 8, sizeof (struct cfg_platform),
     "The platform's services." },
-  { "entry", false, keys_entry, 15, sizeof (struct cfg_entry),
+  { "entry", false, keys_entry, 18, sizeof (struct cfg_entry),
     "Requests that come through a platform's balancer." },
   { "workspace", true, keys_workspace, 9, sizeof (struct cfg_workspace),
     "A customer of the system." },
--- a/settings_gen.h
+++ b/settings_gen.h
@@ -86,6 +86,13 @@
   char *store;  /* Address and port of the platform's metadata store. */
   char *tell;   /* Address and port where other VMs tell of their work at
                    endpoints; empty, and none is told or heard. */
+  char *link_mbit_s; /* Megabits a second of this VM's link; VMs with more are
+                        preferred as readers of the platform's lists. */
+  int64_t share_vms; /* VMs of a failure domain, or of all domains where each
+                        has fewer, from which on a few of them read the
+                        platform's lists for the others. */
+  int64_t drain_ms;  /* Milliseconds for which an endpoint that is listed as
+                        draining still accepts requests. */
   int64_t revoke_ms; /* Milliseconds after which a key that was taken away must
                         open nothing. */
   int64_t apply_ms;  /* Milliseconds after which a change of the operators'
