Test: a full read of the list costs no more than its length

/follow/long-list compares the processor time of 4,000 and of 16,000 endpoints; with the walk it fails (more than ninefold).

--- a/regress/test-follow.c
+++ b/regress/test-follow.c
@@ -4,6 +4,7 @@
  */
 #include <glib.h>
 #include <string.h>
+#include <time.h>
 
 #include "decide.h"
 #include "follow.h"
@@ -588,7 +589,51 @@
   source_free (p);
 }
 
+/* Processor time of a full read that returns COUNT endpoints again. */
+static int64_t
+full_read_cost (int count)
+{
+  struct source *p = source_new ();
+  GArray *items;
+  clock_t began = 0;
+  int round, i;
+
+  for (round = 0; round < 2; round++)
+    {
+      items = g_array_new (FALSE, TRUE, sizeof (struct follow_item));
+      for (i = 0; i < count; i++)
+        {
+          struct follow_item it = { .kind = FOLLOW_ITEM_ENDPOINT };
+
+          g_snprintf (it.listing.id, sizeof it.listing.id, "i-%d", i);
+          g_array_append_val (items, it);
+        }
+      send_reply (p, FOLLOW_ENDPOINTS, FOLLOW_HISTORY_LOST, 0, NULL);
+      began = clock ();
+      send_reply (p, FOLLOW_ENDPOINTS, FOLLOW_OK, 10 + round, items);
+    }
+  began = clock () - began;
+  g_assert_cmpuint (g_hash_table_size (p->fleet.by_id), ==, (guint)count);
+  source_free (p);
+  return MAX ((int64_t)began, 1);
+}
+
+/* Guards against a full read whose cost grows with the square of the number of
+   endpoints: ten thousand would stop a small VM for seconds. */
+static void
+test_long_list (void)
+{
+  int64_t least = INT64_MAX;
+  int i;
+
+  /* Four times the endpoints take four times as long, not sixteen times. */
+  for (i = 0; i < 3; i++)
+    least = MIN (least, full_read_cost (16000) / full_read_cost (4000));
+  g_assert_cmpint (least, <, 9);
+}
+
 const struct unit follow_units[] = {
+  { "/follow/long-list", test_long_list },
   { "/follow/older-copy", test_older_copy },
   { "/follow/older-copy-far-back", test_older_copy_far_back },
   { "/follow/answer-of-era-before", test_answer_of_era_before },
