Roster: reading it costs no more than its length

Cause: each row of the roster was looked for among the known VMs by a walk, and after each VM that was added all were sorted again and counted. At 985 VMs that is about a tenth of a second of a whole core, most of a second on the smallest VM at its start, and it grows with the square of the number of VMs.

Change: the VMs are found by a hash table, and sorted once for each roster.

--- a/loadgossip.c
+++ b/loadgossip.c
@@ -79,6 +79,7 @@
   struct loop_fd *watch;        /* registration with the loop */
   struct roster_row self;       /* this VM's row, as written */
   GPtrArray *peers;             /* struct peer, sorted by_rank */
+  GHashTable *by_name;          /* VM's name to struct peer */
   struct load_gossip message;   /* sent last */
   struct loop_timer send_timer; /* sends the next message */
   struct loop_timer list;       /* starts the next read of the roster */
@@ -162,16 +163,7 @@
 static struct peer *
 find_peer (const struct loadgossip *t, const char *vm)
 {
-  struct peer *l;
-  guint i;
-
-  for (i = 0; i < t->peers->len; i++)
-    {
-      l = t->peers->pdata[i];
-      if (strcmp (l->row.vm, vm) == 0)
-        return l;
-    }
-  return NULL;
+  return g_hash_table_lookup (t->by_name, vm);
 }
 
 static void
@@ -191,9 +183,17 @@
               all > RECIPIENTS_MAX);
 }
 
-/* Add the VM of ROW, which is listed or sent a message.  If it is known under
-   another address, it has restarted there, and messages go to the new
-   address. */
+/* VMs were added or have changed. */
+static void
+sort_peers (struct loadgossip *t)
+{
+  g_ptr_array_sort (t->peers, by_rank);
+  update_load_scale (t);
+}
+
+/* Add the VM of ROW, which is listed or sent a message; sort_peers must
+   follow. If it is known under another address, it has restarted there, and
+   messages go to the new address. */
 static struct peer *
 add_peer (struct loadgossip *t, const struct roster_row *row,
           const char *source, int64_t now_us)
@@ -219,13 +219,13 @@
       l = g_new0 (struct peer, 1);
       l->rank = peer_rank (t, row->vm);
       l->listed_us = now_us;
+      g_strlcpy (l->row.vm, row->vm, sizeof l->row.vm);
       g_ptr_array_add (t->peers, l);
+      g_hash_table_insert (t->by_name, l->row.vm, l);
     }
   l->row = *row;
   l->to = to;
   l->near = strcmp (row->domain, t->self.domain) == 0;
-  g_ptr_array_sort (t->peers, by_rank);
-  update_load_scale (t);
   log_event (LOG_LEVEL_INFO, "vm_known", "name=%s address=%s source=%s vms=%u",
              row->vm, row->address, source, t->peers->len);
   return l;
@@ -329,6 +329,7 @@
       g_strlcpy (row.domain, w.domain, sizeof row.domain);
       g_snprintf (row.address, sizeof row.address, "%s:%d", ip, from->port);
       l = add_peer (t, &row, "word", now_us);
+      sort_peers (t);
     }
   if (l != NULL)
     l->received_us = now_us;
@@ -435,6 +436,15 @@
     o->remove (o->ctx, l->row.vm, l->age.version);
 }
 
+static void
+remove_peer (struct loadgossip *t, int i)
+{
+  const struct peer *l = t->peers->pdata[i];
+
+  g_hash_table_remove (t->by_name, l->row.vm);
+  g_ptr_array_remove_index (t->peers, (guint)i);
+}
+
 /* Age the rows that the last read did not return, and remove expired ones. */
 static void
 expire_rows (struct loadgossip *t)
@@ -454,7 +464,7 @@
       if (l->in_list)
         remove_row (t, l);
       else
-        g_ptr_array_remove_index (t->peers, (guint)i);
+        remove_peer (t, i);
     }
 }
 
@@ -491,6 +501,7 @@
     handle_listed_row (t, &g_array_index (list, struct roster_row, i), now);
   if (list != NULL)
     {
+      sort_peers (t);
       expire_rows (t);
       t->listed_us = now;
     }
@@ -683,6 +694,7 @@
   t->rand = g_rand_new_with_seed ((guint32)opts->seed);
   apr_pool_create (&t->pool, NULL);
   t->peers = g_ptr_array_new_with_free_func (g_free);
+  t->by_name = g_hash_table_new (g_str_hash, g_str_equal);
   g_strlcpy (t->self.vm, opts->vm, sizeof t->self.vm);
   g_strlcpy (t->self.domain, opts->domain, sizeof t->self.domain);
   g_strlcpy (t->self.list_address,
@@ -730,6 +742,7 @@
 {
   if (t->watch != NULL)
     loop_remove_fd (t->opts.loop, t->watch);
+  g_hash_table_destroy (t->by_name);
   g_ptr_array_unref (t->peers);
   g_rand_free (t->rand);
   /* Also closes the socket. */
--- a/regress/test-load.c
+++ b/regress/test-load.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include "decide.h"
 #include "load.h"
@@ -462,7 +463,95 @@
   g_assert_cmpint (after, <=, before / 4);
 }
 
+/* --- the roster ------------------------------------------------------ */
+
+/* A roster of a number of VMs, read once. */
+struct long_roster
+{
+  struct loop *loop; /* stopped after the read */
+  int vms;           /* its length */
+  int64_t cost;      /* processor time of the reply */
+};
+
+static void
+write_roster (void *ctx, const struct roster_row *self,
+              void (*done) (void *arg, bool written), void *arg)
+{
+  (void)ctx;
+  (void)self;
+  done (arg, true);
+}
+
+static void
+read_roster (void *ctx, roster_done done, void *arg)
+{
+  struct long_roster *r = ctx;
+  g_autoptr (GArray) list
+      = g_array_new (FALSE, TRUE, sizeof (struct roster_row));
+  int i;
+
+  for (i = 0; i < r->vms; i++)
+    {
+      struct roster_row row = { .version = i + 1 };
+
+      g_snprintf (row.vm, sizeof row.vm, "vm-%d", i);
+      g_snprintf (row.domain, sizeof row.domain, "d%d", i % 5);
+      g_snprintf (row.address, sizeof row.address, "127.0.0.1:%d", 1 + i);
+      g_array_append_val (list, row);
+    }
+  r->cost = clock ();
+  done (arg, list);
+  r->cost = MAX (clock () - r->cost, 1);
+  loop_stop (r->loop);
+}
+
+static void
+collect_nothing (void *ctx, struct load_gossip *message)
+{
+  (void)ctx;
+  message->nentries = 0;
+}
+
+static int64_t
+roster_cost (int vms)
+{
+  struct long_roster r = { .loop = loop_new (), .vms = vms };
+  struct loadgossip_opts o = { .loop = r.loop, .vm = "vm-0", .domain = "d0" };
+  struct loadgossip *t;
+
+  o.collect_load = collect_nothing;
+  o.load_table = load_new ();
+  o.ops.write = write_roster;
+  o.ops.read = read_roster;
+  o.ops.ctx = &r;
+  o.listen = "127.0.0.1:0";
+  t = loadgossip_new (&o);
+  g_assert_nonnull (t);
+  loop_run (r.loop);
+  g_assert_true (loadgossip_is_listed (t));
+  loadgossip_stop (t);
+  loadgossip_free (t);
+  load_free (o.load_table);
+  loop_free (r.loop);
+  return r.cost;
+}
+
+/* Guards against a roster whose cost grows faster than its length: a thousand
+   VMs would stop a small one for a second at its start. */
+static void
+test_long_roster (void)
+{
+  int64_t least = INT64_MAX;
+  int i;
+
+  /* Four times the VMs take four times as long, not sixteen times. */
+  for (i = 0; i < 3; i++)
+    least = MIN (least, roster_cost (4000) / roster_cost (1000));
+  g_assert_cmpint (least, <, 9);
+}
+
 const struct unit load_units[] = {
+  { "/load/long-roster", test_long_roster },
   { "/load/complete-messages", test_complete_messages },
   { "/load/part-once", test_part_once },
   { "/load/silence", test_silence },
