--- a/entry.c
+++ b/entry.c
@@ -201,7 +201,7 @@
       mirrorfeed_follow_ops (e->mirror, &o.ops);
       o.observe = mirrorfeed_observe;
       o.is_reader = mirrorfeed_is_reader;
-      o.is_hearer = mirrorfeed_is_hearer;
+      o.is_client = mirrorfeed_is_client;
       o.list_max_age_us = mirrorfeed_max_age_us (e->cfg->drain_ms);
       o.mirror_arg = e->mirror;
     }
--- a/follow.c
+++ b/follow.c
@@ -22,9 +22,9 @@
 #define ENDPOINTS_WAIT_US (2000 * CQ_US_PER_MS)
 /* Time that is left for polls of its own, before the settings are too old, to
    a VM whose settings other VMs confirm. */
-#define HEARER_SPARE_US (1500 * CQ_US_PER_MS)
-/* What a hearer's own pause between two calls adds to the age of a reply. */
-#define HEARER_PAUSE_US (1100 * CQ_US_PER_MS)
+#define CLIENT_SPARE_US (1500 * CQ_US_PER_MS)
+/* What a client's own pause between two calls adds to the age of a reply. */
+#define CLIENT_PAUSE_US (1100 * CQ_US_PER_MS)
 /* Bounds of the longest wait, and of the shortest interval between polls, of a
    VM that other VMs read from. */
 #define READER_WAIT_MIN_US (500 * CQ_US_PER_MS)
@@ -510,10 +510,10 @@
 /* --- what other VMs report ------------------------------------------- */
 
 static bool
-is_hearer (const struct follow *f, int64_t now_us)
+is_client (const struct follow *f, int64_t now_us)
 {
-  return f->opts.is_hearer != NULL
-         && f->opts.is_hearer (f->opts.mirror_arg, now_us);
+  return f->opts.is_client != NULL
+         && f->opts.is_client (f->opts.mirror_arg, now_us);
 }
 
 static bool
@@ -526,10 +526,10 @@
 /* Time of the next poll for the operators' changes at a VM whose settings
    other VMs confirm: only if they stop. */
 static int64_t
-hearer_poll_us (const struct follow *f, int64_t now_us)
+client_poll_us (const struct follow *f, int64_t now_us)
 {
   return MAX (now_us, f->opts.fleet->conf_current_us + f->opts.max_age_us
-                          - HEARER_SPARE_US);
+                          - CLIENT_SPARE_US);
 }
 
 /*
@@ -561,7 +561,7 @@
   s->current_us = n->operator_current_us;
   fleet_confirm_wanted (fl, n->operator_current_us);
   if (!s->busy && s->failing_us == 0)
-    loop_arm (f->opts.loop, &s->timer, hearer_poll_us (f, now_us));
+    loop_arm (f->opts.loop, &s->timer, client_poll_us (f, now_us));
 }
 
 void
@@ -703,7 +703,7 @@
     s->pause_us *= 2;
 }
 
-/* Longest wait of a reader: what is left of the age at which a hearer would
+/* Longest wait of a reader: what is left of the age at which a client would
    poll the platform by itself, or of the age at which it would use the reply
    no more. */
 static int64_t
@@ -711,7 +711,7 @@
 {
   const struct follow_opts *o = &s->follow->opts;
   int64_t wait = s->source == FOLLOW_OPERATOR
-                     ? o->max_age_us - HEARER_SPARE_US - HEARER_PAUSE_US
+                     ? o->max_age_us - CLIENT_SPARE_US - CLIENT_PAUSE_US
                      : o->list_max_age_us * 2 / 3;
 
   return CLAMP (wait, READER_WAIT_MIN_US, READER_WAIT_MAX_US);
@@ -734,8 +734,8 @@
   struct follow *f = s->follow;
   int64_t interval = min_interval_us (s, now_us);
 
-  if (s->source == FOLLOW_OPERATOR && is_hearer (f, now_us))
-    loop_arm (f->opts.loop, &s->timer, hearer_poll_us (f, now_us));
+  if (s->source == FOLLOW_OPERATOR && is_client (f, now_us))
+    loop_arm (f->opts.loop, &s->timer, client_poll_us (f, now_us));
   else if (s->full_read || now_us - s->sent_us >= interval)
     start_call (s, now_us);
   else
--- a/follow.h
+++ b/follow.h
@@ -148,7 +148,7 @@
      of endpoints from others; may be NULL. */
   bool (*is_reader) (void *arg, int64_t now_us);
   int64_t list_max_age_us; /* older lists are not used by those */
-  bool (*is_hearer) (void *arg, int64_t now_us);
+  bool (*is_client) (void *arg, int64_t now_us);
   void *mirror_arg; /* passed to the three callbacks above */
 };
 
--- a/met.c
+++ b/met.c
@@ -82,8 +82,9 @@
   [MET_STORE_RESTORES]
   = { "camphorquay_older_copies_total", "counter",
       "Times that the platform's store came back from an older copy." },
-  [MET_LIST_HEARD] = { "camphorquay_list_heard_total", "counter",
-                       "Replies about the platform's lists from other VMs." },
+  [MET_LIST_RECEIVED]
+  = { "camphorquay_list_received_total", "counter",
+      "Replies about the platform's lists from other VMs." },
   [MET_LIST_STALE] = { "camphorquay_list_stale_total", "counter",
                        "Such replies that were too old to be used." },
   [MET_LIST_FAILED] = { "camphorquay_list_failed_total", "counter",
--- a/mirrorfeed.c
+++ b/mirrorfeed.c
@@ -8,7 +8,8 @@
 #include "log.h"
 #include "met.h"
 
-/* Removed rows that are remembered for hearers that have not heard of them. */
+/* Removed rows that are remembered for clients that have not received their
+ * removal. */
 #define REMOVED_MAX 4096
 /* The choice of readers is made again after this time. */
 #define CHOICE_US (2 * CQ_US_PER_S)
@@ -23,12 +24,12 @@
 /* If the list is longer, it waits for other VMs this long. */
 #define PEERS_WAIT_US (4 * CQ_US_PER_S)
 #define PEERS_CHECK_US (100 * CQ_US_PER_MS)
-/* What a hearer's own pause between two calls, and a VM that is silent, may
+/* What a client's own pause between two calls, and a VM that is silent, may
    add to the age of a reply. */
-#define HEARER_DELAY_MS 1700
-/* Where endpoints drain for a shorter time, no VM can hear of it in time from
+#define CLIENT_DELAY_MS 1700
+/* Where endpoints drain for a shorter time, no VM can learn of it in time from
    others. */
-#define DRAIN_MIN_MS (HEARER_DELAY_MS + 1300)
+#define DRAIN_MIN_MS (CLIENT_DELAY_MS + 1300)
 /* VMs that one call asks before it falls back on the platform. */
 #define ASKED_MAX 4
 /* Backoff from a VM that did not reply, doubled up to the maximum; and from
@@ -83,7 +84,7 @@
   int64_t known_us;            /* when the roster was first known; or 0 */
   int64_t started_us;          /* time of the start */
   int64_t direct_us;           /* the platform may be asked from then on */
-  int64_t roster_us;   /* the roster that was heard last was current then */
+  int64_t roster_us;   /* the roster that was received last was current then */
   GHashTable *sources; /* VM's name to struct source */
   char last_source[LOAD_VM_SIZE];                  /* VM that replied last */
   GRand *rand;                                     /* for pauses */
@@ -165,7 +166,7 @@
                                                       : G_MAXINT);
   if (m->choice.role == MIRROR_READER && now_us - m->known_us < SETTLE_US)
     {
-      m->choice.role = MIRROR_HEARER;
+      m->choice.role = MIRROR_CLIENT;
       m->choose_again_us = m->known_us + SETTLE_US;
     }
   log_choice (m, before);
@@ -179,15 +180,15 @@
 }
 
 bool
-mirrorfeed_is_hearer (void *m, int64_t now_us)
+mirrorfeed_is_client (void *m, int64_t now_us)
 {
-  return choose (m, now_us) == MIRROR_HEARER;
+  return choose (m, now_us) == MIRROR_CLIENT;
 }
 
 int64_t
 mirrorfeed_max_age_us (int64_t drain_ms)
 {
-  return (drain_ms - HEARER_DELAY_MS) * CQ_US_PER_MS;
+  return (drain_ms - CLIENT_DELAY_MS) * CQ_US_PER_MS;
 }
 
 static struct source *
@@ -254,15 +255,16 @@
   struct mirrorfeed *m = c->feed;
 
   source_of (m, c->peer.vm)->backoff_us = BACKOFF_FIRST_US;
-  met_add (MET_LIST_HEARD, 1);
+  met_add (MET_LIST_RECEIVED, 1);
   if (strcmp (m->last_source, c->peer.vm) == 0)
     return;
   g_strlcpy (m->last_source, c->peer.vm, sizeof m->last_source);
-  log_event (LOG_LEVEL_INFO, "list_source",
-             "vm=%s outcome=heard table=%s depth=%d age_ms=%" G_GINT64_FORMAT
-             " version=%" G_GINT64_FORMAT,
-             c->peer.vm, table_names[c->table], r->depth, (gint64)r->age_ms,
-             (gint64)r->version);
+  log_event (
+      LOG_LEVEL_INFO, "list_source",
+      "vm=%s outcome=received table=%s depth=%d age_ms=%" G_GINT64_FORMAT
+      " version=%" G_GINT64_FORMAT,
+      c->peer.vm, table_names[c->table], r->depth, (gint64)r->age_ms,
+      (gint64)r->version);
 }
 
 /* --- calls ----------------------------------------------------------- */
@@ -618,7 +620,7 @@
   return m->opts.seal_key (m->opts.arg) != NULL;
 }
 
-/* Whether a hearer is to ask other VMs: for the list always, for the
+/* Whether a client is to ask other VMs: for the list always, for the
    operators' rows only if it lacks all of them, or one that others have. Polls
    that wait for a change go to the platform. */
 static bool
@@ -637,7 +639,7 @@
   return c->full && now_us - m->started_us < PEERS_WAIT_US
          && m->probe == PROBE_LONG
          && (m->choice.role == MIRROR_UNKNOWN
-             || m->choice.role == MIRROR_HEARER);
+             || m->choice.role == MIRROR_CLIENT);
 }
 
 /* Starts the call as the role of this VM requires. */
@@ -650,7 +652,7 @@
 
   if (m->stopped)
     finish_without_rows (c, FOLLOW_NO_REPLY, 0);
-  else if (role == MIRROR_HEARER && may_ask (c))
+  else if (role == MIRROR_CLIENT && may_ask (c))
     ask_next (c);
   else if (may_wait (c, now))
     loop_arm (m->opts.loop, &c->timer, now + PEERS_CHECK_US);
@@ -790,7 +792,7 @@
   struct call *c = call_new (m, MIRROR_ROSTER, true, arg);
 
   c->roster = done;
-  if (choose (m, loop_now_us ()) == MIRROR_HEARER && is_key_known (m))
+  if (choose (m, loop_now_us ()) == MIRROR_CLIENT && is_key_known (m))
     ask_next (c);
   else
     call_directly (c);
--- a/mirrorfeed.h
+++ b/mirrorfeed.h
@@ -5,7 +5,7 @@
  * such requests.
  *
  * It stands between the followers and the platform's adapter and offers the
- * interface of the latter.  A hearer asks a reader, then the next one, then
+ * interface of the latter.  A client asks a reader, then the next one, then
  * the platform.  A reply carries the age of what it says at the VM that sent
  * it; the receiver adds the whole time since it asked, so an age can only be
  * overestimated, also if either VM was suspended in between.
@@ -79,9 +79,9 @@
 void mirrorfeed_observe (void *m, enum follow_source source, bool full,
                          const struct follow_reply *reply);
 bool mirrorfeed_is_reader (void *m, int64_t now_us);
-bool mirrorfeed_is_hearer (void *m, int64_t now_us);
+bool mirrorfeed_is_client (void *m, int64_t now_us);
 
-/* Age past which a hearer does not use a list where endpoints drain for
+/* Age past which a client does not use a list where endpoints drain for
    DRAIN_MS. */
 int64_t mirrorfeed_max_age_us (int64_t drain_ms);
 
--- a/mirrorpick.c
+++ b/mirrorpick.c
@@ -4,12 +4,12 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* Hearers for which one more reader is chosen.  Each asks once a second, which
+/* Clients for which one more reader is chosen.  Each asks once a second, which
    takes the reader a quarter of a millisecond. */
-#define HEARERS_PER_READER 64
+#define CLIENTS_PER_READER 64
 /* Readers in any case, so that the loss of one is covered by another. */
 #define READERS_MIN 2
-/* VMs beyond the readers and their substitutes that a hearer may ask for all
+/* VMs beyond the readers and their substitutes that a client may ask for all
    rows while the readers are busy. */
 #define OTHERS_MAX 8
 
@@ -24,7 +24,7 @@
 int
 mirrorpick_readers (int vms)
 {
-  return MIN (vms, READERS_MIN + vms / HEARERS_PER_READER);
+  return MIN (vms, READERS_MIN + vms / CLIENTS_PER_READER);
 }
 
 static gint
@@ -66,7 +66,7 @@
   return all;
 }
 
-/* Appends the peers at places FROM to TO of ALL to ORDER, each hearer in an
+/* Appends the peers at places FROM to TO of ALL to ORDER, each client in an
    order of its own, so that the requests spread over them. */
 static void
 append_shuffled (GArray *order, const GArray *all, guint from, guint to,
@@ -117,7 +117,7 @@
   else if (choice->rank < choice->readers)
     choice->role = MIRROR_READER;
   else
-    choice->role = MIRROR_HEARER;
+    choice->role = MIRROR_CLIENT;
   if (choice->order == NULL)
     choice->order = g_array_new (FALSE, TRUE, sizeof (struct mirror_peer));
   g_array_set_size (choice->order, 0);
@@ -135,7 +135,7 @@
     [MIRROR_UNKNOWN] = "unknown",
     [MIRROR_ALONE] = "alone",
     [MIRROR_READER] = "reader",
-    [MIRROR_HEARER] = "hearer",
+    [MIRROR_CLIENT] = "client",
   };
 
   return names[role];
--- a/mirrorpick.h
+++ b/mirrorpick.h
@@ -26,7 +26,7 @@
   MIRROR_UNKNOWN, /* the other VMs are not known yet */
   MIRROR_ALONE,   /* too few VMs to share the work: reads for itself */
   MIRROR_READER,  /* reads for the others, too */
-  MIRROR_HEARER   /* asks the readers */
+  MIRROR_CLIENT   /* asks the readers */
 };
 
 struct mirror_choice
@@ -35,7 +35,7 @@
   int vms;       /* VMs of the failure domain, with this one */
   int readers;   /* how many of them read */
   int rank;      /* VMs that are preferred as readers before this one */
-  GArray *order; /* struct mirror_peer: whom a hearer asks, in this order */
+  GArray *order; /* struct mirror_peer: whom a client asks, in this order */
 };
 
 /* Number of readers among VMS VMs of a failure domain. */
--- a/regress/sharedlist.sh
+++ b/regress/sharedlist.sh
@@ -11,7 +11,7 @@
 settled() {
 	_readers=''
 	for _v in "$@"; do
-		if has_role "$_v" reader; then _readers="$_readers $_v"; else has_role "$_v" hearer || return 1; fi
+		if has_role "$_v" reader; then _readers="$_readers $_v"; else has_role "$_v" client || return 1; fi
 	done
 	[ "$(echo $_readers | wc -w)" = 2 ]
 }
--- a/regress/test-mirror.c
+++ b/regress/test-mirror.c
@@ -69,9 +69,9 @@
     mirror_put (m, row->key, row->version, row->value, row->len);
 }
 
-/* What a hearer does with a reply of another VM. */
+/* What a client does with a reply of another VM. */
 static void
-hear (struct mirror *m, const struct mirror *from)
+receive (struct mirror *m, const struct mirror *from)
 {
   bool full = !mirror_is_complete (m)
               || !mirror_has_changes (from, mirror_version (m));
@@ -105,7 +105,7 @@
 }
 
 /*
- * Guards against a hole in what a VM hears: a change or a removal that it
+ * Guards against a hole in what a VM receives: a change or a removal that it
  * never learns of.  Chains of three VMs follow a table, the first one with its
  * history lost now and then, the others at random moments and with few
  * removals remembered; whenever a VM has caught up, its copy equals the table.
@@ -135,7 +135,7 @@
         if (g_rand_int_range (rand, 0, 3) == 0 && mirror_is_complete (m[i - 1])
             && mirror_version (m[i - 1]) >= mirror_version (m[i]))
           {
-            hear (m[i], m[i - 1]);
+            receive (m[i], m[i - 1]);
             if (mirror_version (m[i]) == t.version)
               check_copy (m[i], &t);
           }
@@ -205,7 +205,7 @@
       mirrorpick_choose (&c, self, i < fast ? 1000 : 20, peers, 12);
       readers += c.role == MIRROR_READER;
       slow_readers += c.role == MIRROR_READER && i >= fast;
-      if (c.role == MIRROR_HEARER)
+      if (c.role == MIRROR_CLIENT)
         asked[atoi (g_array_index (c.order, struct mirror_peer, 0).vm + 3)]++;
     }
   g_assert_cmpint (readers, ==, vms < 12 ? 0 : 2 + vms / 64);
@@ -576,7 +576,7 @@
   f.max_age_us = 4900 * MS;
   f.observe = mirrorfeed_observe;
   f.is_reader = mirrorfeed_is_reader;
-  f.is_hearer = mirrorfeed_is_hearer;
+  f.is_client = mirrorfeed_is_client;
   f.list_max_age_us = mirrorfeed_max_age_us (5000);
   f.mirror_arg = v->mirror;
   v->follow = follow_new (&f);
@@ -695,11 +695,11 @@
 
 /*
  * Guards against a platform that every VM of a domain polls.  Two of four VMs
- * are readers; the others hear each change from them within a second or two,
- * read nothing from the platform, and have their settings confirmed.
+ * are readers; the others learn of each change from them within a second or
+ * two, read nothing from the platform, and have their settings confirmed.
  */
 static void
-test_hearers (void)
+test_clients (void)
 {
   struct platform_ctx ctx[VMS];
   struct world w;
@@ -725,7 +725,7 @@
   world_clear (&w);
 }
 
-/* Guards against a domain that hears nothing: both readers are silent, then
+/* Guards against a domain that receives nothing: both readers are silent, then
    the platform is down, too.  What is left is the platform, asked by all; and
    no more than once in three seconds while other VMs still reply. */
 static void
@@ -764,9 +764,9 @@
 
 /*
  * Guards against a revoked key that stays valid behind a chain of three VMs.
- * The middle one hears from the first and answers the third; then it is frozen
- * and thawed: its clock runs on, but it has heard nothing.  What the third
- * hears from it must count as old as it is, and its settings expire.
+ * The middle one reads from the first and answers the third; then it is frozen
+ * and thawed: its clock runs on, but it has received nothing.  What the third
+ * reads from it must count as old as it is, and its settings expire.
  */
 static void
 test_frozen_chain (void)
@@ -799,7 +799,7 @@
 /*
  * Guards against settings that are confirmed although a newer change exists,
  * and against a change that each VM reads from the platform.  A reader learns
- * of a change: a hearer must not count its own settings as the newest before
+ * of a change: a client must not count its own settings as the newest before
  * it has the change, and gets it from the reader.  With no reader left it
  * polls the platform in time.
  */
@@ -841,7 +841,7 @@
   { "/mirror/removed-stays", test_removed_stays },
   { "/mirror/readers", test_readers },
   { "/mirror/seals", test_seals },
-  { "/mirror/hearers", test_hearers },
+  { "/mirror/clients", test_clients },
   { "/mirror/silent-readers", test_silent_readers },
   { "/mirror/frozen-chain", test_frozen_chain },
   { "/mirror/operator-change", test_operator_change },
