Lists: the encoding is fuzzed; a list of an earlier era is not passed on

The encoded list that replies share was kept when the platform's store came back from an older copy, whose versions are assigned again: at the same version, the list of the time before would have been passed on as the present one (found by reading). It is dropped with the copy. Rows as stored have a file of their own, since the decoder needs them without the follower.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 # Requests that are passed on: beliefs of the fleet, and each request's life.
 RELAY = fleet.o pace.o limit.o notice.o cold.o pick.o load.o loadgossip.o loadgossipwire.o sse.o relay.o relaytry.o \
 	relayadmit.o relaywork.o relayquar.o relaycrash.o reqid.o quar.o \
-	quarwire.o quarfeed.o follow.o \
+	quarwire.o quarfeed.o follow.o followraw.o \
 	lease.o announce.o orders.o parts.o partfeed.o evac.o \
 	mirror.o mirrorpick.o mirrorwire.o mirrorfeed.o
 # The users' platform; translates only.
@@ -120,7 +120,7 @@
 FUZZED = prompt.c strm.c peer_xdr.c platform/replyhead.c platform/reqhead.c \
 	platform/decode.c platform/json.c platform/kvstore.c platform/notice.c platform/jsonread.c \
 	platform/rows.c platform/roster.c \
-	platform/quarrows.c quar.c quarwire.c loadgossipwire.c fleet.c pace.c limit.c cold.c sse.c lease.c fetch.c xfer.c stall.c loop.c
+	platform/quarrows.c followraw.c mirrorwire.c quar.c quarwire.c loadgossipwire.c fleet.c pace.c limit.c cold.c sse.c lease.c fetch.c xfer.c stall.c loop.c
 regress/fuzz-input: regress/fuzz-input.c $(FUZZED) wire.h
 	clang -std=gnu11 -D_GNU_SOURCE -g -O1 $(LIB_CFLAGS) -I. \
 		-fsanitize=fuzzer,address,undefined -o $@ \
--- a/follow.c
+++ b/follow.c
@@ -136,30 +136,6 @@
 
 static void start_call (struct stream *s, int64_t now_us);
 
-/* --- rows as stored -------------------------------------------------- */
-
-struct follow_raw *
-follow_raw_new (const char *key, int64_t version, const void *value,
-                size_t len)
-{
-  struct follow_raw *raw = g_new0 (struct follow_raw, 1);
-
-  raw->key = g_strdup (key);
-  raw->version = version;
-  raw->value = value != NULL ? g_bytes_new (value, len) : NULL;
-  return raw;
-}
-
-void
-follow_raw_free (struct follow_raw *raw)
-{
-  if (raw == NULL)
-    return;
-  g_free (raw->key);
-  g_clear_pointer (&raw->value, g_bytes_unref);
-  g_free (raw);
-}
-
 /* --- applying replies ------------------------------------------------ */
 
 static void
--- a/mirrorfeed.c
+++ b/mirrorfeed.c
@@ -858,6 +858,7 @@
     {
       for (i = 0; i < FOLLOW_SOURCES; i++)
         mirror_reset (m->copies[i]);
+      g_clear_pointer (&m->encoded, g_bytes_unref);
       m->era = reply->era;
     }
   mirror_begin (copy, full, reply->version);
--- a/regress/fuzz-input.c
+++ b/regress/fuzz-input.c
@@ -497,6 +497,45 @@
   pdecode_roster (data, size, list);
 }
 
+/* --- lists from other VMs -------------------------------------------- */
+
+static void
+check_listed (void *arg, const struct mirror_row *row)
+{
+  struct fleet_listing l;
+  struct roster_row vm;
+
+  (void)arg;
+  if (row->version <= 0 || row->key[0] == '\0')
+    g_error ("a row without a key or version");
+  if (mirrorwire_decode_listing (row->key, row->value, row->len, &l)
+      && (l.started_ms < 0 || l.version < 0 || l.slots < 0 || l.cold_us < 0))
+    g_error ("a negative number of a listing");
+  if (mirrorwire_decode_vm (row->key, row->version, row->value, row->len, &vm)
+      && vm.link_mbit_s < 0)
+    g_error ("a negative bandwidth");
+}
+
+/* A stranger's request and reply, and the rows of a VM that is not one. */
+static void
+fuzz_lists (const uint8_t *data, size_t size)
+{
+  static const uint8_t key[MIRRORWIRE_KEY_BYTES] = { 1 };
+  static const uint8_t nonce[MIRRORWIRE_NONCE_BYTES] = { 2 };
+  struct mirror_row row = { .key = "k", .version = 1 };
+  struct mirror_request q;
+  struct mirror_reply r;
+  const uint8_t *rows;
+
+  if (mirrorwire_open_request (data, size, key, &q)
+      || mirrorwire_open_reply (data, size, key, nonce, &r, &rows))
+    g_error ("accepted a message without a valid seal");
+  mirrorwire_decode_rows (data, size, check_listed, NULL);
+  row.value = data;
+  row.len = size;
+  check_listed (NULL, &row);
+}
+
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
@@ -506,7 +545,7 @@
 
   if (size == 0)
     return 0;
-  switch (data[0] % 12)
+  switch (data[0] % 13)
     {
     case 0:
       fuzz_prompt (text, size - 1, false);
@@ -541,6 +580,9 @@
     case 10:
       fuzz_facts (text, size - 1);
       break;
+    case 11:
+      fuzz_lists (data + 1, size - 1);
+      break;
     default:
       completion_version (text, size - 1, version, sizeof version, &cached);
     }
