--- a/regress/test-steps.c
+++ b/regress/test-steps.c
@@ -701,7 +701,45 @@
   g_free (f);
 }
 
+/* Guards against settings that differ on a VM that read them from another one:
+   rows as stored are decoded as those of a reply, also a removed one. */
+static void
+test_rows_as_stored (void)
+{
+  g_autofree char *text = reply_text (20);
+  g_autoptr (GPtrArray) raws = g_ptr_array_new ();
+  struct follow_reply first = news_new ();
+  struct follow_reply again = news_new ();
+  struct follow_raw gone = { .key = "evacuate/d1", .version = 8 };
+  struct prows *p;
+
+  g_assert_true (pdecode_rows (text, strlen (text), &first));
+  g_assert_nonnull (item (&first, 0)->raw);
+  g_assert_nonnull (item (&first, 1)->raw);
+  g_assert_null (item (&first, 2)->raw);
+  g_ptr_array_add (raws, item (&first, 0)->raw);
+  g_ptr_array_add (raws, item (&first, 1)->raw);
+  g_ptr_array_add (raws, &gone);
+  p = prows_new_raw (raws, &again);
+  while (prows_step (p, 1) == PDECODE_MORE)
+    ;
+  prows_free (p);
+  g_assert_cmpuint (again.items->len, ==, 3);
+  g_assert_cmpint (item (&again, 0)->kind, ==, FOLLOW_ITEM_WEIGHTS);
+  g_assert_cmpint (item (&again, 0)->version, ==, 3);
+  g_assert_cmpint (item (&again, 0)->row, ==, 5);
+  g_assert_cmpint (item (&again, 1)->kind, ==, FOLLOW_ITEM_CONF);
+  g_assert_cmpint (item (&again, 1)->row, ==, 6);
+  check_conf (item (&again, 1)->conf, 20);
+  g_assert_cmpint (item (&again, 2)->kind, ==, FOLLOW_ITEM_EVACUATION_END);
+  g_assert_cmpstr (item (&again, 2)->domain, ==, "d1");
+  g_assert_null (item (&again, 2)->raw->value);
+  pdecode_clear (&first);
+  pdecode_clear (&again);
+}
+
 const struct unit steps_units[] = {
+  { "/steps/rows-as-stored", test_rows_as_stored },
   { "/steps/same-in-steps", test_same_in_steps },
   { "/steps/truncated", test_truncated },
   { "/steps/invalid-replies", test_invalid_replies },
