Lists: what answers other VMs is a module of its own

mirrorfeed.c held both sides; the copies of the tables, their encoding and the answers are mirrorserve.c now, which knows neither calls nor roles.

--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	relayadmit.o relaywork.o relayquar.o relaycrash.o reqid.o quar.o \
 	quarwire.o quarfeed.o follow.o followraw.o \
 	lease.o announce.o orders.o parts.o partfeed.o evac.o \
-	mirror.o mirrorpick.o mirrorwire.o mirrorfeed.o
+	mirror.o mirrorpick.o mirrorwire.o mirrorserve.o mirrorfeed.o
 # The users' platform; translates only.
 PLATFORM = platform/replyhead.o platform/reqhead.o platform/decode.o platform/orders.o \
 	platform/engine.o platform/ingress.o platform/json.o platform/kvstore.o platform/notice.o \
--- a/entry.c
+++ b/entry.c
@@ -55,7 +55,8 @@
   struct loadgossip
       *load_gossip;          /* exchanges load with other VMs; NULL if unset */
   struct mirrorfeed *mirror; /* reads lists from other VMs; NULL if unset */
-  struct mirrorhttp *mirror_http; /* answers their requests */
+  struct mirrorserve *mirror_serve; /* answers such reads; NULL if unset */
+  struct mirrorhttp *mirror_http;   /* answers their requests */
   struct quar *quar;         /* evidence about requests that crash endpoints */
   struct quarfeed *quarfeed; /* shares quar with other VMs */
   struct relays *relays;     /* requests under way */
@@ -186,6 +187,13 @@
   e->orders = orders_new (&o);
 }
 
+static void
+observe_list (void *arg, enum follow_source source, bool full,
+              const struct follow_reply *reply)
+{
+  mirrorserve_observe (arg, source, full, reply);
+}
+
 static void
 start_following (struct entry *e)
 {
@@ -199,15 +207,16 @@
   if (e->mirror != NULL)
     {
       mirrorfeed_follow_ops (e->mirror, &o.ops);
-      o.observe = mirrorfeed_observe;
+      o.observe = observe_list;
       o.is_reader = mirrorfeed_is_reader;
       o.is_client = mirrorfeed_is_client;
       o.list_max_age_us = mirrorfeed_max_age_us (e->cfg->drain_ms);
       o.mirror_arg = e->mirror;
+      o.observe_arg = e->mirror_serve;
     }
   e->follow = follow_new (&o);
   if (e->mirror != NULL)
-    mirrorfeed_attach (e->mirror, e->follow);
+    mirrorserve_attach (e->mirror_serve, e->follow);
   follow_start (e->follow);
 }
 
@@ -412,6 +421,7 @@
 {
   const struct cfg_vm *vm = cfg_vm (e->settings);
   struct mirrorfeed_opts o = { .loop = e->worker->loop, .arg = e };
+  struct mirrorserve_opts serve = { .arg = e };
 
   e->list_fd = server_listen (e->worker->server, e->cfg->tell);
   if (e->list_fd < 0)
@@ -423,13 +433,16 @@
   o.link_mbit_s = link_mbit_s (e);
   o.min_vms = (int)e->cfg->share_vms;
   o.drain_ms = e->cfg->drain_ms;
+  serve.list_roster = list_roster;
+  serve.seal_key = seal_key;
+  e->mirror_serve = mirrorserve_new (&serve);
+  o.serve = e->mirror_serve;
   o.list_peers = list_peers;
-  o.list_roster = list_roster;
   o.seal_key = seal_key;
   o.seed = seed_of (vm);
   e->mirror = mirrorfeed_new (&o);
-  e->mirror_http
-      = mirrorhttp_open (e->worker, e->list_fd, e->mirror, o.link_mbit_s);
+  e->mirror_http = mirrorhttp_open (e->worker, e->list_fd, e->mirror_serve,
+                                    o.link_mbit_s);
   return e->mirror_http != NULL;
 }
 
@@ -579,6 +592,8 @@
     return;
   follow_free (e->follow);
   mirrorfeed_free (e->mirror);
+  if (e->mirror_serve != NULL)
+    mirrorserve_free (e->mirror_serve);
   quarfeed_free (e->quarfeed);
   orders_free (e->orders);
   partfeed_free (e->partfeed);
--- a/follow.c
+++ b/follow.c
@@ -750,7 +750,7 @@
   handle_success (s, now);
   apply_reply (s, n, now);
   if (f->opts.observe != NULL)
-    f->opts.observe (f->opts.mirror_arg, s->source, s->full_read, n);
+    f->opts.observe (f->opts.observe_arg, s->source, s->full_read, n);
   confirm_operator (f, n, now);
   if (f->opts.on_change != NULL)
     f->opts.on_change (f->opts.arg, now);
--- a/follow.h
+++ b/follow.h
@@ -149,7 +149,8 @@
   bool (*is_reader) (void *arg, int64_t now_us);
   int64_t list_max_age_us; /* older lists are not used by those */
   bool (*is_client) (void *arg, int64_t now_us);
-  void *mirror_arg; /* passed to the three callbacks above */
+  void *mirror_arg;  /* passed to the two callbacks above */
+  void *observe_arg; /* passed to observe */
 };
 
 /* What is known of both sources, to be reported to other VMs. */
--- a/followraw.c
+++ b/followraw.c
@@ -19,6 +19,7 @@
   if (raw == NULL)
     return;
   g_free (raw->key);
-  g_clear_pointer (&raw->value, g_bytes_unref);
+  if (raw->value != NULL)
+    g_bytes_unref (raw->value);
   g_free (raw);
 }
--- a/mirrorfeed.c
+++ b/mirrorfeed.c
@@ -8,9 +8,6 @@
 #include "log.h"
 #include "met.h"
 
-/* Removed rows that are remembered for clients that have not received their
- * removal. */
-#define REMOVED_MAX 4096
 /* The choice of readers is made again after this time. */
 #define CHOICE_US (2 * CQ_US_PER_S)
 /* A VM does not act as a reader until it has known the roster for this long:
@@ -41,8 +38,6 @@
    nobody; it is asked directly at this interval, plus up to the same at
    random. */
 #define DIRECT_INTERVAL_US (3 * CQ_US_PER_S)
-/* Encoded rows are reused for replies within this time. */
-#define ENCODED_US (500 * CQ_US_PER_MS)
 /* Two reads of the roster are further apart than this; two ages of the same
    one differ by less. */
 #define ROSTER_SAME_US (200 * CQ_US_PER_MS)
@@ -73,10 +68,8 @@
 struct mirrorfeed
 {
   struct mirrorfeed_opts opts; /* as made */
-  const struct follow *follow; /* its state is served; set by attach */
-  struct mirror *copies[FOLLOW_SOURCES]; /* copies of both tables */
-  int64_t era;                           /* of these */
-  enum probe probe;  /* progress of the first read of the list */
+  struct mirrorserve *serve;   /* what is known of both tables */
+  enum probe probe;            /* progress of the first read of the list */
   struct call *held; /* first read of the operators' rows, which waits for the
                         probe; or NULL */
   struct mirror_choice choice; /* whom to ask */
@@ -86,14 +79,9 @@
   int64_t direct_us;           /* the platform may be asked from then on */
   int64_t roster_us;   /* the roster that was received last was current then */
   GHashTable *sources; /* VM's name to struct source */
-  char last_source[LOAD_VM_SIZE];                  /* VM that replied last */
-  GRand *rand;                                     /* for pauses */
-  GBytes *encoded;                                 /* all endpoints, encoded */
-  uint8_t encoded_digest[MIRRORWIRE_DIGEST_BYTES]; /* of encoded */
-  int64_t encoded_us;                              /* when that was made */
-  int64_t encoded_current_us; /* its rows were current at that time */
-  int64_t encoded_version;    /* version that it covers */
-  bool stopped;               /* no more calls are started */
+  char last_source[LOAD_VM_SIZE]; /* VM that replied last */
+  GRand *rand;                    /* for pauses */
+  bool stopped;                   /* no more calls are started */
 };
 
 /* A call of a follower, or a read of the roster, in progress. */
@@ -475,15 +463,16 @@
 is_recent (const struct call *c, const struct mirror_reply *r)
 {
   const struct mirrorfeed *m = c->feed;
+  int64_t era = mirrorserve_era (m->serve);
   int64_t known;
 
   if (c->table == MIRROR_ROSTER)
     return r->status == MIRROR_OK;
-  known = mirror_version (m->copies[source_table (c)]);
-  return r->status != MIRROR_NOT_READY && r->era >= m->era
+  known = mirrorserve_version (m->serve, source_table (c));
+  return r->status != MIRROR_NOT_READY && r->era >= era
          && r->age_ms * CQ_US_PER_MS
                 <= mirrorfeed_max_age_us (m->opts.drain_ms)
-         && !(c->full && r->era == m->era && r->version < known)
+         && !(c->full && r->era == era && r->version < known)
          && !(c->table == MIRROR_OPERATOR && !c->full && r->status == MIRROR_OK
               && r->version <= c->version);
 }
@@ -587,11 +576,12 @@
 send_request (struct call *c, const uint8_t *key)
 {
   struct mirrorfeed *m = c->feed;
-  struct mirror_request r = { .table = c->table, .era = m->era };
+  struct mirror_request r = { .table = c->table };
   g_autoptr (GByteArray) request = NULL;
 
   randombytes_buf (c->nonce, sizeof c->nonce);
   memcpy (r.nonce, c->nonce, sizeof r.nonce);
+  r.era = mirrorserve_era (m->serve);
   r.since = c->full ? 0 : c->version;
   request = mirrorwire_seal_request (&r, key);
   c->asked++;
@@ -807,249 +797,6 @@
   ops->ctx = m;
 }
 
-/* --- the copy -------------------------------------------------------- */
-
-static void
-copy_listing (struct mirror *m, const struct follow_item *it)
-{
-  g_autoptr (GByteArray) value = NULL;
-
-  if (it->kind == FOLLOW_ITEM_ENDPOINT)
-    {
-      value = mirrorwire_encode_listing (&it->listing);
-      mirror_put (m, it->listing.id, it->row, value->data, value->len);
-    }
-  else if (it->listing.id[0] != '\0')
-    mirror_remove (m, it->listing.id, it->row);
-}
-
-static void
-copy_raw (struct mirror *m, const struct follow_raw *raw)
-{
-  gsize len = 0;
-  const void *value = NULL;
-
-  if (raw->value != NULL)
-    value = g_bytes_get_data (raw->value, &len);
-  if (raw->value != NULL)
-    mirror_put (m, raw->key, raw->version, value != NULL ? value : "", len);
-  else
-    mirror_remove (m, raw->key, raw->version);
-}
-
-static void
-copy_item (struct mirror *m, const struct follow_item *it)
-{
-  if (it->raw != NULL)
-    copy_raw (m, it->raw);
-  else
-    copy_listing (m, it);
-}
-
-void
-mirrorfeed_observe (void *arg, enum follow_source source, bool full,
-                    const struct follow_reply *reply)
-{
-  struct mirrorfeed *m = arg;
-  struct mirror *copy = m->copies[source];
-  guint i;
-
-  if (reply->era > m->era)
-    {
-      for (i = 0; i < FOLLOW_SOURCES; i++)
-        mirror_reset (m->copies[i]);
-      g_clear_pointer (&m->encoded, g_bytes_unref);
-      m->era = reply->era;
-    }
-  mirror_begin (copy, full, reply->version);
-  for (i = 0; i < reply->items->len; i++)
-    copy_item (copy, &g_array_index (reply->items, struct follow_item, i));
-  mirror_end (copy);
-}
-
-/* --- answering ------------------------------------------------------- */
-
-static int64_t
-age_ms (int64_t current_us, int64_t now_us)
-{
-  return (now_us - current_us) / CQ_US_PER_MS + 1;
-}
-
-static void
-append_row (void *arg, const struct mirror_row *row)
-{
-  g_array_append_vals (arg, row, 1);
-}
-
-/* Makes the encoding of all endpoints that replies share, unless there is a
-   recent one. */
-static void
-update_encoded (struct mirrorfeed *m, const struct follow_state *s,
-                int64_t now_us)
-{
-  bool is_same
-      = m->encoded != NULL
-        && m->encoded_version == mirror_version (m->copies[FOLLOW_ENDPOINTS]);
-  g_autoptr (GArray) rows = NULL;
-
-  if (is_same)
-    m->encoded_current_us = s->list_current_us;
-  if (is_same || (m->encoded != NULL && now_us - m->encoded_us < ENCODED_US))
-    return;
-  rows = g_array_new (FALSE, FALSE, sizeof (struct mirror_row));
-  mirror_each (m->copies[FOLLOW_ENDPOINTS], 0, append_row, rows);
-  g_clear_pointer (&m->encoded, g_bytes_unref);
-  m->encoded = mirrorwire_encode_rows (rows);
-  mirrorwire_digest (m->encoded, m->encoded_digest);
-  m->encoded_us = now_us;
-  m->encoded_current_us = s->list_current_us;
-  m->encoded_version = mirror_version (m->copies[FOLLOW_ENDPOINTS]);
-}
-
-static GBytes *
-encode_after (const struct mirror *m, int64_t since)
-{
-  g_autoptr (GArray) rows
-      = g_array_new (FALSE, FALSE, sizeof (struct mirror_row));
-
-  mirror_each (m, since, append_row, rows);
-  return mirrorwire_encode_rows (rows);
-}
-
-static GBytes *
-encode_roster (struct mirrorfeed *m, int64_t now_us, struct mirror_reply *r)
-{
-  g_autoptr (GArray) vms
-      = g_array_new (FALSE, FALSE, sizeof (struct roster_row));
-  g_autoptr (GArray) rows
-      = g_array_new (FALSE, FALSE, sizeof (struct mirror_row));
-  g_autoptr (GPtrArray) values
-      = g_ptr_array_new_with_free_func ((GDestroyNotify)g_byte_array_unref);
-  int64_t current = m->opts.list_roster (m->opts.arg, vms);
-  guint i;
-
-  if (current == 0)
-    r->status = MIRROR_NOT_READY;
-  r->age_ms = age_ms (current, now_us);
-  for (i = 0; current != 0 && i < vms->len; i++)
-    {
-      const struct roster_row *vm = &g_array_index (vms, struct roster_row, i);
-      GByteArray *value = mirrorwire_encode_vm (vm);
-      struct mirror_row row = { .key = vm->vm, .version = vm->version };
-
-      row.value = value->data;
-      row.len = value->len;
-      g_ptr_array_add (values, value);
-      g_array_append_val (rows, row);
-    }
-  return mirrorwire_encode_rows (rows);
-}
-
-/* Whether the copy of a table that was current at CURRENT_US can be passed
-   on. */
-static bool
-is_copy_known (const struct mirrorfeed *m, const struct mirror *copy,
-               int64_t current_us, const struct follow_state *s)
-{
-  return current_us != 0 && s->era == m->era && mirror_is_complete (copy)
-         && mirror_count (copy) <= MIRRORWIRE_ROWS_MAX;
-}
-
-static enum mirror_status
-status_of (const struct mirrorfeed *m, const struct mirror_request *q,
-           const struct mirror *copy, int64_t current_us,
-           const struct follow_state *s)
-{
-  if (!is_copy_known (m, copy, current_us, s))
-    return MIRROR_NOT_READY;
-  if (q->since > 0
-      && (q->era != m->era || !mirror_has_changes (copy, q->since)))
-    return MIRROR_HISTORY_LOST;
-  return MIRROR_OK;
-}
-
-static GBytes *
-encode_operator (struct mirrorfeed *m, const struct mirror_request *q,
-                 const struct follow_state *s, int64_t now_us,
-                 struct mirror_reply *r)
-{
-  const struct mirror *copy = m->copies[FOLLOW_OPERATOR];
-
-  r->version = s->operator_version;
-  r->age_ms = age_ms (s->operator_current_us, now_us);
-  r->status = status_of (m, q, copy, s->operator_current_us, s);
-  return r->status == MIRROR_OK ? encode_after (copy, q->since)
-                                : g_bytes_new (NULL, 0);
-}
-
-static GBytes *
-encode_endpoints (struct mirrorfeed *m, const struct mirror_request *q,
-                  const struct follow_state *s, int64_t now_us,
-                  struct mirror_reply *r)
-{
-  const struct mirror *copy = m->copies[FOLLOW_ENDPOINTS];
-
-  r->version = mirror_version (copy);
-  r->age_ms = age_ms (s->list_current_us, now_us);
-  r->status = status_of (m, q, copy, s->list_current_us, s);
-  if (r->status != MIRROR_OK)
-    return g_bytes_new (NULL, 0);
-  if (q->since > 0)
-    return encode_after (copy, q->since);
-  update_encoded (m, s, now_us);
-  r->version = m->encoded_version;
-  r->age_ms = age_ms (m->encoded_current_us, now_us);
-  return g_bytes_ref (m->encoded);
-}
-
-static GBytes *
-encode_table (struct mirrorfeed *m, const struct mirror_request *q,
-              const struct follow_state *s, int64_t now_us,
-              struct mirror_reply *r)
-{
-  switch (q->table)
-    {
-    case MIRROR_ROSTER:
-      return encode_roster (m, now_us, r);
-    case MIRROR_OPERATOR:
-      return encode_operator (m, q, s, now_us, r);
-    default:
-      return encode_endpoints (m, q, s, now_us, r);
-    }
-}
-
-bool
-mirrorfeed_answer (struct mirrorfeed *m, const uint8_t *data, size_t len,
-                   int64_t now_us, struct mirror_answer *answer)
-{
-  const uint8_t *key = m->opts.seal_key (m->opts.arg);
-  uint8_t digest[MIRRORWIRE_DIGEST_BYTES];
-  struct mirror_reply r = { .operator_age_ms = -1 };
-  struct follow_state state = { 0 };
-  struct mirror_request q;
-
-  if (key == NULL || m->stopped
-      || !mirrorwire_open_request (data, len, key, &q))
-    return false;
-  if (m->follow != NULL)
-    follow_get_state (m->follow, &state);
-  memcpy (r.nonce, q.nonce, sizeof r.nonce);
-  r.era = state.era;
-  r.depth = state.list_depth + 1;
-  r.operator_row = state.operator_row;
-  r.operator_version = state.operator_version;
-  if (state.operator_current_us != 0)
-    r.operator_age_ms = age_ms (state.operator_current_us, now_us);
-  answer->rows = encode_table (m, &q, &state, now_us, &r);
-  if (answer->rows == m->encoded)
-    memcpy (digest, m->encoded_digest, sizeof digest);
-  else
-    mirrorwire_digest (answer->rows, digest);
-  answer->head = mirrorwire_seal_reply (&r, digest, key);
-  met_add (MET_LIST_SERVED, 1);
-  return true;
-}
-
 /* --- lifecycle ------------------------------------------------------- */
 
 struct mirrorfeed *
@@ -1058,8 +805,7 @@
   struct mirrorfeed *m = g_new0 (struct mirrorfeed, 1);
 
   m->opts = *opts;
-  m->copies[FOLLOW_ENDPOINTS] = mirror_new (REMOVED_MAX);
-  m->copies[FOLLOW_OPERATOR] = mirror_new (REMOVED_MAX);
+  m->serve = opts->serve;
   m->sources = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   m->rand = g_rand_new_with_seed ((guint32)opts->seed);
   m->started_us = loop_now_us ();
@@ -1068,12 +814,6 @@
   return m;
 }
 
-void
-mirrorfeed_attach (struct mirrorfeed *m, const struct follow *f)
-{
-  m->follow = f;
-}
-
 void
 mirrorfeed_stop (struct mirrorfeed *m)
 {
@@ -1086,11 +826,8 @@
 {
   if (m == NULL)
     return;
-  mirror_free (m->copies[FOLLOW_ENDPOINTS]);
-  mirror_free (m->copies[FOLLOW_OPERATOR]);
   if (m->choice.order != NULL)
     g_array_free (m->choice.order, TRUE);
-  g_clear_pointer (&m->encoded, g_bytes_unref);
   g_hash_table_destroy (m->sources);
   g_rand_free (m->rand);
   g_free (m);
--- a/mirrorfeed.h
+++ b/mirrorfeed.h
@@ -1,8 +1,7 @@
 /*
  * Reads the platform's list of endpoints, the list of VMs and the operators'
- * rows from other VMs where
- * there are many, those of its failure domain if they are enough, and answers
- * such requests.
+ * rows from other VMs where there are many, those of its failure domain if
+ * they are enough.
  *
  * It stands between the followers and the platform's adapter and offers the
  * interface of the latter.  A client asks a reader, then the next one, then
@@ -17,7 +16,7 @@
 #include "loadgossip.h"
 #include "loop.h"
 #include "mirrorpick.h"
-#include "mirrorwire.h"
+#include "mirrorserve.h"
 
 enum mirror_ask_status
 {
@@ -52,9 +51,7 @@
   /* Append the other VMs to PEERS, as struct mirror_peer, with NEAR only those
      of this VM's failure domain; false while the roster is not known. */
   bool (*list_peers) (void *arg, bool near, GArray *peers);
-  /* Append the roster to ROWS, as struct roster_row, with this VM's row, and
-     return when it was current; 0 if it is not known. */
-  int64_t (*list_roster) (void *arg, GArray *rows);
+  struct mirrorserve *serve; /* what this VM knows; must outlive it */
   /* The key of the seals, or NULL while it is not known. */
   const uint8_t *(*seal_key) (void *arg);
   void *arg;     /* passed to the callbacks above */
@@ -63,31 +60,16 @@
 
 struct mirrorfeed;
 
-/* A reply to another VM. */
-struct mirror_answer
-{
-  GByteArray *head; /* sealed; the caller frees it */
-  GBytes *rows;     /* what follows it; the caller releases it */
-};
-
 struct mirrorfeed *mirrorfeed_new (const struct mirrorfeed_opts *opts);
-/* The state of F is what requests of other VMs are answered from. */
-void mirrorfeed_attach (struct mirrorfeed *m, const struct follow *f);
 void mirrorfeed_follow_ops (struct mirrorfeed *m, struct follow_ops *ops);
 void mirrorfeed_roster_ops (struct mirrorfeed *m, struct roster_ops *ops);
 /* For follow_opts; M is the argument. */
-void mirrorfeed_observe (void *m, enum follow_source source, bool full,
-                         const struct follow_reply *reply);
 bool mirrorfeed_is_reader (void *m, int64_t now_us);
 bool mirrorfeed_is_client (void *m, int64_t now_us);
-
 /* Age past which a client does not use a list where endpoints drain for
    DRAIN_MS. */
 int64_t mirrorfeed_max_age_us (int64_t drain_ms);
 
-/* Answers a request; returns false if DATA is not a valid one. */
-bool mirrorfeed_answer (struct mirrorfeed *m, const uint8_t *data, size_t len,
-                        int64_t now_us, struct mirror_answer *answer);
 /* Start no more calls. */
 void mirrorfeed_stop (struct mirrorfeed *m);
 void mirrorfeed_free (struct mirrorfeed *m);
--- a/mirrorhttp.c
+++ b/mirrorhttp.c
@@ -26,7 +26,7 @@
 
 struct mirrorhttp
 {
-  struct mirrorfeed *feed;        /* answers the requests */
+  struct mirrorserve *serve;      /* answers the requests */
   struct http_listener *listener; /* receives them */
   int large;                      /* large replies being sent */
   int large_max;                  /* most of them */
@@ -90,8 +90,8 @@
   struct mirror_answer a;
 
   if (r->excess == EXCESS_NONE
-      && mirrorfeed_answer (m->feed, (const uint8_t *)r->body->str,
-                            r->body->len, loop_now_us (), &a))
+      && mirrorserve_answer (m->serve, (const uint8_t *)r->body->str,
+                             r->body->len, loop_now_us (), &a))
     send_answer (r, &a);
   else
     req_respond (r, 403, NULL, "", 0);
@@ -103,13 +103,13 @@
 };
 
 struct mirrorhttp *
-mirrorhttp_open (struct worker *w, int listen_fd, struct mirrorfeed *feed,
+mirrorhttp_open (struct worker *w, int listen_fd, struct mirrorserve *serve,
                  int link_mbit_s)
 {
   struct mirrorhttp *m = g_new0 (struct mirrorhttp, 1);
   struct http_listener_opts o = { .ops = &listener_ops, .owner = m };
 
-  m->feed = feed;
+  m->serve = serve;
   m->large_max = CLAMP (link_mbit_s / LARGE_REPLY_MBIT_S, LARGE_REPLIES_MIN,
                         LARGE_REPLIES_MAX);
   o.close_from = PHASE_STOPPED;
--- a/mirrorhttp.h
+++ b/mirrorhttp.h
@@ -4,13 +4,15 @@
 
 #include "libserver.h"
 #include "mirrorfeed.h"
+#include "mirrorserve.h"
 
 struct mirrorhttp;
 
-/* Listens on LISTEN_FD, which the caller keeps, and answers from FEED over a
+/* Listens on LISTEN_FD, which the caller keeps, and answers from SERVE over a
    link of LINK_MBIT_S, 0 if unknown; returns NULL on failure. */
 struct mirrorhttp *mirrorhttp_open (struct worker *w, int listen_fd,
-                                    struct mirrorfeed *feed, int link_mbit_s);
+                                    struct mirrorserve *serve,
+                                    int link_mbit_s);
 void mirrorhttp_close (struct mirrorhttp *m);
 /* Fills OPS with the transport of requests to other VMs. */
 void mirrorhttp_ops (struct mirror_ops *ops, struct xfer_pool *pool);
--- a/regress/test-mirror.c
+++ b/regress/test-mirror.c
@@ -1,7 +1,7 @@
 /*
  * Unit tests of the lists that VMs read from each other: the copy of a table
  * (mirror.c), the choice of readers (mirrorpick.c), the encoding
- * (mirrorwire.c) and the calls (mirrorfeed.c).
+ * (mirrorwire.c), answers (mirrorserve.c) and calls (mirrorfeed.c).
  */
 #include <glib.h>
 #include <string.h>
@@ -192,7 +192,7 @@
 static void
 check_domain (int vms, int fast)
 {
-  g_autofree int *asked = g_new0 (int, (gsize)vms);
+  g_autofree int64_t *asked = g_new0 (int64_t, (gsize)vms);
   struct mirror_choice c = { 0 };
   char self[16];
   int i, readers = 0, slow_readers = 0;
@@ -212,7 +212,7 @@
   if (vms >= 12 && fast >= readers)
     g_assert_cmpint (slow_readers, ==, 0);
   for (i = 0; i < vms; i++)
-    g_assert_cmpint (asked[i], <=, 2 * 64);
+    g_assert_cmpint (asked[i], <=, INT64_C (2) * 64);
   g_array_free (c.order, TRUE);
 }
 
@@ -328,6 +328,7 @@
   struct fleet fleet;        /* state kept current */
   struct follow *follow;     /* follows the platform or other VMs */
   struct mirrorfeed *mirror; /* under test */
+  struct mirrorserve *serve; /* under test */
   bool is_silent;            /* it answers nobody */
   int64_t frozen_us;         /* its answers are so much older than they say */
 };
@@ -511,8 +512,8 @@
   struct mirror_answer a;
 
   if (!v->is_silent
-      && mirrorfeed_answer (v->mirror, p->request->data, p->request->len,
-                            loop_now_us () + v->frozen_us, &a))
+      && mirrorserve_answer (v->serve, p->request->data, p->request->len,
+                             loop_now_us () + v->frozen_us, &a))
     {
       g_byte_array_append (a.head, g_bytes_get_data (a.rows, NULL),
                            (guint)g_bytes_get_size (a.rows));
@@ -544,12 +545,20 @@
   loop_post (p->world->loop, &p->msg);
 }
 
+static void
+observe_reply (void *arg, enum follow_source source, bool full,
+               const struct follow_reply *reply)
+{
+  mirrorserve_observe (arg, source, full, reply);
+}
+
 static void
 start_vm (struct world *w, int i, struct platform_ctx *ctx)
 {
   struct simulated_vm *v = &w->vms[i];
   struct mirrorfeed_opts o = { .loop = w->loop, .seed = (uint64_t)i + 1 };
   struct follow_opts f = { .loop = w->loop, .seed = (uint64_t)i + 1 };
+  struct mirrorserve_opts serve = { .arg = v };
 
   v->world = w;
   g_snprintf (v->name, sizeof v->name, "%d", i);
@@ -567,20 +576,24 @@
   o.min_vms = 2;
   o.drain_ms = 5000;
   o.list_peers = test_peers;
-  o.list_roster = test_roster;
   o.seal_key = test_key;
   o.arg = v;
+  serve.list_roster = test_roster;
+  serve.seal_key = test_key;
+  v->serve = mirrorserve_new (&serve);
+  o.serve = v->serve;
   v->mirror = mirrorfeed_new (&o);
   mirrorfeed_follow_ops (v->mirror, &f.ops);
   f.fleet = &v->fleet;
   f.max_age_us = 4900 * MS;
-  f.observe = mirrorfeed_observe;
+  f.observe = observe_reply;
+  f.observe_arg = v->serve;
   f.is_reader = mirrorfeed_is_reader;
   f.is_client = mirrorfeed_is_client;
   f.list_max_age_us = mirrorfeed_max_age_us (5000);
   f.mirror_arg = v->mirror;
   v->follow = follow_new (&f);
-  mirrorfeed_attach (v->mirror, v->follow);
+  mirrorserve_attach (v->serve, v->follow);
 }
 
 static void
@@ -681,6 +694,7 @@
     {
       follow_free (w->vms[i].follow);
       mirrorfeed_free (w->vms[i].mirror);
+      mirrorserve_free (w->vms[i].serve);
       fleet_clear (&w->vms[i].fleet);
     }
   g_array_free (w->items, TRUE);
