Lists: a lost history is read again by one VM of a domain, and not without a pause

Cause: while the platform keeps no history, each poll ends so, and each VM reads all rows at once, polls, and reads again. With readers it would be 25 VMs in the same loop, some twenty configurations a second each.

Change: after the first loss, full reads of a source are a second apart, those of the operators' rows a quarter of the age that they may have, if that is less. A reader reads all rows from the readers that are preferred to it, and only the first one from the platform. Who knows all rows up to a version asks for what changed since, in place of all rows; a VM that does not remember removals so far back is asked again for all.

/follow/lost-again and /mirror/lost-history fail before (reads without a pause, without end).

--- a/follow.c
+++ b/follow.c
@@ -20,6 +20,11 @@
    more, and might be repeated immediately. */
 #define OPERATOR_WAIT_MIN_US (100 * CQ_US_PER_MS)
 #define ENDPOINTS_WAIT_US (2000 * CQ_US_PER_MS)
+/* Minimum interval between the starts of two full reads of a source whose
+   history is lost again and again: of the endpoints, and at most, of the
+   operators' rows, as a divisor of the age that they may have. */
+#define FULL_READ_INTERVAL_US (1000 * CQ_US_PER_MS)
+#define FULL_READ_AGE_DIVISOR 4
 /* Time that is left for polls of its own, before the settings are too old, to
    a VM whose settings other VMs confirm. */
 #define CLIENT_SPARE_US (1500 * CQ_US_PER_MS)
@@ -101,6 +106,8 @@
   int64_t newest_row; /* newest change that a reply held, or may have missed */
   int depth;          /* VMs between the platform and this one */
   int64_t sent_us;    /* when the call in progress was sent */
+  int64_t reread_us;  /* when the last full read after a lost history was
+                         sent; 0 for never */
   bool full_read;     /* that call reads the whole state */
   int64_t failing_us; /* calls have failed since then; 0 if they succeed */
   enum follow_status failure; /* status of the last failure that was logged */
@@ -436,6 +443,13 @@
       (gint64)first->row);
 }
 
+/* Whether a reply holds all rows. */
+static bool
+is_full (const struct stream *s, const struct follow_reply *n)
+{
+  return s->full_read && !n->changes_only;
+}
+
 /* Record the newest change.  A full read does not return rows that were
    removed, the newest of which may have any number up to its version. */
 static void
@@ -443,7 +457,7 @@
 {
   guint i;
 
-  if (s->full_read)
+  if (is_full (s, n))
     s->newest_row = n->version;
   for (i = 0; i < n->items->len; i++)
     s->newest_row = MAX (s->newest_row,
@@ -461,12 +475,12 @@
   for (i = 0; i < n->items->len; i++)
     apply_item (s, n, &g_array_index (n->items, struct follow_item, i),
                 now_us);
-  if (s->full_read && s->source == FOLLOW_ENDPOINTS)
+  if (is_full (s, n) && s->source == FOLLOW_ENDPOINTS)
     {
       remove_unlisted_endpoints (f, n, now_us);
       f->listed = true;
     }
-  if (s->full_read && s->source == FOLLOW_OPERATOR)
+  if (is_full (s, n) && s->source == FOLLOW_OPERATOR)
     end_unlisted_evacuations (f, n, now_us);
   if (s->source == FOLLOW_OPERATOR)
     {
@@ -589,6 +603,7 @@
           f->streams[i].synced = false;
           f->streams[i].current_us = 0;
           f->streams[i].newest_row = 0;
+          f->streams[i].reread_us = 0;
         }
     }
   f->era = era;
@@ -718,6 +733,25 @@
     loop_arm (f->opts.loop, &s->timer, s->sent_us + interval);
 }
 
+/* The history is lost.  While the platform keeps none, each poll ends so, and
+   reading all again and again would load its link, and this VM's. */
+static void
+schedule_full_read (struct stream *s, int64_t now_us)
+{
+  int64_t interval = FULL_READ_INTERVAL_US;
+  int64_t due;
+
+  if (s->source == FOLLOW_OPERATOR)
+    interval
+        = MIN (interval, s->follow->opts.max_age_us / FULL_READ_AGE_DIVISOR);
+  due = s->reread_us + interval;
+  s->reread_us = MAX (now_us, due);
+  if (now_us >= due)
+    start_call (s, now_us);
+  else
+    loop_arm (s->follow->opts.loop, &s->timer, due);
+}
+
 static void
 on_reply (void *arg, const struct follow_reply *n)
 {
@@ -733,7 +767,7 @@
       if (n->era > f->era)
         begin_era (f, n->era, now);
       s->synced = false;
-      start_call (s, now);
+      schedule_full_read (s, now);
       return;
     }
   if (n->status != FOLLOW_OK)
@@ -750,7 +784,7 @@
   handle_success (s, now);
   apply_reply (s, n, now);
   if (f->opts.observe != NULL)
-    f->opts.observe (f->opts.observe_arg, s->source, s->full_read, n);
+    f->opts.observe (f->opts.observe_arg, s->source, is_full (s, n), n);
   confirm_operator (f, n, now);
   if (f->opts.on_change != NULL)
     f->opts.on_change (f->opts.arg, now);
--- a/follow.h
+++ b/follow.h
@@ -85,7 +85,9 @@
   GArray *items;       /* struct follow_item */
   /* Another VM sent the reply, and what follows is set. */
   bool relayed;
-  int depth;          /* VMs between the platform and this one */
+  bool changes_only; /* in place of a full read: what changed since the version
+                        that is known here */
+  int depth;         /* VMs between the platform and this one */
   int64_t current_us; /* its content was current at this time or later */
   /* That VM also reported up to which version it knows all changes of the
      operators, when it was known to be current, and the newest change. */
--- a/mirrorfeed.c
+++ b/mirrorfeed.c
@@ -87,16 +87,18 @@
 /* A call of a follower, or a read of the roster, in progress. */
 struct call
 {
-  struct mirrorfeed *feed;     /* owner */
-  enum mirror_table table;     /* table that is read */
-  bool full;                   /* all rows, not changes */
-  int64_t version;             /* changes after it */
-  int64_t wait_us;             /* of a poll of the platform */
+  struct mirrorfeed *feed; /* owner */
+  enum mirror_table table; /* table that is read */
+  bool full;               /* all rows, not changes */
+  int64_t version;         /* changes after it */
+  bool changes_only; /* in place of all rows, changes after what is known */
+  int64_t wait_us;   /* of a poll of the platform */
   struct follow_limits limits; /* of a call to the platform */
   follow_done done;            /* callback of a follower */
   roster_done roster;          /* or of a read of the roster */
   void *arg;                   /* passed to the callback */
   guint next;                  /* place in the order of the next VM to ask */
+  guint last;                  /* end of those that may be asked */
   int asked;                   /* VMs asked so far */
   int deferred;            /* of these, how many the platform serves no more */
   struct mirror_peer peer; /* VM that is being asked */
@@ -308,11 +310,12 @@
 {
   struct mirrorfeed *m = c->feed;
   bool starting = now_us - m->started_us < PEERS_WAIT_US;
+  /* Others rely on a reader, and of the operators' rows this VM must not know
+     less than the platform offers. */
+  bool is_urgent
+      = m->choice.role == MIRROR_READER || c->table == MIRROR_OPERATOR;
 
-  /* Of the operators' rows this VM must not know less than the platform
-     offers. */
-  if (c->deferred > 0 && now_us < m->direct_us
-      && (starting || c->table != MIRROR_OPERATOR))
+  if (c->deferred > 0 && now_us < m->direct_us && (starting || !is_urgent))
     {
       finish_without_rows (c, FOLLOW_STALE, 0);
       return;
@@ -407,6 +410,7 @@
   n.bytes = (int64_t)len;
   n.received_us = loop_now_us ();
   n.relayed = true;
+  n.changes_only = c->full && c->changes_only;
   n.depth = r->depth;
   n.current_us = c->asked_us - r->age_ms * CQ_US_PER_MS;
   n.operator_known = r->operator_age_ms >= 0;
@@ -542,6 +546,13 @@
       source_stale (c, &r, now);
       ask_next (c);
     }
+  else if (r.status == MIRROR_HISTORY_LOST && c->full)
+    {
+      /* The same VM is asked again, for all rows. */
+      c->changes_only = false;
+      c->next--;
+      ask_next (c);
+    }
   else if (r.status == MIRROR_HISTORY_LOST)
     finish_without_rows (c, FOLLOW_HISTORY_LOST, r.era);
   else if (!finish_with_rows (c, &r, rows, len - (size_t)(rows - data)))
@@ -561,7 +572,8 @@
   const GArray *order = c->feed->choice.order;
   const struct source *s;
 
-  while (order != NULL && c->next < order->len && c->asked < ASKED_MAX)
+  while (order != NULL && c->next < MIN (order->len, c->last)
+         && c->asked < ASKED_MAX)
     {
       c->peer = g_array_index (order, struct mirror_peer, c->next++);
       s = g_hash_table_lookup (c->feed->sources, c->peer.vm);
@@ -582,7 +594,7 @@
   randombytes_buf (c->nonce, sizeof c->nonce);
   memcpy (r.nonce, c->nonce, sizeof r.nonce);
   r.era = mirrorserve_era (m->serve);
-  r.since = c->full ? 0 : c->version;
+  r.since = c->full && !c->changes_only ? 0 : c->version;
   request = mirrorwire_seal_request (&r, key);
   c->asked++;
   c->asked_us = loop_now_us ();
@@ -632,6 +644,33 @@
              || m->choice.role == MIRROR_CLIENT);
 }
 
+/* If all rows are to be read, though this VM knows them up to a version, the
+   changes after it will do for a VM that remembers them. */
+static void
+ask_for_rows (struct call *c)
+{
+  const struct mirrorserve *known = c->feed->serve;
+
+  if (c->full && c->table != MIRROR_ROSTER
+      && mirrorserve_is_complete (known, source_table (c)))
+    {
+      c->version = mirrorserve_version (known, source_table (c));
+      c->changes_only = true;
+    }
+  ask_next (c);
+}
+
+/* A reader reads all rows from the readers before it, so that only one of them
+   loads the platform when the history is lost. */
+static bool
+may_ask_readers (struct call *c, enum mirror_role role)
+{
+  if (role != MIRROR_READER || !c->full || !is_key_known (c->feed))
+    return false;
+  c->last = (guint)c->feed->choice.earlier;
+  return c->last > 0;
+}
+
 /* Starts the call as the role of this VM requires. */
 static void
 route_call (struct call *c)
@@ -642,8 +681,8 @@
 
   if (m->stopped)
     finish_without_rows (c, FOLLOW_NO_REPLY, 0);
-  else if (role == MIRROR_CLIENT && may_ask (c))
-    ask_next (c);
+  else if ((role == MIRROR_CLIENT && may_ask (c)) || may_ask_readers (c, role))
+    ask_for_rows (c);
   else if (may_wait (c, now))
     loop_arm (m->opts.loop, &c->timer, now + PEERS_CHECK_US);
   else
@@ -665,6 +704,7 @@
   c->feed = m;
   c->table = table;
   c->full = full;
+  c->last = G_MAXUINT;
   c->arg = arg;
   c->timer.fire = on_check;
   c->timer.arg = c;
--- a/mirrorpick.c
+++ b/mirrorpick.c
@@ -121,7 +121,9 @@
   if (choice->order == NULL)
     choice->order = g_array_new (FALSE, TRUE, sizeof (struct mirror_peer));
   g_array_set_size (choice->order, 0);
-  append_shuffled (choice->order, all, 0, readers, self);
+  choice->earlier = choice->role == MIRROR_READER ? choice->rank : 0;
+  append_shuffled (choice->order, all, 0, (guint)choice->earlier, self);
+  append_shuffled (choice->order, all, (guint)choice->earlier, readers, self);
   append_shuffled (choice->order, all, readers, 2 * readers, self);
   append_shuffled (choice->order, all, 2 * readers, all->len, self);
   if (choice->order->len > 2 * readers + OTHERS_MAX)
--- a/mirrorpick.h
+++ b/mirrorpick.h
@@ -35,6 +35,7 @@
   int vms;       /* VMs of the failure domain, with this one */
   int readers;   /* how many of them read */
   int rank;      /* VMs that are preferred as readers before this one */
+  int earlier;   /* of a reader: how many at the start of order are these */
   GArray *order; /* struct mirror_peer: whom a client asks, in this order */
 };
 
--- a/mirrorserve.c
+++ b/mirrorserve.c
@@ -300,6 +300,13 @@
   return mirror_version (m->copies[source]);
 }
 
+bool
+mirrorserve_is_complete (const struct mirrorserve *m,
+                         enum follow_source source)
+{
+  return mirror_is_complete (m->copies[source]);
+}
+
 int64_t
 mirrorserve_era (const struct mirrorserve *m)
 {
--- a/mirrorserve.h
+++ b/mirrorserve.h
@@ -37,6 +37,9 @@
 int64_t mirrorserve_version (const struct mirrorserve *m,
                              enum follow_source source);
 int64_t mirrorserve_era (const struct mirrorserve *m);
+/* Whether the copy of SOURCE is complete. */
+bool mirrorserve_is_complete (const struct mirrorserve *m,
+                              enum follow_source source);
 /* Answers a request; returns false if DATA is not a valid one. */
 bool mirrorserve_answer (struct mirrorserve *m, const uint8_t *data,
                          size_t len, int64_t now_us,
--- a/regress/test-follow.c
+++ b/regress/test-follow.c
@@ -632,7 +632,33 @@
   g_assert_cmpint (least, <, 9);
 }
 
+/* Guards against full reads without a pause while the platform keeps no
+   history: each poll ends so, and thousands of rows would be read again and
+   again.  The first loss is followed by a read at once. */
+static void
+test_lost_again (void)
+{
+  static const char *const one[] = { "a", NULL };
+  struct source *p = source_new ();
+  int64_t began = loop_now_us ();
+
+  send_reply (p, FOLLOW_ENDPOINTS, FOLLOW_OK, 10, endpoint_items (one, false));
+  send_reply (p, FOLLOW_ENDPOINTS, FOLLOW_HISTORY_LOST, 0, NULL);
+  g_assert_true (p->reading[FOLLOW_ENDPOINTS]);
+  send_reply (p, FOLLOW_ENDPOINTS, FOLLOW_OK, 11, endpoint_items (one, false));
+  g_assert_false (p->reading[FOLLOW_ENDPOINTS]);
+  send_reply (p, FOLLOW_ENDPOINTS, FOLLOW_HISTORY_LOST, 0, NULL);
+  g_assert_false (p->reading[FOLLOW_ENDPOINTS]);
+  p->stop_at_call = true;
+  loop_run (p->loop);
+  g_assert_true (p->reading[FOLLOW_ENDPOINTS]);
+  g_assert_cmpint (loop_now_us () - began, >=, 990 * MS);
+  g_assert_cmpint (loop_now_us () - began, <, 1900 * MS);
+  source_free (p);
+}
+
 const struct unit follow_units[] = {
+  { "/follow/lost-again", test_lost_again },
   { "/follow/long-list", test_long_list },
   { "/follow/older-copy", test_older_copy },
   { "/follow/older-copy-far-back", test_older_copy_far_back },
--- a/regress/test-mirror.c
+++ b/regress/test-mirror.c
@@ -341,6 +341,7 @@
   int reads, polls;             /* of the list, on the platform */
   int operator_polls[VMS];      /* for the operators' changes */
   bool down;                    /* the platform refuses all calls */
+  bool is_history_lost;         /* polls of the list end so */
   bool hide_peers;              /* nobody knows other VMs */
   GArray *items;                /* the list on the platform */
   int64_t version;              /* newest change */
@@ -365,6 +366,8 @@
       = g_array_new (FALSE, TRUE, sizeof (struct follow_item));
   guint i;
 
+  if (w->is_history_lost && !full && !w->down)
+    n.status = FOLLOW_HISTORY_LOST;
   n.items = items;
   n.version = w->version;
   n.era = 1;
@@ -850,7 +853,40 @@
   world_clear (&w);
 }
 
+/*
+ * Guards against a platform that all VMs read as a whole, again and again,
+ * while it keeps no history.  Only the first reader does, and once a second;
+ * the others learn of changes and removals from it.
+ */
+static void
+test_lost_history (void)
+{
+  struct platform_ctx ctx[VMS];
+  struct world w;
+  int reads, i;
+
+  world_init (&w, ctx);
+  on_operator_timer (&w, loop_now_us ());
+  world_start (&w, 0, VMS);
+  run_for (&w, 2500 * MS);
+  w.is_history_lost = true;
+  run_for (&w, 2500 * MS);
+  reads = w.reads;
+  add_item (&w, FOLLOW_ITEM_ENDPOINT, "b");
+  g_array_index (w.items, struct follow_item, 0).kind
+      = FOLLOW_ITEM_ENDPOINT_REMOVED;
+  run_for (&w, 4000 * MS);
+  for (i = 0; i < VMS; i++)
+    {
+      g_assert_true (knows (&w, i, "b"));
+      g_assert_false (knows (&w, i, "a"));
+    }
+  g_assert_cmpint (w.reads - reads, <=, 5);
+  world_clear (&w);
+}
+
 const struct unit mirror_units[] = {
+  { "/mirror/lost-history", test_lost_history },
   { "/mirror/differential", test_differential },
   { "/mirror/removed-stays", test_removed_stays },
   { "/mirror/readers", test_readers },
