--- a/follow.c
+++ b/follow.c
@@ -558,17 +558,17 @@
 follow_get_state (const struct follow *f, struct follow_state *state)
 {
   const struct stream *list = &f->streams[FOLLOW_ENDPOINTS];
-  const struct stream *operator= & f->streams[FOLLOW_OPERATOR];
+  const struct stream *settings = &f->streams[FOLLOW_OPERATOR];
 
   memset (state, 0, sizeof *state);
   state->era = f->era;
   if (list->era == f->era)
     state->list_current_us = list->current_us;
   state->list_depth = list->depth;
-  if (!operator->synced || operator->era != f->era)
+  if (!settings->synced || settings->era != f->era)
     return;
-  state->operator_row = operator->newest_row;
-  state->operator_version = operator->version;
+  state->operator_row = settings->newest_row;
+  state->operator_version = settings->version;
   state->operator_current_us = f->opts.fleet->conf_current_us;
 }
 
