Test: a VM opens four listeners

logstall waits until all listeners of a VM are in its log before it looks for the addresses of two of them. With the one for other VMs' requests there are four; three were waited for exactly, so the test timed out.

--- a/regress/logstall.sh
+++ b/regress/logstall.sh
@@ -17,7 +17,7 @@
 pid_a=$!
 listens() {
 	dd bs=65536 count=1 iflag=nonblock <"$tmp/log" 2>/dev/null >>"$tmp/seen"
-	[ "$(grep -c event=listen "$tmp/seen")" = 3 ]
+	[ "$(grep -c event=listen "$tmp/seen")" = 4 ]
 }
 wait_for listens
 front_a=$(sed -n 's/.*event=listen address=\([^ ]*\).*/\1/p' "$tmp/seen" | sed -n 2p)
