Load decisions: interfaces and settings of the parts

Cause: each VM detects failed and slow endpoints by itself, and an overload by one route refuses all routes alike. No decision changes.

--- a/entry.c
+++ b/entry.c
@@ -371,6 +371,9 @@
   o.domain = vm->domain;
   o.key_max_age_us = e->cfg->revoke_ms * CQ_US_PER_MS - REVOCATION_MARGIN_US;
   o.denial_max_age_us = denial_max_age_us (e->cfg);
+  o.route_shares = e->cfg->route_shares;
+  o.share_reports = e->cfg->share_reports;
+  o.plan_returns = e->cfg->plan_returns;
   o.retry_percent = (int)e->cfg->retry_percent;
   o.retry_burst = (int)e->cfg->retry_burst;
   o.stream_buffer = (size_t)vm->stream_buffer_kb * 1024;
--- a/load.h
+++ b/load.h
@@ -30,6 +30,30 @@
   int64_t shared_kv_tokens;              /* KV cache of what is shared */
 };
 
+/* What a VM observed of an endpoint. */
+enum load_seen
+{
+  LOAD_SEEN_ANSWERED,    /* it answered a request or a probe */
+  LOAD_SEEN_UNREACHABLE, /* no connection within the time allowed */
+  LOAD_SEEN_REFUSED,     /* nothing listens at its address */
+  LOAD_SEEN_FAILED       /* it broke off, or answered with an error of its
+                            own */
+};
+
+#define LOAD_REPORTS_MAX 24 /* of one message */
+
+/* A VM's newest observation of an endpoint. */
+struct endpoint_report
+{
+  uint64_t endpoint;   /* key of the endpoint's incarnation */
+  enum load_seen seen; /* what was observed */
+  int64_t age_us;      /* age of the observation when the message is sent */
+  int running;         /* requests running there, -1 if not reported */
+  int waiting;         /* requests waiting there */
+  int speed_percent;   /* time that work takes there, 100 is normal; 0 if not
+                          reported */
+};
+
 /* Load at an endpoint. */
 struct load_sum
 {
@@ -49,6 +73,9 @@
   int nentries;              /* entries below */
   struct load_entry entries[LOAD_ENTRIES_MAX]; /* load by endpoint and shared
                                                   part */
+  int nreports;                                /* reports below */
+  struct endpoint_report
+      reports[LOAD_REPORTS_MAX]; /* observations of the VM */
 };
 
 struct load_table;
--- a/relay.h
+++ b/relay.h
@@ -197,6 +197,9 @@
   const char *domain;        /* failure domain of this VM */
   int64_t key_max_age_us;    /* older settings: keys are not trusted */
   int64_t denial_max_age_us; /* older settings: nothing is denied for good */
+  bool route_shares;         /* admitted work is shared among routes */
+  bool share_reports;        /* endpoints are judged by other VMs' reports */
+  bool plan_returns;         /* refused callers return when there is room */
   int retry_percent;         /* retries, as a percentage of requests */
   int retry_burst;           /* retries available at the start */
   size_t stream_buffer;      /* bytes buffered for a slow reader */
--- a/settings_gen.c
+++ b/settings_gen.c
@@ -149,6 +149,19 @@
     NULL,
     "Region of each failure domain, DOMAIN=REGION parted by spaces; a request "
     "that is bound to regions uses no domain that is not named." },
+  { "route_shares", CFG_BOOL, offsetof (struct cfg_entry, route_shares), "no",
+    0, 0, NULL,
+    "Whether an overloaded service is shared fairly among its routes, and a "
+    "workspace's priority is compared before the route's instead of replacing "
+    "it." },
+  { "share_reports", CFG_BOOL, offsetof (struct cfg_entry, share_reports),
+    "no", 0, 0, NULL,
+    "Whether VMs send each other sealed reports of the endpoints that they "
+    "use." },
+  { "plan_returns", CFG_BOOL, offsetof (struct cfg_entry, plan_returns), "no",
+    0, 0, NULL,
+    "Whether refused callers are told to return when there is room, and are "
+    "then admitted before new ones of their urgency." },
   { "retry_percent", CFG_INT, offsetof (struct cfg_entry, retry_percent), "10",
     0, 100, NULL,
     "Requests sent to a second endpoint, as a share of a service's "
@@ -296,7 +309,7 @@
     "This VM and its place." },
   { "platform", false, keys_platform, 8, sizeof (struct cfg_platform),
     "The platform's services." },
-  { "entry", false, keys_entry, 18, sizeof (struct cfg_entry),
+  { "entry", false, keys_entry, 21, sizeof (struct cfg_entry),
     "Requests that come through a platform's balancer." },
   { "workspace", true, keys_workspace, 9, sizeof (struct cfg_workspace),
     "A customer of the system." },
--- a/settings_gen.h
+++ b/settings_gen.h
@@ -111,9 +111,17 @@
                            out. */
   int64_t weigh_parts;  /* For experiments: the same of kept parts to be had at
                            the prompt's own endpoint. */
-  char *regions; /* Region of each failure domain, DOMAIN=REGION parted by
-                    spaces; a request that is bound to regions uses no domain
-                    that is not named. */
+  char *regions;      /* Region of each failure domain, DOMAIN=REGION parted by
+                         spaces; a request that is bound to regions uses no domain
+                         that is not named. */
+  bool route_shares;  /* Whether an overloaded service is shared fairly among
+                         its routes, and a workspace's priority is compared
+                         before the route's instead of replacing it. */
+  bool share_reports; /* Whether VMs send each other sealed reports of the
+                         endpoints that they use. */
+  bool plan_returns;  /* Whether refused callers are told to return when there
+                         is room, and are then admitted before new ones of their
+                         urgency. */
   int64_t retry_percent; /* Requests sent to a second endpoint, as a share of a
                             service's requests. */
   int64_t retry_burst;   /* Such requests allowed before any were earned. */
