Tests: a burst of one route during a failure, in simulated time

Cause: no test runs several routes of one service through the admission control. Change: regress/burst drives the relay's admission with callers that retry, 8 VMs and 16 endpoints with slots and KV memory. Long prompts arrive 2.4 times as often for 6 s while a quarter of the endpoints is gone. It prints what callers of each route get under the old rule and the new one, also with one workspace ten times as loud as the others.

--- a/Makefile
+++ b/Makefile
@@ -87,6 +87,11 @@
 regress/model: $(MODEL) met.o librelay.a libdecide.a
 	$(CC) $(CFLAGS) -o $@ $(MODEL) librelay.a met.o libdecide.a $(LIBS)
 
+# Admission of several routes in simulated time.
+regress/burst: regress/burst.o librelay.a log.o met.o loop.o libdecide.a
+	$(CC) $(CFLAGS) -o $@ regress/burst.o librelay.a log.o met.o loop.o \
+		xfer.o fetch.o peer_xdr.o libwire.a libdecide.a $(LIBS)
+
 bench/load: bench/load.o loop.o xfer.o stall.o
 	$(CC) $(CFLAGS) -o $@ bench/load.o loop.o xfer.o stall.o $(LIBS)
 
@@ -102,7 +107,7 @@
 	$(CC) $(CFLAGS) -o $@ bench/slopes.o libsettings.a libdecide.a $(LIBS)
 
 tests: camphorquay regress/fake regress/drive regress/check regress/test-units \
-	regress/model bench/load
+	regress/model regress/burst bench/load
 
 # The same sources with the sanitizers, in a directory of their own.
 SANITIZE = -O1 -g -fno-omit-frame-pointer -fsanitize=address,undefined \
@@ -147,7 +152,7 @@
 clean:
 	rm -f *.o *.d *.a platform/*.o platform/*.d regress/*.o regress/*.d bench/*.o bench/*.d \
 		camphorquay regress/fake regress/drive regress/check regress/test-units \
-		regress/model bench/load bench/rows bench/slopes regress/fuzz-input
+		regress/model regress/burst bench/load bench/rows bench/slopes regress/fuzz-input
 	rm -rf build-asan
 
 
