--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 ALL_CFLAGS = $(STD) $(CFLAGS) $(LIB_CFLAGS) -MMD -MP
 
 # Deciding: pure, no I/O, no locks, no clock.
-DECIDE = out.o budget.o share.o admit.o lim.o fq.o claim.o pfx.o route.o \
+DECIDE = out.o budget.o share.o routeshare.o admit.o lim.o fq.o claim.o pfx.o route.o \
 	dir.o link.o plan.o keep.o memb.o stall.o fresh.o
 # Reading what callers and engines send: pure.
 WIRE = prompt.o strm.o
@@ -72,7 +72,7 @@
 	regress/test-parts.o regress/test-xfer.o regress/test-share.o \
 	regress/test-headers.o regress/test-fresh.o regress/test-steps.o \
 	regress/test-incarnations.o regress/test-load.o regress/test-admit.o \
-	regress/test-quar.o regress/test-cold.o regress/test-limit.o regress/test-notice.o regress/test-regions.o regress/test-evac.o regress/test-relayquar.o regress/test-mirror.o regress/relayharness.o
+	regress/test-quar.o regress/test-cold.o regress/test-limit.o regress/test-notice.o regress/test-regions.o regress/test-evac.o regress/test-relayquar.o regress/test-mirror.o regress/test-routeshare.o regress/relayharness.o
 
 regress/test-units: $(UNITS) libplatform.a librelay.a libserver.a libwire.a libdecide.a
 	$(CC) $(CFLAGS) -o $@ $(UNITS) libplatform.a librelay.a log.o met.o loop.o xfer.o fetch.o peer_xdr.o \
@@ -87,6 +87,11 @@
 regress/model: $(MODEL) met.o librelay.a libdecide.a
 	$(CC) $(CFLAGS) -o $@ $(MODEL) librelay.a met.o libdecide.a $(LIBS)
 
+# Admission of several routes in simulated time.
+regress/burst: regress/burst.o librelay.a log.o met.o loop.o libdecide.a
+	$(CC) $(CFLAGS) -o $@ regress/burst.o librelay.a log.o met.o loop.o \
+		xfer.o fetch.o peer_xdr.o libwire.a libdecide.a $(LIBS)
+
 bench/load: bench/load.o loop.o xfer.o stall.o
 	$(CC) $(CFLAGS) -o $@ bench/load.o loop.o xfer.o stall.o $(LIBS)
 
@@ -102,7 +107,7 @@
 	$(CC) $(CFLAGS) -o $@ bench/slopes.o libsettings.a libdecide.a $(LIBS)
 
 tests: camphorquay regress/fake regress/drive regress/check regress/test-units \
-	regress/model bench/load
+	regress/model regress/burst bench/load
 
 # The same sources with the sanitizers, in a directory of their own.
 SANITIZE = -O1 -g -fno-omit-frame-pointer -fsanitize=address,undefined \
@@ -147,7 +152,7 @@
 clean:
 	rm -f *.o *.d *.a platform/*.o platform/*.d regress/*.o regress/*.d bench/*.o bench/*.d \
 		camphorquay regress/fake regress/drive regress/check regress/test-units \
-		regress/model bench/load bench/rows bench/slopes regress/fuzz-input
+		regress/model regress/burst bench/load bench/rows bench/slopes regress/fuzz-input
 	rm -rf build-asan
 
 
