Admission: the queue target follows from latency targets

Cause: a queue of 0.75 of the running requests counted as normal. Where runs take 0.7 s on average and latency targets are 250 to 1,000 ms, every request in such a queue is late. Change: the target is the part of a run that makes up half of the mean latency target, 100 to 750 permille; off without route_shares. The expected wait limits the work again, and a route within its share is admitted in full.

--- a/admit.c
+++ b/admit.c
@@ -26,6 +26,14 @@
    runs: a new request waits for a fraction of one run, and a freed slot is
    taken at once. */
 #define QUEUE_TARGET_PERMILLE 750
+/* Shortest target that follows from the latency targets: with less, freed
+   slots stay empty until the next request arrives. */
+#define QUEUE_TARGET_MIN_PERMILLE 100
+/* Part of its latency target that a request may spend in the queue; the rest
+   is for its prompt. */
+#define QUEUE_TIME_PERCENT 50
+/* With each run, the averages of runs move by this part of the difference. */
+#define RUN_EWMA_DIVISOR 64
 /* Upper bound of the pressure of one answer, in permille of the target: one
    slow endpoint must not dominate the mean. */
 #define PRESSURE_MAX_PERMILLE INT64_C (4000)
@@ -113,11 +121,40 @@
   a->pressure_sum = 0;
 }
 
+void
+admit_add_run (struct admit *a, int64_t run_us, int64_t target_us)
+{
+  if (a->target_us == 0)
+    {
+      a->run_us = run_us;
+      a->target_us = target_us;
+    }
+  a->run_us += (run_us - a->run_us) / RUN_EWMA_DIVISOR;
+  a->target_us += (target_us - a->target_us) / RUN_EWMA_DIVISOR;
+}
+
+/*
+ * A request that arrives at an endpoint with as many requests in its queue as
+ * it runs waits for about one run.  So the target is the part of a run that a
+ * request may wait.  Where runs take longer than the latency targets, the
+ * fixed target keeps a queue in which every request is late.
+ */
+int
+admit_queue_target_permille (const struct admit *a)
+{
+  int64_t target = a->target_us * QUEUE_TIME_PERCENT / 100;
+
+  if (target <= 0 || a->run_us <= 0)
+    return QUEUE_TARGET_PERMILLE;
+  return (int)CLAMP (target * CQ_PERMILLE / a->run_us,
+                     QUEUE_TARGET_MIN_PERMILLE, QUEUE_TARGET_PERMILLE);
+}
+
 /* The time to the first chunk counts in full only if requests are queued at
    the endpoint.  Otherwise refusing requests would not have made the answer
    faster: the pressure is at most half the target, and the share rises. */
 static int64_t
-pressure_of (const struct admit_sample *sample)
+pressure_of (const struct admit *a, const struct admit_sample *sample)
 {
   int64_t queue, wait = 0;
 
@@ -128,7 +165,7 @@
   if (sample->waiting == 0)
     return MIN (wait, CQ_PERMILLE) / 2;
   queue = (int64_t)sample->waiting * CQ_PERMILLE / MAX (sample->running, 1);
-  return MAX (wait, queue * CQ_PERMILLE / QUEUE_TARGET_PERMILLE);
+  return MAX (wait, queue * CQ_PERMILLE / admit_queue_target_permille (a));
 }
 
 void
@@ -143,7 +180,7 @@
     }
   a->answered_us = now_us;
   a->answers++;
-  a->pressure_sum += MIN (pressure_of (sample), PRESSURE_MAX_PERMILLE);
+  a->pressure_sum += MIN (pressure_of (a, sample), PRESSURE_MAX_PERMILLE);
   if (now_us - a->step_us < STEP_US)
     return;
   step (a);
--- a/decide.h
+++ b/decide.h
@@ -148,6 +148,8 @@
   int64_t pressure_sum; /* sum over these answers, in permille of the target */
   int64_t demand[ADMIT_RANKS]; /* work requested by rank, decayed over time */
   int64_t decayed_us;          /* time of the last decay */
+  int64_t run_us;    /* average time from a run's first chunk to its end */
+  int64_t target_us; /* average latency target of these runs, 0 if unknown */
 };
 
 /* What one answer shows about the load of its endpoint. */
@@ -162,6 +164,12 @@
 void admit_init (struct admit *a);
 void admit_add_sample (struct admit *a, const struct admit_sample *sample,
                        int64_t now_us);
+/* A run ended RUN_US after its first chunk; TARGET_US is the latency target of
+   its route, not 0.  The target length of queues follows from the averages. */
+void admit_add_run (struct admit *a, int64_t run_us, int64_t target_us);
+/* Target queue length of an endpoint, in permille of the requests that it
+   runs. */
+int admit_queue_target_permille (const struct admit *a);
 /* Permille of the demand to admit. */
 int admit_permille (const struct admit *a, int64_t now_us);
 /* Whether a caller with LEFT_US until its deadline has probably been refused
--- a/librelay.h
+++ b/librelay.h
@@ -133,6 +133,8 @@
 /* Record how long R waited, once the first chunk of its stream arrived or its
    caller hung up before that. */
 void relay_record_wait (struct relay *r, int64_t now_us);
+/* Record how long the run of R's stream took, which is complete. */
+void relay_record_run (struct relay *r, int64_t now_us);
 /* Report that R's work at its endpoint changed. */
 void relay_notify_work (struct relay *r, int64_t now_us);
 /* The endpoint has processed R's prompt, or will not do so any more. */
--- a/regress/burst.c
+++ b/regress/burst.c
@@ -260,6 +260,10 @@
         }
       if (w->now_ms < a->end_ms)
         continue;
+      if (w->rule->route_shares)
+        admit_add_run (&w->vms[a->vm].service.admit,
+                       (a->end_ms - a->first_ms) * MS,
+                       w->routes[a->route].target_latency_us);
       p->kv_tokens -= a->tokens;
       *a = p->running[--p->nrunning];
     }
--- a/regress/test-admit.c
+++ b/regress/test-admit.c
@@ -354,6 +354,45 @@
   g_assert_cmpint (admit_rank (0, true), >, admit_rank (9, false));
 }
 
+/* Admitted share after three seconds of answers from endpoints that run 12
+   requests and queue 4. */
+static int
+share_with_queue (struct admit *a)
+{
+  struct admit_sample seen = { .running = 12, .waiting = 4 };
+  int i;
+
+  for (i = 0; i < 300; i++)
+    admit_add_sample (a, &seen, i * 10 * MS);
+  return admit_permille (a, 3000 * MS);
+}
+
+/* Guards against a standing queue in which each request is late: with runs of
+   one second and a target of 250 ms, a queue of a third of the running
+   requests takes longer than the target.  With runs of 100 ms it is
+   harmless. */
+static void
+test_queue_target (void)
+{
+  struct admit fixed, slow, fast;
+  int i;
+
+  admit_init (&fixed);
+  admit_init (&slow);
+  admit_init (&fast);
+  for (i = 0; i < 1000; i++)
+    {
+      admit_add_run (&slow, 1000 * MS, 250 * MS);
+      admit_add_run (&fast, 100 * MS, 250 * MS);
+    }
+  g_assert_cmpint (admit_queue_target_permille (&slow), ==, 125);
+  g_assert_cmpint (admit_queue_target_permille (&fast), ==,
+                   admit_queue_target_permille (&fixed));
+  g_assert_cmpint (share_with_queue (&fixed), ==, CQ_PERMILLE);
+  g_assert_cmpint (share_with_queue (&fast), ==, CQ_PERMILLE);
+  g_assert_cmpint (share_with_queue (&slow), <, CQ_PERMILLE / 2);
+}
+
 const struct unit admit_units[] = {
   { "/admit/overload", test_overload },
   { "/admit/busy", test_busy },
@@ -363,5 +402,6 @@
   { "/admit/one-behind", test_one_behind },
   { "/admit/urgent-first", test_urgent_first },
   { "/admit/returned", test_returned },
+  { "/admit/queue-target", test_queue_target },
   { NULL, NULL },
 };
--- a/relayadmit.c
+++ b/relayadmit.c
@@ -131,6 +131,15 @@
   log_admission (r, now_us);
 }
 
+void
+relay_record_run (struct relay *r, int64_t now_us)
+{
+  if (r->rs->opts.route_shares && r->first_chunk_us != 0
+      && r->route->target_latency_us > 0)
+    admit_add_run (&r->service_state->admit, now_us - r->first_chunk_us,
+                   r->route->target_latency_us);
+}
+
 /* --- the admitted share ----------------------------------------------- */
 
 /* How long a caller waits for the first chunk of a stream before it gives up.
@@ -147,52 +156,58 @@
   return p;
 }
 
-/* Permille of the requests of R's route to admit. */
+/* Permille of the service's work to admit, given the queues of endpoints and a
+   first chunk of R that is expected after WAIT_US. */
 static int
-route_share (const struct relay *r, int64_t now_us)
+work_share (const struct relay *r, int64_t wait_us, int64_t now_us)
 {
-  const struct relay_service *s = r->service_state;
+  int64_t acceptable_us = patience_us (r) / PATIENCE_DIVISOR;
+  int keep = admit_permille (&r->service_state->admit, now_us);
+
+  if (wait_us > acceptable_us)
+    keep = MIN (keep, (int)(acceptable_us * CQ_PERMILLE / wait_us));
+  return keep;
+}
 
+/* Permille of the requests of R's route to admit, of WORK permille of all
+ * work.
+ */
+static int
+route_share (const struct relay *r, int work)
+{
   if (!r->rs->opts.route_shares)
     return CQ_PERMILLE;
-  return routeshare_permille (&s->routes, r->route->name,
-                              admit_permille (&s->admit, now_us));
+  return routeshare_permille (&r->service_state->routes, r->route->name, work);
 }
 
 /*
- * The expected wait is not considered here: as an average of the few answers
- * that a VM got from an endpoint, it refused short prompts at an admitted
- * share of 4 to 6 percent while their median time to first chunk was 56 ms.
- * Rank and workspace divide only the share of a route that must give up work.
+ * A route that asks for less than its max-min share is admitted in full, also
+ * if its wait is expected to be long: the expected wait is an average of the
+ * few answers that a VM got from an endpoint, and refused short prompts at an
+ * admitted share of 4 to 6 percent while their median time to first chunk was
+ * 56 ms.  Rank and workspace divide only the share of a route that must give
+ * up work.
  */
 static int
-admitted_share_of_route (const struct relay *r, int64_t now_us)
+admitted_share_of_route (const struct relay *r, int work)
 {
   const struct relay_service *s = r->service_state;
-  int keep = route_share (r, now_us);
-  int least;
+  int keep = route_share (r, work);
 
   if (keep >= CQ_PERMILLE)
     return CQ_PERMILLE;
-  least = routeshare_least_permille (&s->routes,
-                                     admit_permille (&s->admit, now_us));
   keep = admit_rank_permille (&s->admit, r->rank, keep);
   keep = share_permille (&s->share, relay_workspace (r), keep);
-  return MAX (keep, least);
+  return MAX (keep, routeshare_least_permille (&s->routes, work));
 }
 
-/* Permille of requests like R to admit, given the queues of endpoints and a
-   first chunk that is expected after WAIT_US. */
+/* Permille of requests like R to admit, of WORK permille of all work. */
 static int
-admitted_share (const struct relay *r, int64_t wait_us, int64_t now_us)
+admitted_share (const struct relay *r, int work)
 {
   const struct relay_service *s = r->service_state;
-  int64_t acceptable_us = patience_us (r) / PATIENCE_DIVISOR;
-  int keep = admit_permille (&s->admit, now_us);
+  int keep = admit_rank_permille (&s->admit, r->rank, work);
 
-  if (wait_us > acceptable_us)
-    keep = MIN (keep, (int)(acceptable_us * CQ_PERMILLE / wait_us));
-  keep = admit_rank_permille (&s->admit, r->rank, keep);
   return share_permille (&s->share, relay_workspace (r), keep);
 }
 
@@ -216,8 +231,8 @@
   if (r->arrived_us + wait > r->deadline_us)
     return 0;
   if (r->rs->opts.route_shares)
-    return admitted_share_of_route (r, now_us);
-  return admitted_share (r, wait, now_us);
+    return admitted_share_of_route (r, work_share (r, wait, now_us));
+  return admitted_share (r, work_share (r, wait, now_us));
 }
 
 void
@@ -225,20 +240,21 @@
                     int keep, int64_t now_us)
 {
   const struct admit *a = &r->service_state->admit;
-  int route_keep = route_share (r, now_us);
+  int64_t wait = now_us - r->arrived_us + c->wait_us;
+  int route_keep = route_share (r, work_share (r, wait, now_us));
 
   if (route_keep < CQ_PERMILLE)
     met_add (MET_OVER_ROUTE_SHARE, 1);
-  log_event (LOG_LEVEL_INFO, "too_late",
-             "req=%s route=%s endpoint=%s workspace=%s rank=%d keep=%d "
-             "route_keep=%d admit=%d pressure=%" G_GINT64_FORMAT
-             " wait_us=%" G_GINT64_FORMAT " left_us=%" G_GINT64_FORMAT
-             " candidates=%d over_bound=%d",
-             r->desc.id, r->route->name, c->endpoint->listing.id,
-             relay_workspace (r), r->rank, keep, route_keep,
-             admit_permille (a, now_us), (gint64)a->pressure,
-             (gint64)(now_us - r->arrived_us + c->wait_us),
-             (gint64)(r->deadline_us - now_us), c->candidates, c->over_bound);
+  log_event (
+      LOG_LEVEL_INFO, "too_late",
+      "req=%s route=%s endpoint=%s workspace=%s rank=%d keep=%d "
+      "route_keep=%d admit=%d queue_target=%d pressure=%" G_GINT64_FORMAT
+      " wait_us=%" G_GINT64_FORMAT " left_us=%" G_GINT64_FORMAT
+      " candidates=%d over_bound=%d",
+      r->desc.id, r->route->name, c->endpoint->listing.id, relay_workspace (r),
+      r->rank, keep, route_keep, admit_permille (a, now_us),
+      admit_queue_target_permille (a), (gint64)a->pressure, (gint64)wait,
+      (gint64)(r->deadline_us - now_us), c->candidates, c->over_bound);
 }
 
 /* --- retries ---------------------------------------------------------- */
--- a/relaytry.c
+++ b/relaytry.c
@@ -362,6 +362,7 @@
 {
   const struct relay_caller *c = r->desc.caller;
 
+  relay_record_run (r, now_us);
   if (c != NULL && r->stream_begun)
     c->end (r->desc.arg, true);
   else if (c != NULL)
