Relay: one table of request states, and no circle of relay.c and relaytry.c

Cause: relay.c and relaytry.c needed each other, and how far a request has got was spread over booleans; an event that came at the wrong time was not noticed. Change: relaystate.c has the states of a request and what each event does in each of them. relay.c and relaytry.c apply every event through it (relay_apply_event). An event that the state does not allow is logged (event_rejected) and counted; the request counts as run, gets no further attempt and ends by the verdict of out.c.

--- a/librelay.h
+++ b/librelay.h
@@ -1,6 +1,7 @@
 /*
  * Internal header of the relay, which forwards requests to endpoints.
- * relay.c starts and ends requests, relaytry.c makes their attempts.
+ * relay.c starts requests, relaytry.c makes their attempts, relayend.c ends
+ * them; relaystate.c has the table of their states.
  */
 #ifndef CQ_LIBRELAY_H
 #define CQ_LIBRELAY_H
@@ -8,6 +9,7 @@
 #include "sse.h"
 #include "relay.h"
 #include "relaycrash.h"
+#include "relaystate.h"
 
 /* Retry-After sent to callers: after a failed attempt, and while this VM has
    no configuration or one that is too old. */
@@ -17,6 +19,9 @@
  */
 #define RETRY_JITTER_US (500 * CQ_US_PER_MS)
 
+/* Reason to end a request after an event that its state does not allow. */
+#define RELAY_STOP_REJECTED "event_rejected"
+
 /* State that all requests of this worker to one service share. */
 struct relay_service
 {
@@ -44,6 +49,8 @@
 {
   APR_RING_ENTRY (relay) link; /* in relays.all */
   struct relays *rs;           /* worker state it belongs to */
+  enum relay_state state;      /* changed only by relay_apply_event and
+                                  relay_abort */
   struct relay_desc desc;      /* the request */
   struct fleet_conf *conf;     /* configuration when it arrived; a reference */
   const struct fleet_route *route;         /* its route */
@@ -81,7 +88,6 @@
   struct reqid identity;  /* digest of what is asked, if has_identity */
   bool has_identity;      /* identity was computed */
   bool is_suspect;        /* by the last check of the quarantine */
-  bool handed_over;       /* a byte of the attempt may have left */
   bool not_run;           /* the endpoint reported that it did not run it */
   bool connection_refused; /* nothing listens at the endpoint's address */
   bool streaming;          /* the answer is passed on in chunks */
@@ -92,7 +98,7 @@
   bool stream_begun;   /* the caller has got the head and part of a stream */
   bool paused;         /* the attempt waits for a slow reader */
   bool unpause_posted; /* unpause is queued in the loop */
-  bool done;           /* ended; freed by the queued unpause */
+  bool event_rejected; /* an event was not allowed: no attempt follows */
 };
 
 /* Whether the request may run twice: it is idempotent or a resumable stream.
@@ -131,6 +137,14 @@
 void relay_notify_work (struct relay *r, int64_t now_us);
 /* The endpoint has processed R's prompt, or will not do so any more. */
 void relay_prefill_done (struct relay *r, int64_t now_us);
+/* Change R's state by the table of relaystate.c.  False if its state does not
+   allow EVENT: this is logged and counted, and R is never sent again. */
+bool relay_apply_event (struct relay *r, enum relay_event event);
+/* Cancel R's attempt, and end R as one that may have run; nothing if it has
+   ended. */
+void relay_abort (struct relay *r, int64_t now_us);
+/* Free R, which has ended. */
+void relay_free (struct relay *r);
 /* The attempt is over: release the reference to its endpoint. */
 void relay_release_endpoint (struct relay *r, int64_t now_us);
 /* End R: count and log its outcome, and free it. */
--- a/regress/units.h
+++ b/regress/units.h
@@ -31,6 +31,7 @@
 extern const struct unit evac_units[];
 extern const struct unit quar_units[];
 extern const struct unit relayquar_units[];
+extern const struct unit relaystate_units[];
 extern const struct unit mirror_units[];
 
 #endif
--- a/relay.c
+++ b/relay.c
@@ -16,17 +16,6 @@
 
 /* --- small helpers --------------------------------------------------- */
 
-/* One step of splitmix64. */
-uint64_t
-relay_random (struct relays *rs)
-{
-  uint64_t z = rs->random_state += UINT64_C (0x9E3779B97F4A7C15);
-
-  z = (z ^ (z >> 30)) * UINT64_C (0xBF58476D1CE4E5B9);
-  z = (z ^ (z >> 27)) * UINT64_C (0x94D049BB133111EB);
-  return z ^ (z >> 31);
-}
-
 static struct relay_service *
 get_or_add_service (struct relays *rs, const char *name)
 {
@@ -53,131 +42,6 @@
   return work;
 }
 
-bool
-relay_is_repeatable (const struct relay *r)
-{
-  switch (r->route->kind)
-    {
-    case FLEET_IDEMPOTENT:
-      return true;
-    case FLEET_AT_MOST_ONCE:
-      return false;
-    case FLEET_STREAM:
-      return r->route->resumable;
-    }
-  return false;
-}
-
-/*
- * A key may have been revoked while this VM was cut off from the platform or
- * suspended.  Once the configuration is older than the limit, requests that
- * need a key are refused as not run, since a revoked key must not be accepted.
- */
-bool
-relay_is_stale (const struct relay *r, int64_t now_us)
-{
-  const struct relays_opts *o = &r->rs->opts;
-
-  return !r->route->anonymous
-         && fleet_conf_age_us (o->fleet, now_us) > o->key_max_age_us;
-}
-
-bool
-relay_is_key_revoked (const struct relay *r)
-{
-  const struct fleet_conf *now = r->rs->opts.fleet->conf;
-
-  if (r->route->anonymous || now == r->conf)
-    return false;
-  return g_hash_table_lookup (now->keys, r->desc.key) == NULL;
-}
-
-/* --- end of a request ------------------------------------------------ */
-
-static void
-relay_free (struct relay *r)
-{
-  int i;
-
-  for (i = 0; i < r->ntried; i++)
-    fleet_endpoint_unref (r->tried[i]);
-  sse_clear (&r->events);
-  g_string_free (r->answer, TRUE);
-  g_strfreev (r->lines);
-  fleet_conf_unref (r->conf);
-  g_free (r);
-}
-
-void
-relay_release_endpoint (struct relay *r, int64_t now_us)
-{
-  if (r->endpoint == NULL)
-    return;
-  relay_prefill_done (r, now_us);
-  pick_request_ended (r->endpoint);
-  fleet_endpoint_unref (r->endpoint);
-  r->endpoint = NULL;
-  relay_notify_work (r, now_us);
-}
-
-void
-relay_finish (struct relay *r, enum outcome outcome, const char *reason,
-              int64_t now_us)
-{
-  static const enum met_id ids[] = {
-    [OUT_ANSWERED] = MET_ANSWERED,
-    [OUT_NOT_RUN] = MET_NOT_RUN,
-    [OUT_UNKNOWN] = MET_UNKNOWN,
-    [OUT_FAILED] = MET_FAILED,
-  };
-
-  met_add (ids[outcome], 1);
-  met_add (MET_RUNNING, -1);
-  if (outcome == OUT_ANSWERED)
-    met_observe (MET_TOTAL_TIME, now_us - r->arrived_us);
-  log_event (
-      LOG_LEVEL_INFO, "finish",
-      "req=%s route=%s outcome=%s reason=%s status=%d attempts=%d "
-      "unsent=%d handed_us=%" G_GINT64_FORMAT " first_us=%" G_GINT64_FORMAT
-      " whole_us=%" G_GINT64_FORMAT,
-      r->desc.id, r->route->name, out_name (outcome), reason, r->status,
-      r->attempts, r->unsent,
-      (gint64)(r->handed_over_us ? r->handed_over_us - r->arrived_us : 0),
-      (gint64)(r->first_chunk_us ? r->first_chunk_us - r->arrived_us : 0),
-      (gint64)(now_us - r->arrived_us));
-  relay_release_endpoint (r, now_us);
-  APR_RING_REMOVE (r, link);
-  r->rs->count--;
-  r->done = true;
-  if (!r->unpause_posted)
-    relay_free (r);
-}
-
-static void
-refuse (struct relay *r, enum relay_refusal why, int64_t retry_after_us)
-{
-  if (r->desc.caller != NULL)
-    r->desc.caller->refuse (r->desc.arg, why, retry_after_us);
-}
-
-/* The caller is answered at once, and "not run" only for OUT_NOT_RUN. */
-void
-relay_give_up (struct relay *r, enum outcome outcome, const char *reason,
-               int64_t retry_after_us, int64_t now_us)
-{
-  enum relay_refusal why = RELAY_UNKNOWN;
-
-  if (outcome == OUT_NOT_RUN)
-    why = RELAY_NOT_RUN;
-  else if (now_us >= r->deadline_us)
-    why = RELAY_TIMED_OUT;
-  if (r->stream_begun && r->desc.caller != NULL)
-    r->desc.caller->end (r->desc.arg, false);
-  else
-    refuse (r, why, retry_after_us);
-  relay_finish (r, outcome, reason, now_us);
-}
-
 /* --- sweep ----------------------------------------------------------- */
 
 static void
@@ -359,7 +223,7 @@
   r->unpause_posted = true;
   relay_place (r, now_us);
   r->unpause_posted = false;
-  if (!r->done)
+  if (r->state != RELAY_ENDED)
     return r;
   relay_free (r);
   return NULL;
@@ -374,7 +238,7 @@
   const struct relay_engine *e = &r->rs->opts.engine;
 
   r->unpause_posted = false;
-  if (r->done)
+  if (r->state == RELAY_ENDED)
     relay_free (r);
   else if (r->call != NULL && r->paused)
     {
@@ -403,8 +267,10 @@
 {
   const struct relay_engine *e = &r->rs->opts.engine;
   int64_t now = loop_now_us ();
-  bool sent = r->handed_over || r->may_have_run;
+  bool sent = relay_state_is_handed_over (r->state) || r->may_have_run;
 
+  if (!relay_apply_event (r, RELAY_CALLER_GONE))
+    return;
   r->desc.caller = NULL;
   met_add (MET_CANCELS, 1);
   if (sent && r->endpoint != NULL && r->first_chunk_us == 0
--- a/relaytry.c
+++ b/relaytry.c
@@ -107,6 +107,9 @@
   struct relay *r = arg;
   int64_t now = loop_now_us ();
 
+  /* Not allowed; the checks below need an attempt that is placed. */
+  if (r->state != RELAY_PLACED)
+    return relay_apply_event (r, RELAY_HAND_OVER);
   if (relay_is_stale (r, now))
     r->stop_reason = "settings_stale";
   else if (relay_is_key_revoked (r))
@@ -130,8 +133,7 @@
     r->stop_reason = STOP_ENDPOINT_BACKOFF;
   else
     recheck_quarantine (r, now);
-  r->handed_over = r->stop_reason == NULL;
-  if (!r->handed_over)
+  if (r->stop_reason != NULL || !relay_apply_event (r, RELAY_HAND_OVER))
     return false;
   if (cold_is (&r->endpoint->cold, now))
     pace_sent (&r->endpoint->cold.pace, now);
@@ -183,6 +185,8 @@
   struct relay *r = arg;
   int64_t now = loop_now_us ();
 
+  if (!relay_apply_event (r, RELAY_HEAD))
+    return false;
   r->status = head->status;
   r->not_run = head->not_run;
   r->reported_running = head->running;
@@ -260,6 +264,8 @@
 {
   struct relay *r = arg;
 
+  if (!relay_apply_event (r, RELAY_CHUNK))
+    return RELAY_STOP;
   r->has_body = true;
   if (r->streaming)
     return forward_stream (r, data, len);
@@ -275,7 +281,7 @@
 static enum send_state
 send_state_of (const struct relay *r, bool whole)
 {
-  if (!r->handed_over)
+  if (!relay_state_is_handed_over (r->state))
     return SEND_NONE;
   if (r->status == 0)
     return SEND_PARTIAL;
@@ -323,6 +329,8 @@
 {
   bool final = r->stop_reason != NULL && !is_endpoint_reason (r->stop_reason);
 
+  if (r->event_rejected)
+    return false;
   /* The attempt that has just ended takes an entry of tried as well. */
   if (r->ntried + 1 >= PICK_EXCLUDE_MAX)
     return false;
@@ -440,10 +448,13 @@
 {
   struct relay *r = arg;
   int64_t now = loop_now_us ();
+  enum send_state sent = send_state_of (r, end->whole);
 
+  if (!relay_apply_event (r, RELAY_ATTEMPT_ENDED))
+    return;
   r->call = NULL;
   r->connection_refused = end->connection_refused;
-  end_attempt (r, send_state_of (r, end->whole), end->error, now);
+  end_attempt (r, sent, end->error, now);
 }
 
 static const struct relay_events events = {
@@ -545,6 +556,11 @@
       = fleet_outdated_by (o->fleet, c->endpoint);
   struct relay_attempt s = { .desc = &r->desc, .endpoint = c->endpoint };
 
+  if (!relay_apply_event (r, RELAY_SEND))
+    {
+      relay_abort (r, now_us);
+      return;
+    }
   r->endpoint = fleet_endpoint_ref (c->endpoint);
   pick_request_sent (r->endpoint);
   if (cold_is (&r->endpoint->cold, now_us))
@@ -554,7 +570,6 @@
   r->pending_prefill_tokens = c->pending_prefill_tokens;
   r->shared_pending_prefill_tokens
       = c->has_part ? 0 : r->work.shared_tokens - r->work.stored_tokens;
-  r->handed_over = false;
   r->stop_reason = NULL;
   r->status = 0;
   r->reported_running = -1;
@@ -654,6 +669,11 @@
   struct pick_query q = { .service = r->service, .domain = o->domain };
   struct pick_choice c;
 
+  if (r->event_rejected || !relay_apply_event (r, RELAY_PLACE))
+    {
+      relay_abort (r, now_us);
+      return;
+    }
   if (relay_is_stale (r, now_us))
     {
       give_up_unplaced (r, "settings_stale", RETRY_AFTER_STALE_US, now_us);
@@ -694,21 +714,28 @@
 
 /* Cancel the attempt, and decide what follows. */
 static void
-cancel_attempt (struct relay *r, const char *reason, int64_t now_us)
+cancel_attempt (struct relay *r, enum relay_event event, const char *reason,
+                int64_t now_us)
 {
   const struct relay_engine *e = &r->rs->opts.engine;
+  enum send_state sent = send_state_of (r, false);
 
+  if (!relay_apply_event (r, event))
+    {
+      relay_abort (r, now_us);
+      return;
+    }
   if (r->call != NULL)
     e->cancel (e->ctx, r->call);
   r->call = NULL;
   r->stop_reason = reason;
-  end_attempt (r, send_state_of (r, false), "", now_us);
+  end_attempt (r, sent, "", now_us);
 }
 
 void
 relay_time_out (struct relay *r, int64_t now_us)
 {
-  cancel_attempt (r, "deadline", now_us);
+  cancel_attempt (r, RELAY_DEADLINE, "deadline", now_us);
 }
 
 /*
@@ -729,5 +756,5 @@
 void
 relay_withdraw (struct relay *r, int64_t now_us)
 {
-  cancel_attempt (r, STOP_WEIGHTS_OUTDATED, now_us);
+  cancel_attempt (r, RELAY_WITHDRAW, STOP_WEIGHTS_OUTDATED, now_us);
 }
