Load gossip: sealed reports on endpoints

Cause: a VM learns of an endpoint's load and failures only from its own requests; with many VMs it gets an answer from a given endpoint only every few seconds. Change: with share_reports, VMs send each other what their answers and broken connections show of endpoints, behind the load entries of a message that is sealed with the key that they share (sealbox.c, also used for evidence). observe.c decides what is sent when, and applies what is received; pick_load uses the newest load, and relays_heard_load passes it to the admission controller. Without the setting, messages and decisions are as before.

--- a/entry.c
+++ b/entry.c
@@ -32,6 +32,8 @@
 #define SUSPECT_ROTATION_MS 2000
 /* Interval of checks for missing list entries and parts to be freed. */
 #define SWEEP_INTERVAL_US (500 * CQ_US_PER_MS)
+/* Shortest time between log lines on what other VMs report of an endpoint. */
+#define REPORT_LOG_INTERVAL_US CQ_US_PER_S
 #define READY_CONNECTIONS 16 /* the load balancer needs one */
 #define READY_MEMORY 2048    /* bytes per connection */
 #define READY_IDLE_S 30      /* seconds without a request */
@@ -52,6 +54,8 @@
   int64_t orders_held_us;      /* this VM last held the lease for orders */
   int64_t era;                 /* era of the store when last checked */
   struct load_table *loads;    /* load reported by other VMs */
+  struct observe *observe;     /* what this VM observed of endpoints and did
+                                  not report yet; NULL if it reports nothing */
   struct loadgossip
       *load_gossip;          /* exchanges load with other VMs; NULL if unset */
   struct mirrorfeed *mirror; /* reads lists from other VMs; NULL if unset */
@@ -260,6 +264,74 @@
     loadgossip_load_changed (e->load_gossip, now_us);
 }
 
+/* --- reports on endpoints -------------------------------------------- */
+
+static void
+on_observed (void *arg, const struct endpoint_report *r, int64_t now_us)
+{
+  struct entry *e = arg;
+
+  if (e->load_gossip == NULL)
+    return;
+  observe_own (e->observe, r, now_us);
+  loadgossip_observed (e->load_gossip, now_us);
+}
+
+/* Logs that other VMs report an endpoint as failing, or no longer.  If VMs
+   contradict each other, as in a partition, not each report is logged. */
+static void
+log_report (struct fleet_endpoint *at, const char *vm,
+            const struct endpoint_report *r, bool was_failing, int64_t now_us)
+{
+  struct fleet_heard *h = &at->heard;
+
+  if (h->is_failing == was_failing
+      || (h->logged_us != 0 && now_us - h->logged_us < REPORT_LOG_INTERVAL_US))
+    return;
+  h->logged_us = now_us;
+  log_event (LOG_LEVEL_INFO, "endpoint_reported",
+             "endpoint=%s seen=%s vm=%s age_us=%" G_GINT64_FORMAT,
+             at->listing.id, observe_seen_name (r->seen), vm,
+             (gint64)r->age_us);
+}
+
+/* Load that was observed in another failure domain is no sample for admission:
+   the VMs of a domain follow the pressure of that domain. */
+static void
+on_reports (void *arg, const struct load_gossip *message, bool near,
+            int64_t now_us)
+{
+  struct entry *e = arg;
+  struct fleet_endpoint *at[LOAD_REPORTS_MAX];
+  bool was_failing[LOAD_REPORTS_MAX];
+  const struct endpoint_report *r;
+  int i, n = message->nreports;
+
+  for (i = 0; i < n; i++)
+    {
+      at[i] = fleet_find_key (&e->fleet, message->reports[i].endpoint);
+      was_failing[i] = at[i] != NULL && at[i]->heard.is_failing;
+    }
+  observe_apply (&e->fleet, message, near, now_us);
+  for (i = 0; i < n; i++)
+    {
+      r = &message->reports[i];
+      if (at[i] == NULL || !observe_is_recent (r))
+        continue;
+      log_report (at[i], message->vm, r, was_failing[i], now_us);
+      if (near)
+        relays_heard_load (e->relays, at[i], r->running, r->waiting, now_us);
+    }
+}
+
+static const uint8_t *
+seal_key (void *arg)
+{
+  const struct entry *e = arg;
+
+  return quarfeed_key (e->quarfeed);
+}
+
 /* --- quarantine ------------------------------------------------------ */
 
 static int64_t
@@ -362,6 +434,8 @@
   o.loads = e->loads;
   o.on_work_changed = on_work_changed;
   o.work_arg = e;
+  o.on_observed = e->observe != NULL ? on_observed : NULL;
+  o.observed_arg = e;
   o.quar = e->quar;
   o.clock_ms = platform_ms;
   o.on_evidence = on_evidence;
@@ -402,14 +476,6 @@
                                 : 0;
 }
 
-static const uint8_t *
-seal_key (void *arg)
-{
-  const struct entry *e = arg;
-
-  return quarfeed_key (e->quarfeed);
-}
-
 static int
 link_mbit_s (const struct entry *e)
 {
@@ -469,6 +535,10 @@
   o.link_mbit_s = link_mbit_s (e);
   o.ctx = e->relays;
   o.load_table = e->loads;
+  o.observe = e->observe;
+  o.seal_key = seal_key;
+  o.on_reports = on_reports;
+  o.reports_ctx = e;
   o.on_other_datagram = receive_evidence;
   o.on_other_ctx = e;
   o.vm = vm->name;
@@ -528,6 +598,7 @@
   e->fleet.outdated_start_us
       = e->cfg->version_ms * CQ_US_PER_MS - OUTDATED_START_MARGIN_US;
   e->loads = load_new ();
+  e->observe = e->cfg->share_reports ? observe_new () : NULL;
   e->quar = quar_new (e->cfg->quarantine_s * CQ_US_PER_S / CQ_US_PER_MS);
   make_partfeed (e);
   make_relays (e);
@@ -605,6 +676,7 @@
     loadgossip_free (e->load_gossip);
   quar_free (e->quar);
   load_free (e->loads);
+  observe_free (e->observe);
   parts_clear (&e->parts);
   fleet_clear (&e->fleet);
   entry_adapter.close (e->store);
--- a/fleet.c
+++ b/fleet.c
@@ -175,6 +175,7 @@
   APR_RING_INIT (&f->endpoints, fleet_endpoint, link);
   APR_RING_INIT (&f->former, fleet_endpoint, link);
   f->by_id = g_hash_table_new (g_str_hash, g_str_equal);
+  f->by_key = g_hash_table_new (g_int64_hash, g_int64_equal);
   f->wanted = g_array_new (FALSE, TRUE, sizeof (struct fleet_wanted));
   f->service_stats
       = g_array_new (FALSE, TRUE, sizeof (struct fleet_service_stats));
@@ -220,6 +221,7 @@
 {
   e->removed = true;
   g_hash_table_remove (f->by_id, e->listing.id);
+  g_hash_table_remove (f->by_key, &e->key);
   APR_RING_REMOVE (e, link);
   APR_RING_INSERT_TAIL (&f->former, e, fleet_endpoint, link);
   f->nformer++;
@@ -253,6 +255,7 @@
   e->removed = false;
   APR_RING_INSERT_TAIL (&f->endpoints, e, fleet_endpoint, link);
   g_hash_table_insert (f->by_id, e->listing.id, e);
+  g_hash_table_insert (f->by_key, &e->key, e);
 }
 
 void
@@ -263,6 +266,7 @@
   while (!APR_RING_EMPTY (&f->former, fleet_endpoint, link))
     forget_former (f, APR_RING_FIRST (&f->former));
   g_hash_table_destroy (f->by_id);
+  g_hash_table_destroy (f->by_key);
   g_array_free (f->wanted, TRUE);
   g_array_free (f->service_stats, TRUE);
   g_array_free (f->evacuated, TRUE);
@@ -572,6 +576,7 @@
   APR_RING_ELEM_INIT (e, link);
   APR_RING_INSERT_TAIL (&f->endpoints, e, fleet_endpoint, link);
   g_hash_table_insert (f->by_id, e->listing.id, e);
+  g_hash_table_insert (f->by_key, &e->key, e);
   return e;
 }
 
@@ -596,6 +601,12 @@
   return e;
 }
 
+struct fleet_endpoint *
+fleet_find_key (const struct fleet *f, uint64_t key)
+{
+  return g_hash_table_lookup (f->by_key, &key);
+}
+
 struct fleet_endpoint *
 fleet_apply_restart (struct fleet *f, struct fleet_endpoint *e,
                      int64_t started_ms, int64_t now_us)
--- a/fleet.h
+++ b/fleet.h
@@ -175,6 +175,19 @@
                           has */
 };
 
+/* What other VMs reported of an endpoint. */
+struct fleet_heard
+{
+  int running;       /* requests running there, by the newest report of load */
+  int waiting;       /* requests waiting there */
+  int64_t at_us;     /* when that load was observed; 0 for never */
+  int sent_since;    /* requests that this VM sent since it received that,
+                        minus those that ended */
+  int64_t seen_us;   /* when the newest report was observed; 0 for never */
+  bool is_failing;   /* that report is one of a failure */
+  int64_t logged_us; /* when a change of is_failing was logged last */
+};
+
 /* One incarnation of an endpoint, as this VM knows it.  A newer incarnation
    gets a struct of its own, so that nothing known of an older one, and no late
    answer from it, is attributed to the newer one. */
@@ -213,6 +226,7 @@
   struct cold cold;          /* cold state and this VM's share of its rate */
   struct limit limit;        /* rate limit that it reported for all VMs */
   struct fleet_ewma first_chunk; /* time to the first chunk of its answers */
+  struct fleet_heard heard;      /* reports of other VMs */
 };
 
 /* --- fleet ----------------------------------------------------------- */
@@ -278,6 +292,7 @@
                                 are listed again */
   int nformer;               /* entries in former */
   GHashTable *by_id;         /* id to struct fleet_endpoint */
+  GHashTable *by_key;        /* key to struct fleet_endpoint */
   bool listed;               /* a list of endpoints was received */
   GArray *wanted;            /* struct fleet_wanted */
   GArray *service_stats;     /* struct fleet_service_stats */
@@ -381,6 +396,8 @@
 struct fleet_endpoint *fleet_apply_listing (struct fleet *f,
                                             const struct fleet_listing *l,
                                             int64_t now_us);
+/* Returns the listed endpoint with this key, or NULL. */
+struct fleet_endpoint *fleet_find_key (const struct fleet *f, uint64_t key);
 /* E itself reported that it started at STARTED_MS, later than was known.
    Returns the new incarnation. */
 struct fleet_endpoint *fleet_apply_restart (struct fleet *f,
--- a/librelay.h
+++ b/librelay.h
@@ -84,6 +84,8 @@
   bool handed_over;       /* a byte of the attempt may have left */
   bool not_run;           /* the endpoint reported that it did not run it */
   bool connection_refused; /* nothing listens at the endpoint's address */
+  bool other_incarnation;  /* another incarnation answered the attempt */
+  bool is_head_observed;   /* the answer's head was passed to on_observed */
   bool streaming;          /* the answer is passed on in chunks */
   bool has_body;           /* part of the answer's body was received */
   bool is_prefilling;      /* the endpoint still processes its prompt */
@@ -159,6 +161,12 @@
 void relay_record_evidence (struct relay *r, enum send_state sent,
                             int64_t now_us);
 
+/* Pass what an answer's head, and the end of an attempt, show of the endpoint
+   to the callback on_observed. */
+void relay_observe_head (struct relay *r, const struct relay_head *head,
+                         int64_t now_us);
+void relay_observe_end (struct relay *r, enum send_state sent, int64_t now_us);
+
 /* Choose an endpoint and send the next attempt, or give up. */
 void relay_place (struct relay *r, int64_t now_us);
 /* Whether R's stream still waits at an endpoint whose weights are so old that
--- a/loadgossip.c
+++ b/loadgossip.c
@@ -239,6 +239,25 @@
 
 /* --- messages -------------------------------------------------------- */
 
+static const uint8_t *
+seal_key (const struct loadgossip *t)
+{
+  return t->opts.seal_key (t->opts.reports_ctx);
+}
+
+/* Returns the message as it is sent. */
+static GByteArray *
+encode_message (struct loadgossip *t, int64_t now_us)
+{
+  struct load_gossip *w = &t->message;
+
+  if (t->opts.observe == NULL)
+    return loadgossip_encode (w);
+  w->nreports = observe_collect (t->opts.observe, w->reports,
+                                 loadgossip_report_room (w), now_us);
+  return loadgossip_seal (w, seal_key (t));
+}
+
 static void
 send_load (struct loadgossip *t, int64_t now_us)
 {
@@ -249,7 +268,7 @@
   t->opts.collect_load (t->opts.ctx, &t->message);
   t->message.seq++;
   load_update (t->opts.load_table, &t->message, now_us);
-  bytes = loadgossip_encode (&t->message);
+  bytes = encode_message (t, now_us);
   for (i = 0; i < t->peers->len && sent < RECIPIENTS_MAX; i++)
     {
       apr_size_t len = bytes->len;
@@ -263,6 +282,7 @@
       sent++;
     }
   met_add (MET_LOADS_SENT, sent);
+  met_add (MET_REPORTS_SENT, (int64_t)sent * t->message.nreports);
 }
 
 void
@@ -280,25 +300,82 @@
     }
 }
 
+/* Whether messages can be sent now. */
+static bool
+may_send (const struct loadgossip *t)
+{
+  return t->opts.observe == NULL || seal_key (t) != NULL;
+}
+
+/* Time of the next message without a change. */
+static int64_t
+resend_us (const struct loadgossip *t, int64_t now_us)
+{
+  int64_t due = now_us;
+
+  due += t->message.nentries > 0 || !may_send (t) ? RESEND_US : IDLE_RESEND_US;
+  return t->opts.observe != NULL && may_send (t)
+             ? MIN (due, observe_due_us (t->opts.observe))
+             : due;
+}
+
 static void
 on_send_timer (void *arg, int64_t now_us)
 {
   struct loadgossip *t = arg;
 
   load_expire (t->opts.load_table, now_us);
-  send_load (t, now_us);
-  loop_arm (t->opts.loop, &t->send_timer,
-            now_us + (t->message.nentries > 0 ? RESEND_US : IDLE_RESEND_US));
+  if (may_send (t))
+    send_load (t, now_us);
+  loop_arm (t->opts.loop, &t->send_timer, resend_us (t, now_us));
+}
+
+static void
+send_at (struct loadgossip *t, int64_t due_us)
+{
+  if (t->stopped || (t->send_timer.armed && t->send_timer.due_us <= due_us))
+    return;
+  loop_arm (t->opts.loop, &t->send_timer, due_us);
 }
 
 void
 loadgossip_load_changed (struct loadgossip *t, int64_t now_us)
 {
-  if (t->stopped
-      || (t->send_timer.armed
-          && t->send_timer.due_us <= now_us + SEND_DELAY_US))
+  int64_t due = now_us + SEND_DELAY_US;
+
+  if (!may_send (t))
+    due = now_us + RESEND_US;
+  else if (t->opts.observe != NULL)
+    due = MAX (due, observe_earliest_us (t->opts.observe));
+  send_at (t, due);
+}
+
+void
+loadgossip_observed (struct loadgossip *t, int64_t now_us)
+{
+  if (t->opts.observe != NULL && may_send (t))
+    send_at (t, MAX (now_us, observe_due_us (t->opts.observe)));
+}
+
+static bool
+decode_message (const struct loadgossip *t, const char *data, size_t len,
+                struct load_gossip *w)
+{
+  if (t->opts.observe == NULL)
+    return loadgossip_decode (data, len, w);
+  return seal_key (t) != NULL
+         && loadgossip_open ((const uint8_t *)data, len, seal_key (t), w);
+}
+
+static void
+apply_reports (struct loadgossip *t, const struct load_gossip *w,
+               int64_t now_us)
+{
+  if (w->nreports == 0)
     return;
-  loop_arm (t->opts.loop, &t->send_timer, now_us + SEND_DELAY_US);
+  met_add (MET_REPORTS_RECEIVED, w->nreports);
+  t->opts.on_reports (t->opts.reports_ctx, w,
+                      strcmp (w->domain, t->self.domain) == 0, now_us);
 }
 
 static void
@@ -313,7 +390,7 @@
   if (t->opts.on_other_datagram != NULL
       && t->opts.on_other_datagram (t->opts.on_other_ctx, data, len, now_us))
     return;
-  if (!loadgossip_decode (data, len, &w) || strcmp (w.vm, t->self.vm) == 0
+  if (!decode_message (t, data, len, &w) || strcmp (w.vm, t->self.vm) == 0
       || apr_sockaddr_ip_get (&ip, (apr_sockaddr_t *)from) != APR_SUCCESS)
     {
       met_add (MET_LOADS_INVALID, 1);
@@ -322,6 +399,7 @@
   if (!load_update (t->opts.load_table, &w, now_us))
     return;
   met_add (MET_LOADS_RECEIVED, 1);
+  apply_reports (t, &w, now_us);
   l = find_peer (t, w.vm);
   if (l == NULL)
     {
--- a/loadgossip.h
+++ b/loadgossip.h
@@ -10,6 +10,7 @@
 #include "load.h"
 #include "loop.h"
 #include "mirrorpick.h"
+#include "observe.h"
 
 /* Row of a VM in the roster. */
 struct roster_row
@@ -64,6 +65,16 @@
   void (*collect_load) (void *ctx, struct load_gossip *message);
   void *ctx;                     /* passed to the callback above */
   struct load_table *load_table; /* receives the load of other VMs */
+  /* Observations that are sent with the load, in sealed messages.  NULL: no
+     reports are exchanged, and messages are not sealed. */
+  struct observe *observe;
+  /* Key that seals messages, NULL while it is not known; then none are sent or
+     accepted. */
+  const uint8_t *(*seal_key) (void *ctx);
+  /* A VM sent reports, in MESSAGE; NEAR: it is in this VM's failure domain. */
+  void (*on_reports) (void *ctx, const struct load_gossip *message, bool near,
+                      int64_t now_us);
+  void *reports_ctx; /* passed to both callbacks above */
   /* Handle a datagram of another kind; false if it is not of that kind either.
      May be NULL. */
   bool (*on_other_datagram) (void *ctx, const char *data, size_t len,
@@ -85,6 +96,8 @@
 struct loadgossip *loadgossip_new (const struct loadgossip_opts *opts);
 /* This VM's work at an endpoint changed: a message is sent within some ms. */
 void loadgossip_load_changed (struct loadgossip *t, int64_t now_us);
+/* An observation was added: a message is sent in time for it. */
+void loadgossip_observed (struct loadgossip *t, int64_t now_us);
 /* The platform's store was restored from an older copy, which may lack this
    VM's row. */
 void loadgossip_store_restored (struct loadgossip *t, int64_t now_us);
@@ -130,4 +143,20 @@
 GByteArray *loadgossip_encode (const struct load_gossip *w);
 bool loadgossip_decode (const char *data, size_t len, struct load_gossip *w);
 
+/* Largest sealed message, so that it fits a packet of any network. */
+#define LOADGOSSIP_SEALED_MAX 1400
+
+/* Encode W with as many entries, and then reports, as fit into
+   LOADGOSSIP_SEALED_MAX bytes, sealed under KEY. */
+GByteArray *loadgossip_seal (const struct load_gossip *w, const uint8_t *key);
+/* Number of reports that fit into W besides its entries. */
+int loadgossip_report_room (const struct load_gossip *w);
+/* Open and decode a sealed message; returns false, with W unchanged, if it is
+   malformed or was not made under KEY. */
+bool loadgossip_open (const uint8_t *data, size_t len, const uint8_t *key,
+                      struct load_gossip *w);
+/* Decode its plain text. */
+bool loadgossip_decode_sealed (const uint8_t *plain, size_t len,
+                               struct load_gossip *w);
+
 #endif
--- a/met.c
+++ b/met.c
@@ -55,6 +55,11 @@
                            "Words of other VMs about their work." },
   [MET_LOADS_INVALID] = { "camphorquay_loads_unread_total", "counter",
                           "Datagrams that are no such word." },
+  [MET_REPORTS_SENT]
+  = { "camphorquay_reports_sent_total", "counter",
+      "Reports on endpoints, counted once for each VM they are sent to." },
+  [MET_REPORTS_RECEIVED] = { "camphorquay_reports_received_total", "counter",
+                             "Reports of other VMs on endpoints." },
   [MET_QUARANTINED] = { "camphorquay_quarantined_total", "counter",
                         "Requests refused since endpoints end under them." },
   [MET_DEFERRED]
--- a/peer.h
+++ b/peer.h
@@ -19,6 +19,7 @@
 #define PEER_TEXT_MAX 65536
 #define PEER_BOX_MAX 1048576
 #define PEER_WORK_MAX 40
+#define PEER_REPORTS_MAX 24
 #define PEER_FACTS_MAX 128
 #define PEER_REQUEST_BYTES 16
 #define PEER_NONCE_BYTES 16
@@ -95,6 +96,26 @@
 };
 typedef struct peer_work peer_work;
 
+struct peer_report {
+	u_quad_t endpoint;
+	u_int seen;
+	u_int age_us;
+	int running;
+	u_int waiting;
+	u_int speed_percent;
+};
+typedef struct peer_report peer_report;
+
+struct peer_sealed_work {
+	u_int kind;
+	peer_work work;
+	struct {
+		u_int reports_len;
+		peer_report *reports_val;
+	} reports;
+};
+typedef struct peer_sealed_work peer_sealed_work;
+
 struct peer_row {
 	char *key;
 	u_quad_t change;
@@ -228,6 +249,8 @@
 extern  bool_t xdr_peer_changes (XDR *, peer_changes*);
 extern  bool_t xdr_peer_work_entry (XDR *, peer_work_entry*);
 extern  bool_t xdr_peer_work (XDR *, peer_work*);
+extern  bool_t xdr_peer_report (XDR *, peer_report*);
+extern  bool_t xdr_peer_sealed_work (XDR *, peer_sealed_work*);
 extern  bool_t xdr_peer_row (XDR *, peer_row*);
 extern  bool_t xdr_peer_rows (XDR *, peer_rows*);
 extern  bool_t xdr_peer_listing (XDR *, peer_listing*);
@@ -249,6 +272,8 @@
 extern bool_t xdr_peer_changes ();
 extern bool_t xdr_peer_work_entry ();
 extern bool_t xdr_peer_work ();
+extern bool_t xdr_peer_report ();
+extern bool_t xdr_peer_sealed_work ();
 extern bool_t xdr_peer_row ();
 extern bool_t xdr_peer_rows ();
 extern bool_t xdr_peer_listing ();
--- a/peer.x
+++ b/peer.x
@@ -9,6 +9,7 @@
 const PEER_TEXT_MAX = 65536;
 const PEER_BOX_MAX = 1048576;
 const PEER_WORK_MAX = 40;
+const PEER_REPORTS_MAX = 24;
 const PEER_FACTS_MAX = 128;
 const PEER_REQUEST_BYTES = 16;
 const PEER_NONCE_BYTES = 16;
@@ -85,6 +86,27 @@
   peer_work_entry entries<PEER_WORK_MAX>;
 };
 
+/* What a VM observed of an endpoint.  SPEED_PERCENT is 0, and RUNNING is -1, if
+   the endpoint did not report it. */
+struct peer_report
+{
+  unsigned hyper endpoint;
+  unsigned int seen;
+  unsigned int age_us;
+  int running;
+  unsigned int waiting;
+  unsigned int speed_percent;
+};
+
+/* The work with reports on endpoints, sealed in a datagram of its own.  KIND is
+   a constant that no other message under the same key begins with. */
+struct peer_sealed_work
+{
+  unsigned int kind;
+  peer_work work;
+  peer_report reports<PEER_REPORTS_MAX>;
+};
+
 /* A row of one of the platform's tables, as a VM passes it on.  The value is
    one of the two bodies below, or as stored; it is empty if the row was
    removed. */
--- a/peer_xdr.c
+++ b/peer_xdr.c
@@ -175,6 +175,90 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_report (XDR *xdrs, peer_report *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->endpoint))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->seen))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_us))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->running))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->waiting))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->speed_percent))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->seen);
+			IXDR_PUT_U_LONG(buf, objp->age_us);
+			IXDR_PUT_LONG(buf, objp->running);
+			IXDR_PUT_U_LONG(buf, objp->waiting);
+			IXDR_PUT_U_LONG(buf, objp->speed_percent);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->endpoint))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->seen))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_us))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->running))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->waiting))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->speed_percent))
+				 return FALSE;
+		} else {
+			objp->seen = IXDR_GET_U_LONG(buf);
+			objp->age_us = IXDR_GET_U_LONG(buf);
+			objp->running = IXDR_GET_LONG(buf);
+			objp->waiting = IXDR_GET_U_LONG(buf);
+			objp->speed_percent = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->endpoint))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->seen))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_us))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->running))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->waiting))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->speed_percent))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_sealed_work (XDR *xdrs, peer_sealed_work *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_peer_work (xdrs, &objp->work))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->reports.reports_val, (u_int *) &objp->reports.reports_len, PEER_REPORTS_MAX,
+		sizeof (peer_report), (xdrproc_t) xdr_peer_report))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_row (XDR *xdrs, peer_row *objp)
 {
--- a/pick.c
+++ b/pick.c
@@ -98,6 +98,7 @@
 {
   e->running++;
   e->sent_since++;
+  e->heard.sent_since++;
 }
 
 void
@@ -105,6 +106,7 @@
 {
   e->running--;
   e->sent_since--;
+  e->heard.sent_since--;
 }
 
 void
@@ -272,8 +274,14 @@
 pick_load (const struct fleet_endpoint *e, int64_t now_us)
 {
   int load = e->reported_running + e->sent_since;
+  int64_t at_us = e->reported_us;
 
-  if (e->reported_us == 0 || now_us - e->reported_us > REPORT_MAX_AGE_US)
+  if (e->heard.at_us > at_us)
+    {
+      load = e->heard.running + e->heard.waiting + e->heard.sent_since;
+      at_us = e->heard.at_us;
+    }
+  if (at_us == 0 || now_us - at_us > REPORT_MAX_AGE_US)
     return e->running;
   return load > e->running ? load : e->running;
 }
--- a/quarwire.c
+++ b/quarwire.c
@@ -1,10 +1,10 @@
 /* Encoding of facts about requests that crash endpoints. */
 #include "quarwire.h"
 
-#include <sodium.h>
 #include <string.h>
 
 #include "peer.h"
+#include "sealbox.h"
 
 /* No request runs for longer; a fact with a longer run was not written by a
    VM. */
@@ -15,7 +15,7 @@
 
 /* First bytes of a sealed datagram.  Load gossip cannot begin with them, since
    its messages begin with the length of a name. */
-static const uint8_t magic[4] = { 0xc4, 'q', 'f', '1' };
+static const uint8_t magic[SEALBOX_MAGIC_BYTES] = { 0xc4, 'q', 'f', '1' };
 
 static void
 encode_fact (const struct quar_fact *f, peer_fact *to)
@@ -90,39 +90,21 @@
 {
   g_autoptr (GByteArray) plain
       = quarwire_encode (facts, QUARWIRE_DATAGRAM_MAX);
-  uint8_t nonce[crypto_secretbox_NONCEBYTES];
-  GByteArray *out = g_byte_array_new ();
-  guint at;
 
-  randombytes_buf (nonce, sizeof nonce);
-  g_byte_array_append (out, magic, sizeof magic);
-  g_byte_array_append (out, nonce, sizeof nonce);
-  at = out->len;
-  g_byte_array_set_size (out, at + plain->len + crypto_secretbox_MACBYTES);
-  crypto_secretbox_easy (out->data + at, plain->data, plain->len, nonce, key);
-  return out;
+  return sealbox_seal (magic, plain->data, plain->len, key);
 }
 
 bool
 quarwire_is_sealed (const uint8_t *data, size_t len)
 {
-  return len >= sizeof magic && memcmp (data, magic, sizeof magic) == 0;
+  return sealbox_has_magic (magic, data, len);
 }
 
 bool
 quarwire_open (const uint8_t *data, size_t len, const uint8_t *key,
                GArray *facts)
 {
-  const uint8_t *nonce = data + sizeof magic;
-  const uint8_t *box = nonce + crypto_secretbox_NONCEBYTES;
-  size_t head = sizeof magic + crypto_secretbox_NONCEBYTES;
-  g_autofree uint8_t *plain = NULL;
+  g_autoptr (GByteArray) plain = sealbox_open (magic, data, len, key);
 
-  if (!quarwire_is_sealed (data, len)
-      || len < head + crypto_secretbox_MACBYTES)
-    return false;
-  len -= head;
-  plain = g_malloc (len);
-  return crypto_secretbox_open_easy (plain, box, len, nonce, key) == 0
-         && quarwire_decode (plain, len - crypto_secretbox_MACBYTES, facts);
+  return plain != NULL && quarwire_decode (plain->data, plain->len, facts);
 }
--- a/quarwire.h
+++ b/quarwire.h
@@ -7,8 +7,10 @@
 #define CQ_QUARWIRE_H
 
 #include "quar.h"
+#include "sealbox.h"
 
-#define QUARWIRE_KEY_BYTES 32    /* size of the key that all VMs share */
+#define QUARWIRE_KEY_BYTES                                                    \
+  SEALBOX_KEY_BYTES              /* size of the key that all VMs share */
 #define QUARWIRE_ROW_MAX 128     /* facts in a row */
 #define QUARWIRE_DATAGRAM_MAX 32 /* facts in a datagram, 1.3 KB */
 
--- a/regress/site.sh
+++ b/regress/site.sh
@@ -56,6 +56,7 @@
 	if grep -q '{{' "$tmp/$1.site.ini"; then fail "template: $(grep '{{' "$tmp/$1.site.ini")"; fi
 	sed "s/^drain_notice_ms.*/drain_notice_ms = 300/" "$top/deploy/base.ini" >"$tmp/$1.base.ini"
 	[ -z "${share_vms:-}" ] || printf '\n[entry]\nshare_vms = %s\n' "$share_vms" >>"$tmp/$1.base.ini"
+	[ -z "${share_reports:-}" ] || printf '\n[entry]\nshare_reports = %s\n' "$share_reports" >>"$tmp/$1.base.ini"
 	: >"$tmp/$1.log"
 	$bin serve --base "$tmp/$1.base.ini" --overlay "$tmp/$1.site.ini" >>"$tmp/$1.log" 2>&1 &
 	eval "pid_$1=$!"
--- a/relay.h
+++ b/relay.h
@@ -181,6 +181,10 @@
      ended; may be NULL. */
   void (*on_work_changed) (void *arg, int64_t now_us);
   void *work_arg; /* for on_work_changed */
+  /* This VM observed of an endpoint what REPORT says; may be NULL. */
+  void (*on_observed) (void *arg, const struct endpoint_report *report,
+                       int64_t now_us);
+  void *observed_arg; /* for on_observed */
   /* Evidence on requests that crash endpoints; NULL turns the quarantine off.
      The callbacks below are used only with it. */
   struct quar *quar;
@@ -217,6 +221,12 @@
    endpoints. */
 void relays_collect_load (void *relays, struct load_gossip *word);
 
+/* E runs and queues so many requests, by an answer of its own or by the report
+   of another VM of this failure domain: a sample for the admission controller
+   of its service. */
+void relays_heard_load (struct relays *rs, const struct fleet_endpoint *e,
+                        int running, int waiting, int64_t now_us);
+
 /* Start a request that was received in full; NULL if it has already ended. */
 struct relay *relay_start (struct relays *rs, const struct relay_desc *desc,
                            int64_t now_us);
--- a/relayadmit.c
+++ b/relayadmit.c
@@ -77,11 +77,11 @@
 /* --- results of answers ----------------------------------------------- */
 
 /* Logs two lines for an overload, its start and its end, however the share
-   varies in between. */
+   varies in between.  SAMPLE is of endpoint E. */
 static void
-log_admission (struct relay *r, int64_t now_us)
+log_admission (struct relay_service *s, const struct fleet_endpoint *e,
+               const struct admit_sample *sample, int64_t now_us)
 {
-  struct relay_service *s = r->service_state;
   int keep = admit_permille (&s->admit, now_us);
 
   if (s->limited ? keep < CQ_PERMILLE : keep >= LIMITED_BELOW_PERMILLE)
@@ -90,9 +90,25 @@
   log_event (LOG_LEVEL_INFO, "admission",
              "service=%s outcome=%s keep=%d pressure=%" G_GINT64_FORMAT
              " running=%d waiting=%d endpoint=%s",
-             r->service, s->limited ? "limited" : "open", keep,
-             (gint64)s->admit.pressure, r->reported_running,
-             r->reported_waiting, r->endpoint->listing.id);
+             e->listing.service, s->limited ? "limited" : "open", keep,
+             (gint64)s->admit.pressure, sample->running, sample->waiting,
+             e->listing.id);
+}
+
+/* Endpoints without a model take requests of any kind, and admission of these
+   is not limited. */
+void
+relays_heard_load (struct relays *rs, const struct fleet_endpoint *e,
+                   int running, int waiting, int64_t now_us)
+{
+  struct relay_service *s
+      = g_hash_table_lookup (rs->services, e->listing.service);
+  struct admit_sample seen = { .running = running, .waiting = waiting };
+
+  if (s == NULL || e->listing.model[0] == '\0' || running < 0)
+    return;
+  admit_add_sample (&s->admit, &seen, now_us);
+  log_admission (s, e, &seen, now_us);
 }
 
 void
@@ -109,7 +125,7 @@
   if (r->first_chunk_us == 0 && seen.wait_us < seen.target_us)
     return;
   admit_add_sample (&r->service_state->admit, &seen, now_us);
-  log_admission (r, now_us);
+  log_admission (r->service_state, r->endpoint, &seen, now_us);
 }
 
 /* --- the admitted share ----------------------------------------------- */
--- a/relaytry.c
+++ b/relaytry.c
@@ -189,6 +189,8 @@
   r->reported_waiting = head->waiting;
   if (head->running >= 0)
     pick_load_reported (r->endpoint, head->running + head->waiting, now);
+  r->other_incarnation = head->other_incarnation;
+  relay_observe_head (r, head, now);
   apply_version (r, head, now);
   apply_notice (r, head, now);
   /* That incarnation has ended, so the attempt reached no endpoint of the
@@ -416,6 +418,7 @@
   if (sent != SEND_COMPLETE || v.next != NEXT_FINISH)
     log_attempt (r, sent, &v, reason, error, now_us);
   report_to_pick (r, sent, now_us);
+  relay_observe_end (r, sent, now_us);
   relay_record_evidence (r, sent, now_us);
   if (sent == SEND_NONE)
     r->unsent++;
@@ -561,6 +564,8 @@
   r->reported_waiting = 0;
   r->not_run = false;
   r->connection_refused = false;
+  r->other_incarnation = false;
+  r->is_head_observed = false;
   r->streaming = false;
   r->has_body = false;
   r->paused = false;
