--- a/regress/units.h
+++ b/regress/units.h
@@ -34,5 +34,6 @@
 extern const struct unit relaystate_units[];
 extern const struct unit mirror_units[];
 extern const struct unit routeshare_units[];
+extern const struct unit observe_units[];
 
 #endif
