Admission: refused callers are told a time with room

Cause: callers that an overload refuses are all told to return after about a third of their remaining time, whatever was told to others, and rank behind all first requests. Change: with plan_returns, returns.c books the work that was told to come back in time slots of 100 ms over the next 10 s, against a tenth of the admitted work, and names the earliest time slot with room; less urgent callers leave room for more urgent ones. Without room it is the end of a third of the remaining time, as before. It is never under 100 ms, and no time is named if the deadline is nearer. A retry ranks before first requests of its urgency. A planned_return line gives the inputs, two metrics count times with and without room.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 ALL_CFLAGS = $(STD) $(CFLAGS) $(LIB_CFLAGS) -MMD -MP
 
 # Deciding: pure, no I/O, no locks, no clock.
-DECIDE = out.o budget.o share.o routeshare.o admit.o lim.o fq.o claim.o pfx.o route.o \
+DECIDE = out.o budget.o share.o routeshare.o returns.o admit.o lim.o fq.o claim.o pfx.o route.o \
 	dir.o link.o plan.o keep.o memb.o stall.o fresh.o
 # Reading what callers and engines send: pure.
 WIRE = prompt.o strm.o
@@ -72,7 +72,7 @@
 	regress/test-parts.o regress/test-xfer.o regress/test-share.o \
 	regress/test-headers.o regress/test-fresh.o regress/test-steps.o \
 	regress/test-incarnations.o regress/test-load.o regress/test-admit.o \
-	regress/test-quar.o regress/test-cold.o regress/test-limit.o regress/test-notice.o regress/test-regions.o regress/test-evac.o regress/test-relayquar.o regress/test-mirror.o regress/test-routeshare.o regress/relayharness.o
+	regress/test-quar.o regress/test-cold.o regress/test-limit.o regress/test-notice.o regress/test-regions.o regress/test-evac.o regress/test-relayquar.o regress/test-mirror.o regress/test-routeshare.o regress/test-returns.o regress/relayharness.o
 
 regress/test-units: $(UNITS) libplatform.a librelay.a libserver.a libwire.a libdecide.a
 	$(CC) $(CFLAGS) -o $@ $(UNITS) libplatform.a librelay.a log.o met.o loop.o xfer.o fetch.o peer_xdr.o \
--- a/admit.c
+++ b/admit.c
@@ -177,6 +177,12 @@
   return urgency + (is_retry ? ADMIT_RANKS / 2 : 0);
 }
 
+int
+admit_planned_rank (int urgency, bool is_retry)
+{
+  return 2 * urgency + (is_retry ? 0 : 1);
+}
+
 bool
 admit_is_retry (int64_t *usual_us, int64_t left_us)
 {
--- a/decide.h
+++ b/decide.h
@@ -133,7 +133,8 @@
 /* --- admit: admission control of an overloaded service ---------------- */
 
 /* Ranks 0 to 9 are the urgencies of first requests, 0 the most urgent; ranks
-   10 to 19 are the same urgencies of retries. */
+   10 to 19 are the same urgencies of retries.  If returns are planned, each
+   urgency has two ranks, retries before first requests. */
 #define ADMIT_RANKS 20
 
 /* Admission control of one service on one VM. */
@@ -173,6 +174,8 @@
 int admit_urgency (int workspace_priority, int route_priority);
 /* Rank of a request; lower ranks are admitted first. */
 int admit_rank (int urgency, bool is_retry);
+/* The same if returns are planned. */
+int admit_planned_rank (int urgency, bool is_retry);
 /* Adds WORK to the demand of RANK; the unit is the same for all. */
 void admit_add_demand (struct admit *a, int rank, int64_t work,
                        int64_t now_us);
--- a/librelay.h
+++ b/librelay.h
@@ -8,6 +8,7 @@
 #include "sse.h"
 #include "relay.h"
 #include "relaycrash.h"
+#include "returns.h"
 #include "routeshare.h"
 
 /* Retry-After sent to callers: after a failed attempt, and while this VM has
@@ -24,6 +25,7 @@
   struct budget budget;     /* retry budget */
   struct share share;       /* demand of each workspace */
   struct routeshare routes; /* demand of each route */
+  struct returns returns;   /* work that was told to come back */
   struct admit admit;       /* how much of the demand is admitted */
   bool limited;             /* a part is refused, and this was logged */
 };
@@ -52,9 +54,10 @@
   const struct fleet_workspace *workspace; /* of the caller, or NULL */
   const char *service;                     /* service it is sent to */
   struct relay_service *service_state;     /* shared by its requests */
-  int rank;            /* admission rank, lower goes first */
-  int64_t arrived_us;  /* when it was received in full */
-  int64_t deadline_us; /* no answer is sent after this time */
+  int rank;             /* admission rank, lower goes first */
+  int64_t asked_tokens; /* work that it asks for */
+  int64_t arrived_us;   /* when it was received in full */
+  int64_t deadline_us;  /* no answer is sent after this time */
   struct fleet_endpoint
       *tried[PICK_EXCLUDE_MAX];    /* failed there; references */
   struct fleet_endpoint *endpoint; /* of the attempt; a reference, or NULL */
@@ -118,8 +121,11 @@
 void relay_log_too_late (const struct relay *r,
                          const struct pick_choice *choice, int keep,
                          int64_t now_us);
-/* Time after which R, which is refused for overload, is told to retry. */
-int64_t relay_overload_retry_us (const struct relay *r, uint64_t random,
+/* R is admitted for its first attempt. */
+void relay_admitted (struct relay *r, int64_t now_us);
+/* Time after which R, which is refused for overload, is told to retry; 0 if
+   none is left. */
+int64_t relay_overload_retry_us (struct relay *r, uint64_t random,
                                  int64_t now_us);
 /* Name of the caller's workspace, "" if there is none. */
 const char *relay_workspace (const struct relay *r);
--- a/met.c
+++ b/met.c
@@ -24,6 +24,12 @@
   [MET_OVER_ROUTE_SHARE]
   = { "camphorquay_over_route_share_total", "counter",
       "Requests refused since their route asks for more than its share." },
+  [MET_RETURNS_PLANNED]
+  = { "camphorquay_returns_planned_total", "counter",
+      "Refused callers that were told a time with room for them." },
+  [MET_RETURNS_CROWDED]
+  = { "camphorquay_returns_crowded_total", "counter",
+      "Refused callers for whom no time in their reach had room." },
   [MET_UNKNOWN] = { "camphorquay_unknown_total", "counter",
                     "Requests that ended as unknown." },
   [MET_FAILED] = { "camphorquay_failed_total", "counter",
--- a/regress/burst.c
+++ b/regress/burst.c
@@ -32,9 +32,11 @@
 #define FAILURE_TO_MS 14500    /* end of the failure */
 #define BURST_FROM_MS 4200     /* begin of the burst */
 #define BURST_TO_MS 10200      /* end of the burst */
-#define BURST_PERCENT 240      /* rate of long prompts during the burst */
-#define LOUD_FACTOR 10         /* demand of a loud workspace */
-#define SEEDS 5                /* runs that are summed up */
+#define BRIEF_FAILURE_TO_MS 5500 /* the same in a brief overload */
+#define BRIEF_BURST_TO_MS 5200   /* the same in a brief overload */
+#define BURST_PERCENT 240        /* rate of long prompts during the burst */
+#define LOUD_FACTOR 10           /* demand of a loud workspace */
+#define SEEDS 20                 /* runs that are summed up */
 #define SIZE_SPREAD_PERCENT                                                   \
   20                      /* prompts are longer or shorter by up to this */
 #define LARGE_PERCENT 116 /* the largest tenth are longer than this */
@@ -66,6 +68,7 @@
   bool route_shares; /* relays_opts.route_shares */
   bool plan_returns; /* relays_opts.plan_returns */
   bool loud;         /* the last workspace sends ten times as much */
+  bool brief;        /* the burst lasts 1 s and the failure 3 s */
 };
 
 /* A caller's request. */
@@ -141,7 +144,7 @@
 is_gone (const struct world *w, int endpoint)
 {
   return endpoint < GONE && w->now_ms >= FAILURE_FROM_MS
-         && w->now_ms < FAILURE_TO_MS;
+         && w->now_ms < (w->rule->brief ? BRIEF_FAILURE_TO_MS : FAILURE_TO_MS);
 }
 
 static void
@@ -161,9 +164,10 @@
 }
 
 static bool
-is_burst (int at_ms)
+is_burst (const struct world *w, int at_ms)
 {
-  return at_ms >= BURST_FROM_MS && at_ms < BURST_TO_MS;
+  return at_ms >= BURST_FROM_MS
+         && at_ms < (w->rule->brief ? BRIEF_BURST_TO_MS : BURST_TO_MS);
 }
 
 static bool
@@ -176,7 +180,7 @@
 count_asked (struct world *w, const struct request *a)
 {
   w->by_route[a->route].asked++;
-  if (!is_burst (a->asked_ms))
+  if (!is_burst (w, a->asked_ms))
     return;
   w->burst_routes[a->route].asked++;
   w->burst_workspaces[a->workspace].asked++;
@@ -188,7 +192,7 @@
 count (struct world *w, const struct request *a, int served_ms)
 {
   count_end (&w->by_route[a->route], a, served_ms);
-  if (!is_burst (a->asked_ms))
+  if (!is_burst (w, a->asked_ms))
     return;
   count_end (&w->burst_routes[a->route], a, served_ms);
   count_end (&w->burst_workspaces[a->workspace], a, served_ms);
@@ -339,6 +343,7 @@
       refuse (w, &a, &r);
       return;
     }
+  relay_admitted (&r, now_us (w));
   a.sent_ms = w->now_ms;
   a.priority = relay_priority (&r);
   enqueue (w, endpoint, &a);
@@ -347,7 +352,8 @@
 static int
 rate_of (const struct world *w, int route)
 {
-  if (is_burst (w->now_ms) && kinds[route].tokens == kinds[ROUTES - 1].tokens)
+  if (is_burst (w, w->now_ms)
+      && kinds[route].tokens == kinds[ROUTES - 1].tokens)
     return kinds[route].per_second * BURST_PERCENT / 100;
   return kinds[route].per_second;
 }
@@ -580,10 +586,27 @@
 main (void)
 {
   static const struct rule rules[] = {
-    { "burst, old rule", false, false, false },
-    { "burst, shares among routes", true, false, false },
-    { "loud workspace, old rule", false, false, true },
-    { "loud workspace, shares among routes", true, false, true },
+    { .name = "burst, old rule" },
+    { .name = "burst, shares among routes", .route_shares = true },
+    { .name = "loud workspace, old rule", .loud = true },
+    { .name = "loud workspace, shares among routes",
+      .route_shares = true,
+      .loud = true },
+    { .name = "burst, planned returns", .plan_returns = true },
+    { .name = "burst, shares among routes, planned returns",
+      .route_shares = true,
+      .plan_returns = true },
+    { .name = "brief overload, old rule", .brief = true },
+    { .name = "brief overload, planned returns",
+      .plan_returns = true,
+      .brief = true },
+    { .name = "brief overload, shares among routes",
+      .route_shares = true,
+      .brief = true },
+    { .name = "brief overload, shares among routes, planned returns",
+      .route_shares = true,
+      .plan_returns = true,
+      .brief = true },
   };
   size_t i;
 
--- a/relayadmit.c
+++ b/relayadmit.c
@@ -89,7 +89,10 @@
   share_add_demand (&s->share, relay_workspace (r), work, now_us);
   if (r->rs->opts.route_shares)
     routeshare_add_demand (&s->routes, r->route->name, work, now_us);
-  r->rank = admit_rank (relay_priority (r), is_retry (r, now_us));
+  r->asked_tokens = work;
+  r->rank = r->rs->opts.plan_returns
+                ? admit_planned_rank (relay_priority (r), is_retry (r, now_us))
+                : admit_rank (relay_priority (r), is_retry (r, now_us));
   admit_add_demand (&s->admit, r->rank, work, now_us);
 }
 
@@ -243,14 +246,45 @@
 
 /* --- retries ---------------------------------------------------------- */
 
-/* The caller is told to retry when two thirds of its time are left for the
-   answer; earlier, the overload is less likely to have ended. */
+void
+relay_admitted (struct relay *r, int64_t now_us)
+{
+  if (r->rs->opts.plan_returns && r->ntried == 0)
+    returns_add_admitted (&r->service_state->returns, r->asked_tokens, now_us);
+}
+
+static int64_t
+planned_retry_us (struct relay *r, uint64_t random, int64_t now_us)
+{
+  struct returns *s = &r->service_state->returns;
+  struct returns_query q = { .random = random };
+  struct returns_plan p;
+
+  q.urgency = relay_priority (r);
+  q.work = r->asked_tokens;
+  q.left_us = r->deadline_us - now_us;
+  p = returns_plan (s, &q, now_us);
+  met_add (p.has_room ? MET_RETURNS_PLANNED : MET_RETURNS_CROWDED, 1);
+  log_event (LOG_LEVEL_INFO, "planned_return",
+             "req=%s route=%s urgency=%d work=%" G_GINT64_FORMAT
+             " retry_us=%" G_GINT64_FORMAT " left_us=%" G_GINT64_FORMAT
+             " booked=%" G_GINT64_FORMAT " room=%" G_GINT64_FORMAT
+             " rate=%" G_GINT64_FORMAT,
+             r->desc.id, r->route->name, q.urgency, (gint64)q.work,
+             (gint64)p.retry_us, (gint64)q.left_us, (gint64)p.booked,
+             (gint64)p.room, (gint64)s->rate);
+  return p.retry_us;
+}
+
+/* Without a plan, the caller is told to retry when two thirds of its time are
+   left for the answer; earlier, the overload is less likely to have ended. */
 int64_t
-relay_overload_retry_us (const struct relay *r, uint64_t random,
-                         int64_t now_us)
+relay_overload_retry_us (struct relay *r, uint64_t random, int64_t now_us)
 {
   int64_t wait = MAX ((r->deadline_us - now_us) / OVERLOAD_RETRY_DIVISOR,
                       OVERLOAD_RETRY_MIN_US);
 
+  if (r->rs->opts.plan_returns)
+    return planned_retry_us (r, random, now_us);
   return wait - (int64_t)(random % (uint64_t)(wait / OVERLOAD_JITTER_DIVISOR));
 }
--- a/relaytry.c
+++ b/relaytry.c
@@ -670,7 +670,10 @@
   if (c.code == PICK_CHOSEN && is_refused_for_load (r, &c, now_us))
     refuse_overload (r, now_us);
   else if (c.code == PICK_CHOSEN)
-    send_attempt (r, &c, now_us);
+    {
+      relay_admitted (r, now_us);
+      send_attempt (r, &c, now_us);
+    }
   else
     {
       count_unplaced_reason (c.code);
