--- a/regress/units.h
+++ b/regress/units.h
@@ -35,5 +35,6 @@
 extern const struct unit mirror_units[];
 extern const struct unit routeshare_units[];
 extern const struct unit observe_units[];
+extern const struct unit returns_units[];
 
 #endif
