Reports on endpoints: tests of the exchange and of shared pressure

Cause: the exchange over sockets, the effect on admission and the decoder under arbitrary input were not tested. The script loadgossip runs two more VMs with the setting on, and the fuzzer opens and decodes sealed messages.

--- a/regress/fuzz-input.c
+++ b/regress/fuzz-input.c
@@ -476,23 +476,55 @@
   pdecode_clear (&news);
 }
 
+static void
+check_load (const struct load_gossip *w)
+{
+  const struct endpoint_report *r;
+  int i;
+
+  if (w->nentries < 0 || w->nentries > LOAD_ENTRIES_MAX)
+    g_error ("more entries than LOAD_ENTRIES_MAX");
+  if (w->nreports < 0 || w->nreports > LOAD_REPORTS_MAX)
+    g_error ("more reports than LOAD_REPORTS_MAX");
+  for (i = 0; i < w->nentries; i++)
+    if (w->entries[i].pending_prefill_tokens < 0
+        || w->entries[i].kv_tokens < 0)
+      g_error ("a negative amount of work");
+  for (i = 0; i < w->nreports; i++)
+    {
+      r = &w->reports[i];
+      if (r->seen > LOAD_SEEN_FAILED || r->age_us < 0 || r->running < -1
+          || r->waiting < 0
+          || (r->speed_percent != 0
+              && (r->speed_percent < 10 || r->speed_percent > 10000)))
+        g_error ("a report out of its range");
+    }
+}
+
 /* Load gossip between VMs, and the list of VMs. */
 static void
 fuzz_vms (const char *data, size_t size)
 {
+  static const uint8_t key[QUARWIRE_KEY_BYTES] = { 1 };
   g_autoptr (GArray) list
       = g_array_new (FALSE, TRUE, sizeof (struct roster_row));
   struct load_gossip w = { .nentries = 0 };
-  int i;
 
   if (loadgossip_decode (data, size, &w))
+    check_load (&w);
+  if (loadgossip_open ((const uint8_t *)data, size, key, &w))
+    g_error ("accepted a load message without a valid seal");
+  if (loadgossip_decode_sealed ((const uint8_t *)data, size, &w))
     {
-      if (w.nentries < 0 || w.nentries > LOAD_ENTRIES_MAX)
-        g_error ("more entries than LOAD_ENTRIES_MAX");
-      for (i = 0; i < w.nentries; i++)
-        if (w.entries[i].pending_prefill_tokens < 0
-            || w.entries[i].kv_tokens < 0)
-          g_error ("a negative amount of work");
+      g_autoptr (GByteArray) again = NULL;
+
+      check_load (&w);
+      again = loadgossip_seal (&w, key);
+      if (again->len > LOADGOSSIP_SEALED_MAX)
+        g_error ("a sealed message over its limit");
+      if (!loadgossip_open (again->data, again->len, key, &w))
+        g_error ("a sealed message that cannot be opened");
+      check_load (&w);
     }
   pdecode_roster (data, size, list);
 }
--- a/regress/loadgossip.sh
+++ b/regress/loadgossip.sh
@@ -12,8 +12,8 @@
 row op config "$(site_conf 3 '"k1"')"
 server e llm m 1
 server f llm m 1
-entry a
-entry b
+share_reports=no entry a
+share_reports=no entry b
 wait_for is_ready a
 wait_for is_ready b
 wait_for has_peer a b
@@ -44,3 +44,30 @@
 at_cached() { id=late$RANDOM; ask b /tell/x -d p -H 'X-Prompt-Prefix: aa:300,cc:80' >/dev/null; [ "$(ran_at $id)" = "$home" ]; }
 wait_for at_cached
 echo "served where the prefix is cached again"
+
+echo "== sealed reports"
+# Guards against VMs that act on unsealed messages, or do not learn from each
+# other that an endpoint is gone.
+drop_row servers i-e
+drop_row servers i-f
+share_reports=yes entry c
+share_reports=yes entry d
+server g app
+wait_for is_ready c
+wait_for is_ready d
+wait_for has_peer c d
+wait_for has_peer d c
+metric() { eval "_v=\$vm_$1"; curl -s --noproxy '*' "http://$_v/metrics" | sed -n "s/^camphorquay_$2 //p"; }
+# d asks nothing itself, so it knows only what c reports.
+heard_by_d() { id=s$RANDOM ask c /safe/x >/dev/null; [ "$(metric d reports_received_total)" -ge 1 ]; }
+wait_for heard_by_d
+echo "d has a report of c"
+unread_before=$(metric d loads_unread_total)
+sent_unsealed() { [ "$(metric d loads_unread_total)" -gt "$unread_before" ]; }
+wait_for sent_unsealed
+grep -q 'event=vm_known name=b .*source=word' "$tmp/d.log" && echo "d believed an unsealed message"
+echo "messages of b, which are not sealed, are not read"
+die g
+gone() { id=s$RANDOM ask c /safe/x >/dev/null; grep -q 'event=endpoint_reported endpoint=i-g seen=refused vm=c ' "$tmp/d.log"; }
+wait_for gone
+echo "d knows from c that the endpoint refuses connections"
