Reports on endpoints: test of failures ends its probe

Cause: the test left a probe without an answer, so the sanitizer reported 1,200 bytes that were not freed. Change: the test answers the probe.

--- a/regress/test-observe.c
+++ b/regress/test-observe.c
@@ -837,6 +837,8 @@
   harness_end (p, true, false);
   g_assert_cmpint (nobserved, ==, 2);
   g_assert_cmpint (observed[1].seen, ==, LOAD_SEEN_FAILED);
+  g_assert_nonnull (p->probe);
+  p->probe (p->probe_arg, RELAY_PROBE_SILENT, NULL);
   harness_free (p);
 }
 
