Speed of endpoints: the fourth figure of the load report, and its estimate

Cause: endpoints report how long work takes there, in percent of the normal time, and the figure is discarded. No decision changes.

--- a/fleet.h
+++ b/fleet.h
@@ -18,6 +18,7 @@
 
 #include "cold.h"
 #include "limit.h"
+#include "speed.h"
 
 /* --- the operators' configuration ------------------------------------ */
 
@@ -213,6 +214,7 @@
   struct cold cold;          /* cold state and this VM's share of its rate */
   struct limit limit;        /* rate limit that it reported for all VMs */
   struct fleet_ewma first_chunk; /* time to the first chunk of its answers */
+  struct speed speed;            /* how long work takes there, as it reports */
 };
 
 /* --- fleet ----------------------------------------------------------- */
--- a/notice.h
+++ b/notice.h
@@ -22,6 +22,8 @@
   bool leaving;            /* it drains */
   int64_t backoff_us; /* it refused the request and takes none from this VM for
                          so long; 0 if not reported */
+  int speed_percent;  /* with a probe's answer: time that work takes there, 100
+                         is normal; 0 if not reported */
 };
 
 /* Origin of a notice. */
--- a/regress/fuzz-input.c
+++ b/regress/fuzz-input.c
@@ -117,7 +117,7 @@
   g_autofree char *text = g_strndup (data, size);
   struct part parts[PARTS_MAX];
   struct lease_row row;
-  int running, waiting;
+  int running, waiting, speed;
   int i, n = pdecode_prompt (text, parts, PARTS_MAX);
 
   if (n < 0 || n > PARTS_MAX)
@@ -125,8 +125,10 @@
   for (i = 0; i < n; i++)
     if (strlen (parts[i].id) >= sizeof parts[i].id)
       g_error ("a part's id without a terminating NUL");
-  pdecode_load (text, &running, &waiting);
-  if (running < -1 || waiting < 0)
+  pdecode_load (text, &running, &waiting, &speed);
+  if (running < -1 || waiting < 0
+      || (speed != 0
+          && (speed < SPEED_MIN_PERCENT || speed > SPEED_MAX_PERCENT)))
     g_error ("a load out of its range");
   pdecode_lease (text, &row);
   if (memchr (row.holder, '\0', sizeof row.holder) == NULL)
--- a/regress/test-headers.c
+++ b/regress/test-headers.c
@@ -223,6 +223,46 @@
   preplyhead_clear (&a);
 }
 
+/* Guards against a speed that is misread: the endpoint would be avoided, or
+   given work, for no reason.  A missing or invalid figure leaves the other
+   figures valid. */
+static void
+test_reply_speed (void)
+{
+  static const struct
+  {
+    const char *line; /* header */
+    int running;      /* expected requests running */
+    int percent;      /* expected speed */
+  } cases[] = {
+    { "X-Server-Load: 1,2,8,250", 1, 250 },
+    { "X-Server-Load: 1,2,8, 40", 1, 40 },
+    { "X-Server-Load: 1,2,8,10", 1, 10 },
+    { "X-Server-Load: 1,2,8,10000", 1, 10000 },
+    { "X-Server-Load: 1,2,8,250,7", 1, 250 },
+    { "X-Server-Load: 1,2,8", 1, 0 },
+    { "X-Server-Load: 1,2,8,", 1, 0 },
+    { "X-Server-Load: 1,2,8,9", 1, 0 },
+    { "X-Server-Load: 1,2,8,10001", 1, 0 },
+    { "X-Server-Load: 1,2,8,-250", 1, 0 },
+    { "X-Server-Load: 1,2,8,250x", 1, 0 },
+    { "X-Server-Load: 1,2,8,99999999999999999999", 1, 0 },
+    { "X-Server-Load: x,2,8,250", -1, 0 },
+  };
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const char *lines[] = { cases[i].line, NULL };
+      struct preplyhead a;
+
+      decode_reply (&a, lines, 200);
+      g_assert_cmpint (a.head.running, ==, cases[i].running);
+      g_assert_cmpint (a.head.speed_percent, ==, cases[i].percent);
+      preplyhead_clear (&a);
+    }
+}
+
 /* Guards against using a reply that names two requests: it may be to the other
    one. */
 static void
@@ -367,6 +407,7 @@
   { "/headers/invalid-deadlines", test_invalid_deadlines },
   { "/headers/invalid-parts", test_invalid_parts },
   { "/headers/reply", test_reply },
+  { "/headers/reply-speed", test_reply_speed },
   { "/headers/reply-two-ids", test_reply_two_ids },
   { "/headers/reply-invalid-version", test_reply_invalid_version },
   { "/headers/leaving", test_leaving },
--- a/relay.h
+++ b/relay.h
@@ -104,6 +104,8 @@
                          for */
   int running;        /* requests running at the endpoint, -1 if not given */
   int waiting;        /* requests waiting there, 0 if not given */
+  int speed_percent;  /* time that work takes there, 100 is normal; 0 if not
+                         given */
   int64_t version;    /* weight version that ran, 0 if not given */
   struct notice notice; /* the endpoint's notices on its own state */
   char **lines;         /* "Name: value" lines for the caller */
--- a/relaycrash.c
+++ b/relaycrash.c
@@ -93,6 +93,7 @@
   struct notice_origin from = { .source = "probe", .sent_us = s->probed_us };
 
   notice_apply (s->endpoint, notice, &from, now_us);
+  speed_add (&s->endpoint->speed, notice->speed_percent, now_us);
 }
 
 static void
--- a/relaytry.c
+++ b/relaytry.c
@@ -177,6 +177,13 @@
   notice_apply (r->endpoint, &head->notice, &from, now_us);
 }
 
+static void
+apply_speed (struct relay *r, const struct relay_head *head, int64_t now_us)
+{
+  if (!head->other_incarnation && (head->genuine || head->not_run))
+    speed_add (&r->endpoint->speed, head->speed_percent, now_us);
+}
+
 static bool
 on_head (void *arg, const struct relay_head *head)
 {
@@ -191,6 +198,7 @@
     pick_load_reported (r->endpoint, head->running + head->waiting, now);
   apply_version (r, head, now);
   apply_notice (r, head, now);
+  apply_speed (r, head, now);
   /* That incarnation has ended, so the attempt reached no endpoint of the
      service and is not counted. */
   if (head->other_incarnation)
