Placement of prompts by the speed of endpoints

Cause: 15 percent of the endpoints work 2.5 times as long, in phases of about 0.6 s. The chunks of a long prompt there stall every stream beyond the target for its pauses; prompts are placed as if all endpoints were equal. Change: with share_reports, pending work and the prompt's own prefill count times the speed. A prompt of more than one chunk is kept away from a slow endpoint if the expected pause of the streams there exceeds the shortest target of the service's routes; where all are slow, the least slow one is taken. A shorter one is kept away only if its first chunk would be late because of the speed. The pauses with and without pending prompts are learned per service from the streams of this VM. The send line has the speed and its age.

--- a/fleet.c
+++ b/fleet.c
@@ -79,6 +79,22 @@
   return (na < nb) - (na > nb);
 }
 
+/* The services of R inherit its target for the pause between events. */
+static void
+apply_event_gap (struct fleet_conf *c, const struct fleet_route *r)
+{
+  struct fleet_service *sv;
+  int i;
+
+  for (i = 0; i < r->nsplits && r->event_gap_us > 0; i++)
+    {
+      sv = g_hash_table_lookup (c->services, r->splits[i].service);
+      if (sv != NULL
+          && (sv->event_gap_us == 0 || r->event_gap_us < sv->event_gap_us))
+        sv->event_gap_us = r->event_gap_us;
+    }
+}
+
 void
 fleet_conf_build_index (struct fleet_conf *c)
 {
@@ -97,6 +113,7 @@
           g_hash_table_insert (c->hosts, r->host, list);
         }
       g_ptr_array_add (list, r);
+      apply_event_gap (c, r);
     }
   g_hash_table_iter_init (&it, c->hosts);
   while (g_hash_table_iter_next (&it, NULL, &list))
--- a/fleet.h
+++ b/fleet.h
@@ -73,6 +73,8 @@
   int64_t transfer_latency_us; /* fixed latency of each transfer */
   char *store_address;         /* IP:PORT if it is a KV cache store, or NULL */
   int calls_max;         /* calls that a store takes at once; 0 if unknown */
+  int64_t event_gap_us;  /* shortest event_gap_us of its routes, 0 if none;
+                            set by fleet_conf_build_index */
   int64_t cold_start_us; /* how long an endpoint is cold after a start */
   int cold_requests_s;   /* request rate that a cold endpoint can take */
 };
@@ -106,7 +108,8 @@
 };
 
 struct fleet_conf *fleet_conf_new (void);
-/* Builds the index by host; call it after all routes were added. */
+/* Builds the index by host, and what services take from their routes; call it
+   after all routes and services were added. */
 void fleet_conf_build_index (struct fleet_conf *c);
 struct fleet_conf *fleet_conf_ref (struct fleet_conf *c);
 void fleet_conf_unref (struct fleet_conf *c);
@@ -164,6 +167,7 @@
   int64_t prefill_tokens; /* tokens of long prompts, decayed over samples */
   int64_t prefill_us;     /* time that these took beyond a short prompt,
                              decayed alike */
+  struct speed_pauses pauses; /* between events of its streams */
 };
 
 /* Scale of the cost terms in placement, in percent; changed only in
@@ -453,6 +457,8 @@
   struct pick_work work;            /* prompt tokens; zeros for a plain
                                        service */
   const struct load_table *loads;   /* load that all VMs reported, or NULL */
+  bool by_speed;                    /* the speed of endpoints counts */
+  int64_t target_latency_us;        /* latency target, 0 if none */
 };
 
 enum pick_code
@@ -482,6 +488,7 @@
   int over_bound;     /* endpoints rejected for their load */
   int64_t backoff_us; /* until the first backoff ends; with PICK_BACKOFF */
   int64_t version;    /* weight version that it is assumed to have */
+  int speed_percent;  /* estimated speed of the chosen endpoint */
 };
 
 struct pick_choice pick_endpoint (const struct fleet *f,
@@ -507,6 +514,10 @@
 /* Returns the estimated prefill rate of an endpoint of the service, in tokens
    a second. */
 int64_t pick_prefill_rate (const struct fleet *f, const char *service);
+/* A pause of PAUSE_US between two events of a stream at E; PENDING if prompts
+   were pending there. */
+void pick_learn_pause (struct fleet *f, const struct fleet_endpoint *e,
+                       bool pending, int64_t pause_us, int64_t now_us);
 /* The first chunk of an answer came after WAIT_US, or had not come by then. */
 void pick_first_chunk (struct fleet *f, struct fleet_endpoint *e,
                        int64_t wait_us, int64_t now_us);
--- a/librelay.h
+++ b/librelay.h
@@ -71,6 +71,8 @@
   int64_t sent_us;         /* when the attempt started */
   int64_t handed_over_us;  /* when a first byte left, 0 for never */
   int64_t first_chunk_us; /* when the first chunk was passed on, 0 for never */
+  int64_t last_event_us;  /* when the last events arrived, 0 for never */
+  int64_t gap_us;         /* longest pause between events */
   int ntried;             /* entries in tried */
   int status;             /* HTTP status of the attempt's answer, 0 if none */
   int reported_running;   /* requests running at the endpoint by its answer, -1
@@ -91,6 +93,8 @@
   bool may_have_run;       /* an earlier attempt may have run */
   bool stream_begun;   /* the caller has got the head and part of a stream */
   bool paused;         /* the attempt waits for a slow reader */
+  bool event_pending;  /* prompts were pending at the endpoint when the last
+                          events arrived */
   bool unpause_posted; /* unpause is queued in the loop */
   bool done;           /* ended; freed by the queued unpause */
 };
--- a/pick.c
+++ b/pick.c
@@ -54,6 +54,16 @@
    the load there: it is used when the one in this domain has about three short
    prompts' time more to do. */
 #define REMOTE_DOMAIN_COST_US INT64_C (60000)
+/* A prompt that takes longer than this to prefill takes more than one chunk:
+   a chunk adds 8 to 11 ms to a decode step. */
+#define CHUNK_US INT64_C (10000)
+/* An endpoint is slow from so many percent above the normal time on, and
+   speeds of slow ones that differ by less count as equal; VMs send changes of
+   this size at once. */
+#define SPEED_STEP_PERCENT 25
+/* Cost, in units of COST_STEP_US, for each such step of an endpoint that is
+   avoided; more than any other cost. */
+#define AVOIDED_COST (INT64_C (1) << 40)
 /* Prefill rate in tokens a second, before any sample. */
 #define PREFILL_RATE_INITIAL 100000
 /* Bounds of the estimated prefill rate, against outliers. */
@@ -204,6 +214,17 @@
       += wait_us - s->short_prompt_us - s->prefill_us / PREFILL_DECAY_DIVISOR;
 }
 
+/* Only pauses whose speed was reported just now are samples: the end of a slow
+   phase would else be taken for a service with shorter pauses. */
+void
+pick_learn_pause (struct fleet *f, const struct fleet_endpoint *e,
+                  bool pending, int64_t pause_us, int64_t now_us)
+{
+  if (speed_is_recent (&e->speed, now_us))
+    speed_pause_add (&get_stats (f, e->listing.service)->pauses, pending,
+                     speed_percent (&e->speed, now_us), pause_us);
+}
+
 /* Without samples, the average decays toward the usual value. */
 static int64_t
 decayed (const struct fleet_ewma *w, int64_t usual_us, int64_t now_us)
@@ -462,8 +483,19 @@
                    tokens; 0 if unknown */
   int64_t shared_parts_us;      /* to fetch or prefill the shared parts at an
                             endpoint that      lacks them */
+  int64_t own_us;               /* to prefill the tokens that are not shared */
+  int64_t event_gap_us; /* target for the pause of the service's streams, 0 if
+                           none */
+  struct speed_pauses pauses; /* pauses of the service's streams */
+  int64_t short_prompt_us;    /* time to the first chunk of short prompts */
 };
 
+static int64_t
+at_speed (int64_t us, int percent)
+{
+  return us * percent / SPEED_NORMAL_PERCENT;
+}
+
 static int64_t
 prefill_us (int64_t tokens, int64_t prefill_rate)
 {
@@ -485,6 +517,7 @@
 cost_inputs_of (const struct fleet *f, const struct pick_query *q)
 {
   const struct fleet_service *sv = service_of (f, q->service);
+  const struct fleet_service_stats *stats = find_stats (f, q->service);
   struct cost_inputs w = { .q = q, .factors = &f->factors };
 
   w.prefill_rate = pick_prefill_rate (f, q->service);
@@ -495,6 +528,14 @@
       = transfer_us (sv, q->work.stored_tokens, w.prefill_rate)
         + prefill_us (q->work.shared_tokens - q->work.stored_tokens,
                       w.prefill_rate);
+  w.own_us = prefill_us (q->work.own_tokens, w.prefill_rate);
+  if (sv != NULL)
+    w.event_gap_us = sv->event_gap_us;
+  if (stats != NULL)
+    {
+      w.pauses = stats->pauses;
+      w.short_prompt_us = stats->short_prompt_us;
+    }
   return w;
 }
 
@@ -520,7 +561,7 @@
  */
 static int64_t
 cost_of (const struct cost_inputs *w, const struct fleet_endpoint *e,
-         bool preferred)
+         bool preferred, int64_t now_us)
 {
   const struct pick_query *q = w->q;
   struct load_sum at = load_at (q->loads, e->key);
@@ -533,11 +574,47 @@
   cost += memory_us (w, at.kv_tokens, need) * w->factors->memory / 100;
   if (!preferred && !has)
     cost += w->shared_parts_us * w->factors->parts / 100;
+  if (q->by_speed)
+    cost = at_speed (cost + w->own_us, speed_percent (&e->speed, now_us))
+           - w->own_us;
   if (load_is_partial (q->loads) && strcmp (e->listing.domain, q->domain) != 0)
     cost += REMOTE_DOMAIN_COST_US;
   return cost;
 }
 
+/*
+ * How strongly the prompt is kept away from E: 0 for not at all, else the more
+ * the slower E is.  A prompt of several chunks would stall the running streams
+ * of a slow endpoint beyond their target: with phases of 0.6 s in which an
+ * endpoint works 2.5 times as long, more than half of the streams with a
+ * longer pause were at an endpoint that was slow.  Any other prompt is only
+ * kept away if its first chunk would be late because of the speed.
+ */
+static int
+avoidance_of (const struct cost_inputs *w, const struct fleet_endpoint *e,
+              bool preferred, int64_t now_us)
+{
+  const struct pick_query *q = w->q;
+  bool has = preferred || load_has_part (q->loads, e->key, q->work.part);
+  int speed = speed_percent (&e->speed, now_us);
+  int steps = (speed - SPEED_NORMAL_PERCENT) / SPEED_STEP_PERCENT;
+  int64_t pending = load_at (q->loads, e->key).pending_prefill_tokens;
+  int64_t need_us = w->own_us + (has ? 0 : w->shared_parts_us);
+  int64_t work_us = need_us + prefill_us (pending, w->prefill_rate);
+  int64_t first_us = w->short_prompt_us + work_us;
+
+  if (steps <= 0)
+    return 0;
+  if (need_us > CHUNK_US && w->event_gap_us > 0
+      && speed_pause_expected_us (&w->pauses, work_us, speed)
+             > w->event_gap_us)
+    return steps;
+  return first_us <= q->target_latency_us
+                 && at_speed (first_us, speed) > q->target_latency_us
+             ? steps
+             : 0;
+}
+
 /* The endpoint that most likely has a prompt's shared parts, by rendezvous
    hashing: the same one on all VMs. */
 static const struct fleet_endpoint *
@@ -599,7 +676,9 @@
         choice->over_bound++;
         continue;
       }
-    cost = cost_of (&w, e, e == preferred) / COST_STEP_US;
+    cost = cost_of (&w, e, e == preferred, now_us) / COST_STEP_US;
+    if (q->by_speed)
+      cost += AVOIDED_COST * avoidance_of (&w, e, e == preferred, now_us);
     score = affinity_score (q, e);
     if (best == NULL || cost < low || (cost == low && score > high))
       {
@@ -683,5 +762,6 @@
   c.has_part = load_has_part (q->loads, c.endpoint->key, q->work.part);
   c.wait_us = pick_expected_wait_us (f, c.endpoint, now_us);
   c.version = c.endpoint->version;
+  c.speed_percent = speed_percent (&c.endpoint->speed, now_us);
   return c;
 }
--- a/relaytry.c
+++ b/relaytry.c
@@ -219,12 +219,31 @@
   return true;
 }
 
+/* A pause across two attempts says nothing of either endpoint. */
+static void
+record_pause (struct relay *r, int64_t now_us)
+{
+  const struct relays_opts *o = &r->rs->opts;
+  bool pending
+      = load_at (o->loads, r->endpoint->key).pending_prefill_tokens > 0;
+  int64_t pause_us = now_us - r->last_event_us;
+
+  if (r->last_event_us > 0)
+    r->gap_us = MAX (r->gap_us, pause_us);
+  if (o->share_reports && r->last_event_us > r->sent_us)
+    pick_learn_pause (o->fleet, r->endpoint, pending || r->event_pending,
+                      pause_us, now_us);
+  r->last_event_us = now_us;
+  r->event_pending = pending;
+}
+
 static void
 forward_chunk (struct relay *r, const char *data, size_t len)
 {
   if (len == 0)
     return;
   relay_prefill_done (r, loop_now_us ());
+  record_pause (r, loop_now_us ());
   if (!r->stream_begun)
     {
       r->stream_begun = true;
@@ -252,6 +271,8 @@
       && r->desc.caller->pending (r->desc.arg) > r->rs->opts.stream_buffer)
     {
       r->paused = true;
+      /* The caller causes the pause that follows. */
+      r->last_event_us = 0;
       return RELAY_PAUSE;
     }
   if (!sse_feed (&r->events, data, len, EVENT_SIZE_MAX, events))
@@ -598,7 +619,8 @@
       " version=%" G_GINT64_FORMAT " newer=%" G_GINT64_FORMAT
       " newer_us=%" G_GINT64_FORMAT " limit_milli=%" G_GINT64_FORMAT
       " left_us=%" G_GINT64_FORMAT " conf=%" G_GINT64_FORMAT
-      " conf_age_us=%" G_GINT64_FORMAT,
+      " conf_age_us=%" G_GINT64_FORMAT
+      " speed=%d speed_age_us=%" G_GINT64_FORMAT,
       r->desc.id, r->route->name, c->endpoint->listing.id, c->load,
       c->candidates, c->over_bound, (gint64)c->pending_prefill_tokens,
       (gint64)c->kv_tokens, (gint64)c->wait_us, r->plan.nfetch, r->plan.nsave,
@@ -607,7 +629,10 @@
       (gint64)newer_named_for_us (o->fleet, c->endpoint, now_us),
       (gint64)(r->endpoint->limit.active ? r->endpoint->limit.milli_rps : -1),
       (gint64)s.timeout_us, (gint64)r->conf->version,
-      (gint64)fleet_conf_age_us (o->fleet, now_us));
+      (gint64)fleet_conf_age_us (o->fleet, now_us), c->speed_percent,
+      (gint64)(r->endpoint->speed.percent > 0
+                   ? now_us - r->endpoint->speed.seen_us
+                   : -1));
   relay_notify_work (r, now_us);
   r->call = o->engine.send (o->engine.ctx, &s, &events, r);
 }
@@ -686,6 +711,8 @@
   relay_estimate_work (r, now_us);
   q.work = r->work;
   q.loads = o->loads;
+  q.by_speed = o->share_reports;
+  q.target_latency_us = r->route->target_latency_us;
   fleet_refresh_rate_shares (o->fleet, now_us);
   c = pick_endpoint (o->fleet, &q, now_us);
   if (c.code == PICK_CHOSEN && is_refused_for_load (r, &c, now_us))
