Streams: the longest pause between events in the finish line and a metric

Cause: a stream that stalls shows in no log line and no metric of the VM. Change: the finish line has gap_us, the longest pause between events that this VM received, and camphorquay_event_gap_seconds is the histogram of these. A pause while the caller reads slowly does not count.

--- a/met.c
+++ b/met.c
@@ -114,6 +114,8 @@
   [MET_HANDOVER_TIME]
   = { "camphorquay_handover_seconds", "histogram",
       "Time from a request's last byte until it left for an endpoint." },
+  [MET_EVENT_GAP] = { "camphorquay_event_gap_seconds", "histogram",
+                      "Longest pause between events of a stream." },
 };
 
 /* Upper bounds of the histogram buckets in microseconds; one more
--- a/regress/test-speed.c
+++ b/regress/test-speed.c
@@ -8,6 +8,7 @@
 #include "decide.h"
 #include "fleet.h"
 #include "load.h"
+#include "met.h"
 #include "relayharness.h"
 #include "speed.h"
 #include "units.h"
@@ -152,6 +153,94 @@
   harness_free (p);
 }
 
+/* --- pauses ----------------------------------------------------------- */
+
+static const struct speed_pauses *
+pauses_of (const struct harness *p)
+{
+  return &g_array_index (p->fleet.service_stats, struct fleet_service_stats, 0)
+              .pauses;
+}
+
+/* Starts a stream at an endpoint whose speed is known, up to its second event,
+   50 ms after the first. */
+static struct harness *
+start_paused_stream (bool share_reports)
+{
+  struct harness *p = harness_new (FLEET_STREAM);
+
+  p->relays->opts.share_reports = share_reports;
+  harness_start (p);
+  g_assert_true (p->event->before_send (p->arg));
+  harness_head (p, 200);
+  speed_add (&harness_endpoint (p, p->to[0])->speed, 250, loop_now_us ());
+  harness_body (p, "id: 1\ndata: a\n\n");
+  harness_run (p, 50 * MS);
+  harness_body (p, "id: 2\ndata: b\n\n");
+  return p;
+}
+
+/* Guards against a longest pause that is lost, or that includes the time to
+   the first event, and against a metric that misses streams. */
+static void
+test_gap_reported (void)
+{
+  g_autoptr (GString) before = g_string_new (NULL);
+  g_autoptr (GString) after = g_string_new (NULL);
+  struct harness *p = harness_new (FLEET_STREAM);
+
+  harness_start (p);
+  g_assert_true (p->event->before_send (p->arg));
+  harness_run (p, 20 * MS);
+  harness_head (p, 200);
+  harness_body (p, "id: 1\ndata: a\n\n");
+  g_assert_cmpint (p->relay->gap_us, ==, 0);
+  harness_end (p, true, true);
+  harness_free (p);
+  p = start_paused_stream (false);
+  harness_body (p, "id: 3\ndata: c\n\n");
+  g_assert_cmpint (p->relay->gap_us, >=, 50 * MS);
+  met_print (before);
+  harness_end (p, true, true);
+  met_print (after);
+  g_assert_cmpstr (strstr (before->str, "camphorquay_event_gap_seconds_sum"),
+                   !=,
+                   strstr (after->str, "camphorquay_event_gap_seconds_sum"));
+  g_assert_cmpint (pauses_of (p)->decode_us, ==, 0);
+  harness_free (p);
+}
+
+/* Guards against learning from what the endpoint did not cause: a caller that
+   reads slowly, and a stream that goes on at another endpoint. */
+static void
+test_pause_learned (void)
+{
+  struct harness *p = start_paused_stream (true);
+  int64_t learned = pauses_of (p)->decode_us;
+  int64_t gap = p->relay->gap_us;
+
+  g_assert_cmpint (learned, >, 0);
+  g_assert_cmpint (pauses_of (p)->prefill_us, ==, 0);
+  p->untaken = 5000;
+  harness_body (p, "id: 3\ndata: c\n\n");
+  harness_run (p, 60 * MS);
+  p->untaken = 0;
+  harness_body (p, "id: 3\ndata: c\n\n");
+  g_assert_cmpint (pauses_of (p)->decode_us, ==, learned);
+  g_assert_cmpint (p->relay->gap_us, ==, gap);
+  harness_end (p, true, false);
+  harness_run (p, 60 * MS);
+  g_assert_cmpint (p->sends, ==, 2);
+  g_assert_true (p->event->before_send (p->arg));
+  harness_head (p, 200);
+  speed_add (&harness_endpoint (p, p->to[1])->speed, 100, loop_now_us ());
+  harness_body (p, "id: 4\ndata: d\n\n");
+  g_assert_cmpint (p->relay->gap_us, >=, 60 * MS);
+  g_assert_cmpint (pauses_of (p)->decode_us, ==, learned);
+  harness_end (p, true, true);
+  harness_free (p);
+}
+
 /* --- placement -------------------------------------------------------- */
 
 #define ENDPOINTS 60
@@ -742,6 +831,8 @@
   { "/speed/baseline", test_speed_baseline },
   { "/speed/of-answers", test_speed_of_answers },
   { "/speed/of-probe", test_speed_of_probe },
+  { "/speed/gap-reported", test_gap_reported },
+  { "/speed/pause-learned", test_pause_learned },
   { "/speed/prompt-avoids-slow", test_prompt_avoids_slow },
   { "/speed/prompt-least-slow", test_prompt_least_slow },
   { "/speed/prompt-load-bound", test_prompt_load_bound },
--- a/relay.c
+++ b/relay.c
@@ -135,16 +135,18 @@
   met_add (MET_RUNNING, -1);
   if (outcome == OUT_ANSWERED)
     met_observe (MET_TOTAL_TIME, now_us - r->arrived_us);
+  if (r->gap_us > 0)
+    met_observe (MET_EVENT_GAP, r->gap_us);
   log_event (
       LOG_LEVEL_INFO, "finish",
       "req=%s route=%s outcome=%s reason=%s status=%d attempts=%d "
       "unsent=%d handed_us=%" G_GINT64_FORMAT " first_us=%" G_GINT64_FORMAT
-      " whole_us=%" G_GINT64_FORMAT,
+      " whole_us=%" G_GINT64_FORMAT " gap_us=%" G_GINT64_FORMAT,
       r->desc.id, r->route->name, out_name (outcome), reason, r->status,
       r->attempts, r->unsent,
       (gint64)(r->handed_over_us ? r->handed_over_us - r->arrived_us : 0),
       (gint64)(r->first_chunk_us ? r->first_chunk_us - r->arrived_us : 0),
-      (gint64)(now_us - r->arrived_us));
+      (gint64)(now_us - r->arrived_us), (gint64)r->gap_us);
   relay_release_endpoint (r, now_us);
   APR_RING_REMOVE (r, link);
   r->rs->count--;
