Spread requests without a prompt by free capacity

Cause: a VM sends such a request to the endpoint that it believes least loaded. At 80 percent utilization a VM's own answers are 400 ms old on average, and with reports of other VMs all select the same endpoint. Change: with share_reports, spread.c draws an endpoint at random, weighted by free slots over the speed; a full one only if all are full. An endpoint of this VM's domain, drawn alike, is taken instead of one elsewhere that has no less work per slot.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	history.o poll.o storeclient.o kvcache.o kvexport.o applycfg.o conf.o confpost.o member.o \
 	peerrpc.o peerbody.o peerseal.o peer_xdr.o adm.o mirrorhttp.o entry.o state.o listen.o srv.o
 # Requests that are passed on: beliefs of the fleet, and each request's life.
-RELAY = fleet.o pace.o limit.o notice.o cold.o speed.o pick.o load.o loadgossip.o loadgossipwire.o sse.o relay.o relaytry.o \
+RELAY = fleet.o pace.o limit.o notice.o cold.o speed.o spread.o pick.o load.o loadgossip.o loadgossipwire.o sse.o relay.o relaytry.o \
 	relayadmit.o relaywork.o relayquar.o relaycrash.o reqid.o quar.o \
 	quarwire.o quarfeed.o follow.o followraw.o \
 	lease.o announce.o orders.o parts.o partfeed.o evac.o \
@@ -72,7 +72,7 @@
 	regress/test-parts.o regress/test-xfer.o regress/test-share.o \
 	regress/test-headers.o regress/test-fresh.o regress/test-steps.o \
 	regress/test-incarnations.o regress/test-load.o regress/test-admit.o \
-	regress/test-quar.o regress/test-cold.o regress/test-limit.o regress/test-notice.o regress/test-regions.o regress/test-evac.o regress/test-relayquar.o regress/test-mirror.o regress/test-speed.o regress/relayharness.o
+	regress/test-quar.o regress/test-cold.o regress/test-limit.o regress/test-notice.o regress/test-regions.o regress/test-evac.o regress/test-relayquar.o regress/test-mirror.o regress/test-speed.o regress/test-spread.o regress/relayharness.o
 
 regress/test-units: $(UNITS) libplatform.a librelay.a libserver.a libwire.a libdecide.a
 	$(CC) $(CFLAGS) -o $@ $(UNITS) libplatform.a librelay.a log.o met.o loop.o xfer.o fetch.o peer_xdr.o \
--- a/pick.c
+++ b/pick.c
@@ -7,6 +7,7 @@
 
 #include "decide.h"
 #include "load.h"
+#include "spread.h"
 
 /* Backoff of a failed endpoint, doubled with each further failure: a restart
    takes about a second, and a probe costs one request. */
@@ -730,6 +731,30 @@
   return best;
 }
 
+/* One of the best tier, at random by what is known of their load. */
+static struct fleet_endpoint *
+choose_spread (const struct fleet *f, const struct pick_query *q,
+               const struct survey *s, int64_t now_us)
+{
+  struct fleet_endpoint *e;
+  struct spread_load load;
+  struct spread choice;
+
+  spread_init (&choice, q->random);
+  APR_RING_FOREACH (e, &f->endpoints, fleet_endpoint, link)
+  {
+    if (strcmp (e->listing.service, q->service) != 0
+        || tier_of (f, q, e, now_us) != s->best)
+      continue;
+    load.requests = pick_load (e, now_us);
+    load.slots = e->listing.slots;
+    load.speed_percent = speed_percent (&e->speed, now_us);
+    load.near = strcmp (e->listing.domain, q->domain) == 0;
+    spread_add (&choice, e, &load);
+  }
+  return spread_choice (&choice);
+}
+
 static enum pick_code
 reject_code (const struct survey *s)
 {
@@ -763,6 +788,8 @@
     }
   if (q->affinity != NULL)
     c.endpoint = choose_sticky (f, q, &s, now_us, &c);
+  else if (q->by_reports)
+    c.endpoint = choose_spread (f, q, &s, now_us);
   if (c.endpoint == NULL)
     c.endpoint = choose_least_loaded (f, q, &s, now_us);
   c.code = PICK_CHOSEN;
--- a/regress/test-units.c
+++ b/regress/test-units.c
@@ -809,7 +809,7 @@
         header_units, fresh_units,     steps_units,   incarnation_units,
         load_units,   admit_units,     quar_units,    cold_units,
         limit_units,  notice_units,    regions_units, evac_units,
-        mirror_units, relayquar_units, speed_units };
+        mirror_units, relayquar_units, speed_units,   spread_units };
 
 int
 main (int argc, char **argv)
--- a/regress/units.h
+++ b/regress/units.h
@@ -33,5 +33,6 @@
 extern const struct unit relayquar_units[];
 extern const struct unit mirror_units[];
 extern const struct unit speed_units[];
+extern const struct unit spread_units[];
 
 #endif
