--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	relayadmit.o relaywork.o relayquar.o relaycrash.o reqid.o quar.o \
 	quarwire.o quarfeed.o follow.o followraw.o observe.o relayobserve.o \
 	sealbox.o lease.o announce.o orders.o parts.o partfeed.o evac.o mirror.o \
-	mirrorpick.o mirrorwire.o mirrorserve.o mirrorfeed.o
+	mirrorpick.o mirrorwire.o mirrorserve.o mirrorfeed.o speed.o spread.o
 # The users' platform; translates only.
 PLATFORM = platform/replyhead.o platform/reqhead.o platform/decode.o platform/orders.o \
 	platform/engine.o platform/ingress.o platform/json.o platform/kvstore.o platform/notice.o \
@@ -77,7 +77,7 @@
 	regress/test-notice.o regress/test-regions.o regress/test-evac.o \
 	regress/test-relayquar.o regress/test-mirror.o regress/test-routeshare.o \
 	regress/test-relaystate.o regress/test-observe.o regress/test-returns.o \
-	regress/relayharness.o
+	regress/test-speed.o regress/test-spread.o regress/relayharness.o
 
 regress/test-units: $(UNITS) libplatform.a librelay.a libserver.a libwire.a libdecide.a
 	$(CC) $(CFLAGS) -o $@ $(UNITS) libplatform.a librelay.a log.o met.o loop.o xfer.o fetch.o peer_xdr.o \
--- a/met.c
+++ b/met.c
@@ -96,6 +96,9 @@
   [MET_EVENTS_REJECTED]
   = { "camphorquay_events_rejected_total", "counter",
       "Events that the state of their request does not allow." },
+  [MET_SLOW_AVOIDED]
+  = { "camphorquay_slow_avoided_total", "counter",
+      "Attempts whose prompt was kept away from slow endpoints." },
   [MET_STORE_RESTORES]
   = { "camphorquay_older_copies_total", "counter",
       "Times that the platform's store came back from an older copy." },
@@ -131,6 +134,8 @@
   [MET_HANDOVER_TIME]
   = { "camphorquay_handover_seconds", "histogram",
       "Time from a request's last byte until it left for an endpoint." },
+  [MET_EVENT_GAP] = { "camphorquay_event_gap_seconds", "histogram",
+                      "Longest pause between events of a stream." },
 };
 
 /* Upper bounds of the histogram buckets in microseconds; one more
--- a/observe.c
+++ b/observe.c
@@ -235,8 +235,10 @@
   int64_t at_us = now_us - r->age_us;
 
   (void)vm_hash;
-  (void)near;
+
   apply_load (&e->heard, r, at_us);
+  if (r->speed_percent > 0)
+    speed_add (&e->speed, r->speed_percent, at_us);
   if (at_us <= e->heard.seen_us)
     return;
   e->heard.seen_us = at_us;
--- a/pick.c
+++ b/pick.c
@@ -7,6 +7,7 @@
 
 #include "decide.h"
 #include "load.h"
+#include "spread.h"
 
 /* Backoff of a failed endpoint, doubled with each further failure: a restart
    takes about a second, and a probe costs one request. */
@@ -54,6 +55,16 @@
    the load there: it is used when the one in this domain has about three short
    prompts' time more to do. */
 #define REMOTE_DOMAIN_COST_US INT64_C (60000)
+/* A prompt that takes longer than this to prefill takes more than one chunk:
+   a chunk adds 8 to 11 ms to a decode step. */
+#define CHUNK_US INT64_C (10000)
+/* An endpoint is slow from so many percent above the normal time on, and
+   speeds of slow ones that differ by less count as equal; VMs send changes of
+   this size at once. */
+#define SPEED_STEP_PERCENT 25
+/* Cost, in units of COST_STEP_US, for each such step of an endpoint that is
+   avoided; more than any other cost. */
+#define AVOIDED_COST (INT64_C (1) << 40)
 /* Prefill rate in tokens a second, before any sample. */
 #define PREFILL_RATE_INITIAL 100000
 /* Bounds of the estimated prefill rate, against outliers. */
@@ -206,6 +217,17 @@
       += wait_us - s->short_prompt_us - s->prefill_us / PREFILL_DECAY_DIVISOR;
 }
 
+/* Only pauses whose speed was reported just now are samples: the end of a slow
+   phase would else be taken for a service with shorter pauses. */
+void
+pick_learn_pause (struct fleet *f, const struct fleet_endpoint *e,
+                  bool pending, int64_t pause_us, int64_t now_us)
+{
+  if (speed_is_recent (&e->speed, now_us))
+    speed_pause_add (&get_stats (f, e->listing.service)->pauses, pending,
+                     speed_percent (&e->speed, now_us), pause_us);
+}
+
 /* Without samples, the average decays toward the usual value. */
 static int64_t
 decayed (const struct fleet_ewma *w, int64_t usual_us, int64_t now_us)
@@ -397,6 +419,7 @@
   int region_denied; /* not eligible: the request may not use their region */
   enum tier best;    /* best tier of the eligible ones */
   int available;     /* endpoints that are neither full nor in backoff */
+  int least_percent; /* speed of the least slow one of these */
   int64_t load;      /* total load of these */
 };
 
@@ -410,7 +433,9 @@
 survey_endpoints (const struct fleet *f, const struct pick_query *q,
                   int64_t now_us)
 {
-  struct survey s = { .best = TIER_INELIGIBLE, .backoff_end_us = INT64_MAX };
+  struct survey s = { .best = TIER_INELIGIBLE,
+                      .backoff_end_us = INT64_MAX,
+                      .least_percent = SPEED_MAX_PERCENT };
   const struct fleet_endpoint *e;
   enum tier tier;
 
@@ -440,6 +465,7 @@
     if (!is_available (tier))
       continue;
     s.available++;
+    s.least_percent = MIN (s.least_percent, speed_percent (&e->speed, now_us));
     s.load += pick_load (e, now_us);
   }
   return s;
@@ -470,8 +496,20 @@
                    tokens; 0 if unknown */
   int64_t shared_parts_us;      /* to fetch or prefill the shared parts at an
                             endpoint that      lacks them */
+  int usual_percent;    /* speed that the prefill rate was measured at */
+  int64_t own_us;       /* to prefill the tokens that are not shared */
+  int64_t event_gap_us; /* target for the pause of the service's streams, 0 if
+                           none */
+  struct speed_pauses pauses; /* pauses of the service's streams */
+  int64_t short_prompt_us;    /* time to the first chunk of short prompts */
 };
 
+static int64_t
+at_speed (int64_t us, int percent)
+{
+  return us * percent / SPEED_NORMAL_PERCENT;
+}
+
 static int64_t
 prefill_us (int64_t tokens, int64_t prefill_rate)
 {
@@ -493,6 +531,7 @@
 cost_inputs_of (const struct fleet *f, const struct pick_query *q)
 {
   const struct fleet_service *sv = service_of (f, q->service);
+  const struct fleet_service_stats *stats = find_stats (f, q->service);
   struct cost_inputs w = { .q = q, .factors = &f->factors };
 
   w.prefill_rate = pick_prefill_rate (f, q->service);
@@ -503,6 +542,14 @@
       = transfer_us (sv, q->work.stored_tokens, w.prefill_rate)
         + prefill_us (q->work.shared_tokens - q->work.stored_tokens,
                       w.prefill_rate);
+  w.own_us = prefill_us (q->work.own_tokens, w.prefill_rate);
+  if (sv != NULL)
+    w.event_gap_us = sv->event_gap_us;
+  if (stats != NULL)
+    {
+      w.pauses = stats->pauses;
+      w.short_prompt_us = stats->short_prompt_us;
+    }
   return w;
 }
 
@@ -528,7 +575,7 @@
  */
 static int64_t
 cost_of (const struct cost_inputs *w, const struct fleet_endpoint *e,
-         bool preferred)
+         bool preferred, int64_t now_us)
 {
   const struct pick_query *q = w->q;
   struct load_sum at = load_at (q->loads, e->key);
@@ -541,11 +588,48 @@
   cost += memory_us (w, at.kv_tokens, need) * w->factors->memory / 100;
   if (!preferred && !has)
     cost += w->shared_parts_us * w->factors->parts / 100;
+  if (q->by_reports)
+    cost = (cost + w->own_us) * speed_percent (&e->speed, now_us)
+               / w->usual_percent
+           - w->own_us;
   if (load_is_partial (q->loads) && strcmp (e->listing.domain, q->domain) != 0)
     cost += REMOTE_DOMAIN_COST_US;
   return cost;
 }
 
+/*
+ * How strongly the prompt is kept away from E: 0 for not at all, else the more
+ * the slower E is.  A prompt of several chunks would stall the running streams
+ * of a slow endpoint beyond their target: with phases of 0.6 s in which an
+ * endpoint works 2.5 times as long, more than half of the streams with a
+ * longer pause were at an endpoint that was slow.  Any other prompt is only
+ * kept away if its first chunk would be late because of the speed.
+ */
+static int
+avoidance_of (const struct cost_inputs *w, const struct fleet_endpoint *e,
+              bool preferred, int64_t now_us)
+{
+  const struct pick_query *q = w->q;
+  bool has = preferred || load_has_part (q->loads, e->key, q->work.part);
+  int speed = speed_percent (&e->speed, now_us);
+  int steps = (speed - SPEED_NORMAL_PERCENT) / SPEED_STEP_PERCENT;
+  int64_t pending = load_at (q->loads, e->key).pending_prefill_tokens;
+  int64_t need_us = w->own_us + (has ? 0 : w->shared_parts_us);
+  int64_t work_us = need_us + prefill_us (pending, w->prefill_rate);
+  int64_t first_us = w->short_prompt_us + work_us;
+
+  if (steps <= 0)
+    return 0;
+  if (need_us > CHUNK_US && w->event_gap_us > 0
+      && speed_pause_expected_us (&w->pauses, work_us, speed)
+             > w->event_gap_us)
+    return steps;
+  return first_us <= q->target_latency_us
+                 && at_speed (first_us, speed) > q->target_latency_us
+             ? steps
+             : 0;
+}
+
 /* The endpoint that most likely has a prompt's shared parts, by rendezvous
    hashing: the same one on all VMs. */
 static const struct fleet_endpoint *
@@ -592,9 +676,12 @@
   struct fleet_endpoint *e, *best = NULL;
   uint64_t score, high = 0;
   int64_t cost, low = 0, bound;
+  int avoidance = 0;
 
   if (s->available == 0)
     return NULL;
+  /* Where all endpoints are slow, the prefill rate already includes it. */
+  w.usual_percent = MAX (s->least_percent, SPEED_NORMAL_PERCENT);
   bound
       = s->load * LOAD_BOUND_PERCENT / 100 / s->available + LOAD_BOUND_MARGIN;
   APR_RING_FOREACH (e, &f->endpoints, fleet_endpoint, link)
@@ -607,7 +694,11 @@
         choice->over_bound++;
         continue;
       }
-    cost = cost_of (&w, e, e == preferred) / COST_STEP_US;
+    cost = cost_of (&w, e, e == preferred, now_us) / COST_STEP_US;
+    if (q->by_reports)
+      avoidance = avoidance_of (&w, e, e == preferred, now_us);
+    cost += AVOIDED_COST * avoidance;
+    choice->slow += avoidance > 0;
     score = affinity_score (q, e);
     if (best == NULL || cost < low || (cost == low && score > high))
       {
@@ -648,6 +739,30 @@
   return best;
 }
 
+/* One of the best tier, at random by what is known of their load. */
+static struct fleet_endpoint *
+choose_spread (const struct fleet *f, const struct pick_query *q,
+               const struct survey *s, int64_t now_us)
+{
+  struct fleet_endpoint *e;
+  struct spread_load load;
+  struct spread choice;
+
+  spread_init (&choice, q->random);
+  APR_RING_FOREACH (e, &f->endpoints, fleet_endpoint, link)
+  {
+    if (strcmp (e->listing.service, q->service) != 0
+        || tier_of (f, q, e, now_us) != s->best)
+      continue;
+    load.requests = pick_load (e, now_us);
+    load.slots = e->listing.slots;
+    load.speed_percent = speed_percent (&e->speed, now_us);
+    load.near = strcmp (e->listing.domain, q->domain) == 0;
+    spread_add (&choice, e, &load);
+  }
+  return spread_choice (&choice);
+}
+
 static enum pick_code
 reject_code (const struct survey *s)
 {
@@ -681,6 +796,8 @@
     }
   if (q->affinity != NULL)
     c.endpoint = choose_sticky (f, q, &s, now_us, &c);
+  else if (q->by_reports)
+    c.endpoint = choose_spread (f, q, &s, now_us);
   if (c.endpoint == NULL)
     c.endpoint = choose_least_loaded (f, q, &s, now_us);
   c.code = PICK_CHOSEN;
@@ -691,5 +808,6 @@
   c.has_part = load_has_part (q->loads, c.endpoint->key, q->work.part);
   c.wait_us = pick_expected_wait_us (f, c.endpoint, now_us);
   c.version = c.endpoint->version;
+  c.speed_percent = speed_percent (&c.endpoint->speed, now_us);
   return c;
 }
--- a/regress/units.h
+++ b/regress/units.h
@@ -36,5 +36,7 @@
 extern const struct unit routeshare_units[];
 extern const struct unit observe_units[];
 extern const struct unit returns_units[];
+extern const struct unit speed_units[];
+extern const struct unit spread_units[];
 
 #endif
--- a/relayobserve.c
+++ b/relayobserve.c
@@ -1,9 +1,10 @@
 /* What attempts show of their endpoints, for reports to other VMs. */
 #include "librelay.h"
 
+/* HEAD is NULL without load. */
 static void
-report (const struct relay *r, enum load_seen seen, int running, int waiting,
-        int64_t now_us)
+report (const struct relay *r, enum load_seen seen,
+        const struct relay_head *head, int64_t now_us)
 {
   const struct relays_opts *o = &r->rs->opts;
   struct endpoint_report seen_now = { .endpoint = r->endpoint->key };
@@ -11,8 +12,12 @@
   if (o->on_observed == NULL)
     return;
   seen_now.seen = seen;
-  seen_now.running = running;
-  seen_now.waiting = waiting;
+  seen_now.running = head != NULL ? head->running : -1;
+  if (head != NULL)
+    {
+      seen_now.waiting = head->waiting;
+      seen_now.speed_percent = head->speed_percent;
+    }
   o->on_observed (o->observed_arg, &seen_now, now_us);
 }
 
@@ -28,10 +33,12 @@
 relay_observe_head (struct relay *r, const struct relay_head *head,
                     int64_t now_us)
 {
-  if (!head->genuine || head->other_incarnation || head->running < 0)
+  /* A refusal of the endpoint's own has no seal. */
+  if ((!head->genuine && !head->not_run) || head->other_incarnation
+      || head->running < 0)
     return;
   r->is_head_observed = true;
-  report (r, LOAD_SEEN_ANSWERED, head->running, head->waiting, now_us);
+  report (r, LOAD_SEEN_ANSWERED, head, now_us);
   if (r->rs->opts.share_reports && !is_stream_head (r, head))
     relays_heard_load (r->rs, r->endpoint, head->running, head->waiting,
                        now_us);
@@ -63,18 +70,18 @@
     case SEND_COMPLETE:
     case SEND_REFUSED:
       if (!r->is_head_observed && !r->other_incarnation)
-        report (r, LOAD_SEEN_ANSWERED, -1, 0, now_us);
+        report (r, LOAD_SEEN_ANSWERED, NULL, now_us);
       return;
     case SEND_NONE:
       if (r->connection_refused)
-        report (r, LOAD_SEEN_REFUSED, -1, 0, now_us);
+        report (r, LOAD_SEEN_REFUSED, NULL, now_us);
       else if (r->stop_reason == NULL)
-        report (r, LOAD_SEEN_UNREACHABLE, -1, 0, now_us);
+        report (r, LOAD_SEEN_UNREACHABLE, NULL, now_us);
       return;
     case SEND_PARTIAL:
     case SEND_REPLIED:
       if (r->stop_reason == NULL && !is_timed_out (r, now_us))
-        report (r, LOAD_SEEN_FAILED, -1, 0, now_us);
+        report (r, LOAD_SEEN_FAILED, NULL, now_us);
       return;
     }
 }
