Failed endpoints: evidence of several VMs, learned connection timeouts, probes

Cause: each VM finds a failed endpoint by two requests of its own, each of which waits for 400 ms where a connection takes 1 ms; a fixed 80 ms with ejection after one failure took busy VMs and full queues for failed endpoints.

Change, behind share_reports: health.c keeps the failures that up to eight VMs reported since the newest answer, ejects on two of this domain or three of any within 2 s, bounds ejections by the load of the rest, and starts slowly after recovery. conntime.c learns connection timeouts for each failure domain. relayhealth.c records attempts, and probes ejected endpoints from the VM that ranks first. A connection that times out in under 400 ms counts as one of two own failures, is not reported, and is checked by a probe with 400 ms; if the loop was late by a quarter of the timeout, only the probe counts. An answer is evidence from the time of its connection, so old streams hide no failure.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 # Requests that are passed on: beliefs of the fleet, and each request's life.
 RELAY = fleet.o pace.o limit.o notice.o cold.o pick.o load.o loadgossip.o loadgossipwire.o sse.o relay.o relaytry.o \
 	relayadmit.o relaywork.o relayquar.o relaycrash.o reqid.o quar.o \
+	health.o conntime.o relayhealth.o \
 	quarwire.o quarfeed.o follow.o followraw.o \
 	lease.o announce.o orders.o parts.o partfeed.o evac.o \
 	mirror.o mirrorpick.o mirrorwire.o mirrorserve.o mirrorfeed.o
@@ -72,7 +73,8 @@
 	regress/test-parts.o regress/test-xfer.o regress/test-share.o \
 	regress/test-headers.o regress/test-fresh.o regress/test-steps.o \
 	regress/test-incarnations.o regress/test-load.o regress/test-admit.o \
-	regress/test-quar.o regress/test-cold.o regress/test-limit.o regress/test-notice.o regress/test-regions.o regress/test-evac.o regress/test-relayquar.o regress/test-mirror.o regress/relayharness.o
+	regress/test-quar.o regress/test-cold.o regress/test-limit.o regress/test-notice.o regress/test-regions.o regress/test-evac.o regress/test-relayquar.o regress/test-mirror.o \
+	regress/test-health.o regress/relayharness.o
 
 regress/test-units: $(UNITS) libplatform.a librelay.a libserver.a libwire.a libdecide.a
 	$(CC) $(CFLAGS) -o $@ $(UNITS) libplatform.a librelay.a log.o met.o loop.o xfer.o fetch.o peer_xdr.o \
@@ -120,7 +122,7 @@
 FUZZED = prompt.c strm.c peer_xdr.c platform/replyhead.c platform/reqhead.c \
 	platform/decode.c platform/json.c platform/kvstore.c platform/notice.c platform/jsonread.c \
 	platform/rows.c platform/roster.c \
-	platform/quarrows.c followraw.c mirrorwire.c quar.c quarwire.c loadgossipwire.c fleet.c pace.c limit.c cold.c sse.c lease.c fetch.c xfer.c stall.c loop.c
+	platform/quarrows.c followraw.c mirrorwire.c quar.c quarwire.c loadgossipwire.c fleet.c pace.c limit.c cold.c health.c sse.c lease.c fetch.c xfer.c stall.c loop.c
 regress/fuzz-input: regress/fuzz-input.c $(FUZZED) wire.h
 	clang -std=gnu11 -D_GNU_SOURCE -g -O1 $(LIB_CFLAGS) -I. \
 		-fsanitize=fuzzer,address,undefined -o $@ \
--- a/entry.c
+++ b/entry.c
@@ -316,6 +316,19 @@
              XXH3_64bits_withSeed (id, sizeof *id, (uint64_t)rotation));
 }
 
+/* Probers rotate like the VMs that send suspect requests. */
+static bool
+may_probe (void *arg, uint64_t endpoint, int64_t now_us)
+{
+  const struct entry *e = arg;
+  int64_t rotation = platform_ms (arg, now_us) / SUSPECT_ROTATION_MS;
+
+  return e->load_gossip == NULL
+         || loadgossip_ranks_first (
+             e->load_gossip, XXH3_64bits_withSeed (&endpoint, sizeof endpoint,
+                                                   (uint64_t)rotation));
+}
+
 static void
 make_quarfeed (struct entry *e)
 {
@@ -368,6 +381,8 @@
   o.is_evidence_known = is_evidence_ready;
   o.may_run_suspect = may_run_suspect;
   o.quar_arg = e;
+  o.may_probe = may_probe;
+  o.health_arg = e;
   o.domain = vm->domain;
   o.key_max_age_us = e->cfg->revoke_ms * CQ_US_PER_MS - REVOCATION_MARGIN_US;
   o.denial_max_age_us = denial_max_age_us (e->cfg);
--- a/fleet.h
+++ b/fleet.h
@@ -17,6 +17,7 @@
 #include <apr_ring.h>
 
 #include "cold.h"
+#include "health.h"
 #include "limit.h"
 
 /* --- the operators' configuration ------------------------------------ */
@@ -213,6 +214,8 @@
   struct cold cold;          /* cold state and this VM's share of its rate */
   struct limit limit;        /* rate limit that it reported for all VMs */
   struct fleet_ewma first_chunk; /* time to the first chunk of its answers */
+  struct health health;          /* evidence of failures; zeros unless
+                                    endpoints are judged by reports */
 };
 
 /* --- fleet ----------------------------------------------------------- */
--- a/librelay.h
+++ b/librelay.h
@@ -8,6 +8,7 @@
 #include "sse.h"
 #include "relay.h"
 #include "relaycrash.h"
+#include "relayhealth.h"
 
 /* Retry-After sent to callers: after a failed attempt, and while this VM has
    no configuration or one that is too old. */
@@ -35,6 +36,8 @@
   GHashTable *usual_timeouts; /* route name to int64_t, the usual timeout of
                                  its callers */
   struct relaycrash *crash;   /* crash detection, or NULL */
+  struct relayhealth *health; /* failed endpoints; NULL without
+                                 share_reports */
   struct loop_timer sweep;    /* checks deadlines and hang-ups */
   unsigned sweeps;            /* sweeps so far */
   uint64_t random_state;      /* of the pseudo-random generator */
@@ -69,7 +72,9 @@
   struct sse events;       /* parser of the stream */
   struct loop_msg unpause; /* posted when a slow reader has caught up */
   int64_t sent_us;         /* when the attempt started */
-  int64_t handed_over_us;  /* when a first byte left, 0 for never */
+  int64_t connected_us;    /* when its connection was established */
+  struct relayhealth_attempt connecting; /* the attempt's connection */
+  int64_t handed_over_us; /* when a first byte left, 0 for never */
   int64_t first_chunk_us; /* when the first chunk was passed on, 0 for never */
   int ntried;             /* entries in tried */
   int status;             /* HTTP status of the attempt's answer, 0 if none */
--- a/met.c
+++ b/met.c
@@ -79,6 +79,12 @@
   = { "camphorquay_refused_no_home_total", "counter",
       "Requests refused since no endpoint left is in a region "
       "that they may use." },
+  [MET_EJECTED_OWN]
+  = { "camphorquay_ejected_own_total", "counter",
+      "Times that this VM's own failures ejected an endpoint." },
+  [MET_EJECTED_REPORTED]
+  = { "camphorquay_ejected_reported_total", "counter",
+      "Times that failures at other VMs ejected an endpoint." },
   [MET_STORE_RESTORES]
   = { "camphorquay_older_copies_total", "counter",
       "Times that the platform's store came back from an older copy." },
--- a/pick.c
+++ b/pick.c
@@ -359,6 +359,13 @@
   return cold_is (&e->cold, now_us) && !pace_may_place (&e->cold.pace, now_us);
 }
 
+/* Random number of the query for E. */
+static uint64_t
+random_of (const struct pick_query *q, const struct fleet_endpoint *e)
+{
+  return XXH3_64bits_withSeed (&q->random, sizeof q->random, e->key);
+}
+
 static enum tier
 tier_of (const struct fleet *f, const struct pick_query *q,
          const struct fleet_endpoint *e, int64_t now_us)
@@ -369,7 +376,8 @@
       || fleet_is_evacuated (f, e->listing.domain)
       || !fleet_is_region_allowed (f, &q->homes, e->listing.domain))
     return TIER_INELIGIBLE;
-  if (now_us < e->backoff_until_us)
+  if (now_us < e->backoff_until_us
+      || health_is_avoided (&e->health, random_of (q, e), now_us))
     return TIER_BACKOFF;
   if (now_us < e->full_until_us)
     return TIER_FULL;
--- a/regress/relayharness.c
+++ b/regress/relayharness.c
@@ -21,6 +21,7 @@
   p->arg = arg;
   p->resume_after = s->resume_after;
   p->left_us = s->timeout_us;
+  p->connect_timeout_us = s->connect_timeout_us;
   g_strlcpy (p->scope, s->cache_scope ? s->cache_scope : "", sizeof p->scope);
   return p;
 }
--- a/regress/relayharness.h
+++ b/regress/relayharness.h
@@ -25,6 +25,7 @@
   char to[4][FLEET_NAME_SIZE];      /* where each went */
   int64_t resume_after;             /* of the last attempt */
   int64_t left_us;                  /* of the last attempt */
+  int64_t connect_timeout_us;       /* of the last attempt */
   char scope[64];                   /* cache scope of the last attempt */
   GString *got;                     /* body bytes that the caller got */
   int status;                       /* status it got, 0 for none */
--- a/regress/test-xfer.c
+++ b/regress/test-xfer.c
@@ -152,6 +152,33 @@
   g_assert_false (s.end.stalled);
 }
 
+/* Guards against connection timeouts that are learned from failed connections,
+   or from the time until the reply. */
+static void
+test_connect_time (void)
+{
+  struct server s = { .head = HEAD, .more = 20 };
+  struct xfer_opts o = { .method = "GET", .events = &events, .arg = &s };
+  struct sockaddr_in sa;
+  g_autofree char *url = NULL;
+  struct xfer_pool *p;
+
+  transfer (&s, 10000, 10000);
+  g_assert_cmpint (s.end.connect_us, >, 0);
+  g_assert_cmpint (s.end.connect_us, <, INT64_C (20) * BYTE_INTERVAL_US);
+  close (listen_at (&sa));
+  s.loop = loop_new ();
+  p = xfer_pool_new (s.loop);
+  url = g_strdup_printf ("http://127.0.0.1:%d/", ntohs (sa.sin_port));
+  o.url = url;
+  xfer_start (p, &o);
+  loop_run (s.loop);
+  g_assert_true (s.end.connection_refused);
+  g_assert_cmpint (s.end.connect_us, ==, 0);
+  xfer_pool_free (p);
+  loop_free (s.loop);
+}
+
 /* Another socket of the loop, whose callback takes long. */
 struct busy
 {
@@ -326,6 +353,7 @@
   { "/xfer/stalled", test_stalled },
   { "/xfer/silent", test_silent },
   { "/xfer/slow", test_slow },
+  { "/xfer/connect-time", test_connect_time },
   { "/xfer/busy", test_busy },
   { "/xfer/many-kept", test_many_peers },
   { NULL, NULL },
--- a/regress/units.h
+++ b/regress/units.h
@@ -32,5 +32,6 @@
 extern const struct unit quar_units[];
 extern const struct unit relayquar_units[];
 extern const struct unit mirror_units[];
+extern const struct unit health_units[];
 
 #endif
--- a/relay.c
+++ b/relay.c
@@ -432,6 +432,21 @@
   return relaycrash_new (&o);
 }
 
+static struct relayhealth *
+new_health (struct relays *rs)
+{
+  struct relayhealth_opts o
+      = { .loop = rs->opts.loop, .fleet = rs->opts.fleet };
+
+  if (!rs->opts.share_reports)
+    return NULL;
+  o.engine = &rs->opts.engine;
+  o.may_probe = rs->opts.may_probe;
+  o.on_seen = rs->opts.on_seen;
+  o.arg = rs->opts.health_arg;
+  return relayhealth_new (&o);
+}
+
 struct relays *
 relays_new (const struct relays_opts *opts)
 {
@@ -440,6 +455,7 @@
   rs->opts = *opts;
   rs->random_state = opts->seed;
   rs->crash = new_crash_detection (rs);
+  rs->health = new_health (rs);
   rs->sweep.fire = on_sweep;
   rs->sweep.arg = rs;
   rs->services
@@ -456,6 +472,8 @@
   loop_disarm (&rs->sweep);
   if (rs->crash != NULL)
     relaycrash_free (rs->crash);
+  if (rs->health != NULL)
+    relayhealth_free (rs->health);
   g_hash_table_destroy (rs->services);
   g_hash_table_destroy (rs->usual_timeouts);
   g_free (rs);
--- a/relay.h
+++ b/relay.h
@@ -88,7 +88,9 @@
   int64_t version;         /* weights that it must run on, 0 for any */
   int priority;            /* 0, the most urgent, to 9 */
   int64_t timeout_us;      /* time for the attempt from now */
-  int64_t resume_after;    /* resume after this event, -1 to start */
+  int64_t connect_timeout_us;    /* of that for the connection, 0 for the
+                                    adapter's own limit */
+  int64_t resume_after;          /* resume after this event, -1 to start */
   const struct parts_plan *plan; /* of fetches and saves, or NULL */
 };
 
@@ -115,6 +117,8 @@
   bool handed_over;        /* a byte may have left */
   bool whole;              /* the answer is complete */
   bool connection_refused; /* nothing listens at the endpoint's address */
+  int64_t connect_us;      /* time that the connection took, 0 if there was
+                              none */
   const char *error;       /* description by the transport */
 };
 
@@ -193,7 +197,14 @@
   /* Whether it is this VM that may send the suspect request ID now; NULL if
      any VM may. */
   bool (*may_run_suspect) (void *arg, const struct reqid *id, int64_t now_us);
-  void *quar_arg;            /* for the callbacks above */
+  void *quar_arg; /* for the callbacks above */
+  /* Whether it is this VM that probes the ejected endpoint with this key now;
+     NULL if any VM does.  Used with share_reports, as the next one. */
+  bool (*may_probe) (void *arg, uint64_t endpoint, int64_t now_us);
+  /* This VM observed an endpoint; may be NULL. */
+  void (*on_seen) (void *arg, const struct endpoint_report *seen,
+                   int64_t now_us);
+  void *health_arg;          /* for both callbacks */
   const char *domain;        /* failure domain of this VM */
   int64_t key_max_age_us;    /* older settings: keys are not trusted */
   int64_t denial_max_age_us; /* older settings: nothing is denied for good */
--- a/relaytry.c
+++ b/relaytry.c
@@ -136,6 +136,7 @@
   if (cold_is (&r->endpoint->cold, now))
     pace_sent (&r->endpoint->cold.pace, now);
   pace_sent (&r->endpoint->limit.pace, now);
+  r->connected_us = now;
   r->attempts++;
   if (r->handed_over_us == 0)
     {
@@ -189,6 +190,10 @@
   r->reported_waiting = head->waiting;
   if (head->running >= 0)
     pick_load_reported (r->endpoint, head->running + head->waiting, now);
+  if (r->rs->health != NULL && !head->other_incarnation
+      && (head->genuine || head->not_run))
+    relayhealth_answered (r->rs->health, r->endpoint, head->running,
+                          head->waiting, r->connected_us, now);
   apply_version (r, head, now);
   apply_notice (r, head, now);
   /* That incarnation has ended, so the attempt reached no endpoint of the
@@ -348,6 +353,14 @@
   return v;
 }
 
+static enum load_seen
+failure_seen (const struct relay *r, enum send_state sent)
+{
+  if (r->connection_refused)
+    return LOAD_SEEN_REFUSED;
+  return sent == SEND_NONE ? LOAD_SEEN_UNREACHABLE : LOAD_SEEN_FAILED;
+}
+
 static void
 report_to_pick (struct relay *r, enum send_state sent, int64_t now_us)
 {
@@ -357,10 +370,16 @@
     pick_request_succeeded (e);
   else if (sent == SEND_REFUSED)
     pick_overload_refused (e, now_us);
+  else if (r->stop_reason != NULL
+           && strcmp (r->stop_reason, "not_genuine") != 0
+           && !r->connection_refused)
+    return;
+  else if (r->rs->health != NULL)
+    relayhealth_failed (r->rs->health, &r->connecting, failure_seen (r, sent),
+                        now_us);
   else if (r->connection_refused)
     pick_connection_refused (e, now_us);
-  else if (r->stop_reason == NULL
-           || strcmp (r->stop_reason, "not_genuine") == 0)
+  else
     pick_request_failed (e, now_us);
 }
 
@@ -443,6 +462,8 @@
 
   r->call = NULL;
   r->connection_refused = end->connection_refused;
+  if (r->rs->health != NULL && end->connect_us > 0)
+    relayhealth_connected (r->rs->health, r->endpoint, end->connect_us, now);
   end_attempt (r, send_state_of (r, end->whole), end->error, now);
 }
 
@@ -579,6 +600,14 @@
   s.priority = relay_priority (r);
   s.timeout_us = attempt_timeout_us (r, now_us);
   s.resume_after = r->stream_begun ? r->events.last_id : r->desc.resume_after;
+  if (r->rs->health != NULL)
+    {
+      r->connecting = (struct relayhealth_attempt){ .endpoint = r->endpoint,
+                                                    .started_us = now_us };
+      relayhealth_start (r->rs->health, &r->connecting,
+                         r->route->target_latency_us);
+      s.connect_timeout_us = r->connecting.timeout_us;
+    }
 
   met_add (MET_ATTEMPTS, 1);
   log_event (
@@ -679,6 +708,8 @@
   q.work = r->work;
   q.loads = o->loads;
   fleet_refresh_rate_shares (o->fleet, now_us);
+  if (r->rs->health != NULL)
+    relayhealth_refresh (r->rs->health, now_us);
   c = pick_endpoint (o->fleet, &q, now_us);
   if (c.code == PICK_CHOSEN && is_refused_for_load (r, &c, now_us))
     refuse_overload (r, now_us);
--- a/xfer.c
+++ b/xfer.c
@@ -277,6 +277,15 @@
          && (error == ECONNREFUSED || error == ECONNRESET);
 }
 
+static int64_t
+connect_time_us (const struct xfer *x)
+{
+  curl_off_t took = 0;
+
+  curl_easy_getinfo (x->easy, CURLINFO_CONNECT_TIME_T, &took);
+  return took;
+}
+
 static void
 finish (struct xfer *x, CURLcode code)
 {
@@ -286,6 +295,7 @@
   end.stopped = x->stopped;
   end.stalled = x->stalled;
   end.connection_refused = is_connection_refused (x, code);
+  end.connect_us = connect_time_us (x);
   /*
    * A reply that is delimited only by the close of the connection looks
    * complete even when its sender died in the middle, so it does not count as
--- a/xfer.h
+++ b/xfer.h
@@ -29,6 +29,8 @@
   bool connection_refused; /* nothing listens at the address */
   bool stalled;            /* part of the reply came, then none for too long */
   int status;              /* HTTP status, 0 if none arrived */
+  int64_t connect_us;      /* time until the connection was established, 0 if
+                              it was not, or a connection was reused */
   const char *error;       /* libcurl's message, "" if none */
 };
 
