Failed endpoints in simulated time, and weak failures without a false ejection

A report of another VM replaces the second own failure only if the first one is strong. regress/failures runs placement and health with simulated VMs, endpoints and reports, the old rule beside the new one.

--- a/Makefile
+++ b/Makefile
@@ -89,6 +89,10 @@
 regress/model: $(MODEL) met.o librelay.a libdecide.a
 	$(CC) $(CFLAGS) -o $@ $(MODEL) librelay.a met.o libdecide.a $(LIBS)
 
+# Failed endpoints in simulated time; replaces loop and log as well.
+regress/failures: regress/failures.o met.o librelay.a libdecide.a
+	$(CC) $(CFLAGS) -o $@ regress/failures.o librelay.a met.o libdecide.a $(LIBS)
+
 bench/load: bench/load.o loop.o xfer.o stall.o
 	$(CC) $(CFLAGS) -o $@ bench/load.o loop.o xfer.o stall.o $(LIBS)
 
@@ -104,7 +108,7 @@
 	$(CC) $(CFLAGS) -o $@ bench/slopes.o libsettings.a libdecide.a $(LIBS)
 
 tests: camphorquay regress/fake regress/drive regress/check regress/test-units \
-	regress/model bench/load
+	regress/model regress/failures bench/load
 
 # The same sources with the sanitizers, in a directory of their own.
 SANITIZE = -O1 -g -fno-omit-frame-pointer -fsanitize=address,undefined \
@@ -149,7 +153,7 @@
 clean:
 	rm -f *.o *.d *.a platform/*.o platform/*.d regress/*.o regress/*.d bench/*.o bench/*.d \
 		camphorquay regress/fake regress/drive regress/check regress/test-units \
-		regress/model bench/load bench/rows bench/slopes regress/fuzz-input
+		regress/model regress/failures bench/load bench/rows bench/slopes regress/fuzz-input
 	rm -rf build-asan
 
 
--- a/health.c
+++ b/health.c
@@ -118,18 +118,25 @@
 }
 
 void
-health_add_own_answer (struct health *h, int64_t seen_us)
+health_add_probe_answer (struct health *h, int64_t seen_us)
 {
   add_answer (h, seen_us);
   if (seen_us <= h->own_us)
     return;
-  if (h->own_until_us > seen_us)
+  h->own = LOAD_SEEN_ANSWERED;
+  h->own_us = seen_us;
+}
+
+void
+health_add_own_answer (struct health *h, int64_t seen_us)
+{
+  if (seen_us > h->own_us && h->own_until_us > seen_us)
     {
       h->own_until_us = 0;
       h->recovering_us = seen_us;
     }
-  h->own = LOAD_SEEN_ANSWERED;
-  h->own_us = seen_us;
+  h->disproved = false;
+  health_add_probe_answer (h, seen_us);
 }
 
 void
--- a/health.h
+++ b/health.h
@@ -57,14 +57,19 @@
   enum health_state logged; /* effect that was last logged */
   int64_t probed_us;        /* when this VM last probed it, 0 for never */
   bool probing;             /* a probe of this VM is under way */
+  bool disproved;           /* a probe disproved a failure of a connection, and
+                               no request was answered since */
 };
 
 /* Record what another VM observed; VM is a hash of its name.  This VM's own
-   observations are recorded by the two functions below instead. */
+   observations are recorded by the functions below instead. */
 void health_add (struct health *h, uint64_t vm, bool near, enum load_seen seen,
                  int64_t seen_us);
 /* This VM got an answer on a connection established at SEEN_US. */
 void health_add_own_answer (struct health *h, int64_t seen_us);
+/* A probe of this VM, started at SEEN_US, was answered.  It ends no ejection
+   on this VM's own failures: the endpoint may answer probes only. */
+void health_add_probe_answer (struct health *h, int64_t seen_us);
 /* An attempt of this VM, started at SEEN_US, failed; its own failures eject
    the endpoint until UNTIL_US, 0 if they do not. */
 void health_add_own_failure (struct health *h, enum load_seen seen,
--- a/regress/test-health.c
+++ b/regress/test-health.c
@@ -28,8 +28,8 @@
 
   for (i = 0; i < 100; i++)
     {
-      fail_at (&h, 7, true, T0 + i * 10 * MS);
-      g_assert_cmpint (health_evaluate (&h, T0 + i * 10 * MS), ==,
+      fail_at (&h, 7, true, T0 + (int64_t)i * 10 * MS);
+      g_assert_cmpint (health_evaluate (&h, T0 + (int64_t)i * 10 * MS), ==,
                        HEALTH_GOOD);
     }
   g_assert_cmpint (h.nreports, ==, 1);
@@ -134,6 +134,8 @@
   health_add_own_failure (&h, LOAD_SEEN_UNREACHABLE, T0, T0 + SEC);
   health_add (&h, 1, true, LOAD_SEEN_ANSWERED, T0 + MS);
   g_assert_cmpint (health_evaluate (&h, T0 + 2 * MS), ==, HEALTH_EJECTED_OWN);
+  health_add_probe_answer (&h, T0 + 2 * MS);
+  g_assert_cmpint (health_evaluate (&h, T0 + 2 * MS), ==, HEALTH_EJECTED_OWN);
   health_add_own_answer (&h, T0 + 3 * MS);
   g_assert_cmpint (health_evaluate (&h, T0 + 4 * MS), ==, HEALTH_RECOVERING);
 }
@@ -368,9 +370,14 @@
   g_assert_cmpint (p->probes, ==, 1);
   answer_elsewhere (p);
   g_assert_cmpint (j->last.seen, ==, LOAD_SEEN_ANSWERED);
-  /* The probe disproves it. */
+  /* The probe disproves it, but not the next one. */
   p->probe (p->probe_arg, RELAY_PROBE_ALIVE, NULL);
   g_assert_cmpint (a->failures, ==, 0);
+  start_and_time_out (p);
+  answer_elsewhere (p);
+  p->probe (p->probe_arg, RELAY_PROBE_ALIVE, NULL);
+  g_assert_cmpint (a->failures, ==, 1);
+  pick_request_succeeded (a);
   /* The next one is confirmed by its probe, and then reported. */
   start_and_time_out (p);
   g_assert_cmpint (j->failures, ==, 0);
@@ -400,6 +407,26 @@
   judge_free (j);
 }
 
+/* Guards against one VM that reports everything as failed, and so makes each
+   lost packet of another VM an ejection. */
+static void
+test_weak_with_report (void)
+{
+  struct judge *j = judge_new ();
+  struct fleet_endpoint *a = harness_endpoint (j->p, "a");
+
+  learn_connections (j->p);
+  fail_at (&a->health, 1, true, loop_now_us ());
+  start_and_time_out (j->p);
+  answer_elsewhere (j->p);
+  g_assert_cmpint (a->backoff_until_us, ==, 0);
+  g_assert_cmpint (j->failures, ==, 0);
+  j->p->probe (j->p->probe_arg, RELAY_PROBE_SILENT, NULL);
+  g_assert_cmpint (a->backoff_until_us, >, loop_now_us ());
+  g_assert_cmpint (j->failures, ==, 1);
+  judge_free (j);
+}
+
 /* Guards against a busy VM that takes its own delay for a failure of the
    endpoint. */
 static void
@@ -412,7 +439,7 @@
   learn_connections (p);
   start_at_a (p);
   g_assert_cmpint (p->connect_timeout_us, ==, 100 * MS);
-  g_usleep (60 * 1000);
+  g_usleep (60000);
   harness_end (p, false, false);
   g_assert_cmpint (a->failures, ==, 0);
   g_assert_cmpint (p->probes, ==, 1);
@@ -553,6 +580,7 @@
   { "/health/conntime", test_conntime },
   { "/health/weak-failure", test_weak_failure },
   { "/health/confirmed-by-report", test_confirmed_by_report },
+  { "/health/weak-with-report", test_weak_with_report },
   { "/health/late-loop", test_late_loop },
   { "/health/refused", test_refused },
   { "/health/last-resort", test_last_resort },
--- a/relayhealth.c
+++ b/relayhealth.c
@@ -226,7 +226,9 @@
   report (t, e, seen, connected_us, now_us);
 }
 
-/* A failure that another VM reports as well needs no second one here. */
+/* A failure that another VM reports as well needs no second one here; a weak
+   one does, or one VM that reports all endpoints as failed would make each
+   lost packet an ejection. */
 static void
 add_failure (struct relayhealth *t, const struct relayhealth_attempt *a,
              enum load_seen seen, bool is_strong, int64_t now_us)
@@ -237,7 +239,7 @@
   bool ejected;
 
   if (seen == LOAD_SEEN_REFUSED
-      || health_is_failure_reported (&e->health, now_us))
+      || (is_strong && health_is_failure_reported (&e->health, now_us)))
     pick_connection_refused (e, now_us);
   else
     pick_request_failed (e, now_us);
@@ -297,26 +299,36 @@
     g_free (t);
 }
 
-/* The connections that timed out are not among those that the timeout is
-   learned from.  The answer to a probe after one is, or connections that take
-   longer than the timeout would never be learned. */
+/*
+ * The connections that timed out are not among those that the timeout is
+ * learned from.  The answer to a probe after one is, or connections that take
+ * longer than the timeout would never be learned.  That answer is not
+ * reported, and disproves one failure until a request is answered: if an
+ * endpoint answers probes only, it would hide the failures.
+ */
 static void
 on_probe_answer (const struct probe *p, const struct notice *notice,
                  int64_t now_us)
 {
   struct relayhealth *t = p->owner;
   struct fleet_endpoint *e = p->attempt.endpoint;
-  struct notice_origin from
-      = { .source = "probe", .sent_us = p->attempt.started_us };
+  int64_t started_us = p->attempt.started_us;
+  struct notice_origin from = { .source = "probe", .sent_us = started_us };
+  struct endpoint_report r = { .seen = LOAD_SEEN_ANSWERED, .running = -1 };
 
   if (notice != NULL)
     notice_apply (e, notice, &from, now_us);
   if (p->confirms)
-    conntime_add (&t->conntime, e->listing.domain,
-                  now_us - p->attempt.started_us, now_us);
-  if (p->confirms && now_us >= e->backoff_until_us)
-    e->failures = 0;
-  relayhealth_answered (t, e, -1, 0, p->attempt.started_us, now_us);
+    {
+      conntime_add (&t->conntime, e->listing.domain, now_us - started_us,
+                    now_us);
+      if (!e->health.disproved && now_us >= e->backoff_until_us)
+        e->failures = 0;
+      e->health.disproved = true;
+      return;
+    }
+  health_add_probe_answer (&e->health, started_us);
+  report (t, e, r, started_us, now_us);
 }
 
 static void
