Tests of failed endpoints: end the probes that are under way

Cause: AddressSanitizer reports the memory of probes that the tests never answer. Change: /health/at-most-once answers its probe, and regress/failures ends all probes after the health of their VMs is freed.

--- a/regress/failures.c
+++ b/regress/failures.c
@@ -732,14 +732,6 @@
   v->health = relayhealth_new (&o);
 }
 
-static void
-stop_vm (struct vm *v)
-{
-  if (v->health != NULL)
-    relayhealth_free (v->health);
-  fleet_clear (&v->fleet);
-}
-
 /* What a VM that stands still would do is done when it runs again. */
 static bool
 postpone (struct event *e)
@@ -760,6 +752,29 @@
   return true;
 }
 
+/* Free the VMs and the events that are left; a probe ends without effect once
+   its VM's health is freed. */
+static void
+stop (void)
+{
+  struct event *e;
+  int i;
+
+  for (i = 0; i < w.setup->vms; i++)
+    if (w.vms[i].health != NULL)
+      relayhealth_free (w.vms[i].health);
+  for (i = 0; i < (int)w.heap->len; i++)
+    {
+      e = w.heap->pdata[i];
+      if (e->run == end_probe)
+        end_probe (e);
+      g_free (e->reports);
+      g_free (e);
+    }
+  for (i = 0; i < w.setup->vms; i++)
+    fleet_clear (&w.vms[i].fleet);
+}
+
 static void
 run (const struct setup *s, enum rule rule)
 {
@@ -788,15 +803,7 @@
       g_free (e);
     }
   g_free (e);
-  for (i = 0; i < (int)w.heap->len; i++)
-    {
-      e = w.heap->pdata[i];
-      if (e->run == deliver)
-        g_free (e->reports);
-      g_free (e);
-    }
-  for (i = 0; i < s->vms; i++)
-    stop_vm (&w.vms[i]);
+  stop ();
   g_ptr_array_free (w.heap, TRUE);
   g_rand_free (w.rand);
 }
--- a/regress/test-health.c
+++ b/regress/test-health.c
@@ -565,6 +565,7 @@
   harness_end (p, true, false);
   g_assert_cmpint (p->sends, ==, 1);
   g_assert_cmpint (p->refused, ==, RELAY_UNKNOWN);
+  p->probe (p->probe_arg, RELAY_PROBE_ALIVE, NULL);
   judge_free (j);
 }
 
