--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,8 @@
 	relayadmit.o relaywork.o relayquar.o relaycrash.o reqid.o quar.o \
 	quarwire.o quarfeed.o follow.o followraw.o observe.o relayobserve.o \
 	sealbox.o lease.o announce.o orders.o parts.o partfeed.o evac.o mirror.o \
-	mirrorpick.o mirrorwire.o mirrorserve.o mirrorfeed.o speed.o spread.o
+	mirrorpick.o mirrorwire.o mirrorserve.o mirrorfeed.o speed.o spread.o \
+	health.o conntime.o relayhealth.o
 # The users' platform; translates only.
 PLATFORM = platform/replyhead.o platform/reqhead.o platform/decode.o platform/orders.o \
 	platform/engine.o platform/ingress.o platform/json.o platform/kvstore.o platform/notice.o \
@@ -77,7 +78,8 @@
 	regress/test-notice.o regress/test-regions.o regress/test-evac.o \
 	regress/test-relayquar.o regress/test-mirror.o regress/test-routeshare.o \
 	regress/test-relaystate.o regress/test-observe.o regress/test-returns.o \
-	regress/test-speed.o regress/test-spread.o regress/relayharness.o
+	regress/test-speed.o regress/test-spread.o regress/test-health.o \
+	regress/relayharness.o
 
 regress/test-units: $(UNITS) libplatform.a librelay.a libserver.a libwire.a libdecide.a
 	$(CC) $(CFLAGS) -o $@ $(UNITS) libplatform.a librelay.a log.o met.o loop.o xfer.o fetch.o peer_xdr.o \
@@ -87,6 +89,10 @@
 	regress/modellease.o regress/modelannounce.o regress/modelkeys.o \
 	regress/modelrestart.o
 
+# Failed endpoints in simulated time; replaces loop and log as well.
+regress/failures: regress/failures.o met.o librelay.a libdecide.a
+	$(CC) $(CFLAGS) -o $@ regress/failures.o librelay.a met.o libdecide.a $(LIBS)
+
 # The deciding code in simulated time: regress/modelworld.c replaces loop and
 # log.
 regress/model: $(MODEL) met.o librelay.a libdecide.a
@@ -112,7 +118,7 @@
 	$(CC) $(CFLAGS) -o $@ bench/slopes.o libsettings.a libdecide.a $(LIBS)
 
 tests: camphorquay regress/fake regress/drive regress/check regress/test-units \
-	regress/model regress/burst bench/load
+	regress/model regress/burst regress/failures bench/load
 
 # The same sources with the sanitizers, in a directory of their own.
 SANITIZE = -O1 -g -fno-omit-frame-pointer -fsanitize=address,undefined \
@@ -130,7 +136,7 @@
 FUZZED = prompt.c strm.c peer_xdr.c platform/replyhead.c platform/reqhead.c \
 	platform/decode.c platform/json.c platform/kvstore.c platform/notice.c platform/jsonread.c \
 	platform/rows.c platform/roster.c \
-	platform/quarrows.c followraw.c mirrorwire.c quar.c sealbox.c quarwire.c loadgossipwire.c fleet.c pace.c limit.c cold.c sse.c lease.c fetch.c xfer.c stall.c loop.c
+	platform/quarrows.c followraw.c mirrorwire.c quar.c sealbox.c quarwire.c loadgossipwire.c fleet.c pace.c limit.c cold.c health.c sse.c lease.c fetch.c xfer.c stall.c loop.c
 regress/fuzz-input: regress/fuzz-input.c $(FUZZED) wire.h
 	clang -std=gnu11 -D_GNU_SOURCE -g -O1 $(LIB_CFLAGS) -I. \
 		-fsanitize=fuzzer,address,undefined -o $@ \
@@ -157,7 +163,7 @@
 clean:
 	rm -f *.o *.d *.a platform/*.o platform/*.d regress/*.o regress/*.d bench/*.o bench/*.d \
 		camphorquay regress/fake regress/drive regress/check regress/test-units \
-		regress/model regress/burst bench/load bench/rows bench/slopes regress/fuzz-input
+		regress/model regress/burst regress/failures bench/load bench/rows bench/slopes regress/fuzz-input
 	rm -rf build-asan
 
 
--- a/entry.c
+++ b/entry.c
@@ -277,6 +277,14 @@
   loadgossip_observed (e->load_gossip, now_us);
 }
 
+/* Answers with a load are reported when their head arrives. */
+static void
+on_endpoint_seen (void *arg, const struct endpoint_report *r, int64_t now_us)
+{
+  if (r->seen != LOAD_SEEN_ANSWERED || r->running < 0)
+    on_observed (arg, r, now_us);
+}
+
 /* Logs that other VMs report an endpoint as failing, or no longer.  If VMs
    contradict each other, as in a partition, not each report is logged. */
 static void
@@ -388,6 +396,19 @@
              XXH3_64bits_withSeed (id, sizeof *id, (uint64_t)rotation));
 }
 
+/* Probers rotate like the VMs that send suspect requests. */
+static bool
+may_probe (void *arg, uint64_t endpoint, int64_t now_us)
+{
+  const struct entry *e = arg;
+  int64_t rotation = platform_ms (arg, now_us) / SUSPECT_ROTATION_MS;
+
+  return e->load_gossip == NULL
+         || loadgossip_ranks_first (
+             e->load_gossip, XXH3_64bits_withSeed (&endpoint, sizeof endpoint,
+                                                   (uint64_t)rotation));
+}
+
 static void
 make_quarfeed (struct entry *e)
 {
@@ -442,6 +463,9 @@
   o.is_evidence_known = is_evidence_ready;
   o.may_run_suspect = may_run_suspect;
   o.quar_arg = e;
+  o.may_probe = may_probe;
+  o.on_seen = e->observe != NULL ? on_endpoint_seen : NULL;
+  o.health_arg = e;
   o.domain = vm->domain;
   o.key_max_age_us = e->cfg->revoke_ms * CQ_US_PER_MS - REVOCATION_MARGIN_US;
   o.denial_max_age_us = denial_max_age_us (e->cfg);
--- a/fleet.h
+++ b/fleet.h
@@ -17,6 +17,7 @@
 #include <apr_ring.h>
 
 #include "cold.h"
+#include "health.h"
 #include "limit.h"
 #include "speed.h"
 
@@ -233,6 +234,8 @@
   struct fleet_ewma first_chunk; /* time to the first chunk of its answers */
   struct fleet_heard heard;      /* reports of other VMs */
   struct speed speed;            /* how long work takes there, as it reports */
+  struct health health;          /* evidence of failures; zeros unless
+                                    endpoints are judged by reports */
 };
 
 /* --- fleet ----------------------------------------------------------- */
--- a/met.c
+++ b/met.c
@@ -99,6 +99,12 @@
   [MET_SLOW_AVOIDED]
   = { "camphorquay_slow_avoided_total", "counter",
       "Attempts whose prompt was kept away from slow endpoints." },
+  [MET_EJECTED_OWN]
+  = { "camphorquay_ejected_own_total", "counter",
+      "Times that this VM's own failures ejected an endpoint." },
+  [MET_EJECTED_REPORTED]
+  = { "camphorquay_ejected_reported_total", "counter",
+      "Times that failures at other VMs ejected an endpoint." },
   [MET_STORE_RESTORES]
   = { "camphorquay_older_copies_total", "counter",
       "Times that the platform's store came back from an older copy." },
--- a/observe.c
+++ b/observe.c
@@ -234,8 +234,7 @@
 {
   int64_t at_us = now_us - r->age_us;
 
-  (void)vm_hash;
-
+  health_add (&e->health, vm_hash, near, r->seen, at_us);
   apply_load (&e->heard, r, at_us);
   if (r->speed_percent > 0)
     speed_add (&e->speed, r->speed_percent, at_us);
--- a/regress/test-units.c
+++ b/regress/test-units.c
@@ -810,7 +810,8 @@
         load_units,    admit_units,     quar_units,       cold_units,
         limit_units,   notice_units,    regions_units,    evac_units,
         mirror_units,  relayquar_units, routeshare_units, relaystate_units,
-        observe_units, returns_units,   speed_units,      spread_units };
+        observe_units, returns_units,   speed_units,      spread_units,
+        health_units };
 
 int
 main (int argc, char **argv)
--- a/regress/units.h
+++ b/regress/units.h
@@ -38,5 +38,6 @@
 extern const struct unit returns_units[];
 extern const struct unit speed_units[];
 extern const struct unit spread_units[];
+extern const struct unit health_units[];
 
 #endif
--- a/relayobserve.c
+++ b/relayobserve.c
@@ -72,6 +72,19 @@
       if (!r->is_head_observed && !r->other_incarnation)
         report (r, LOAD_SEEN_ANSWERED, NULL, now_us);
       return;
+    case SEND_NONE:
+    case SEND_PARTIAL:
+    case SEND_REPLIED:
+      break;
+    }
+  /* Failures are judged first, and reported, by relayhealth.c. */
+  if (r->rs->health != NULL)
+    return;
+  switch (sent)
+    {
+    case SEND_COMPLETE:
+    case SEND_REFUSED:
+      return;
     case SEND_NONE:
       if (r->connection_refused)
         report (r, LOAD_SEEN_REFUSED, NULL, now_us);
