--- a/relayadmit.c
+++ b/relayadmit.c
@@ -188,9 +188,8 @@
   return keep;
 }
 
-/* Permille of the requests of R's route to admit, of WORK permille of all
- * work.
- */
+/* Permille of the requests of R's route to admit, if WORK permille of all work
+   are admitted. */
 static int
 route_share (const struct relay *r, int work)
 {
@@ -220,7 +219,8 @@
   return MAX (keep, routeshare_least_permille (&s->routes, work));
 }
 
-/* Permille of requests like R to admit, of WORK permille of all work. */
+/* Permille of requests like R to admit, if WORK permille of all work are
+   admitted. */
 static int
 admitted_share (const struct relay *r, int work)
 {
