--- a/relayadmit.c
+++ b/relayadmit.c
@@ -201,10 +201,9 @@
 /*
  * A route that asks for less than its max-min share is admitted in full, also
  * if its wait is expected to be long: the expected wait is an average of the
- * few answers that a VM got from an endpoint, and refused short prompts at an
- * admitted share of 4 to 6 percent while their median time to first chunk was
- * 56 ms.  Rank and workspace divide only the share of a route that must give
- * up work.
+ * few answers that a VM gets from an endpoint, and those may be of long
+ * prompts while short ones begin at once.  Rank and workspace divide only the
+ * share of a route that must give up work.
  */
 static int
 admitted_share_of_route (const struct relay *r, int work)
--- a/relayhealth.c
+++ b/relayhealth.c
@@ -254,8 +254,9 @@
  * A connection that did not come up in a short time may be due to a lost
  * packet, to a full queue of new connections or to this VM, so it is not
  * reported to other VMs.  It counts here, and a probe with the longest timeout
- * decides.  With fixed 80 ms and ejection after one failure, fewer callers
- * were served than without.  If the loop was late, the failure shows nothing.
+ * decides.  Otherwise busy endpoints would be ejected in an overload, and the
+ * rest would have to bear their load too.  If the loop was late, the failure
+ * shows nothing.
  */
 void
 relayhealth_failed (struct relayhealth *t, const struct relayhealth_attempt *a,
--- a/speed.c
+++ b/speed.c
@@ -11,8 +11,8 @@
 /* A figure counts in the baseline for at most this time, however late the next
    one comes. */
 #define FIGURE_MAX_US INT64_C (1000000)
-/* Pauses before any sample, as measured on a service of eight decode steps an
-   event: 5.5 ms a step, and 9.5 ms more with a chunk of prefill. */
+/* Pauses before any sample, for events of eight decode steps: 5.5 ms a step,
+   and 9.5 ms more for a step with a chunk of prefill. */
 #define DECODE_PAUSE_INITIAL_US INT64_C (44000)
 #define PREFILL_PAUSE_INITIAL_US INT64_C (120000)
 /* Divisors of a sample in the averages. */
