--- a/announce.c
+++ b/announce.c
@@ -25,12 +25,12 @@
               int64_t read_us)
 {
   int64_t since = fleet_earliest_outdated_us (f, e);
-  int64_t heard
+  int64_t learned
       = fleet_version_learned_us (f, e->listing.model, e->version + 1);
 
   return since == FLEET_NEVER
-         || (heard - since > UNCERTAIN_AFTER_US
-             && read_us < heard + ROW_WRITTEN_WITHIN_US);
+         || (learned - since > UNCERTAIN_AFTER_US
+             && read_us < learned + ROW_WRITTEN_WITHIN_US);
 }
 
 bool
@@ -67,14 +67,14 @@
              struct lease_row *row)
 {
   struct lease_announcement *n;
-  int64_t heard;
+  int64_t learned;
 
   for (n = row->announcements; n < row->announcements + row->nannouncements;
        n++)
     {
-      heard = fleet_version_learned_us (f, n->model, n->version);
-      if (heard != FLEET_NEVER)
-        n->since_ms = MIN (n->since_ms, lease_earliest_ms (clock, heard));
+      learned = fleet_version_learned_us (f, n->model, n->version);
+      if (learned != FLEET_NEVER)
+        n->since_ms = MIN (n->since_ms, lease_earliest_ms (clock, learned));
     }
 }
 
--- a/bench/replay.c
+++ b/bench/replay.c
@@ -165,7 +165,7 @@
 }
 
 static void
-tell_all (struct note n, int domain, int64_t lag_us)
+notify_all (struct note n, int domain, int64_t lag_us)
 {
   int vm;
 
@@ -251,7 +251,8 @@
       n.queued = world_queue_us (run->world, e, now) * run->w->prefill_tokens_s
                  / CQ_US_PER_S;
       n.filled = run->world->endpoints[e].filled;
-      tell_all (n, run->world->endpoints[e].domain, run->fault->report_lag_us);
+      notify_all (n, run->world->endpoints[e].domain,
+                  run->fault->report_lag_us);
     }
 }
 
@@ -295,7 +296,7 @@
   run->quota_used[e->workspace]--;
   run->drops++;
   dir_remove (s->held, e->digest, store, n.write_id);
-  tell_all (n, s->domain, EVENT_LAG_US);
+  notify_all (n, s->domain, EVENT_LAG_US);
 }
 
 /* Make room: the least worth among the segments unused longest. */
@@ -352,7 +353,7 @@
       n.write_id = t->write_id;
       n.depth = last + 1;
       n.workspace = t->ask.workspace;
-      tell_all (n, s->domain, EVENT_LAG_US);
+      notify_all (n, s->domain, EVENT_LAG_US);
       run->exports++;
     }
   g_free (t);
@@ -487,7 +488,7 @@
       if (!n.gap)
         return;
     }
-  tell_all (n, domain, EVENT_LAG_US);
+  notify_all (n, domain, EVENT_LAG_US);
 }
 
 /* --- decisions ------------------------------------------------------- */
--- a/ctlconf.c
+++ b/ctlconf.c
@@ -50,10 +50,10 @@
 /* Counts of the VMs in one failure domain. */
 struct domain
 {
-  int in_force;          /* live VMs with the revision or a newer one */
-  int vms;               /* live VMs */
-  int dead;              /* dead VMs */
-  int64_t last_heard_ms; /* least time since a message from one, -1: never */
+  int in_force;            /* live VMs with the revision or a newer one */
+  int vms;                 /* live VMs */
+  int dead;                /* dead VMs */
+  int64_t last_message_ms; /* least time since a message from one, -1: never */
 };
 
 static bool
@@ -69,16 +69,16 @@
 {
   const char *name = text_field (vm, "domain");
   struct domain *d = g_hash_table_lookup (domains, name);
-  int64_t heard_ms = int_field (vm, "heard_ms_ago");
+  int64_t ago_ms = int_field (vm, "heard_ms_ago");
 
   if (d == NULL)
     {
       d = g_new0 (struct domain, 1);
-      d->last_heard_ms = -1;
+      d->last_message_ms = -1;
       g_hash_table_insert (domains, g_strdup (name), d);
     }
-  if (heard_ms >= 0 && (d->last_heard_ms < 0 || heard_ms < d->last_heard_ms))
-    d->last_heard_ms = heard_ms;
+  if (ago_ms >= 0 && (d->last_message_ms < 0 || ago_ms < d->last_message_ms))
+    d->last_message_ms = ago_ms;
   if (!is_live (vm))
     {
       d->dead += strcmp (text_field (vm, "state"), "dead") == 0;
@@ -132,9 +132,10 @@
       const struct domain *d = g_hash_table_lookup (domains, l->data);
 
       if (d->vms == 0)
-        printf ("  %s: cut off, last heard %" G_GINT64_FORMAT " s ago\n",
-                (char *)l->data,
-                (gint64)(d->last_heard_ms < 0 ? -1 : d->last_heard_ms / 1000));
+        printf (
+            "  %s: cut off, last heard %" G_GINT64_FORMAT " s ago\n",
+            (char *)l->data,
+            (gint64)(d->last_message_ms < 0 ? -1 : d->last_message_ms / 1000));
       else
         printf ("  %s: in force on %d of %d VMs\n", (char *)l->data,
                 d->in_force, d->vms);
--- a/entry.c
+++ b/entry.c
@@ -291,7 +291,7 @@
 log_report (struct fleet_endpoint *at, const char *vm,
             const struct endpoint_report *r, bool was_failing, int64_t now_us)
 {
-  struct fleet_heard *h = &at->heard;
+  struct fleet_peer_report *h = &at->peer_report;
 
   if (h->is_failing == was_failing
       || (h->logged_us != 0 && now_us - h->logged_us < REPORT_LOG_INTERVAL_US))
@@ -318,7 +318,7 @@
   for (i = 0; i < n; i++)
     {
       at[i] = fleet_find_key (&e->fleet, message->reports[i].endpoint);
-      was_failing[i] = at[i] != NULL && at[i]->heard.is_failing;
+      was_failing[i] = at[i] != NULL && at[i]->peer_report.is_failing;
     }
   observe_apply (&e->fleet, message, near, now_us);
   for (i = 0; i < n; i++)
@@ -328,7 +328,7 @@
         continue;
       log_report (at[i], message->vm, r, was_failing[i], now_us);
       if (near)
-        relays_heard_load (e->relays, at[i], r->running, r->waiting, now_us);
+        relays_add_pressure (e->relays, at[i], r->running, r->waiting, now_us);
     }
 }
 
--- a/fleet.h
+++ b/fleet.h
@@ -182,7 +182,7 @@
 };
 
 /* What other VMs reported of an endpoint. */
-struct fleet_heard
+struct fleet_peer_report
 {
   int running;       /* requests running there, by the newest report of load */
   int waiting;       /* requests waiting there */
@@ -232,10 +232,10 @@
   struct cold cold;          /* cold state and this VM's share of its rate */
   struct limit limit;        /* rate limit that it reported for all VMs */
   struct fleet_ewma first_chunk; /* time to the first chunk of its answers */
-  struct fleet_heard heard;      /* reports of other VMs */
-  struct speed speed;            /* how long work takes there, as it reports */
-  struct health health;          /* evidence of failures; zeros unless
-                                    endpoints are judged by reports */
+  struct fleet_peer_report peer_report; /* reports of other VMs */
+  struct speed speed;   /* how long work takes there, as it reports */
+  struct health health; /* evidence of failures; zeros unless
+                           endpoints are judged by reports */
 };
 
 /* --- fleet ----------------------------------------------------------- */
--- a/load.c
+++ b/load.c
@@ -17,7 +17,7 @@
 struct peer_load
 {
   struct load_gossip gossip; /* its last message */
-  int64_t heard_us;          /* when that was received */
+  int64_t received_us;       /* when that was received */
   bool is_counted;           /* its entries are counted in the sums */
 };
 
@@ -187,7 +187,7 @@
     }
   set_counted (t, p, false);
   p->gossip = *w;
-  p->heard_us = now_us;
+  p->received_us = now_us;
   set_counted (t, p, true);
   return true;
 }
@@ -201,9 +201,9 @@
   g_hash_table_iter_init (&it, t->peers);
   while (g_hash_table_iter_next (&it, NULL, (gpointer *)&p))
     {
-      if (now_us - p->heard_us > EXPIRE_US)
+      if (now_us - p->received_us > EXPIRE_US)
         set_counted (t, p, false);
-      if (now_us - p->heard_us > REMOVE_US)
+      if (now_us - p->received_us > REMOVE_US)
         g_hash_table_iter_remove (&it);
     }
 }
--- a/member.c
+++ b/member.c
@@ -1,5 +1,5 @@
 /*
- * Other VMs: questions to a few neighbours, and what is heard in the answers.
+ * Other VMs: questions to a few neighbours, and what the answers say.
  *
  * A VM watches three neighbours of its domain and one VM of each other domain,
  * so the cost does not grow with the number of VMs; news travels in what they
@@ -118,7 +118,7 @@
 }
 
 static void
-hear_one (struct member *m, const peer_member *p)
+apply_update (struct member *m, const peer_member *p)
 {
   struct memb_update w = { .incarnation = 0 };
   int64_t now = loop_now_us ();
@@ -137,18 +137,18 @@
 }
 
 static void
-hear_words (struct member *m, const peer_ping *ping)
+apply_updates (struct member *m, const peer_ping *ping)
 {
   u_int i;
 
-  hear_one (m, &ping->self);
+  apply_update (m, &ping->self);
   for (i = 0; i < ping->rumors.rumors_len; i++)
-    hear_one (m, &ping->rumors.rumors_val[i]);
+    apply_update (m, &ping->rumors.rumors_val[i]);
 }
 
 /* Returns the sender's revision. */
 static uint64_t
-hear_ping (struct member *m, const peer_envelope *e)
+receive_ping (struct member *m, const peer_envelope *e)
 {
   peer_ping ping = { 0 };
   uint64_t revision;
@@ -156,7 +156,7 @@
   if (!peers_decode ((xdrproc_t)xdr_peer_ping, e->body.body_val,
                      e->body.body_len, &ping))
     return 0;
-  hear_words (m, &ping);
+  apply_updates (m, &ping);
   revision = ping.self.revision;
   xdr_free ((xdrproc_t)xdr_peer_ping, &ping);
   return revision;
@@ -164,7 +164,7 @@
 
 /* A VM that sends no ages answers with a ping. */
 static uint64_t
-hear_pong (struct member *m, const peer_envelope *e, int64_t asked_us)
+receive_pong (struct member *m, const peer_envelope *e, int64_t asked_us)
 {
   peer_pong pong = { 0 };
   uint64_t revision;
@@ -172,8 +172,8 @@
 
   if (!peers_decode ((xdrproc_t)xdr_peer_pong, e->body.body_val,
                      e->body.body_len, &pong))
-    return hear_ping (m, e);
-  hear_words (m, &pong.ping);
+    return receive_ping (m, e);
+  apply_updates (m, &pong.ping);
   revision = pong.ping.self.revision;
   if (m->server->conf != NULL && pong.fresh != NULL
       && fresh_time_from_age (asked_us, pong.fresh->age_ms, &at))
@@ -184,8 +184,8 @@
 
 /* --- answers, on the peers' thread --- */
 
-/* A revision that was heard, on its way to the first worker's loop. */
-struct heard
+/* A revision that was received, on its way to the first worker's loop. */
+struct received
 {
   struct loop_msg msg;
   struct server *server;
@@ -193,9 +193,9 @@
 };
 
 static void
-tell_revision (void *arg)
+pass_revision (void *arg)
 {
-  struct heard *h = arg;
+  struct received *h = arg;
 
   if (h->server->conf != NULL)
     conf_hear_revision (h->server->conf, h->revision);
@@ -205,11 +205,11 @@
 static void
 post_revision (struct member *m, uint64_t revision)
 {
-  struct heard *h = g_new0 (struct heard, 1);
+  struct received *h = g_new0 (struct received, 1);
 
   h->server = m->server;
   h->revision = revision;
-  h->msg.run = tell_revision;
+  h->msg.run = pass_revision;
   h->msg.arg = h;
   loop_post (m->loop, &h->msg);
 }
@@ -229,7 +229,7 @@
 static bool
 answer_ping (struct member *m, const peer_envelope *call, peer_envelope *reply)
 {
-  uint64_t revision = hear_ping (m, call);
+  uint64_t revision = receive_ping (m, call);
 
   if (m->server->conf != NULL && revision > conf_revision (m->server->conf))
     post_revision (m, revision);
@@ -286,7 +286,7 @@
 {
   struct asked *a = arg;
   struct member *m = a->member;
-  uint64_t revision = reply != NULL ? hear_pong (m, reply, a->asked_us) : 0;
+  uint64_t revision = reply != NULL ? receive_pong (m, reply, a->asked_us) : 0;
   int64_t now = loop_now_us ();
   struct memb *who;
 
@@ -385,7 +385,7 @@
 /* --- the platform's list --- */
 
 static void
-hear_list (struct member *m, const json_t *list)
+apply_list (struct member *m, const json_t *list)
 {
   const json_t *one;
   peer_member p;
@@ -402,7 +402,7 @@
     p.state = json_is_true (json_object_get (one, "leaving")) ? MEMB_LEAVING
                                                               : MEMB_ALIVE;
     if (p.name != NULL && p.domain != NULL && p.address != NULL)
-      hear_one (m, &p);
+      apply_update (m, &p);
   }
 }
 
@@ -416,7 +416,7 @@
   if (status == 200)
     {
       m->listed = true;
-      hear_list (m, doc);
+      apply_list (m, doc);
     }
   json_decref (doc);
 }
@@ -582,14 +582,14 @@
 }
 
 static json_t *
-word_json (const struct memb_update *w, int64_t heard_us, int64_t now)
-{
-  return json_pack ("{s:s,s:s,s:s,s:s,s:I,s:I,s:I}", "name", w->name, "domain",
-                    w->domain, "address", w->address, "state",
-                    memb_state_name (w->state), "incarnation",
-                    (json_int_t)w->incarnation, "revision",
-                    (json_int_t)w->revision, "heard_ms_ago",
-                    (json_int_t)(heard_us ? (now - heard_us) / 1000 : -1));
+word_json (const struct memb_update *w, int64_t received_us, int64_t now)
+{
+  return json_pack (
+      "{s:s,s:s,s:s,s:s,s:I,s:I,s:I}", "name", w->name, "domain", w->domain,
+      "address", w->address, "state", memb_state_name (w->state),
+      "incarnation", (json_int_t)w->incarnation, "revision",
+      (json_int_t)w->revision, "heard_ms_ago",
+      (json_int_t)(received_us ? (now - received_us) / 1000 : -1));
 }
 
 json_t *
--- a/observe.c
+++ b/observe.c
@@ -216,7 +216,7 @@
 }
 
 static void
-apply_load (struct fleet_heard *h, const struct endpoint_report *r,
+apply_load (struct fleet_peer_report *h, const struct endpoint_report *r,
             int64_t at_us)
 {
   if (r->running < 0 || at_us <= h->at_us)
@@ -235,13 +235,13 @@
   int64_t at_us = now_us - r->age_us;
 
   health_add (&e->health, vm_hash, near, r->seen, at_us);
-  apply_load (&e->heard, r, at_us);
+  apply_load (&e->peer_report, r, at_us);
   if (r->speed_percent > 0)
     speed_add (&e->speed, r->speed_percent, at_us);
-  if (at_us <= e->heard.seen_us)
+  if (at_us <= e->peer_report.seen_us)
     return;
-  e->heard.seen_us = at_us;
-  e->heard.is_failing = r->seen != LOAD_SEEN_ANSWERED;
+  e->peer_report.seen_us = at_us;
+  e->peer_report.is_failing = r->seen != LOAD_SEEN_ANSWERED;
 }
 
 const char *
--- a/pick.c
+++ b/pick.c
@@ -109,7 +109,7 @@
 {
   e->running++;
   e->sent_since++;
-  e->heard.sent_since++;
+  e->peer_report.sent_since++;
 }
 
 void
@@ -117,7 +117,7 @@
 {
   e->running--;
   e->sent_since--;
-  e->heard.sent_since--;
+  e->peer_report.sent_since--;
 }
 
 void
@@ -298,10 +298,11 @@
   int load = e->reported_running + e->sent_since;
   int64_t at_us = e->reported_us;
 
-  if (e->heard.at_us > at_us)
+  if (e->peer_report.at_us > at_us)
     {
-      load = e->heard.running + e->heard.waiting + e->heard.sent_since;
-      at_us = e->heard.at_us;
+      load = e->peer_report.running + e->peer_report.waiting
+             + e->peer_report.sent_since;
+      at_us = e->peer_report.at_us;
     }
   if (at_us == 0 || now_us - at_us > REPORT_MAX_AGE_US)
     return e->running;
--- a/regress/relayharness.c
+++ b/regress/relayharness.c
@@ -351,3 +351,32 @@
   harness_answer (p, "ok");
   g_assert_cmpstr (p->got->str, ==, "ok");
 }
+
+void
+harness_pause (struct harness *p)
+{
+  harness_start (p);
+  g_assert_true (p->event->before_send (p->arg));
+  harness_head (p, 200);
+  harness_body (p, "id: 1\ndata: a\n\n");
+  p->untaken = 4097;
+  g_assert_cmpint (p->event->body (p->arg, HARNESS_PAUSED_EVENT,
+                                   strlen (HARNESS_PAUSED_EVENT)),
+                   ==, RELAY_PAUSE);
+}
+
+void
+harness_list_endpoints (struct fleet *f, int n, int slots)
+{
+  struct fleet_listing l = { .version = 1, .slots = slots };
+  int i;
+
+  for (i = 0; i < n; i++)
+    {
+      g_snprintf (l.id, sizeof l.id, "e%d", i);
+      g_strlcpy (l.service, "model", sizeof l.service);
+      g_strlcpy (l.model, "m", sizeof l.model);
+      g_snprintf (l.domain, sizeof l.domain, "d%d", i % 3);
+      fleet_apply_listing (f, &l, CQ_US_PER_S);
+    }
+}
--- a/regress/relayharness.h
+++ b/regress/relayharness.h
@@ -8,6 +8,8 @@
 #include "librelay.h"
 
 #define HARNESS_KEY_MAX_AGE_US (4 * CQ_US_PER_S)
+/* Event that the engine sends in harness_pause. */
+#define HARNESS_PAUSED_EVENT "id: 2\ndata: b\n\n"
 #define HARNESS_DENIAL_MAX_AGE_US (2 * CQ_US_PER_S)
 
 /* State that a test sets, and results that it checks. */
@@ -58,6 +60,12 @@
 struct harness *harness_new (enum fleet_kind kind);
 /* Start the request. */
 void harness_start (struct harness *p);
+/* Start the request, whose stream is paused after one event since its caller
+   reads too slowly; HARNESS_PAUSED_EVENT is held back. */
+void harness_pause (struct harness *p);
+/* List N endpoints of service "model" with SLOTS each, e0 and so on, in the
+   failure domains d0, d1 and d2 in turn. */
+void harness_list_endpoints (struct fleet *f, int n, int slots);
 /* The endpoint with this id, or NULL. */
 struct fleet_endpoint *harness_endpoint (struct harness *p, const char *id);
 /* The attempt must be stopped before its first byte, and a second endpoint
--- a/regress/test-load.c
+++ b/regress/test-load.c
@@ -10,6 +10,7 @@
 #include "decide.h"
 #include "load.h"
 #include "loadgossip.h"
+#include "relayharness.h"
 #include "units.h"
 
 #define S CQ_US_PER_S
@@ -222,8 +223,6 @@
 {
   struct fleet_conf *c = fleet_conf_new ();
   struct fleet_service *sv = g_new0 (struct fleet_service, 1);
-  struct fleet_listing l = { .version = 1, .slots = 16 };
-  int i;
 
   fleet_init (f);
   sv->name = g_strdup ("model");
@@ -232,14 +231,7 @@
   g_hash_table_replace (c->services, sv->name, sv);
   fleet_conf_build_index (c);
   fleet_apply_conf (f, c, 1);
-  for (i = 0; i < ENDPOINTS; i++)
-    {
-      g_snprintf (l.id, sizeof l.id, "e%d", i);
-      g_strlcpy (l.service, "model", sizeof l.service);
-      g_strlcpy (l.model, "m", sizeof l.model);
-      g_snprintf (l.domain, sizeof l.domain, "d%d", i % 3);
-      fleet_apply_listing (f, &l, S);
-    }
+  harness_list_endpoints (f, ENDPOINTS, 16);
 }
 
 static struct pick_query
--- a/regress/test-observe.c
+++ b/regress/test-observe.c
@@ -609,7 +609,7 @@
 /* The load that another VM saw is used while it is newer than this VM's own
    report, with what this VM sent since, and only for a second. */
 static void
-test_heard_load (void)
+test_peer_load (void)
 {
   struct fleet f;
   struct fleet_endpoint *e;
@@ -634,19 +634,28 @@
   fleet_clear (&f);
 }
 
+/* A fleet with one endpoint, of which another VM reported RUNNING requests. */
+static struct fleet_endpoint *
+add_reported (struct fleet *f, int running)
+{
+  struct fleet_endpoint *e;
+  struct load_gossip w;
+
+  fleet_init (f);
+  e = add_endpoint (f, "a", 1);
+  w = word (1, answered (e->key, running, 0), 0);
+  observe_apply (f, &w, true, S);
+  return e;
+}
+
 /* Failure "lost": without further messages, the effect of the last one ends.
  */
 static void
 test_lost (void)
 {
   struct fleet f;
-  struct fleet_endpoint *e;
-  struct load_gossip w;
+  struct fleet_endpoint *e = add_reported (&f, 12);
 
-  fleet_init (&f);
-  e = add_endpoint (&f, "a", 1);
-  w = word (1, answered (e->key, 12, 0), 0);
-  observe_apply (&f, &w, true, S);
   g_assert_cmpint (pick_load (e, 2 * S), ==, 12);
   g_assert_cmpint (pick_load (e, 2 * S + 1), ==, 0);
   fleet_clear (&f);
@@ -665,15 +674,15 @@
   e = add_endpoint (&f, "a", 1);
   w = word (1, answered (e->key, 12, 0), 1500 * MS + 1);
   observe_apply (&f, &w, true, 3 * S);
-  g_assert_cmpint (e->heard.at_us, ==, 0);
+  g_assert_cmpint (e->peer_report.at_us, ==, 0);
   w = word (2, answered (e->key, 4, 0), 100 * MS);
   observe_apply (&f, &w, true, 3 * S);
   w = word (3, failed (e->key), 200 * MS);
   observe_apply (&f, &w, true, 3 * S);
   w = word (4, answered (e->key, 12, 0), 300 * MS);
   observe_apply (&f, &w, true, 3 * S);
-  g_assert_cmpint (e->heard.running, ==, 4);
-  g_assert_false (e->heard.is_failing);
+  g_assert_cmpint (e->peer_report.running, ==, 4);
+  g_assert_false (e->peer_report.is_failing);
   fleet_clear (&f);
 }
 
@@ -683,13 +692,8 @@
 test_cut_off (void)
 {
   struct fleet f;
-  struct fleet_endpoint *e;
-  struct load_gossip w;
+  struct fleet_endpoint *e = add_reported (&f, 12);
 
-  fleet_init (&f);
-  e = add_endpoint (&f, "a", 1);
-  w = word (1, answered (e->key, 12, 0), 0);
-  observe_apply (&f, &w, true, S);
   pick_load_reported (e, 2, 5 * S);
   pick_request_sent (e);
   g_assert_cmpint (pick_load (e, 5 * S), ==, 3);
@@ -716,8 +720,8 @@
   fleet_endpoint_ref (b);
   fleet_apply_missing (&f, b, S);
   observe_apply (&f, &w, true, S);
-  g_assert_cmpint (a->heard.running, ==, 3);
-  g_assert_cmpint (b->heard.at_us, ==, 0);
+  g_assert_cmpint (a->peer_report.running, ==, 3);
+  g_assert_cmpint (b->peer_report.at_us, ==, 0);
   g_assert_null (fleet_find_key (&f, b->key));
   add_endpoint (&f, "b", 1);
   g_assert_true (fleet_find_key (&f, b->key) == b);
@@ -739,11 +743,11 @@
   w = word (1, failed (e->key), 0);
   w.reports[w.nreports++] = answered (e->key, 12, 0);
   observe_apply (&f, &w, true, S);
-  g_assert_cmpint (e->heard.running, ==, 12);
+  g_assert_cmpint (e->peer_report.running, ==, 12);
   e = add_endpoint (&f, "a", 2);
   observe_apply (&f, &w, true, S);
-  g_assert_cmpint (e->heard.at_us, ==, 0);
-  g_assert_cmpint (e->heard.seen_us, ==, 0);
+  g_assert_cmpint (e->peer_report.at_us, ==, 0);
+  g_assert_cmpint (e->peer_report.seen_us, ==, 0);
   fleet_clear (&f);
 }
 
@@ -845,7 +849,7 @@
 /* Reports of long queues must limit admission of a service whose requests are
    placed by prompt, also on a VM that gets no answer itself, and only that. */
 static void
-test_heard_pressure (void)
+test_peer_pressure (void)
 {
   struct harness *p = observed_harness (FLEET_STREAM);
   struct fleet_endpoint *e = harness_endpoint (p, "a");
@@ -855,13 +859,13 @@
 
   e->listing.model[0] = '\0';
   for (i = 0; i < 20; i++)
-    relays_heard_load (p->relays, e, 4, 40, S + i * 50 * MS);
+    relays_add_pressure (p->relays, e, 4, 40, S + i * 50 * MS);
   g_assert_cmpint (s->admit.permille, ==, CQ_PERMILLE);
   g_strlcpy (e->listing.model, "m", sizeof e->listing.model);
-  relays_heard_load (p->relays, e, -1, 40, S);
+  relays_add_pressure (p->relays, e, -1, 40, S);
   g_assert_cmpint (s->admit.answered_us, ==, 0);
   for (i = 0; i < 20; i++)
-    relays_heard_load (p->relays, e, 4, 40, S + i * 50 * MS);
+    relays_add_pressure (p->relays, e, 4, 40, S + i * 50 * MS);
   g_assert_cmpint (s->admit.permille, <, CQ_PERMILLE / 2);
   harness_answer (p, "data: x\n\n");
   harness_free (p);
@@ -1192,7 +1196,7 @@
   { "/observe/limits", test_limits },
   { "/observe/exchange-accepts", test_exchange_accepts },
   { "/observe/exchange-sends", test_exchange_sends },
-  { "/observe/heard-load", test_heard_load },
+  { "/observe/peer-load", test_peer_load },
   { "/observe/lost", test_lost },
   { "/observe/stale", test_stale },
   { "/observe/cut-off", test_cut_off },
@@ -1201,6 +1205,6 @@
   { "/observe/own-failure", test_own_failure },
   { "/observe/not-the-endpoint", test_not_the_endpoint },
   { "/observe/failures", test_failures },
-  { "/observe/heard-pressure", test_heard_pressure },
+  { "/observe/peer-pressure", test_peer_pressure },
   { NULL, NULL },
 };
--- a/regress/test-relay.c
+++ b/regress/test-relay.c
@@ -346,15 +346,8 @@
 test_slow_reader (void)
 {
   struct harness *p = harness_new (FLEET_STREAM);
-  static const char more[] = "id: 2\ndata: b\n\n";
 
-  harness_start (p);
-  g_assert_true (p->event->before_send (p->arg));
-  harness_head (p, 200);
-  harness_body (p, "id: 1\ndata: a\n\n");
-  p->untaken = 4097;
-  g_assert_cmpint (p->event->body (p->arg, more, strlen (more)), ==,
-                   RELAY_PAUSE);
+  harness_pause (p);
   p->untaken = 3000;
   relay_drained (p->relay);
   harness_run (p, 20 * CQ_US_PER_MS);
@@ -363,7 +356,7 @@
   relay_drained (p->relay);
   harness_run (p, 20 * CQ_US_PER_MS);
   g_assert_cmpint (p->unpauses, ==, 1);
-  harness_body (p, more);
+  harness_body (p, HARNESS_PAUSED_EVENT);
   harness_end (p, true, true);
   g_assert_cmpstr (p->got->str, ==, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
   harness_free (p);
--- a/regress/test-relaystate.c
+++ b/regress/test-relaystate.c
@@ -62,15 +62,8 @@
 start_and_cancel (void)
 {
   struct harness *p = harness_new (FLEET_STREAM);
-  static const char more[] = "id: 2\ndata: b\n\n";
 
-  harness_start (p);
-  g_assert_true (p->event->before_send (p->arg));
-  harness_head (p, 200);
-  harness_body (p, "id: 1\ndata: a\n\n");
-  p->untaken = 4097;
-  g_assert_cmpint (p->event->body (p->arg, more, strlen (more)), ==,
-                   RELAY_PAUSE);
+  harness_pause (p);
   p->untaken = 0;
   relay_drained (p->relay);
   relay_caller_disconnected (p->relay);
--- a/regress/test-returns.c
+++ b/regress/test-returns.c
@@ -114,7 +114,7 @@
 }
 
 /* Guards against one prompt larger than the room of a time slot never being
-   booked, or hiding the room of later callers in all of them. */
+   reserved, or hiding the room of later callers in all of them. */
 static void
 test_large (void)
 {
@@ -142,7 +142,7 @@
   admit_steadily (&s);
   returns_add_admitted (&s, RATE, INT64_MAX / 2);
   for (i = 0; i < RETURN_SLOTS; i++)
-    g_assert_cmpint (s.booked[i], ==, 0);
+    g_assert_cmpint (s.reserved[i], ==, 0);
   g_assert_cmpint (plan (&s, 0, 10, INT64_MAX / 2).retry_us, >=, 100 * MS);
 }
 
--- a/regress/test-speed.c
+++ b/regress/test-speed.c
@@ -273,8 +273,6 @@
 {
   struct fleet_conf *c = fleet_conf_new ();
   struct fleet_service *sv = g_new0 (struct fleet_service, 1);
-  struct fleet_listing l = { .version = 1, .slots = 48 };
-  int i;
 
   fleet_init (f);
   sv->name = g_strdup ("model");
@@ -284,14 +282,7 @@
   add_route (c, event_gap_us);
   fleet_conf_build_index (c);
   fleet_apply_conf (f, c, 1);
-  for (i = 0; i < n; i++)
-    {
-      g_snprintf (l.id, sizeof l.id, "e%d", i);
-      g_strlcpy (l.service, "model", sizeof l.service);
-      g_strlcpy (l.model, "m", sizeof l.model);
-      g_snprintf (l.domain, sizeof l.domain, "d%d", i % 3);
-      fleet_apply_listing (f, &l, S);
-    }
+  harness_list_endpoints (f, n, 48);
 }
 
 static struct pick_query
@@ -537,7 +528,7 @@
 };
 
 /* A report on its way to the VMs of a domain. */
-struct heard
+struct delivery
 {
   int64_t at_us;
   int domain;
@@ -557,7 +548,7 @@
   struct fleet_endpoint *endpoints[VMS][ENDPOINTS];
   GArray *streams[ENDPOINTS]; /* struct stream */
   int64_t step_us[ENDPOINTS]; /* when the next step ends */
-  GQueue heard;
+  GQueue deliveries;
   uint64_t seq;
   int count[KINDS];
   int late[KINDS];
@@ -619,7 +610,7 @@
 report (struct world *w, const struct stream *s, int i, int64_t now_us)
 {
   struct fleet_endpoint *e = w->endpoints[s->vm][i];
-  struct heard *h = g_new0 (struct heard, 1);
+  struct delivery *h = g_new0 (struct delivery, 1);
 
   h->at_us = now_us;
   h->domain = s->vm % DOMAINS;
@@ -629,23 +620,23 @@
     h->percent = w->figures == FIGURES_NONE ? 0 : 250;
   pick_load_reported (e, (int)w->streams[i]->len, now_us);
   speed_add (&e->speed, h->percent, now_us);
-  g_queue_push_tail (&w->heard, h);
+  g_queue_push_tail (&w->deliveries, h);
 }
 
 static void
-deliver_heard (struct world *w, int64_t now_us)
+deliver_reports (struct world *w, int64_t now_us)
 {
-  struct heard *h;
+  struct delivery *h;
   int vm;
 
-  while ((h = g_queue_peek_head (&w->heard)) != NULL
+  while ((h = g_queue_peek_head (&w->deliveries)) != NULL
          && h->at_us + HEARD_DELAY <= now_us)
     {
       for (vm = h->domain; vm < VMS && w->figures != FIGURES_OWN;
            vm += DOMAINS)
         speed_add (&w->endpoints[vm][h->endpoint]->speed, h->percent,
                    h->at_us);
-      g_free (g_queue_pop_head (&w->heard));
+      g_free (g_queue_pop_head (&w->deliveries));
     }
 }
 
@@ -737,7 +728,7 @@
     g_array_free (w->streams[i], TRUE);
   for (i = 0; i < VMS; i++)
     fleet_clear (&w->fleets[i]);
-  g_queue_clear_full (&w->heard, g_free);
+  g_queue_clear_full (&w->deliveries, g_free);
   g_rand_free (w->random);
 }
 
@@ -759,7 +750,7 @@
       set_all_speeds (&w.fleets[i], 250, now);
   for (now = S; now < S + SIMULATED; now += TICK)
     {
-      deliver_heard (&w, now);
+      deliver_reports (&w, now);
       for (i = 0; i < ENDPOINTS; i++)
         while (w.streams[i]->len > 0 && w.step_us[i] <= now)
           step_endpoint (&w, i, w.step_us[i]);
@@ -820,7 +811,7 @@
    few to find a phase in time, so the result is the old one within 2 percent.
  */
 static void
-test_streams_unheard (void)
+test_streams_without_reports (void)
 {
   int old[KINDS], new[KINDS], kind;
 
@@ -874,7 +865,7 @@
   { "/speed/prompt-restart", test_prompt_restart },
   { "/speed/pauses-learned", test_pauses_learned },
   { "/speed/streams-slow-endpoints", test_streams_slow_endpoints },
-  { "/speed/streams-unheard", test_streams_unheard },
+  { "/speed/streams-without-reports", test_streams_without_reports },
   { "/speed/streams-no-figures", test_streams_no_figures },
   { "/speed/streams-stuck-figures", test_streams_stuck_figures },
   { NULL, NULL },
--- a/regress/test-spread.c
+++ b/regress/test-spread.c
@@ -179,7 +179,7 @@
 };
 
 /* A report on its way to the VMs of a domain. */
-struct heard
+struct delivery
 {
   int64_t at_us;
   int domain;
@@ -199,7 +199,7 @@
   struct fleet fleets[VMS];
   struct fleet_endpoint *endpoints[VMS][ENDPOINTS];
   GArray *requests[ENDPOINTS]; /* struct request, the first ones run */
-  GQueue heard;
+  GQueue deliveries;
   int count;
   int in_time;
 };
@@ -254,7 +254,7 @@
 answer (struct world *w, const struct request *r, int i, int64_t now_us)
 {
   struct fleet_endpoint *e = w->endpoints[r->vm][i];
-  struct heard *h = g_new0 (struct heard, 1);
+  struct delivery *h = g_new0 (struct delivery, 1);
 
   w->count++;
   w->in_time += now_us - r->sent_us <= TARGET;
@@ -268,17 +268,17 @@
   pick_request_ended (e);
   pick_load_reported (e, h->load, now_us);
   speed_add (&e->speed, h->percent, now_us);
-  g_queue_push_tail (&w->heard, h);
+  g_queue_push_tail (&w->deliveries, h);
 }
 
 static void
-deliver_heard (struct world *w, int64_t now_us)
+deliver_reports (struct world *w, int64_t now_us)
 {
   struct fleet_endpoint *e;
-  struct heard *h;
+  struct delivery *h;
   int vm;
 
-  while ((h = g_queue_peek_head (&w->heard)) != NULL
+  while ((h = g_queue_peek_head (&w->deliveries)) != NULL
          && h->at_us + HEARD_DELAY <= now_us)
     {
       for (vm = h->domain; vm < VMS && w->reports != REPORTS_OWN;
@@ -289,7 +289,7 @@
             pick_load_reported (e, h->load, h->at_us);
           speed_add (&e->speed, h->percent, h->at_us);
         }
-      g_free (g_queue_pop_head (&w->heard));
+      g_free (g_queue_pop_head (&w->deliveries));
     }
 }
 
@@ -339,7 +339,7 @@
     }
   for (now = S; now < S + SIMULATED; now += TICK)
     {
-      deliver_heard (&w, now);
+      deliver_reports (&w, now);
       for (i = 0; i < ENDPOINTS; i++)
         run_endpoint (&w, i, now);
       if (g_rand_double (w.random) < ARRIVALS_PER_S * TICK / S)
@@ -349,7 +349,7 @@
     g_array_free (w.requests[i], TRUE);
   for (vm = 0; vm < VMS; vm++)
     fleet_clear (&w.fleets[vm]);
-  g_queue_clear_full (&w.heard, g_free);
+  g_queue_clear_full (&w.deliveries, g_free);
   g_rand_free (w.random);
   *count += w.count;
   *in_time += w.in_time;
--- a/relay.h
+++ b/relay.h
@@ -237,8 +237,8 @@
 /* E runs and queues so many requests, by an answer of its own or by the report
    of another VM of this failure domain: a sample for the admission controller
    of its service. */
-void relays_heard_load (struct relays *rs, const struct fleet_endpoint *e,
-                        int running, int waiting, int64_t now_us);
+void relays_add_pressure (struct relays *rs, const struct fleet_endpoint *e,
+                          int running, int waiting, int64_t now_us);
 
 /* Start a request that was received in full; NULL if it has already ended. */
 struct relay *relay_start (struct relays *rs, const struct relay_desc *desc,
--- a/relayadmit.c
+++ b/relayadmit.c
@@ -120,8 +120,8 @@
 /* Endpoints without a model take requests of any kind, and admission of these
    is not limited. */
 void
-relays_heard_load (struct relays *rs, const struct fleet_endpoint *e,
-                   int running, int waiting, int64_t now_us)
+relays_add_pressure (struct relays *rs, const struct fleet_endpoint *e,
+                     int running, int waiting, int64_t now_us)
 {
   struct relay_service *s
       = g_hash_table_lookup (rs->services, e->listing.service);
@@ -299,10 +299,10 @@
   log_event (LOG_LEVEL_INFO, "planned_return",
              "req=%s route=%s urgency=%d work=%" G_GINT64_FORMAT
              " retry_us=%" G_GINT64_FORMAT " left_us=%" G_GINT64_FORMAT
-             " booked=%" G_GINT64_FORMAT " room=%" G_GINT64_FORMAT
+             " reserved=%" G_GINT64_FORMAT " room=%" G_GINT64_FORMAT
              " rate=%" G_GINT64_FORMAT,
              r->desc.id, r->route->name, q.urgency, (gint64)q.work,
-             (gint64)p.retry_us, (gint64)q.left_us, (gint64)p.booked,
+             (gint64)p.retry_us, (gint64)q.left_us, (gint64)p.reserved,
              (gint64)p.room, (gint64)s->rate);
   return p.retry_us;
 }
--- a/relayobserve.c
+++ b/relayobserve.c
@@ -40,8 +40,8 @@
   r->is_head_observed = true;
   report (r, LOAD_SEEN_ANSWERED, head, now_us);
   if (r->rs->opts.share_reports && !is_stream_head (r, head))
-    relays_heard_load (r->rs, r->endpoint, head->running, head->waiting,
-                       now_us);
+    relays_add_pressure (r->rs, r->endpoint, head->running, head->waiting,
+                         now_us);
 }
 
 /* The time for the attempt has passed, so that the adapter ended it. */
--- a/returns.c
+++ b/returns.c
@@ -11,7 +11,7 @@
 /* Callers for whom there is no room return within the last 1 / this of that
    time, not all at once. */
 #define JITTER_DIVISOR 5
-/* Part of the admitted work that is booked for callers that return.  Of
+/* Part of the admitted work that is reserved for callers that return.  Of
    680,000 callers in forty seeds of regress/burst with shares among routes,
    27,759 are never served with this value, 29,153 with 25 and 31,546 with
    50. */
@@ -36,7 +36,7 @@
     }
   while (s->slot < slot)
     {
-      s->booked[s->slot % RETURN_SLOTS] = 0;
+      s->reserved[s->slot % RETURN_SLOTS] = 0;
       s->rate += (s->admitted - s->rate) / RATE_DIVISOR;
       s->admitted = 0;
       s->slot++;
@@ -50,7 +50,7 @@
   s->admitted += work;
 }
 
-/* Work that callers of URGENCY may book in a time slot.  Less urgent ones
+/* Work that callers of URGENCY may reserve in a time slot.  Less urgent ones
    leave room for more urgent ones that are refused later. */
 static int64_t
 room_for (const struct returns *s, int urgency)
@@ -65,28 +65,28 @@
   int64_t i;
 
   for (i = from; i <= to; i++)
-    if (s->booked[i % RETURN_SLOTS] < room)
+    if (s->reserved[i % RETURN_SLOTS] < room)
       return i;
   return -1;
 }
 
-/* Work beyond the room of a time slot is booked in those after it: one prompt
-   may be larger than that. */
+/* Work beyond the room of a time slot is reserved in those after it: one
+   prompt may be larger than that. */
 static void
-book (struct returns *s, int64_t slot, int64_t work)
+reserve (struct returns *s, int64_t slot, int64_t work)
 {
   int64_t room = MAX (room_for (s, 0), 1);
   int64_t last = s->slot + RETURN_SLOTS - 1;
-  int64_t *booked, part;
+  int64_t *reserved, part;
 
   for (; work > 0 && slot < last; slot++)
     {
-      booked = &s->booked[slot % RETURN_SLOTS];
-      part = CLAMP (room - *booked, 0, work);
-      *booked += part;
+      reserved = &s->reserved[slot % RETURN_SLOTS];
+      part = CLAMP (room - *reserved, 0, work);
+      *reserved += part;
       work -= part;
     }
-  s->booked[last % RETURN_SLOTS] += work;
+  s->reserved[last % RETURN_SLOTS] += work;
 }
 
 /* A random time from FROM_US to TO_US. */
@@ -112,7 +112,7 @@
   p.room = room_for (s, CLAMP (q->urgency, 0, URGENCIES - 1));
   slot = find_room (s, p.room, (now_us + RETRY_MIN_US) / RETURN_SLOT_US, last);
   p.has_room = slot >= 0;
-  p.booked = s->booked[(p.has_room ? slot : last) % RETURN_SLOTS];
+  p.reserved = s->reserved[(p.has_room ? slot : last) % RETURN_SLOTS];
   if (p.has_room)
     p.retry_us = time_between (
         MAX (slot * RETURN_SLOT_US - now_us, RETRY_MIN_US),
@@ -122,6 +122,6 @@
     p.retry_us = MAX (
         time_between (max_us - max_us / JITTER_DIVISOR, max_us, q->random),
         RETRY_MIN_US);
-  book (s, (now_us + p.retry_us) / RETURN_SLOT_US, q->work);
+  reserve (s, (now_us + p.retry_us) / RETURN_SLOT_US, q->work);
   return p;
 }
--- a/returns.h
+++ b/returns.h
@@ -11,15 +11,15 @@
 #include "decide.h"
 
 #define RETURN_SLOT_US (100 * CQ_US_PER_MS) /* length of a time slot */
-#define RETURN_SLOTS 100                    /* time slots that are booked */
+#define RETURN_SLOTS 100                    /* time slots that are reserved */
 
 /* Work that one service's callers were told to bring back. */
 struct returns
 {
-  int64_t booked[RETURN_SLOTS]; /* ring by the number of the time slot */
-  int64_t slot;                 /* number of the present one */
-  int64_t admitted;             /* work admitted in it */
-  int64_t rate;                 /* admitted work in a time slot, smoothed */
+  int64_t reserved[RETURN_SLOTS]; /* ring by the number of the time slot */
+  int64_t slot;                   /* number of the present one */
+  int64_t admitted;               /* work admitted in it */
+  int64_t rate;                   /* admitted work in a time slot, smoothed */
 };
 
 /* A caller that is refused. */
@@ -36,7 +36,7 @@
 {
   int64_t retry_us; /* time until it may return, 0 if its deadline is nearer */
   bool has_room;    /* the time slot had room */
-  int64_t booked;   /* work booked there before */
+  int64_t reserved; /* work reserved there before */
   int64_t room;     /* work for which it had room, for this urgency */
 };
 
