Log and count how the reply to a caller ended

The finish line had the outcome and the last attempt's status, so a stream that was broken off and one that was ended as complete looked the same in it. The line now has reply=; two counters tell how the HTTP server framed the ends.

--- a/httpserver.c
+++ b/httpserver.c
@@ -154,9 +154,15 @@
     }
   /* Without the last chunk, every HTTP client detects the broken stream. */
   if (r->out_aborted)
-    return MHD_CONTENT_READER_END_WITH_ERROR;
+    {
+      met_add (MET_STREAMS_BROKEN, r->is_disconnected ? 0 : 1);
+      return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
   if (r->out_ended)
-    return MHD_CONTENT_READER_END_OF_STREAM;
+    {
+      met_add (MET_STREAMS_ENDED, 1);
+      return MHD_CONTENT_READER_END_OF_STREAM;
+    }
   r->suspended = true;
   MHD_suspend_connection (r->conn);
   return 0;
--- a/librelay.h
+++ b/librelay.h
@@ -25,6 +25,17 @@
 /* Reason to end a request after an event that its state does not allow. */
 #define RELAY_STOP_REJECTED "event_rejected"
 
+/* What the caller has got. */
+enum relay_reply
+{
+  RELAY_REPLY_NONE,          /* nothing, or it hung up before it did */
+  RELAY_REPLY_REFUSED,       /* a refusal of this VM */
+  RELAY_REPLY_ANSWER,        /* the complete answer of an endpoint */
+  RELAY_REPLY_STREAM,        /* part of a stream */
+  RELAY_REPLY_STREAM_ENDED,  /* a stream that was ended as complete */
+  RELAY_REPLY_STREAM_BROKEN, /* a stream that was broken off */
+};
+
 /* State that all requests of this worker to one service share. */
 struct relay_service
 {
@@ -109,12 +120,13 @@
   bool is_prefilling;      /* the endpoint still processes its prompt */
   bool is_long_prompt;     /* its work is reported to other VMs */
   bool may_have_run;       /* an earlier attempt may have run */
-  bool stream_begun;   /* the caller has got the head and part of a stream */
-  bool paused;         /* the attempt waits for a slow reader */
-  bool event_pending;  /* prompts were pending at the endpoint when the last
-                          events arrived */
-  bool unpause_posted; /* unpause is queued in the loop */
-  bool event_rejected; /* an event was not allowed: no attempt follows */
+  bool stream_begun; /* the caller has got the head and part of a stream */
+  enum relay_reply reply; /* what the caller has got */
+  bool paused;            /* the attempt waits for a slow reader */
+  bool event_pending;     /* prompts were pending at the endpoint when the last
+                             events arrived */
+  bool unpause_posted;    /* unpause is queued in the loop */
+  bool event_rejected;    /* an event was not allowed: no attempt follows */
 };
 
 /* Whether the request may run twice: it is idempotent or a resumable stream.
@@ -175,6 +187,8 @@
 /* End R: count and log its outcome, and free it. */
 void relay_finish (struct relay *r, enum outcome outcome, const char *reason,
                    int64_t now_us);
+/* End the stream that R's caller has got a part of: as complete if WHOLE. */
+void relay_end_stream (struct relay *r, bool whole);
 /* End R without an answer: refuse it, or end its stream as broken. */
 void relay_give_up (struct relay *r, enum outcome outcome, const char *reason,
                     int64_t retry_after_us, int64_t now_us);
--- a/met.c
+++ b/met.c
@@ -40,6 +40,10 @@
                     "Attempts that started a request over." },
   [MET_RESUMES] = { "camphorquay_resumes_total", "counter",
                     "Attempts that continued a broken stream." },
+  [MET_STREAMS_ENDED] = { "camphorquay_streams_ended_total", "counter",
+                          "Streams to callers that were ended as complete." },
+  [MET_STREAMS_BROKEN] = { "camphorquay_streams_broken_total", "counter",
+                           "Streams to callers that were broken off." },
   [MET_CANCELS] = { "camphorquay_cancels_total", "counter",
                     "Requests whose caller went away." },
   [MET_TOKENS]
--- a/relayend.c
+++ b/relayend.c
@@ -102,6 +102,20 @@
   relay_notify_work (r, now_us);
 }
 
+static const char *
+reply_name (enum relay_reply reply)
+{
+  static const char *const names[] = {
+    [RELAY_REPLY_NONE] = "none",
+    [RELAY_REPLY_REFUSED] = "refused",
+    [RELAY_REPLY_ANSWER] = "answer",
+    [RELAY_REPLY_STREAM] = "stream",
+    [RELAY_REPLY_STREAM_ENDED] = "stream_ended",
+    [RELAY_REPLY_STREAM_BROKEN] = "stream_broken",
+  };
+  return names[reply];
+}
+
 static void
 end_request (struct relay *r, enum outcome outcome, const char *reason,
              int64_t now_us)
@@ -121,11 +135,11 @@
     met_observe (MET_EVENT_GAP, r->gap_us);
   log_event (
       LOG_LEVEL_INFO, "finish",
-      "req=%s route=%s outcome=%s reason=%s status=%d attempts=%d "
+      "req=%s route=%s outcome=%s reason=%s reply=%s status=%d attempts=%d "
       "unsent=%d handed_us=%" G_GINT64_FORMAT " first_us=%" G_GINT64_FORMAT
       " whole_us=%" G_GINT64_FORMAT " gap_us=%" G_GINT64_FORMAT,
-      r->desc.id, r->route->name, out_name (outcome), reason, r->status,
-      r->attempts, r->unsent,
+      r->desc.id, r->route->name, out_name (outcome), reason,
+      reply_name (r->reply), r->status, r->attempts, r->unsent,
       (gint64)(r->handed_over_us ? r->handed_over_us - r->arrived_us : 0),
       (gint64)(r->first_chunk_us ? r->first_chunk_us - r->arrived_us : 0),
       (gint64)(now_us - r->arrived_us), (gint64)r->gap_us);
@@ -154,8 +168,19 @@
 static void
 refuse (struct relay *r, enum relay_refusal why, int64_t retry_after_us)
 {
-  if (r->desc.caller != NULL)
-    r->desc.caller->refuse (r->desc.arg, why, retry_after_us);
+  if (r->desc.caller == NULL)
+    return;
+  r->reply = RELAY_REPLY_REFUSED;
+  r->desc.caller->refuse (r->desc.arg, why, retry_after_us);
+}
+
+void
+relay_end_stream (struct relay *r, bool whole)
+{
+  if (r->desc.caller == NULL)
+    return;
+  r->reply = whole ? RELAY_REPLY_STREAM_ENDED : RELAY_REPLY_STREAM_BROKEN;
+  r->desc.caller->end (r->desc.arg, whole);
 }
 
 /* The caller is answered at once, and "not run" only for OUT_NOT_RUN. */
@@ -174,8 +199,8 @@
     why = RELAY_NOT_RUN;
   else if (now_us >= r->deadline_us)
     why = RELAY_TIMED_OUT;
-  if (r->stream_begun && r->desc.caller != NULL)
-    r->desc.caller->end (r->desc.arg, false);
+  if (r->stream_begun)
+    relay_end_stream (r, false);
   else
     refuse (r, why, retry_after_us);
   end_request (r, outcome, reason, now_us);
--- a/relaytry.c
+++ b/relaytry.c
@@ -250,6 +250,7 @@
   if (!r->stream_begun)
     {
       r->stream_begun = true;
+      r->reply = RELAY_REPLY_STREAM;
       r->first_chunk_us = loop_now_us ();
       pick_learn_prefill_rate (r->rs->opts.fleet, r->endpoint,
                                r->pending_prefill_tokens
@@ -421,11 +422,14 @@
   const struct relay_caller *c = r->desc.caller;
 
   relay_record_run (r, now_us);
-  if (c != NULL && r->stream_begun)
-    c->end (r->desc.arg, true);
+  if (r->stream_begun)
+    relay_end_stream (r, true);
   else if (c != NULL)
-    c->answer (r->desc.arg, r->status, (const char *const *)r->lines,
-               r->answer->str, r->answer->len);
+    {
+      r->reply = RELAY_REPLY_ANSWER;
+      c->answer (r->desc.arg, r->status, (const char *const *)r->lines,
+                 r->answer->str, r->answer->len);
+    }
   relay_finish (r, outcome, reason, now_us);
 }
 
