--- a/regress/fakeeng.c
+++ b/regress/fakeeng.c
@@ -14,6 +14,7 @@
  *   break_after           streams break after so many tokens, while
  *   breaks                so many streams are left to break
  *   break_resumed         whether resumed streams break and hang too
+ *   status_resumed        HTTP status of the answers to resumed requests
  *   hang_after            streams stop moving after so many tokens, while
  *   hangs                 so many are left
  *   check_fence           orders under an older fencing number are refused
@@ -313,6 +314,9 @@
   g_mutex_unlock (&lock);
   json_decref (doc);
   prefill (tokens - run->cached);
+  if (run->next > 0 && fk_number ("status_resumed", 0))
+    return fk_reply (r, (int)fk_number ("status_resumed", 0), "text/plain",
+                     "no", 2);
   run->due_us = g_get_monotonic_time ();
   return stream ? reply_stream (r, run) : reply_whole (r, run);
 }
--- a/regress/fakesrv.c
+++ b/regress/fakesrv.c
@@ -17,6 +17,8 @@
  *   event_ms     pause between them
  *   break_after  so many streams break after two and a half events
  *   status       of the answers
+ *   status_resumed  of the answers to requests that resume a stream, which
+ *                are no streams then
  *   silent       read requests and never answer
  *   crash_on     the process dies under a run whose body holds this text
  *   late_order   so many orders get no answer and are carried out later
@@ -349,7 +351,9 @@
 {
   g_autofree char *expected = header (in, "X-Expect-Instance");
   g_autofree char *id = fk_string ("id", "");
+  g_autofree char *resumed = NULL;
   g_autofree char *text = NULL;
+  int status = 0;
 
   if (expected != NULL && strcmp (expected, id) != 0)
     {
@@ -383,10 +387,13 @@
     }
   if (fk_take ("drop"))
     return false;
-  if (fk_number ("events", 0) > 0)
+  resumed = header (in, "Last-Event-Id");
+  if (resumed != NULL)
+    status = (int)fk_number ("status_resumed", 0);
+  if (fk_number ("events", 0) > 0 && status == 0)
     return stream (in);
   text = g_strdup_printf ("%s ran %s %s", id, in->target, in->body->str);
-  answer (in, (int)fk_number ("status", 200), text);
+  answer (in, status != 0 ? status : (int)fk_number ("status", 200), text);
   return !fk_number ("unframed", 0) && !fk_number ("close_after", 0);
 }
 
