End a stream as complete only by the rest of that stream

Callers saw: a stream that had been broken off reached them with its last chunk, as if it were complete (ORDER).

Cause: what follows an attempt was decided from how complete that attempt's answer was. A complete answer ended the caller's reply as complete, also where the caller already had part of a stream and the answer was not the rest of it: the error of an endpoint that was to resume the stream. The class: the end of the caller's message was taken from the framing of the last attempt instead of from the message itself.

Change: out_evaluate, which both request paths use, gets to know whether the complete answer is the end of a stream. Once the caller has a part of one, any other answer is a break: the stream is resumed at a third endpoint if attempts and budget allow, and broken off otherwise. The verdict says whether the attempt's answer goes to the caller, so that no path derives that from how the attempt ended.

--- a/attempt.c
+++ b/attempt.c
@@ -256,6 +256,7 @@
       = c->repeatable || (c->deduplicates && j->idempotency_key != NULL);
   f.ran_before = j->may_have_run;
   f.caller_has_bytes = j->stream_begun;
+  f.ends_stream = j->strm.ended;
   f.resumable = j->strm.resumable;
   f.attempts_left = attempts_left;
   f.deadline_passed = !j->may_have_run && loop_now_us () >= j->deadline_us;
--- a/decide.h
+++ b/decide.h
@@ -60,7 +60,8 @@
   int status;            /* HTTP status when SEND_REPLIED or SEND_COMPLETE */
   bool idempotent;       /* the service is declared idempotent */
   bool ran_before;       /* an earlier attempt may have run */
-  bool caller_has_bytes; /* part of an answer was sent to the caller */
+  bool caller_has_bytes; /* part of a stream was sent to the caller */
+  bool ends_stream;      /* the complete answer is a stream, up to its end */
   bool resumable;        /* the stream can continue at a token offset */
   bool attempts_left;    /* attempt limit and retry budget allow another */
   bool deadline_passed;  /* no time is left for another attempt */
@@ -72,6 +73,8 @@
   enum out_next next;   /* what to do */
   enum outcome outcome; /* reported to the caller if NEXT_FINISH */
   const char *reason;   /* stable name for logs and error codes */
+  bool passes_answer;   /* the caller gets the attempt's answer, or the end of
+                           its stream */
 };
 
 /* Name of an outcome, as in the Camphorquay-Outcome header. */
--- a/out.c
+++ b/out.c
@@ -50,13 +50,19 @@
 static struct out_verdict
 finish (enum outcome outcome, const char *reason)
 {
-  return (struct out_verdict){ NEXT_FINISH, outcome, reason };
+  return (struct out_verdict){ NEXT_FINISH, outcome, reason, false };
+}
+
+static struct out_verdict
+finish_with_answer (enum outcome outcome, const char *reason)
+{
+  return (struct out_verdict){ NEXT_FINISH, outcome, reason, true };
 }
 
 static struct out_verdict
 continue_with (enum out_next next, const char *reason)
 {
-  return (struct out_verdict){ next, OUT_UNKNOWN, reason };
+  return (struct out_verdict){ next, OUT_UNKNOWN, reason, false };
 }
 
 /* The attempt did not run, so another endpoint may be tried even if the
@@ -94,15 +100,22 @@
   return finish (OUT_FAILED, "stream_broken");
 }
 
+/*
+ * Once the caller has part of a stream, only the rest of that stream completes
+ * its reply.  Any other answer, such as an error of the endpoint that was to
+ * resume the stream, leaves it broken.
+ */
 static struct out_verdict
 after_reply (const struct out_facts *f)
 {
+  if (f->caller_has_bytes && !f->ends_stream)
+    return after_break (f);
   if (f->status < 500)
-    return finish (OUT_ANSWERED, "answered");
+    return finish_with_answer (OUT_ANSWERED, "answered");
   if (f->idempotent && f->attempts_left && !f->deadline_passed
       && !f->caller_has_bytes)
     return continue_with (NEXT_RETRY, "endpoint_error");
-  return finish (OUT_FAILED, "endpoint_error");
+  return finish_with_answer (OUT_FAILED, "endpoint_error");
 }
 
 struct out_verdict
--- a/regress/test-relay.c
+++ b/regress/test-relay.c
@@ -320,6 +320,71 @@
   harness_free (p);
 }
 
+/* Guards against a broken stream that is ended as complete since the attempt
+   that resumes it gets a complete answer which is no stream. */
+static void
+resume_with_status (int status)
+{
+  struct harness *p = harness_new (FLEET_STREAM);
+
+  harness_start (p);
+  g_assert_true (p->event->before_send (p->arg));
+  harness_head (p, 200);
+  harness_body (p, "id: 1\ndata: a\n\nid: 2\nda");
+  harness_end (p, true, false);
+  g_assert_cmpint (p->sends, ==, 2);
+  g_assert_true (p->event->before_send (p->arg));
+  harness_head (p, status);
+  harness_body (p, "no");
+  harness_end (p, true, true);
+  g_assert_cmpstr (p->got->str, ==, "id: 1\ndata: a\n\n");
+  g_assert_cmpint (p->ended, ==, 0);
+  harness_free (p);
+}
+
+static void
+test_resume_error (void)
+{
+  resume_with_status (500);
+}
+
+static void
+test_resume_not_found (void)
+{
+  resume_with_status (404);
+}
+
+static void
+test_resume_other_success (void)
+{
+  resume_with_status (202);
+}
+
+/* Guards against giving up a broken stream that a third endpoint can resume
+   after the second one answered with an error. */
+static void
+test_resume_after_error (void)
+{
+  struct harness *p = harness_new (FLEET_STREAM);
+
+  harness_add_endpoint (p, "c");
+  harness_route (p)->max_attempts = 3;
+  harness_start (p);
+  g_assert_true (p->event->before_send (p->arg));
+  harness_head (p, 200);
+  harness_body (p, "id: 1\ndata: a\n\nid: 2\nda");
+  harness_end (p, true, false);
+  g_assert_true (p->event->before_send (p->arg));
+  harness_head (p, 500);
+  harness_end (p, true, true);
+  g_assert_cmpint (p->sends, ==, 3);
+  g_assert_cmpint (p->resume_after, ==, 1);
+  harness_answer (p, "id: 2\ndata: b\n\n");
+  g_assert_cmpstr (p->got->str, ==, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  g_assert_cmpint (p->ended, ==, 1);
+  harness_free (p);
+}
+
 /* A stream that cannot be resumed breaks: it must not look complete. */
 static void
 test_no_resume (void)
@@ -880,6 +945,10 @@
   { "/relay/other-version", test_other_version },
   { "/relay/answer-to-other-request", test_answer_to_other_request },
   { "/relay/resume", test_resume },
+  { "/relay/resume-error", test_resume_error },
+  { "/relay/resume-not-found", test_resume_not_found },
+  { "/relay/resume-other-success", test_resume_other_success },
+  { "/relay/resume-after-error", test_resume_after_error },
   { "/relay/no-resume", test_no_resume },
   { "/relay/slow-reader", test_slow_reader },
   { "/relay/scope", test_scope },
--- a/regress/test-units.c
+++ b/regress/test-units.c
@@ -131,6 +131,36 @@
       }
 }
 
+/* Guards against a broken stream that is ended as complete by an answer which
+   is not the rest of it. */
+static void
+test_no_false_end (void)
+{
+  struct out_facts f;
+  struct out_verdict v;
+  int status, bits;
+
+  for (status = 200; status < 600; status++)
+    for (bits = 0; bits < 32; bits++)
+      {
+        f = (struct out_facts){ .sent = SEND_COMPLETE, .status = status };
+        f.caller_has_bytes = true;
+        f.idempotent = bits & 1;
+        f.ran_before = bits & 2;
+        f.resumable = bits & 4;
+        f.attempts_left = bits & 8;
+        f.deadline_passed = bits & 16;
+        v = out_evaluate (&f);
+        g_assert_false (v.passes_answer);
+        g_assert_true (v.next != NEXT_FINISH || v.outcome == OUT_FAILED
+                       || v.outcome == OUT_UNKNOWN);
+        f.status = 200;
+        f.ends_stream = true;
+        v = out_evaluate (&f);
+        g_assert_true (v.passes_answer && v.outcome == OUT_ANSWERED);
+      }
+}
+
 /* A stream is never restarted after the caller has received a part of it. */
 static void
 test_no_stream_restart (void)
@@ -783,6 +813,7 @@
 static const struct unit units[] = {
   { "/outcome/not-run-is-true", test_not_run_is_true },
   { "/outcome/no-second-run", test_no_second_run },
+  { "/outcome/no-false-end", test_no_false_end },
   { "/outcome/no-doubled-stream", test_no_stream_restart },
   { "/route/near-naive", test_route_near_naive },
   { "/route/sample", test_route_sample },
--- a/relaytry.c
+++ b/relaytry.c
@@ -331,6 +331,7 @@
   f.idempotent = relay_is_repeatable (r);
   f.ran_before = r->may_have_run;
   f.caller_has_bytes = r->stream_begun;
+  f.ends_stream = r->streaming;
   f.resumable = r->route->resumable;
   f.attempts_left = has_attempts_left;
   f.deadline_passed = now_us >= r->deadline_us;
@@ -468,7 +469,7 @@
   struct out_verdict v = decide_with_budget (r, sent, now_us);
   const char *reason = r->stop_reason != NULL ? r->stop_reason : v.reason;
 
-  if (sent != SEND_COMPLETE || v.next != NEXT_FINISH)
+  if (!v.passes_answer)
     log_attempt (r, sent, &v, reason, error, now_us);
   report_to_pick (r, sent, now_us);
   relay_observe_end (r, sent, now_us);
@@ -479,7 +480,7 @@
     r->may_have_run = true;
   remember_tried (r);
   relay_release_endpoint (r, now_us);
-  if (v.next == NEXT_FINISH && sent == SEND_COMPLETE)
+  if (v.passes_answer)
     pass_answer (r, v.outcome, v.reason, now_us);
   else if (v.next == NEXT_FINISH)
     relay_give_up (r, v.outcome, reason,
