Log and count when this VM reaches no endpoint of a service

In the record of VMs that were partitioned from all endpoints, that fact had to be gathered from 620 attempt_end lines. reach.c holds it as a belief: three endpoints of a service, or all if it has fewer, to which connections failed since the last one that was established. A line event=reach says when it changes, counters count attempts without a connection and these changes.

Only an established connection is evidence of a path: answers on connections that live on through a partition are none. While a service is not reached, one of its endpoints is probed, after 250 ms and then at intervals that double up to 2 s, so that a VM without requests finds out too.

Nothing decides by it yet.

--- a/librelay.h
+++ b/librelay.h
@@ -13,6 +13,7 @@
 #include "routeshare.h"
 #include "relaystate.h"
 #include "relayhealth.h"
+#include "relayreach.h"
 
 /* Retry-After sent to callers: after a failed attempt, and while this VM has
    no configuration or one that is too old. */
@@ -58,6 +59,7 @@
   struct relaycrash *crash;   /* crash detection, or NULL */
   struct relayhealth *health; /* failed endpoints; NULL without
                                  share_reports */
+  struct relayreach *reach;   /* services whose endpoints are reached */
   struct loop_timer sweep;    /* checks deadlines and hang-ups */
   unsigned sweeps;            /* sweeps so far */
   uint64_t random_state;      /* of the pseudo-random generator */
--- a/met.c
+++ b/met.c
@@ -103,6 +103,11 @@
   [MET_SLOW_AVOIDED]
   = { "camphorquay_slow_avoided_total", "counter",
       "Attempts whose prompt was kept away from slow endpoints." },
+  [MET_UNCONNECTED] = { "camphorquay_unconnected_total", "counter",
+                        "Attempts that got no connection to an endpoint." },
+  [MET_ISOLATIONS] = { "camphorquay_isolations_total", "counter",
+                       "Times that this VM reached no endpoint of a service "
+                       "any more." },
   [MET_EJECTED_OWN]
   = { "camphorquay_ejected_own_total", "counter",
       "Times that this VM's own failures ejected an endpoint." },
--- a/relay.c
+++ b/relay.c
@@ -309,6 +309,17 @@
   return relayhealth_new (&o);
 }
 
+static struct relayreach *
+new_reach (struct relays *rs)
+{
+  struct relayreach_opts o
+      = { .loop = rs->opts.loop, .fleet = rs->opts.fleet };
+
+  o.engine = &rs->opts.engine;
+  o.seed = rs->opts.seed;
+  return relayreach_new (&o);
+}
+
 struct relays *
 relays_new (const struct relays_opts *opts)
 {
@@ -318,6 +329,7 @@
   rs->random_state = opts->seed;
   rs->crash = new_crash_detection (rs);
   rs->health = new_health (rs);
+  rs->reach = new_reach (rs);
   rs->sweep.fire = on_sweep;
   rs->sweep.arg = rs;
   rs->services
@@ -336,6 +348,7 @@
     relaycrash_free (rs->crash);
   if (rs->health != NULL)
     relayhealth_free (rs->health);
+  relayreach_free (rs->reach);
   g_hash_table_destroy (rs->services);
   g_hash_table_destroy (rs->usual_timeouts);
   g_free (rs);
--- /dev/null
+++ b/relayreach.h
@@ -0,0 +1,35 @@
+/*
+ * Which services the relay reaches: records the connections of attempts, and
+ * probes the endpoints of services that are not reached.
+ */
+#ifndef CQ_RELAYREACH_H
+#define CQ_RELAYREACH_H
+
+#include "reach.h"
+#include "relay.h"
+
+/* Reach of one worker. */
+struct relayreach;
+
+struct relayreach_opts
+{
+  struct loop *loop;                 /* event loop of the worker */
+  struct fleet *fleet;               /* known endpoints */
+  const struct relay_engine *engine; /* engine adapter; probe may be NULL */
+  uint64_t seed;                     /* of random choices */
+};
+
+/* Copies OPTS; what it points to must outlive the result. */
+struct relayreach *relayreach_new (const struct relayreach_opts *opts);
+/* Memory is released once the last probe under way has returned. */
+void relayreach_free (struct relayreach *t);
+/* A connection to E was established. */
+void relayreach_connected (struct relayreach *t,
+                           const struct fleet_endpoint *e, int64_t now_us);
+/* An attempt to connect to E, started at STARTED_US, failed. */
+void relayreach_failed (struct relayreach *t, const struct fleet_endpoint *e,
+                        int64_t started_us, int64_t now_us);
+/* Whether no endpoint of SERVICE is reached. */
+bool relayreach_is_isolated (const struct relayreach *t, const char *service);
+
+#endif
--- a/relaytry.c
+++ b/relaytry.c
@@ -102,6 +102,7 @@
   /* Not allowed; the checks below need an attempt that is placed. */
   if (r->state != RELAY_PLACED)
     return relay_apply_event (r, RELAY_HAND_OVER);
+  relayreach_connected (r->rs->reach, r->endpoint, now);
   if (relay_is_stale (r, now))
     r->stop_reason = "settings_stale";
   else if (relay_is_key_revoked (r))
@@ -501,6 +502,9 @@
 
   if (!relay_apply_event (r, RELAY_ATTEMPT_ENDED))
     return;
+  /* Without a reason of this VM's, no connection was established. */
+  if (sent == SEND_NONE && r->stop_reason == NULL)
+    relayreach_failed (r->rs->reach, r->endpoint, r->sent_us, now);
   r->call = NULL;
   r->connection_refused = end->connection_refused;
   if (r->rs->health != NULL && end->connect_us > 0)
