--- a/regress/fake.h
+++ b/regress/fake.h
@@ -43,6 +43,10 @@
 void fk_control (const char *text, size_t len);
 
 int fk_serve (const struct fk_role *role, int port);
+/* Serve ROLE at one more port, chosen by the kernel; 0 if that fails. */
+int fk_serve_also (const struct fk_role *role);
+/* The port at which R arrived. */
+int fk_port (struct fk_req *r);
 enum MHD_Result fk_reply (struct fk_req *r, int status, const char *type,
                           const char *body, size_t len);
 enum MHD_Result fk_reply_json (struct fk_req *r, int status, json_t *doc);
--- a/regress/fakehttp.c
+++ b/regress/fakehttp.c
@@ -255,14 +255,14 @@
   fflush (stdout);
 }
 
-int
-fk_serve (const struct fk_role *role, int port)
+/* The port, 0 after a failure. */
+static int
+start_daemon (const struct fk_role *role, int port)
 {
   struct sockaddr_in sa = { .sin_family = AF_INET };
   const union MHD_DaemonInfo *info;
   struct MHD_Daemon *d;
 
-  fk_init ();
   sa.sin_port = htons ((uint16_t)port);
   sa.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   d = MHD_start_daemon (MHD_USE_THREAD_PER_CONNECTION
@@ -274,9 +274,34 @@
                         (size_t)262144, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
                         MHD_OPTION_CONNECTION_LIMIT, 20000U, MHD_OPTION_END);
   if (d == NULL)
-    return 1;
+    return 0;
   info = MHD_get_daemon_info (d, MHD_DAEMON_INFO_BIND_PORT);
-  fk_set_port (info->port);
+  return info->port;
+}
+
+int
+fk_serve_also (const struct fk_role *role)
+{
+  return start_daemon (role, 0);
+}
+
+int
+fk_port (struct fk_req *r)
+{
+  const union MHD_ConnectionInfo *info
+      = MHD_get_connection_info (r->conn, MHD_CONNECTION_INFO_DAEMON);
+
+  return MHD_get_daemon_info (info->daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+}
+
+int
+fk_serve (const struct fk_role *role, int port)
+{
+  fk_init ();
+  port = start_daemon (role, port);
+  if (port == 0)
+    return 1;
+  fk_set_port (port);
   for (;;)
     pause ();
 }
