Forward requests to another VM while no endpoint is reached

Cause: a VM's own connections were its only way to serve. Every request tried up to four endpoints, each without a connection, and was refused; the other VMs were only talked to about load. The class: a dependency that one VM has lost was treated as lost to all.

Evidence: 620 attempts of the four VMs in six seconds, 620 of them without a connection; regress/partition failed on the code before ("no service at a within 3 s").

Change: while reach.c says that no endpoint of a service is reached, a request of which no byte was sent is forwarded to another VM of the roster, one of the own failure domain first, over the address that other VMs read lists from. That VM decides on it as on a request of its own caller (route, key, limits, attempts, at most once), and its answer is passed on. One that reaches no endpoint either says so, and two more VMs are asked; a VM that did not take a request is avoided for a second. A forwarded request is never forwarded again, a request that may have run is not forwarded, and if no VM takes it the VM tries by itself as before.

regress/partition passes: refused and hanging connections, one, two and all of three VMs cut off, healed; 377 unit tests pass.

--- a/entry.c
+++ b/entry.c
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include "evac.h"
+#include "forwardseal.h"
 
 /* A revoked key must not be accepted once the operator's bound has passed. The
    margin covers the time between the last check and the first byte sent. */
@@ -444,6 +445,38 @@
                                     platform_ms (arg, now_us));
 }
 
+/* --- requests forwarded between VMs ----------------------------------- */
+
+static bool
+list_vms (void *arg, bool near, GArray *vms)
+{
+  const struct entry *e = arg;
+
+  return e->load_gossip != NULL
+         && loadgossip_list_peers (e->load_gossip, near, vms);
+}
+
+static char *
+seal_forward (void *arg, const struct relay_desc *d, int64_t now_us)
+{
+  struct entry *e = arg;
+  const uint8_t *key = seal_key (e);
+  int64_t now_ms = platform_ms (e, now_us);
+
+  return key != NULL && now_ms > 0 ? forwardseal_make (d, now_ms, key) : NULL;
+}
+
+static bool
+accept_forward (void *arg, const struct relay_desc *d, const char *seal,
+                int64_t now_us)
+{
+  struct entry *e = arg;
+  const uint8_t *key = seal_key (e);
+  int64_t now_ms = platform_ms (e, now_us);
+
+  return key != NULL && now_ms > 0 && forwardseal_check (d, seal, now_ms, key);
+}
+
 static void
 make_relays (struct entry *e)
 {
@@ -466,6 +499,9 @@
   o.may_probe = may_probe;
   o.on_seen = e->observe != NULL ? on_endpoint_seen : NULL;
   o.health_arg = e;
+  o.list_vms = e->cfg->forward ? list_vms : NULL;
+  o.seal_forward = seal_forward;
+  o.forward_arg = e;
   o.domain = vm->domain;
   o.key_max_age_us = e->cfg->revoke_ms * CQ_US_PER_MS - REVOCATION_MARGIN_US;
   o.denial_max_age_us = denial_max_age_us (e->cfg);
@@ -535,7 +571,10 @@
   o.seed = seed_of (vm);
   e->mirror = mirrorfeed_new (&o);
   e->mirror_http = mirrorhttp_open (e->worker, e->list_fd, e->mirror_serve,
-                                    o.link_mbit_s);
+                                    o.link_mbit_s, e->cfg->forward);
+  if (e->mirror_http != NULL && e->cfg->forward)
+    mirrorhttp_accept_forwarded (
+        e->mirror_http, entry_adapter.forwarded_ops (), &e->listener_ctx);
   return e->mirror_http != NULL;
 }
 
@@ -593,6 +632,8 @@
   e->ready_listener = http_listener_open (e->worker, e->ready_fd, &o);
   e->listener_ctx.relays = e->relays;
   e->listener_ctx.fleet = &e->fleet;
+  e->listener_ctx.accept_forward = accept_forward;
+  e->listener_ctx.forward_arg = e;
   e->caller_listener = entry_adapter.open_listener (e->worker, e->caller_fd,
                                                     &e->listener_ctx);
   return e->ready_listener != NULL && e->caller_listener != NULL;
--- a/entry.h
+++ b/entry.h
@@ -19,6 +19,10 @@
 {
   struct relays *relays; /* relays requests to endpoints */
   struct fleet *fleet;   /* holds the limits in force */
+  /* Whether SEAL proves that another VM forwarded D. */
+  bool (*accept_forward) (void *arg, const struct relay_desc *d,
+                          const char *seal, int64_t now_us);
+  void *forward_arg; /* for accept_forward */
 };
 
 /* Functions of a platform's adapter, all called on the first worker's
@@ -38,6 +42,9 @@
   /* Open the listener for callers; returns NULL on failure. */
   struct http_listener *(*open_listener) (struct worker *w, int listen_fd,
                                           struct entry_listener_ctx *ctx);
+  /* Callbacks for requests that other VMs forward; their owner is a struct
+     entry_listener_ctx. */
+  const struct http_listener_ops *(*forwarded_ops) (void);
 };
 
 /* The adapter of this build. */
--- a/httpserver.c
+++ b/httpserver.c
@@ -148,8 +148,8 @@
   if (req_stream_pending (r) > 0)
     {
       n = read_pending (r, to, max);
-      if (r->listener->ops->drained != NULL)
-        r->listener->ops->drained (r);
+      if (r->ops->drained != NULL)
+        r->ops->drained (r);
       return n;
     }
   /* Without the last chunk, every HTTP client detects the broken stream. */
@@ -257,6 +257,8 @@
   struct req *r = g_new0 (struct req, 1);
 
   r->listener = l;
+  r->ops = l->ops;
+  r->owner = l->owner;
   r->worker = l->worker;
   r->conn = conn;
   r->target = g_strdup (target);
@@ -295,8 +297,8 @@
 static void
 req_free (struct req *r)
 {
-  if (r->listener->ops->closed != NULL)
-    r->listener->ops->closed (r);
+  if (r->ops->closed != NULL)
+    r->ops->closed (r);
   if (r->response != NULL)
     MHD_destroy_response (r->response);
   free_body (r);
@@ -345,7 +347,7 @@
 {
   r->started = true;
   r->arrived_us = loop_now_us ();
-  r->listener->ops->start (r);
+  r->ops->start (r);
   /* A callback that needs the body for longer has taken it. */
   free_body (r);
 }
@@ -418,7 +420,7 @@
   r->path = g_strdup (url);
   if (!is_framing_unambiguous (r))
     return refuse_ambiguous_length (r);
-  r->listener->ops->head (r, method);
+  r->ops->head (r, method);
   return r->response != NULL ? queue_response (r) : MHD_YES;
 }
 
--- a/librelay.h
+++ b/librelay.h
@@ -6,6 +6,7 @@
 #ifndef CQ_LIBRELAY_H
 #define CQ_LIBRELAY_H
 
+#include "mirrorpick.h"
 #include "sse.h"
 #include "relay.h"
 #include "relaycrash.h"
@@ -23,6 +24,9 @@
  */
 #define RETRY_JITTER_US (500 * CQ_US_PER_MS)
 
+/* VMs to which one request is forwarded, one after another. */
+#define RELAY_VMS_MAX 3
+
 /* Reason to end a request after an event that its state does not allow. */
 #define RELAY_STOP_REJECTED "event_rejected"
 
@@ -60,6 +64,8 @@
   struct relayhealth *health; /* failed endpoints; NULL without
                                  share_reports */
   struct relayreach *reach;   /* services whose endpoints are reached */
+  GHashTable *vms_avoided;    /* name to int64_t: no request is forwarded there
+                                 until then */
   struct loop_timer sweep;    /* checks deadlines and hang-ups */
   unsigned sweeps;            /* sweeps so far */
   uint64_t random_state;      /* of the pseudo-random generator */
@@ -108,12 +114,16 @@
   int reported_running;   /* requests running at the endpoint by its answer, -1
                              if not given */
   int reported_waiting;   /* requests waiting there by its answer */
-  int attempts;           /* attempts of which a byte may have left */
-  int unsent;             /* attempts of which no byte left */
-  struct reqid identity;  /* digest of what is asked, if has_identity */
-  bool has_identity;      /* identity was computed */
-  bool is_suspect;        /* by the last check of the quarantine */
-  bool not_run;           /* the endpoint reported that it did not run it */
+  char vms_tried[RELAY_VMS_MAX][LOAD_VM_SIZE]; /* it was forwarded there; the
+                                                  last one has the attempt */
+  int nvms_tried;                              /* entries in vms_tried */
+  int64_t vm_retry_us;     /* Retry-After of the other VM, 0 if none */
+  int attempts;            /* attempts of which a byte may have left */
+  int unsent;              /* attempts of which no byte left */
+  struct reqid identity;   /* digest of what is asked, if has_identity */
+  bool has_identity;       /* identity was computed */
+  bool is_suspect;         /* by the last check of the quarantine */
+  bool not_run;            /* the endpoint reported that it did not run it */
   bool connection_refused; /* nothing listens at the endpoint's address */
   bool other_incarnation;  /* another incarnation answered the attempt */
   bool is_head_observed;   /* the answer's head was passed to on_observed */
@@ -127,6 +137,8 @@
   bool paused;            /* the attempt waits for a slow reader */
   bool event_pending;     /* prompts were pending at the endpoint when the last
                              events arrived */
+  bool forwarding;        /* the attempt is at another VM */
+  bool vm_no_path;        /* the other VM reaches no endpoint either */
   bool unpause_posted;    /* unpause is queued in the loop */
   bool event_rejected;    /* an event was not allowed: no attempt follows */
 };
@@ -139,6 +151,9 @@
 bool relay_is_stale (const struct relay *r, int64_t now_us);
 /* Whether the newest configuration no longer has the request's key. */
 bool relay_is_key_revoked (const struct relay *r);
+/* Whether another VM forwarded R, which did not run, and this one reaches no
+   endpoint either. */
+bool relay_has_no_path (const struct relay *r);
 /* Next pseudo-random number of RS. */
 uint64_t relay_random (struct relays *rs);
 /* Set R's admission rank, and add WORK, in tokens, to the demand that its
@@ -195,6 +210,34 @@
 void relay_give_up (struct relay *r, enum outcome outcome, const char *reason,
                     int64_t retry_after_us, int64_t now_us);
 
+/* Forget the attempt before; one starts now. */
+void relay_reset_attempt (struct relay *r, int64_t now_us);
+/* Why R must not be sent any more just before its first byte, or NULL. */
+const char *relay_send_obstacle (struct relay *r, int64_t now_us);
+/* The first byte of an attempt leaves now. */
+void relay_handed_over (struct relay *r, int64_t now_us);
+/* Body bytes of an attempt's answer arrived; ARG is its request. */
+enum relay_body_result relay_on_body (void *arg, const char *data, size_t len);
+/* How far an attempt got that ends now, its answer complete if WHOLE. */
+enum send_state relay_send_state (const struct relay *r, bool whole);
+/* What follows an attempt that got as far as SENT. */
+struct out_verdict relay_decide (struct relay *r, enum send_state sent,
+                                 bool has_attempts_left, int64_t now_us);
+/* The caller gets the answer of the attempt that has ended. */
+void relay_pass_answer (struct relay *r, enum outcome outcome,
+                        const char *reason, int64_t now_us);
+
+/* Forward R to another VM if this VM reaches no endpoint for it; false if that
+   is not so or no VM is left.  EVENTS are the callbacks of the attempt. */
+bool relay_forward (struct relay *r, const struct relay_events *events,
+                    int64_t now_us);
+/* Callbacks of such an attempt; ARG is its request. */
+bool relay_forward_before_send (void *arg);
+bool relay_forward_head (void *arg, const struct relay_head *head);
+/* Decide what follows an attempt at another VM that has ended; true if R is to
+   be placed again. */
+bool relay_forward_ended (struct relay *r, enum send_state sent,
+                          const char *error, int64_t now_us);
 /* Digest of what R asks, computed at the first call. */
 const struct reqid *relay_identity (struct relay *r);
 /* What the quarantine decides on a request. */
--- a/libserver.h
+++ b/libserver.h
@@ -234,34 +234,36 @@
 /* A caller's request; used only on its worker's thread. */
 struct req
 {
-  struct http_listener *listener; /* listener that accepted it */
-  void *work;                     /* state of the listener's owner */
-  struct worker *worker;          /* worker that it runs on */
-  struct MHD_Connection *conn;    /* its connection */
-  const struct req_route *route;  /* matching entry of the routing table */
-  char *target;                   /* path and query as sent */
-  bool head_seen;                 /* the header was processed */
-  char *path;                     /* complete path, decoded */
-  const char *rest;               /* path after the route's prefix */
-  char id[ID_SIZE];               /* request id */
-  int workspace;                  /* index of the caller's workspace, or -1 */
-  int operator_index;             /* index of the operator, or -1 */
-  GString *body;                  /* request body */
-  size_t body_max;                /* bytes allowed in the body */
-  enum req_excess excess;         /* why the body was rejected */
-  size_t dropped;                 /* bytes of the body discarded after that */
-  bool started;                   /* ops->start was called */
-  bool suspended;                 /* its connection is suspended */
-  bool is_disconnected;           /* the caller disconnected */
-  int64_t arrived_us;             /* when the body was complete */
-  struct MHD_Response *response;  /* reply to queue */
-  int status;                     /* its HTTP status */
-  bool queued;                    /* the reply was queued */
-  GString *out;                   /* stream bytes to write */
-  size_t out_used;                /* bytes of out already written */
-  bool out_ended;                 /* the stream has ended */
-  bool out_aborted;               /* close the stream without its last chunk */
-  struct job *job;                /* job that runs the request, or NULL */
+  struct http_listener *listener;      /* listener that accepted it */
+  const struct http_listener_ops *ops; /* callbacks, at first the listener's */
+  void *owner;                         /* context for them */
+  void *work;                          /* state of the listener's owner */
+  struct worker *worker;               /* worker that it runs on */
+  struct MHD_Connection *conn;         /* its connection */
+  const struct req_route *route; /* matching entry of the routing table */
+  char *target;                  /* path and query as sent */
+  bool head_seen;                /* the header was processed */
+  char *path;                    /* complete path, decoded */
+  const char *rest;              /* path after the route's prefix */
+  char id[ID_SIZE];              /* request id */
+  int workspace;                 /* index of the caller's workspace, or -1 */
+  int operator_index;            /* index of the operator, or -1 */
+  GString *body;                 /* request body */
+  size_t body_max;               /* bytes allowed in the body */
+  enum req_excess excess;        /* why the body was rejected */
+  size_t dropped;                /* bytes of the body discarded after that */
+  bool started;                  /* ops->start was called */
+  bool suspended;                /* its connection is suspended */
+  bool is_disconnected;          /* the caller disconnected */
+  int64_t arrived_us;            /* when the body was complete */
+  struct MHD_Response *response; /* reply to queue */
+  int status;                    /* its HTTP status */
+  bool queued;                   /* the reply was queued */
+  GString *out;                  /* stream bytes to write */
+  size_t out_used;               /* bytes of out already written */
+  bool out_ended;                /* the stream has ended */
+  bool out_aborted;              /* close the stream without its last chunk */
+  struct job *job;               /* job that runs the request, or NULL */
 };
 
 /* A complete reply. */
--- a/met.c
+++ b/met.c
@@ -105,6 +105,10 @@
       "Attempts whose prompt was kept away from slow endpoints." },
   [MET_UNCONNECTED] = { "camphorquay_unconnected_total", "counter",
                         "Attempts that got no connection to an endpoint." },
+  [MET_FORWARDED] = { "camphorquay_forwarded_total", "counter",
+                      "Requests sent to another VM, counted for each one." },
+  [MET_FORWARDS_RECEIVED] = { "camphorquay_forwards_received_total", "counter",
+                              "Requests that other VMs forwarded." },
   [MET_ISOLATIONS] = { "camphorquay_isolations_total", "counter",
                        "Times that this VM reached no endpoint of a service "
                        "any more." },
--- a/mirrorhttp.c
+++ b/mirrorhttp.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "fetch.h"
+#include "forwardseal.h"
 
 #define LIST_PATH "/list"
 /* Time until the first byte of a reply, and between two further bytes: the
@@ -16,6 +17,10 @@
 #define CONNECTIONS_MAX 256
 #define CONNECTION_IDLE_S 10
 #define CONNECTION_MEMORY 4096
+/* The same where requests are forwarded: one connection for each, and its
+   head. */
+#define FORWARD_CONNECTIONS_MAX 1024
+#define FORWARD_CONNECTION_MEMORY 20480
 /* Large replies that are sent at once: one for each so many megabits a second
    of the link, so that none is slower than the link of a small receiver.  A VM
    that is turned away finds another source. */
@@ -28,15 +33,29 @@
 {
   struct mirrorserve *serve;      /* answers the requests */
   struct http_listener *listener; /* receives them */
-  int large;                      /* large replies being sent */
-  int large_max;                  /* most of them */
+  const struct http_listener_ops
+      *forwarded_ops;    /* callbacks for forwarded requests, or NULL */
+  void *forwarded_owner; /* context for them */
+  int large;             /* large replies being sent */
+  int large_max;         /* most of them */
 };
 
 /* --- answering ------------------------------------------------------- */
 
+/* Requests for lists are POST without the header; callers' requests that
+   another VM forwards have it. */
 static void
 on_head (struct req *r, const char *method)
 {
+  struct mirrorhttp *m = r->owner;
+
+  if (m->forwarded_ops != NULL && req_header (r, FORWARD_HEADER) != NULL)
+    {
+      r->ops = m->forwarded_ops;
+      r->owner = m->forwarded_owner;
+      r->ops->head (r, method);
+      return;
+    }
   r->body_max = MIRRORWIRE_REQUEST_MAX;
   if (strcmp (method, "POST") != 0 || strcmp (r->path, LIST_PATH) != 0)
     req_respond (r, 404, NULL, "", 0);
@@ -63,7 +82,7 @@
 static void
 send_answer (struct req *r, struct mirror_answer *a)
 {
-  struct mirrorhttp *m = r->listener->owner;
+  struct mirrorhttp *m = r->owner;
   bool is_large = g_bytes_get_size (a->rows) > LARGE_REPLY_BYTES;
   struct sent_rows *s;
 
@@ -86,7 +105,7 @@
 static void
 on_start (struct req *r)
 {
-  struct mirrorhttp *m = r->listener->owner;
+  struct mirrorhttp *m = r->owner;
   struct mirror_answer a;
 
   if (r->excess == EXCESS_NONE
@@ -104,7 +123,7 @@
 
 struct mirrorhttp *
 mirrorhttp_open (struct worker *w, int listen_fd, struct mirrorserve *serve,
-                 int link_mbit_s)
+                 int link_mbit_s, bool forwards)
 {
   struct mirrorhttp *m = g_new0 (struct mirrorhttp, 1);
   struct http_listener_opts o = { .ops = &listener_ops, .owner = m };
@@ -113,9 +132,10 @@
   m->large_max = CLAMP (link_mbit_s / LARGE_REPLY_MBIT_S, LARGE_REPLIES_MIN,
                         LARGE_REPLIES_MAX);
   o.close_from = PHASE_STOPPED;
-  o.connections = CONNECTIONS_MAX;
+  o.connections = forwards ? FORWARD_CONNECTIONS_MAX : CONNECTIONS_MAX;
   o.idle_timeout_s = CONNECTION_IDLE_S;
-  o.connection_memory = CONNECTION_MEMORY;
+  o.connection_memory
+      = forwards ? FORWARD_CONNECTION_MEMORY : CONNECTION_MEMORY;
   m->listener = http_listener_open (w, listen_fd, &o);
   if (m->listener != NULL)
     return m;
@@ -123,6 +143,14 @@
   return NULL;
 }
 
+void
+mirrorhttp_accept_forwarded (struct mirrorhttp *m,
+                             const struct http_listener_ops *ops, void *owner)
+{
+  m->forwarded_ops = ops;
+  m->forwarded_owner = owner;
+}
+
 void
 mirrorhttp_close (struct mirrorhttp *m)
 {
--- a/relay.c
+++ b/relay.c
@@ -334,6 +334,8 @@
   rs->sweep.arg = rs;
   rs->services
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  rs->vms_avoided
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   rs->usual_timeouts
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   APR_RING_INIT (&rs->all, relay, link);
@@ -351,6 +353,7 @@
   relayreach_free (rs->reach);
   g_hash_table_destroy (rs->services);
   g_hash_table_destroy (rs->usual_timeouts);
+  g_hash_table_destroy (rs->vms_avoided);
   g_free (rs);
 }
 
--- a/relay.h
+++ b/relay.h
@@ -33,6 +33,8 @@
   RELAY_TOO_LARGE, /* its body exceeds the operator's limit */
   RELAY_MALFORMED, /* a header or its body cannot be parsed */
   RELAY_NOT_RUN,   /* it did not run, and may be sent again */
+  RELAY_NO_PATH,   /* the same, of a request that another VM forwarded: this VM
+                      reaches no endpoint for it either */
   RELAY_UNKNOWN,   /* it may have run, or it failed */
   RELAY_TIMED_OUT  /* it was sent, and the deadline passed without an answer */
 };
@@ -71,6 +73,7 @@
   int64_t resume_after;     /* last event the caller has, -1 for none */
   const char *body;         /* complete */
   size_t body_len;          /* bytes of body */
+  bool forwarded;           /* by another VM */
   const struct relay_caller *caller; /* callbacks */
   void *arg;                         /* for the callbacks */
 };
@@ -94,6 +97,15 @@
   const struct parts_plan *plan; /* of fetches and saves, or NULL */
 };
 
+/* A request that an engine adapter forwards to another VM. */
+struct relay_forward
+{
+  const struct relay_desc *desc; /* the request */
+  const char *address;           /* IP:PORT of the other VM */
+  const char *seal;              /* proves that a VM forwards it */
+  int64_t timeout_us;            /* time for the request from now */
+};
+
 /* Decoded head of an endpoint's answer. */
 struct relay_head
 {
@@ -110,6 +122,7 @@
                          given */
   int64_t version;    /* weight version that ran, 0 if not given */
   struct notice notice; /* the endpoint's notices on its own state */
+  bool no_path;         /* of another VM's answer: it reaches no endpoint */
   char **lines;         /* "Name: value" lines for the caller */
 };
 
@@ -162,6 +175,10 @@
   /* Start an attempt; returns its handle. */
   void *(*send) (void *ctx, const struct relay_attempt *send,
                  const struct relay_events *events, void *arg);
+  /* Forward a request to another VM; like send.  NULL if the adapter
+     cannot. */
+  void *(*forward) (void *ctx, const struct relay_forward *forward,
+                    const struct relay_events *events, void *arg);
   /* Stop an attempt without a further callback; the endpoint sees its
      connection close. */
   void (*cancel) (void *ctx, void *call);
@@ -210,7 +227,16 @@
   /* This VM observed an endpoint; may be NULL. */
   void (*on_seen) (void *arg, const struct endpoint_report *seen,
                    int64_t now_us);
-  void *health_arg;          /* for both callbacks */
+  void *health_arg; /* for both callbacks */
+  /* Append the other VMs to VMS, as struct mirror_peer, with NEAR only those
+     of this VM's failure domain; false while they are not known.  NULL: no
+     request is forwarded. */
+  bool (*list_vms) (void *arg, bool near, GArray *vms);
+  /* Seal of a request that is forwarded, which the caller frees; NULL while
+     there is no key. */
+  char *(*seal_forward) (void *arg, const struct relay_desc *desc,
+                         int64_t now_us);
+  void *forward_arg;         /* for both callbacks */
   const char *domain;        /* failure domain of this VM */
   int64_t key_max_age_us;    /* older settings: keys are not trusted */
   int64_t denial_max_age_us; /* older settings: nothing is denied for good */
--- a/relayend.c
+++ b/relayend.c
@@ -55,6 +55,13 @@
   return g_hash_table_lookup (now->keys, r->desc.key) == NULL;
 }
 
+bool
+relay_has_no_path (const struct relay *r)
+{
+  return r->desc.forwarded && !r->may_have_run
+         && relayreach_is_isolated (r->rs->reach, r->service);
+}
+
 /* --- events ---------------------------------------------------------- */
 
 /* Which attempt an event that is not allowed belongs to is not known, so the
@@ -196,7 +203,7 @@
       return;
     }
   if (outcome == OUT_NOT_RUN)
-    why = RELAY_NOT_RUN;
+    why = relay_has_no_path (r) ? RELAY_NO_PATH : RELAY_NOT_RUN;
   else if (now_us >= r->deadline_us)
     why = RELAY_TIMED_OUT;
   if (r->stream_begun)
--- /dev/null
+++ b/relayforward.c
@@ -0,0 +1,212 @@
+/*
+ * The relay: requests that are forwarded to another VM.
+ *
+ * Responds to a VM that reaches no endpoint of a service while other VMs do.
+ * The other VM decides on the request as on one of its own callers, and its
+ * answer is passed on.  A request is forwarded once; one that was forwarded
+ * goes to an endpoint or is refused.
+ */
+#include "librelay.h"
+
+#include <string.h>
+
+#include "log.h"
+#include "met.h"
+
+/* How long a VM is avoided that could not take a request. */
+#define VM_AVOID_US (1000 * CQ_US_PER_MS)
+
+/* --- choice of a VM -------------------------------------------------- */
+
+static bool
+is_avoided (const struct relays *rs, const char *vm, int64_t now_us)
+{
+  const int64_t *until = g_hash_table_lookup (rs->vms_avoided, vm);
+
+  return until != NULL && now_us < *until;
+}
+
+static gboolean
+is_expired (gpointer vm, gpointer until_us, gpointer now_us)
+{
+  (void)vm;
+  return *(const int64_t *)now_us >= *(const int64_t *)until_us;
+}
+
+static void
+avoid (struct relays *rs, const char *vm, int64_t now_us)
+{
+  int64_t *until = g_new (int64_t, 1);
+
+  g_hash_table_foreach_remove (rs->vms_avoided, is_expired, &now_us);
+  *until = now_us + VM_AVOID_US;
+  g_hash_table_insert (rs->vms_avoided, g_strdup (vm), until);
+}
+
+static bool
+was_tried (const struct relay *r, const char *vm)
+{
+  int i;
+
+  for (i = 0; i < r->nvms_tried; i++)
+    if (strcmp (r->vms_tried[i], vm) == 0)
+      return true;
+  return false;
+}
+
+/* Choose at random among the VMs that may take R; false if there is none. */
+static bool
+choose (struct relay *r, bool near, struct mirror_peer *vm, int64_t now_us)
+{
+  const struct relays_opts *o = &r->rs->opts;
+  g_autoptr (GArray) vms
+      = g_array_new (FALSE, FALSE, sizeof (struct mirror_peer));
+  const struct mirror_peer *v;
+  guint i = 0;
+
+  if (!o->list_vms (o->forward_arg, near, vms))
+    return false;
+  while (i < vms->len)
+    {
+      v = &g_array_index (vms, struct mirror_peer, i);
+      if (was_tried (r, v->vm) || is_avoided (r->rs, v->vm, now_us))
+        g_array_remove_index_fast (vms, i);
+      else
+        i++;
+    }
+  if (vms->len == 0)
+    return false;
+  *vm = g_array_index (vms, struct mirror_peer,
+                       relay_random (r->rs) % vms->len);
+  return true;
+}
+
+/* --- callbacks of the attempt ---------------------------------------- */
+
+bool
+relay_forward_before_send (void *arg)
+{
+  struct relay *r = arg;
+  int64_t now = loop_now_us ();
+
+  if (r->state == RELAY_PLACED && r->stop_reason == NULL)
+    r->stop_reason = relay_send_obstacle (r, now);
+  if (r->stop_reason != NULL || !relay_apply_event (r, RELAY_HAND_OVER))
+    return false;
+  relay_handed_over (r, now);
+  return true;
+}
+
+/* The other VM's own answers bear no seal.  All but two of its statuses say
+   that the request did not run. */
+static bool
+says_not_run (const struct relay_head *head)
+{
+  return !head->genuine && head->status != 502 && head->status != 504;
+}
+
+bool
+relay_forward_head (void *arg, const struct relay_head *head)
+{
+  struct relay *r = arg;
+
+  if (!relay_apply_event (r, RELAY_HEAD))
+    return false;
+  r->status = head->status;
+  r->not_run = says_not_run (head);
+  r->vm_no_path = r->not_run && head->no_path;
+  r->vm_retry_us = head->notice.backoff_us;
+  if (!r->not_run && !head->genuine)
+    {
+      r->stop_reason = "vm_failed";
+      return false;
+    }
+  r->streaming = r->route->kind == FLEET_STREAM && head->status == 200;
+  g_strfreev (r->lines);
+  r->lines = g_strdupv (head->lines);
+  return true;
+}
+
+bool
+relay_forward_ended (struct relay *r, enum send_state sent, const char *error,
+                     int64_t now_us)
+{
+  bool unreached = sent == SEND_NONE && r->stop_reason == NULL;
+  struct out_verdict v = relay_decide (r, sent, false, now_us);
+  const char *reason = r->stop_reason != NULL ? r->stop_reason : v.reason;
+
+  log_event (LOG_LEVEL_INFO, "forward_end",
+             "req=%s vm=%s sent=%s status=%d no_path=%d reason=%s "
+             "took_us=%" G_GINT64_FORMAT " error=\"%s\"",
+             r->desc.id, r->vms_tried[r->nvms_tried - 1], out_send_name (sent),
+             r->status, r->vm_no_path, reason, (gint64)(now_us - r->sent_us),
+             error);
+  r->forwarding = false;
+  if (sent == SEND_NONE || sent == SEND_REFUSED)
+    r->attempts = 0;
+  else
+    r->may_have_run = true;
+  if (unreached || r->vm_no_path)
+    {
+      avoid (r->rs, r->vms_tried[r->nvms_tried - 1], now_us);
+      if (now_us < r->deadline_us)
+        return true;
+    }
+  if (v.passes_answer)
+    relay_pass_answer (r, v.outcome, v.reason, now_us);
+  else
+    relay_give_up (
+        r, v.outcome, reason,
+        r->vm_retry_us > 0 ? r->vm_retry_us : RETRY_AFTER_FAILURE_US, now_us);
+  return false;
+}
+
+/* --- start ----------------------------------------------------------- */
+
+/* Only a request of which no byte went to an endpoint: two VMs must not send
+   it to more endpoints than its route allows. */
+static bool
+may_forward (const struct relay *r)
+{
+  const struct relays_opts *o = &r->rs->opts;
+
+  return o->list_vms != NULL && o->engine.forward != NULL && !r->desc.forwarded
+         && r->attempts == 0 && !r->may_have_run
+         && r->nvms_tried < RELAY_VMS_MAX
+         && relayreach_is_isolated (r->rs->reach, r->service);
+}
+
+bool
+relay_forward (struct relay *r, const struct relay_events *events,
+               int64_t now_us)
+{
+  const struct relays_opts *o = &r->rs->opts;
+  struct relay_forward f = { .desc = &r->desc };
+  g_autofree char *seal = NULL;
+  struct mirror_peer vm;
+
+  if (!may_forward (r)
+      || (!choose (r, true, &vm, now_us) && !choose (r, false, &vm, now_us)))
+    return false;
+  seal = o->seal_forward (o->forward_arg, &r->desc, now_us);
+  if (seal == NULL)
+    return false;
+  if (!relay_apply_event (r, RELAY_SEND))
+    {
+      relay_abort (r, now_us);
+      return true;
+    }
+  relay_reset_attempt (r, now_us);
+  r->forwarding = true;
+  g_strlcpy (r->vms_tried[r->nvms_tried++], vm.vm, sizeof r->vms_tried[0]);
+  f.address = vm.address;
+  f.seal = seal;
+  f.timeout_us = r->deadline_us - now_us;
+  met_add (MET_FORWARDED, 1);
+  log_event (LOG_LEVEL_INFO, "forward",
+             "req=%s route=%s service=%s vm=%s left_us=%" G_GINT64_FORMAT,
+             r->desc.id, r->route->name, r->service, vm.vm,
+             (gint64)f.timeout_us);
+  r->call = o->engine.forward (o->engine.ctx, &f, events, r);
+  return true;
+}
--- a/relaytry.c
+++ b/relaytry.c
@@ -9,8 +9,6 @@
 /* Attempts of which no byte left do not count against the route's limit.
    More than this many mean that further attempts are of no use. */
 #define UNSENT_ATTEMPTS_MAX 4
-/* Largest event of a stream that is buffered until it is complete, bytes. */
-#define EVENT_SIZE_MAX 65536
 /* Reasons to stop an attempt that concern only its endpoint: another endpoint
    may take the request. */
 #define STOP_ENDPOINT_LEFT "endpoint_left"
@@ -59,21 +57,6 @@
                                    now_us);
 }
 
-/*
- * A VM that was busy or suspended for most of a second reads requests whose
- * callers have hung up in the meantime.  The sweep would detect this some
- * tenths of a second later, after an endpoint has started to work on them.
- */
-static bool
-drop_disconnected_caller (struct relay *r)
-{
-  if (r->desc.caller == NULL || !r->desc.caller->is_disconnected (r->desc.arg))
-    return false;
-  r->desc.caller = NULL;
-  met_add (MET_CANCELS, 1);
-  return true;
-}
-
 /* Evidence of other VMs may have arrived since the endpoint was chosen. */
 static void
 recheck_quarantine (struct relay *r, int64_t now_us)
@@ -103,20 +86,16 @@
   if (r->state != RELAY_PLACED)
     return relay_apply_event (r, RELAY_HAND_OVER);
   relayreach_connected (r->rs->reach, r->endpoint, now);
-  if (relay_is_stale (r, now))
-    r->stop_reason = "settings_stale";
-  else if (relay_is_key_revoked (r))
-    r->stop_reason = "key_revoked";
-  else if (now >= r->deadline_us)
-    r->stop_reason = "deadline";
-  else if (r->endpoint->draining || r->endpoint->removed)
+  if (r->stop_reason == NULL)
+    r->stop_reason = relay_send_obstacle (r, now);
+  if (r->stop_reason != NULL)
+    return false;
+  if (r->endpoint->draining || r->endpoint->removed)
     r->stop_reason = STOP_ENDPOINT_LEFT;
   else if (fleet_is_evacuated (r->rs->opts.fleet, r->endpoint->listing.domain))
     r->stop_reason = STOP_DOMAIN_EVACUATED;
   else if (is_outdated (r, r->rs->opts.fleet->outdated_accept_us, now))
     r->stop_reason = STOP_WEIGHTS_OUTDATED;
-  else if (drop_disconnected_caller (r))
-    r->stop_reason = "caller_gone";
   else if (cold_is (&r->endpoint->cold, now)
            && !pace_may_send (&r->endpoint->cold.pace, now))
     r->stop_reason = STOP_ENDPOINT_COLD;
@@ -131,13 +110,7 @@
   if (cold_is (&r->endpoint->cold, now))
     pace_sent (&r->endpoint->cold.pace, now);
   pace_sent (&r->endpoint->limit.pace, now);
-  r->connected_us = now;
-  r->attempts++;
-  if (r->handed_over_us == 0)
-    {
-      r->handed_over_us = now;
-      met_observe (MET_HANDOVER_TIME, now - r->arrived_us);
-    }
+  relay_handed_over (r, now);
   return true;
 }
 
@@ -223,122 +196,6 @@
   return true;
 }
 
-/* A pause across two attempts says nothing of either endpoint. */
-static void
-record_pause (struct relay *r, int64_t now_us)
-{
-  const struct relays_opts *o = &r->rs->opts;
-  bool pending
-      = load_at (o->loads, r->endpoint->key).pending_prefill_tokens > 0;
-  int64_t pause_us = now_us - r->last_event_us;
-
-  if (r->last_event_us > 0)
-    r->gap_us = MAX (r->gap_us, pause_us);
-  if (o->share_reports && r->last_event_us > r->sent_us)
-    pick_learn_pause (o->fleet, r->endpoint, pending || r->event_pending,
-                      pause_us, now_us);
-  r->last_event_us = now_us;
-  r->event_pending = pending;
-}
-
-static void
-forward_chunk (struct relay *r, const char *data, size_t len)
-{
-  if (len == 0)
-    return;
-  relay_prefill_done (r, loop_now_us ());
-  record_pause (r, loop_now_us ());
-  if (!r->stream_begun)
-    {
-      r->stream_begun = true;
-      r->reply = RELAY_REPLY_STREAM;
-      r->first_chunk_us = loop_now_us ();
-      pick_learn_prefill_rate (r->rs->opts.fleet, r->endpoint,
-                               r->pending_prefill_tokens
-                                   + r->shared_pending_prefill_tokens
-                                   + r->work.own_tokens,
-                               r->first_chunk_us - r->sent_us);
-      met_observe (MET_FIRST_TOKEN, r->first_chunk_us - r->arrived_us);
-      relay_record_wait (r, r->first_chunk_us);
-      r->desc.caller->begin (r->desc.arg, r->status,
-                             (const char *const *)r->lines);
-    }
-  r->desc.caller->write (r->desc.arg, data, len);
-}
-
-static enum relay_body_result
-forward_stream (struct relay *r, const char *data, size_t len)
-{
-  g_autoptr (GString) events = g_string_new (NULL);
-
-  /* The bytes for a reader slower than the engine must not fill memory. */
-  if (r->stream_begun
-      && r->desc.caller->pending (r->desc.arg) > r->rs->opts.stream_buffer)
-    {
-      r->paused = true;
-      /* The caller causes the pause that follows. */
-      r->last_event_us = 0;
-      return RELAY_PAUSE;
-    }
-  if (!sse_feed (&r->events, data, len, EVENT_SIZE_MAX, events))
-    {
-      r->stop_reason = "event_too_large";
-      return RELAY_STOP;
-    }
-  forward_chunk (r, events->str, events->len);
-  return RELAY_CONTINUE;
-}
-
-static enum relay_body_result
-on_body (void *arg, const char *data, size_t len)
-{
-  struct relay *r = arg;
-
-  if (!relay_apply_event (r, RELAY_CHUNK))
-    return RELAY_STOP;
-  r->has_body = true;
-  if (r->streaming)
-    return forward_stream (r, data, len);
-  if (r->answer->len + len > r->rs->opts.answer_max)
-    {
-      r->stop_reason = "answer_too_large";
-      return RELAY_STOP;
-    }
-  g_string_append_len (r->answer, data, (gssize)len);
-  return RELAY_CONTINUE;
-}
-
-static enum send_state
-send_state_of (const struct relay *r, bool whole)
-{
-  if (!relay_state_is_handed_over (r->state))
-    return SEND_NONE;
-  if (r->status == 0)
-    return SEND_PARTIAL;
-  if (r->not_run)
-    return SEND_REFUSED;
-  if (!whole || r->stop_reason != NULL
-      || (r->streaming && sse_has_partial (&r->events)))
-    return SEND_REPLIED;
-  return SEND_COMPLETE;
-}
-
-static struct out_verdict
-decide_next (struct relay *r, enum send_state sent, bool has_attempts_left,
-             int64_t now_us)
-{
-  struct out_facts f = { .sent = sent, .status = r->status };
-
-  f.idempotent = relay_is_repeatable (r);
-  f.ran_before = r->may_have_run;
-  f.caller_has_bytes = r->stream_begun;
-  f.ends_stream = r->streaming;
-  f.resumable = r->route->resumable;
-  f.attempts_left = has_attempts_left;
-  f.deadline_passed = now_us >= r->deadline_us;
-  return out_evaluate (&f);
-}
-
 /* Whether a stop reason concerns only the endpoint, so that another one may
    take the request. */
 static bool
@@ -378,12 +235,12 @@
 decide_with_budget (struct relay *r, enum send_state sent, int64_t now_us)
 {
   struct out_verdict v
-      = decide_next (r, sent, may_attempt_again (r, sent), now_us);
+      = relay_decide (r, sent, may_attempt_again (r, sent), now_us);
 
   if (v.next == NEXT_FINISH || (sent == SEND_NONE && r->attempts == 0))
     return v;
   if (!budget_spend (&r->service_state->budget))
-    return decide_next (r, sent, false, now_us);
+    return relay_decide (r, sent, false, now_us);
   return v;
 }
 
@@ -417,24 +274,6 @@
     pick_request_failed (e, now_us);
 }
 
-static void
-pass_answer (struct relay *r, enum outcome outcome, const char *reason,
-             int64_t now_us)
-{
-  const struct relay_caller *c = r->desc.caller;
-
-  relay_record_run (r, now_us);
-  if (r->stream_begun)
-    relay_end_stream (r, true);
-  else if (c != NULL)
-    {
-      r->reply = RELAY_REPLY_ANSWER;
-      c->answer (r->desc.arg, r->status, (const char *const *)r->lines,
-                 r->answer->str, r->answer->len);
-    }
-  relay_finish (r, outcome, reason, now_us);
-}
-
 /* The same request may return under other ids and at other VMs.  Only its
    digest shows in the logs that one request was at several endpoints that
    crashed. */
@@ -482,7 +321,7 @@
   remember_tried (r);
   relay_release_endpoint (r, now_us);
   if (v.passes_answer)
-    pass_answer (r, v.outcome, v.reason, now_us);
+    relay_pass_answer (r, v.outcome, v.reason, now_us);
   else if (v.next == NEXT_FINISH)
     relay_give_up (r, v.outcome, reason,
                    retry_after (r, RETRY_AFTER_FAILURE_US), now_us);
@@ -498,7 +337,7 @@
 {
   struct relay *r = arg;
   int64_t now = loop_now_us ();
-  enum send_state sent = send_state_of (r, end->whole);
+  enum send_state sent = relay_send_state (r, end->whole);
 
   if (!relay_apply_event (r, RELAY_ATTEMPT_ENDED))
     return;
@@ -512,10 +351,37 @@
   end_attempt (r, sent, end->error, now);
 }
 
+static void
+end_forward (struct relay *r, enum send_state sent, const char *error,
+             int64_t now_us)
+{
+  if (relay_forward_ended (r, sent, error, now_us))
+    relay_place (r, now_us);
+}
+
+static void
+on_vm_end (void *arg, const struct relay_end *end)
+{
+  struct relay *r = arg;
+  enum send_state sent = relay_send_state (r, end->whole);
+
+  if (!relay_apply_event (r, RELAY_ATTEMPT_ENDED))
+    return;
+  r->call = NULL;
+  end_forward (r, sent, end->error, loop_now_us ());
+}
+
+static const struct relay_events vm_events = {
+  .before_send = relay_forward_before_send,
+  .head = relay_forward_head,
+  .body = relay_on_body,
+  .end = on_vm_end,
+};
+
 static const struct relay_events events = {
   .before_send = before_send,
   .head = on_head,
-  .body = on_body,
+  .body = relay_on_body,
   .end = on_end,
 };
 
@@ -625,25 +491,12 @@
   r->pending_prefill_tokens = c->pending_prefill_tokens;
   r->shared_pending_prefill_tokens
       = c->has_part ? 0 : r->work.shared_tokens - r->work.stored_tokens;
-  r->stop_reason = NULL;
-  r->status = 0;
-  r->reported_running = -1;
-  r->reported_waiting = 0;
-  r->not_run = false;
-  r->connection_refused = false;
-  r->other_incarnation = false;
-  r->is_head_observed = false;
-  r->streaming = false;
-  r->has_body = false;
-  r->paused = false;
-  g_string_truncate (r->answer, 0);
-  sse_restart (&r->events);
+  relay_reset_attempt (r, now_us);
   if (model)
     {
       set_cache_scope (r, c);
       plan_kept_parts (r, c, now_us);
     }
-  r->sent_us = now_us;
   s.workspace = r->workspace != NULL ? r->workspace->name : NULL;
   s.cache_scope = model ? r->cache_scope : NULL;
   s.plan = model && r->plan.nfetch + r->plan.nsave > 0 ? &r->plan : NULL;
@@ -756,6 +609,13 @@
       give_up_crashing (r, now_us);
       return;
     }
+  if (relay_forward (r, &vm_events, now_us))
+    return;
+  if (relay_has_no_path (r))
+    {
+      relay_give_up (r, OUT_NOT_RUN, "no_path", 0, now_us);
+      return;
+    }
   q.affinity = r->route->sticky ? relay_affinity (&r->desc) : NULL;
   memcpy (q.exclude, r->tried, sizeof q.exclude);
   q.nexclude = r->ntried;
@@ -791,7 +651,7 @@
                 int64_t now_us)
 {
   const struct relay_engine *e = &r->rs->opts.engine;
-  enum send_state sent = send_state_of (r, false);
+  enum send_state sent = relay_send_state (r, false);
 
   if (!relay_apply_event (r, event))
     {
@@ -802,7 +662,10 @@
     e->cancel (e->ctx, r->call);
   r->call = NULL;
   r->stop_reason = reason;
-  end_attempt (r, sent, "", now_us);
+  if (r->forwarding)
+    end_forward (r, sent, "", now_us);
+  else
+    end_attempt (r, sent, "", now_us);
 }
 
 void
@@ -822,7 +685,8 @@
 bool
 relay_waits_too_long (const struct relay *r, int64_t now_us)
 {
-  return r->call != NULL && !r->has_body && r->route->kind == FLEET_STREAM
+  return r->call != NULL && r->endpoint != NULL && !r->has_body
+         && r->route->kind == FLEET_STREAM
          && is_outdated (r, r->rs->opts.fleet->outdated_start_us, now_us);
 }
 
--- a/settings_gen.c
+++ b/settings_gen.c
@@ -162,6 +162,10 @@
     0, 0, NULL,
     "Whether refused callers are told to return when there is room, and are "
     "then admitted before new ones of their urgency." },
+  { "forward", CFG_BOOL, offsetof (struct cfg_entry, forward), "no", 0, 0,
+    NULL,
+    "Whether requests for a service of which this VM reaches no endpoint are "
+    "forwarded to another VM, over the address of tell." },
   { "retry_percent", CFG_INT, offsetof (struct cfg_entry, retry_percent), "10",
     0, 100, NULL,
     "Requests sent to a second endpoint, as a share of a service's "
@@ -309,7 +313,7 @@
     "This VM and its place." },
   { "platform", false, keys_platform, 8, sizeof (struct cfg_platform),
     "The platform's services." },
-  { "entry", false, keys_entry, 21, sizeof (struct cfg_entry),
+  { "entry", false, keys_entry, 22, sizeof (struct cfg_entry),
     "Requests that come through a platform's balancer." },
   { "workspace", true, keys_workspace, 9, sizeof (struct cfg_workspace),
     "A customer of the system." },
--- a/settings_gen.h
+++ b/settings_gen.h
@@ -122,6 +122,9 @@
   bool plan_returns;  /* Whether refused callers are told to return when there
                          is room, and are then admitted before new ones of their
                          urgency. */
+  bool forward; /* Whether requests for a service of which this VM reaches no
+                   endpoint are forwarded to another VM, over the address of
+                   tell. */
   int64_t retry_percent; /* Requests sent to a second endpoint, as a share of a
                             service's requests. */
   int64_t retry_burst;   /* Such requests allowed before any were earned. */
