--- a/regress/fakesrv.c
+++ b/regress/fakesrv.c
@@ -306,11 +306,13 @@
 static void
 log_run (const struct in *in)
 {
-  static const char *const names[] = {
-    "X-Attempt-Id",       "X-Tenant",      "X-Cache-Salt",  "X-Expect-Version",
-    "X-Request-Priority", "Last-Event-Id", "Authorization", "X-Hold",
-    "X-Kv-Fetch",         "Expect",        "Content-Type"
-  };
+  static const char *const names[]
+      = { "X-Attempt-Id",       "X-Tenant",
+          "X-Cache-Salt",       "X-Expect-Version",
+          "X-Request-Priority", "Last-Event-Id",
+          "Authorization",      "X-Hold",
+          "X-Kv-Fetch",         "Expect",
+          "Content-Type",       "Camphorquay-Forwarded" };
   g_autoptr (GString) s = g_string_new (NULL);
   size_t i;
 
--- a/regress/partition.sh
+++ b/regress/partition.sh
@@ -135,5 +135,13 @@
 cat "$tmp"/[bc].log | grep -q "req=healed-$turn " || echo "a sends to the endpoints itself"
 no_repeats
 
-# A stranger without the VMs' key must get nothing by the path between VMs:
-# to be tested here once that path exists.
+echo "== a stranger without the VMs' key"
+# The fourth address that a VM listens at is the one for other VMs.
+between=$(sed -n 's/.*event=listen address=\([^ ]*\).*/\1/p' "$tmp/b.log" | sed -n 4p)
+for seal in x "$(head -c 92 /dev/urandom | base64 -w 0)"; do
+	front_s=$between
+	id=stranger ask s /safe/x -d x -H "Camphorquay-Forwarded: $seal"
+done
+id=stranger ask s /safe/x -d x
+id=named ask b /safe/x -d x -H "Camphorquay-Forwarded: x"
+echo "ran: $(runs 'Attempt-Id=stranger'), with the header: $(runs 'Camphorquay-Forwarded')"
--- a/regress/relayharness.c
+++ b/regress/relayharness.c
@@ -26,6 +26,21 @@
   return p;
 }
 
+static void *
+engine_forward (void *ctx, const struct relay_forward *f,
+                const struct relay_events *events, void *arg)
+{
+  struct harness *p = ctx;
+
+  g_assert_cmpstr (f->seal, ==, "seal");
+  g_strlcpy (p->vm[p->forwards % 4], f->address, FLEET_NAME_SIZE);
+  p->forwards++;
+  p->event = events;
+  p->arg = arg;
+  p->left_us = f->timeout_us;
+  return p;
+}
+
 static void
 engine_cancel (void *ctx, void *call)
 {
@@ -83,6 +98,32 @@
   return p->evidence_known;
 }
 
+static bool
+list_vms (void *arg, bool near, GArray *vms)
+{
+  struct harness *p = arg;
+  struct mirror_peer vm = { .link_mbit_s = 0 };
+  int i;
+
+  (void)near;
+  for (i = 0; i < p->vms; i++)
+    {
+      g_snprintf (vm.vm, sizeof vm.vm, "v%d", i);
+      g_snprintf (vm.address, sizeof vm.address, "a%d", i);
+      g_array_append_val (vms, vm);
+    }
+  return true;
+}
+
+static char *
+seal_forward (void *arg, const struct relay_desc *desc, int64_t now_us)
+{
+  (void)arg;
+  (void)desc;
+  (void)now_us;
+  return g_strdup ("seal");
+}
+
 /* --- simulated caller ------------------------------------------------ */
 
 static void
@@ -227,6 +268,10 @@
   o.engine.cancel = engine_cancel;
   o.engine.unpause = engine_unpause;
   o.engine.probe = engine_probe;
+  o.engine.forward = engine_forward;
+  o.list_vms = list_vms;
+  o.seal_forward = seal_forward;
+  o.forward_arg = p;
   o.engine.ctx = p;
   p->quar = quar_new (60000);
   p->evidence_known = true;
@@ -263,6 +308,19 @@
   p->relay = relay_start (p->relays, &p->desc, loop_now_us ());
 }
 
+void
+harness_fail_to_connect (struct harness *p)
+{
+  int forwards = p->forwards, sends;
+
+  do
+    {
+      sends = p->sends;
+      harness_end (p, false, false);
+    }
+  while (p->sends > sends && p->forwards == forwards);
+}
+
 void
 harness_free (struct harness *p)
 {
--- a/regress/relayharness.h
+++ b/regress/relayharness.h
@@ -37,6 +37,9 @@
   bool gone;                        /* the caller hung up */
   size_t untaken;                   /* bytes that the caller has not read */
   int unpauses;                     /* times that an attempt was unpaused */
+  int vms;                          /* other VMs, all of this failure domain */
+  int forwards;                     /* requests forwarded to them */
+  char vm[4][FLEET_NAME_SIZE];      /* addresses where each went */
   struct quar *quar;                /* evidence */
   bool evidence_known;              /* evidence of other VMs was read */
   int observed;                     /* times that this VM added evidence */
@@ -68,6 +71,8 @@
 void harness_list_endpoints (struct fleet *f, int n, int slots);
 /* The endpoint with this id, or NULL. */
 struct fleet_endpoint *harness_endpoint (struct harness *p, const char *id);
+/* End attempts without a connection until the request ends or is forwarded. */
+void harness_fail_to_connect (struct harness *p);
 /* The attempt must be stopped before its first byte, and a second endpoint
    answers instead. */
 void harness_expect_next_endpoint (struct harness *p);
--- a/regress/test-reach.c
+++ b/regress/test-reach.c
@@ -71,15 +71,11 @@
   g_assert_cmpint (n, <=, 13);
 }
 
-/* Start a request, no endpoint of which can be connected to. */
 static void
 fail_to_connect (struct harness *p)
 {
-  int before = p->sends, i;
-
   harness_start (p);
-  for (i = before; i < p->sends; i++)
-    harness_end (p, false, false);
+  harness_fail_to_connect (p);
 }
 
 /* Guards against a VM that finds its endpoints again only by requests that
--- a/regress/units.h
+++ b/regress/units.h
@@ -40,5 +40,6 @@
 extern const struct unit spread_units[];
 extern const struct unit health_units[];
 extern const struct unit reach_units[];
+extern const struct unit forward_units[];
 
 #endif
