Keep forwarded requests that are bound to regions in their failure domain

A request of a route or workspace with allowed regions was forwarded to any VM, so its prompt could have passed through a VM of another region. It is now forwarded within the failure domain only, where it already is.

--- a/regress/relayharness.c
+++ b/regress/relayharness.c
@@ -105,8 +105,7 @@
   struct mirror_peer vm = { .link_mbit_s = 0 };
   int i;
 
-  (void)near;
-  for (i = 0; i < p->vms; i++)
+  for (i = 0; i < (near ? p->near_vms : p->vms); i++)
     {
       g_snprintf (vm.vm, sizeof vm.vm, "v%d", i);
       g_snprintf (vm.address, sizeof vm.address, "a%d", i);
--- a/regress/relayharness.h
+++ b/regress/relayharness.h
@@ -37,7 +37,8 @@
   bool gone;                        /* the caller hung up */
   size_t untaken;                   /* bytes that the caller has not read */
   int unpauses;                     /* times that an attempt was unpaused */
-  int vms;                          /* other VMs, all of this failure domain */
+  int vms;                          /* other VMs */
+  int near_vms;                     /* of these in this failure domain */
   int forwards;                     /* requests forwarded to them */
   char vm[4][FLEET_NAME_SIZE];      /* addresses where each went */
   struct quar *quar;                /* evidence */
--- a/regress/test-forward.c
+++ b/regress/test-forward.c
@@ -194,6 +194,47 @@
   harness_free (p);
 }
 
+/* Guards against a request that leaves its failure domain though a VM of that
+   one could take it. */
+static void
+test_near (void)
+{
+  struct harness *p = harness_new (FLEET_AT_MOST_ONCE);
+
+  p->vms = 9;
+  p->near_vms = 1;
+  harness_start (p);
+  harness_fail_to_connect (p);
+  g_assert_cmpstr (p->vm[0], ==, "a0");
+  harness_end (p, false, false);
+  g_assert_cmpint (p->forwards, ==, 2);
+  g_assert_cmpstr (p->vm[1], !=, "a0");
+  harness_answer (p, "");
+  harness_free (p);
+}
+
+/* Guards against a request that is bound to regions and goes to a VM of
+   another one. */
+static void
+test_bound_to_regions (void)
+{
+  struct harness *p = forwarded (FLEET_AT_MOST_ONCE, 9);
+  char *regions[] = { (char *)"r", NULL };
+
+  harness_answer (p, "");
+  harness_route (p)->allowed_regions = regions;
+  harness_start (p);
+  g_assert_cmpint (p->forwards, ==, 1);
+  g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
+  p->near_vms = 1;
+  harness_start (p);
+  g_assert_cmpint (p->forwards, ==, 2);
+  g_assert_cmpstr (p->vm[1], ==, "a0");
+  harness_answer (p, "");
+  harness_route (p)->allowed_regions = NULL;
+  harness_free (p);
+}
+
 /* Guards against a key that was revoked and opens a way through another VM. */
 static void
 test_revoked (void)
@@ -298,6 +339,8 @@
   { "/forward/stream", test_stream },
   { "/forward/sent-before", test_sent_before },
   { "/forward/forwarded-once", test_forwarded_once },
+  { "/forward/near", test_near },
+  { "/forward/bound-to-regions", test_bound_to_regions },
   { "/forward/revoked", test_revoked },
   { "/forward/deadline", test_deadline },
   { "/forward/hang-up", test_hang_up },
--- a/relayforward.c
+++ b/relayforward.c
@@ -176,6 +176,22 @@
          && relayreach_is_isolated (r->rs->reach, r->service);
 }
 
+/* A request that is bound to regions stays in this failure domain. */
+static bool
+is_bound_to_regions (const struct relay *r)
+{
+  return r->route->allowed_regions != NULL
+         || (r->workspace != NULL && r->workspace->allowed_regions != NULL);
+}
+
+/* Choose the VM, if possible in this failure domain. */
+static bool
+choose_any (struct relay *r, struct mirror_peer *vm, int64_t now_us)
+{
+  return choose (r, true, vm, now_us)
+         || (!is_bound_to_regions (r) && choose (r, false, vm, now_us));
+}
+
 bool
 relay_forward (struct relay *r, const struct relay_events *events,
                int64_t now_us)
@@ -185,8 +201,7 @@
   g_autofree char *seal = NULL;
   struct mirror_peer vm;
 
-  if (!may_forward (r)
-      || (!choose (r, true, &vm, now_us) && !choose (r, false, &vm, now_us)))
+  if (!may_forward (r) || !choose_any (r, &vm, now_us))
     return false;
   seal = o->seal_forward (o->forward_arg, &r->desc, now_us);
   if (seal == NULL)
