Known red: an answer that is cut off in its head passes as complete

Callers see: an endpoint closes its connection in the middle of the head of its answer, after its seal. The caller gets status 200 with the seal and an empty body, framed as complete; a stream that such an answer was to resume is ended with its last chunk before its last event.

The platform's engine adapter takes "no error" for the end of a reply without a length, so the end of the message is again taken from something other than the message.

The stand-in gets cut_head and cut_head_resumed.

--- a/regress/fakesrv.c
+++ b/regress/fakesrv.c
@@ -16,6 +16,9 @@
  *   events       events of a stream; 0 answers with a whole body
  *   event_ms     pause between them
  *   break_after  so many streams break after two and a half events
+ *   cut_head     so many answers end with their connection in the middle of
+ *                their head, after the seal
+ *   cut_head_resumed  likewise of answers to requests that resume a stream
  *   status       of the answers
  *   status_resumed  of the answers to requests that resume a stream, which
  *                are no streams then
@@ -216,6 +219,15 @@
     put_text (in->fd, text);
 }
 
+static void
+cut_head (const struct in *in)
+{
+  g_autofree char *m = marks (in);
+  g_autofree char *text = g_strdup_printf ("HTTP/1.1 200 OK\r\n%s", m);
+
+  put_text (in->fd, text);
+}
+
 static void
 refuse (const struct in *in, int status)
 {
@@ -388,6 +400,11 @@
   if (fk_take ("drop"))
     return false;
   resumed = header (in, "Last-Event-Id");
+  if (fk_take (resumed != NULL ? "cut_head_resumed" : "cut_head"))
+    {
+      cut_head (in);
+      return false;
+    }
   if (resumed != NULL)
     status = (int)fk_number ("status_resumed", 0);
   if (fk_number ("events", 0) > 0 && status == 0)
