End a reply only after the whole of its head

Callers saw: an answer whose connection closed in the middle of its head came as status 200 with the endpoint's seal and an empty body, framed as complete, and ended a resumed stream with its last chunk before its last event.

Change: a transfer has no error only if the blank line after its reply's head arrived. The head of an interim reply no longer counts for that of the reply. The attempt then counts as broken, so it is repeated or resumed where that is allowed, and "unknown" otherwise.

--- a/regress/test-xfer.c
+++ b/regress/test-xfer.c
@@ -27,6 +27,7 @@
   int64_t late_us;     /* delay before the first byte */
   const char *head;    /* sent after the delay */
   int more;            /* number of single bytes sent after it */
+  bool closes;         /* it closes the connection then */
   struct loop *loop;   /* of the transfer */
   struct xfer_end end; /* as passed to on_end */
 };
@@ -48,7 +49,7 @@
       g_usleep (BYTE_INTERVAL_US);
       g_assert_cmpint (write (fd, "x", 1), ==, 1);
     }
-  while (read (fd, buf, sizeof buf) > 0)
+  while (!s->closes && read (fd, buf, sizeof buf) > 0)
     ;
   close (fd);
   return NULL;
@@ -349,12 +350,77 @@
   g_free (ps);
 }
 
+static struct xfer_end
+end_of_closed (const char *reply)
+{
+  struct server s = { .head = reply, .closes = true };
+
+  transfer (&s, 10000, 10000);
+  return s.end;
+}
+
+/* Guards against a reply that ends with its connection in the middle of its
+   head and is taken for a complete one. */
+static void
+test_cut_head (void)
+{
+  static const char *const cut[] = {
+    "HTTP/1.1 200 OK\r\n",
+    "HTTP/1.1 200 OK\r\nX-A: b\r\n",
+    "HTTP/1.1 200 OK\r\nX-A: b\r\nX-C",
+    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n",
+    "HTTP/1.1 204 No Content\r\nX-A: b\r\n",
+    "HTTP/1.1 100 Continue\r\n\r\n",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-A: b\r\n",
+  };
+  struct xfer_end end;
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (cut); i++)
+    {
+      end = end_of_closed (cut[i]);
+      g_assert_false (end.no_error);
+      g_assert_false (end.complete);
+    }
+}
+
+/* A whole head, and how far the body is delimited. */
+static void
+test_closed (void)
+{
+  struct xfer_end end = end_of_closed ("HTTP/1.1 200 OK\r\n\r\nbody");
+
+  g_assert_true (end.no_error);
+  g_assert_false (end.complete);
+  end = end_of_closed ("HTTP/1.1 100 Continue\r\n\r\n"
+                       "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody");
+  g_assert_true (end.no_error);
+  g_assert_true (end.complete);
+  end = end_of_closed ("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nbody");
+  g_assert_false (end.no_error);
+  end = end_of_closed ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                       "\r\n4\r\nbody\r\n");
+  g_assert_false (end.no_error);
+  end = end_of_closed ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                       "\r\n4\r\nbody\r\n0\r\n");
+  g_assert_false (end.no_error);
+  end = end_of_closed ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                       "\r\n");
+  g_assert_false (end.no_error);
+  end = end_of_closed ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                       "\r\n4\r\nbody\r\n0\r\n\r\n");
+  g_assert_true (end.complete);
+}
+
 const struct unit xfer_units[] = {
   { "/xfer/stalled", test_stalled },
   { "/xfer/silent", test_silent },
   { "/xfer/slow", test_slow },
   { "/xfer/connect-time", test_connect_time },
   { "/xfer/busy", test_busy },
+  { "/xfer/cut-head", test_cut_head },
+  { "/xfer/closed", test_closed },
   { "/xfer/many-kept", test_many_peers },
   { NULL, NULL },
 };
--- a/xfer.c
+++ b/xfer.c
@@ -51,6 +51,7 @@
   void *arg;                  /* passed to them */
   bool handed_over;           /* before_send let the request go out */
   bool stopped;               /* a callback stopped it */
+  bool has_head;              /* the reply's head arrived to its end */
   bool is_delimited;          /* the reply's headers say where it ends */
   bool stalled;           /* part of the reply came, then none for too long */
   bool timeout_suspected; /* a limit passed; sockets are read once more */
@@ -208,6 +209,12 @@
     arm_stall_timer (x);
 }
 
+static bool
+is_blank_line (const char *line, size_t len)
+{
+  return len > 0 && (line[0] == '\r' || line[0] == '\n');
+}
+
 static size_t
 on_header_line (char *line, size_t size, size_t count, void *arg)
 {
@@ -215,6 +222,14 @@
   size_t len = size * count;
 
   record_byte (x);
+  /* The head of an interim (1xx) reply may precede that of the reply. */
+  if (starts_with (line, len, "HTTP/"))
+    {
+      x->has_head = false;
+      x->is_delimited = false;
+    }
+  else if (is_blank_line (line, len))
+    x->has_head = true;
   if (starts_with (line, len, "content-length:")
       || starts_with (line, len, "transfer-encoding:"))
     x->is_delimited = true;
@@ -299,11 +314,12 @@
   /*
    * A reply that is delimited only by the close of the connection looks
    * complete even when its sender died in the middle, so it does not count as
-   * complete.
+   * complete.  libcurl reports no error if that close comes in the head.
    */
-  end.no_error = code == CURLE_OK;
+  end.no_error = code == CURLE_OK && x->has_head;
   end.complete = end.no_error && x->is_delimited;
-  end.error = code == CURLE_OK   ? ""
+  end.error = end.no_error       ? ""
+              : code == CURLE_OK ? "connection closed in the reply's head"
               : x->error[0] != 0 ? x->error
                                  : curl_easy_strerror (code);
   curl_multi_remove_handle (x->pool->multi, x->easy);
--- a/xfer.h
+++ b/xfer.h
@@ -24,7 +24,7 @@
 {
   bool handed_over; /* before_send let the request go out */
   bool complete;    /* the whole reply arrived, and its headers delimit it */
-  bool no_error;    /* no error; a close may have delimited the reply */
+  bool no_error;    /* no error; a close may have delimited the reply's body */
   bool stopped;     /* by before_send or on_body */
   bool connection_refused; /* nothing listens at the address */
   bool stalled;            /* part of the reply came, then none for too long */
