Known red: an error that broke off passes as complete in the job path

Callers see: a repeatable call whose last attempt is answered 500, and whose answer breaks off in the middle of its body, is answered 500 with the bytes that came, framed as complete.

Cause: jobreply.c takes status 500 or more for a complete answer of the endpoint. The verdict of the attempt, which is that it broke, is not asked.

Evidence: regress/cuterror; the first 10 bytes of a body of 1,000 reach the caller with status 500 and curl's exit code 0.

The stand-in's answers that break off get the status of its failures.

--- a/regress/fakeplain.c
+++ b/regress/fakeplain.c
@@ -64,7 +64,8 @@
 {
   struct MHD_Response *p
       = MHD_create_response_from_callback (1000, 1024, cut_reader, NULL, NULL);
-  enum MHD_Result done = MHD_queue_response (r->conn, 200, p);
+  enum MHD_Result done
+      = MHD_queue_response (r->conn, (unsigned)fk_number ("fail", 200), p);
 
   MHD_destroy_response (p);
   return done;
