Pass an endpoint's error on only if it arrived to its end

Callers saw: a repeatable call whose last attempt was answered 500, and whose answer broke off, was answered 500 with the bytes that came, framed as complete.

Cause: the reply of a failed job was taken from its status, not from whether the answer had arrived.

Change: the job remembers whether its last attempt's answer arrived to its end. An answer that broke off is replaced by attempts_spent (502); a whole error is passed on as before. Recorded answers of claims are whole, as only complete errors are recorded as failed.

--- a/attempt.c
+++ b/attempt.c
@@ -341,6 +341,7 @@
   struct out_verdict v;
 
   v = evaluate_with_budget (j, sent);
+  j->answer_whole = sent == SEND_COMPLETE || sent == SEND_REFUSED;
   if (sent != SEND_NONE && sent != SEND_REFUSED)
     j->may_have_run = true;
   job_log (j, "attempt_end",
@@ -399,6 +400,7 @@
   if (j->answer == NULL)
     j->answer = g_string_new (NULL);
   g_string_truncate (j->answer, 0);
+  j->answer_whole = false;
   if (j->is_model)
     strm_start_attempt (&j->strm, j->attempts);
   build_request (j);
--- a/jobclaim.c
+++ b/jobclaim.c
@@ -259,6 +259,7 @@
 finish_replay (struct job *j)
 {
   met_add (MET_CLAIM_REPLAYS, 1);
+  j->answer_whole = true;
   j->callbacks->finish (j, j->outcome, j->reason);
 }
 
--- a/jobreply.c
+++ b/jobreply.c
@@ -49,7 +49,7 @@
 {
   if (outcome == OUT_ANSWERED)
     return true;
-  return outcome == OUT_FAILED && j->answer != NULL && j->status >= 500
+  return outcome == OUT_FAILED && j->answer_whole && j->status >= 500
          && j->stop_reason == NULL;
 }
 
--- a/libserver.h
+++ b/libserver.h
@@ -441,6 +441,7 @@
   int status;                         /* HTTP status of the attempt's reply */
   char answer_type[80];               /* content type of the reply */
   GString *answer;                    /* reply body received so far */
+  bool answer_whole;                  /* the reply arrived to its end */
   bool streaming;                     /* the reply is an event stream */
   struct strm strm;                   /* state of the stream across attempts */
   bool stream_begun;          /* part of the stream was sent to the caller */
