Known red: a stream is taken for a broken one after its end mark

Callers see, on the product's own interface: all tokens and the end mark, then an error event, and no last chunk. The endpoint runs the prompt a second time. It happens if an engine closes its connection after the end mark without a last chunk, and with each stream of an engine that streams without a length.

Cause: whether a stream is complete was taken from how its connection ended, also where its end mark had arrived.

The stand-in engine gets break_at_end and unframed.

--- a/regress/fakeeng.c
+++ b/regress/fakeeng.c
@@ -14,6 +14,8 @@
  *   break_after           streams break after so many tokens, while
  *   breaks                so many streams are left to break
  *   break_resumed         whether resumed streams break and hang too
+ *   break_at_end          whether streams break after their end mark
+ *   unframed              streams have no length and end with their connection
  *   status_resumed        HTTP status of the answers to resumed requests
  *   hang_after            streams stop moving after so many tokens, while
  *   hangs                 so many are left
@@ -174,6 +176,8 @@
   g_autofree char *event = NULL;
 
   (void)pos;
+  if (run->ended && fk_number ("break_at_end", 0))
+    return MHD_CONTENT_READER_END_WITH_ERROR;
   if (run->ended)
     return MHD_CONTENT_READER_END_OF_STREAM;
   if (run->next == run->max)
@@ -215,6 +219,9 @@
       MHD_SIZE_UNKNOWN, 4096, read_stream, run, NULL);
   enum MHD_Result done;
 
+  if (fk_number ("unframed", 0))
+    MHD_set_response_options (p, MHD_RF_HTTP_1_0_COMPATIBLE_STRICT,
+                              MHD_RO_END);
   MHD_add_response_header (p, "Content-Type", "text/event-stream");
   done = MHD_queue_response (r->conn, 200, p);
   MHD_destroy_response (p);
