Reset the connection of a broken stream of HTTP/1.0

Callers saw: with HTTP/1.0, the connection of a broken stream ended in order, as that of a complete one does.

Cause: a broken stream is told by the missing last chunk, and replies of HTTP/1.0 have none; libmicrohttpd shuts the connection down in order also after an error.

Evidence: regress/streamcut failed on the code before, on both interfaces.

Change: before the daemon closes the connection of a broken stream without chunks, its association is dissolved, which resets it. SO_LINGER would come too late, since the daemon sends the end of the connection before it closes it.

streamcut, streams, hangup, stop, entry, resumeerror, cuterror and cuthead pass; 372 unit tests pass.

--- a/httpserver.c
+++ b/httpserver.c
@@ -138,6 +138,22 @@
   return (ssize_t)n;
 }
 
+/*
+ * A caller of HTTP/1.0 reads a stream up to the end of the connection, so only
+ * a reset tells it that the stream is broken.  The daemon would end the
+ * connection in order; dissolving its association resets it.
+ */
+static void
+reset_connection (struct req *r)
+{
+  const union MHD_ConnectionInfo *info
+      = MHD_get_connection_info (r->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+  const struct sockaddr none = { .sa_family = AF_UNSPEC };
+
+  if (info != NULL)
+    connect (info->connect_fd, &none, sizeof none);
+}
+
 static ssize_t
 read_stream (void *arg, uint64_t pos, char *to, size_t max)
 {
@@ -156,6 +172,8 @@
   if (r->out_aborted)
     {
       met_add (MET_STREAMS_BROKEN, r->is_disconnected ? 0 : 1);
+      if (!r->out_chunked)
+        reset_connection (r);
       return MHD_CONTENT_READER_END_WITH_ERROR;
     }
   if (r->out_ended)
@@ -430,7 +448,7 @@
   struct req *r = *con_cls;
 
   (void)arg;
-  (void)version;
+  r->out_chunked = strcmp (version, MHD_HTTP_VERSION_1_0) != 0;
   if (!r->head_seen)
     return on_head (r, url, method);
   if (*len > 0)
--- a/libserver.h
+++ b/libserver.h
@@ -261,6 +261,7 @@
   size_t out_used;                /* bytes of out already written */
   bool out_ended;                 /* the stream has ended */
   bool out_aborted;               /* close the stream without its last chunk */
+  bool out_chunked;               /* the caller reads chunked replies */
   struct job *job;                /* job that runs the request, or NULL */
 };
 
