Take a stream for complete by its end mark

Callers saw, on the product's own interface: all tokens and the end mark, then an error event and no last chunk, and their prompt ran twice.

Cause: whether a stream is complete was taken from how its connection ended, also where its end mark had arrived.

Evidence: regress/endmark failed on the code before.

Change: an attempt whose stream has had its end mark is complete, however its connection ends or stalls; without the mark it is broken, as before.

--- a/attempt.c
+++ b/attempt.c
@@ -230,6 +230,7 @@
   return strcmp (version, j->service_cfg->version) == 0;
 }
 
+/* A stream is complete with its end mark, however its connection ends. */
 static enum send_state
 attempt_send_state (struct job *j, const struct xfer_end *end)
 {
@@ -237,10 +238,11 @@
     return SEND_NONE;
   if (end->status == 0)
     return SEND_PARTIAL;
+  if (j->streaming && j->strm.ended)
+    return SEND_COMPLETE;
   if (end->complete && is_refusal_status (j, end->status))
     return SEND_REFUSED;
-  if (!end->complete || (j->streaming && !j->strm.ended)
-      || !is_version_expected (j))
+  if (!end->complete || j->streaming || !is_version_expected (j))
     return SEND_REPLIED;
   return SEND_COMPLETE;
 }
@@ -440,6 +442,8 @@
 
   if (!j->handed_over)
     sent = SEND_NONE;
+  else if (j->streaming && j->strm.ended)
+    sent = SEND_COMPLETE;
   else if (j->status != 0)
     sent = SEND_REPLIED;
   attempt_stop (j);
