Keep crash evidence when a resumed stream is answered with an error

Callers would see: a request that crashes endpoints in the middle of its stream is not held back as early as it could be. The endpoint that was to resume it answers 404 or 202, and the evidence of its crashes so far is dropped, here and at other VMs.

Cause: a complete answer below 500 counted as a run to the end, also where it was not the rest of the stream.

Evidence: /relay/resume-refused failed on the code before: one known crash, none after a resumed attempt that was answered 404.

Change: once the caller has part of a stream, only the rest of it counts as a run to the end.

--- a/regress/test-relayquar.c
+++ b/regress/test-relayquar.c
@@ -166,6 +166,33 @@
   harness_free (p);
 }
 
+/* Guards against evidence that is dropped since the attempt that resumes a
+   stream got a complete answer which is not the rest of it. */
+static void
+test_resume_refused (void)
+{
+  struct harness *p = harness_new (FLEET_STREAM);
+  struct reqid id;
+
+  add_crashes (p, "ws", 1);
+  reqid_of (&p->desc, "ws", &id);
+  harness_start (p);
+  g_assert_true (p->event->before_send (p->arg));
+  harness_head (p, 200);
+  harness_body (p, "id: 1\ndata: a\n\n");
+  harness_end (p, true, false);
+  g_assert_cmpint (p->sends, ==, 2);
+  g_assert_true (p->event->before_send (p->arg));
+  harness_head (p, 404);
+  harness_end (p, true, true);
+  g_assert_cmpint (p->ended, ==, 0);
+  g_assert_true (quar_has_crashes (p->quar, &id));
+  harness_run (p, 1000);
+  p->probe (p->probe_arg, RELAY_PROBE_ALIVE, NULL);
+  harness_run (p, 1200000);
+  harness_free (p);
+}
+
 /* A VM that starts has not read the evidence of the others yet: it answers
    "not run". */
 static void
@@ -297,6 +324,7 @@
   { "/relay/suspect-alone", test_suspect_alone },
   { "/relay/suspect-before-send", test_suspect_before_send },
   { "/relay/suspect-answered", test_suspect_answered },
+  { "/relay/resume-refused", test_resume_refused },
   { "/relay/evidence-unknown", test_evidence_unknown },
   { "/relay/broken-endpoint-probed", test_broken_endpoint_probed },
   { "/relay/probed-again", test_probed_again },
--- a/relayquar.c
+++ b/relayquar.c
@@ -96,12 +96,14 @@
   return hold;
 }
 
-/* Whether the request ran to its end.  An endpoint that refuses a request, or
-   drops it from its queue, does not show what a run would have done. */
+/* Whether the request ran to its end.  An endpoint that refuses a request or
+   the rest of a stream, or drops it from its queue, does not show what a run
+   would have done. */
 static bool
 has_run_whole (const struct relay *r, enum send_state sent)
 {
-  return sent == SEND_COMPLETE && r->stop_reason == NULL && r->status < 500;
+  return sent == SEND_COMPLETE && r->stop_reason == NULL && r->status < 500
+         && (r->streaming || !r->stream_begun);
 }
 
 static void
