End open requests before a VM stops

Callers saw: a stream that was open when a stop no longer waited was cut off without an error event; to a caller of HTTP/1.0 it looked complete. The VM exited with 134, and the last lines of its log were lost.

Cause: the listeners were closed while requests were suspended, and libmicrohttpd aborts then.

Evidence: regress/stoplimit failed on the code before.

Change: when a stop no longer waits, each worker ends its requests, before the time in which the last replies leave: streams as broken, others as not run only if no attempt can have run. A request that is scheduled after that is refused.

stoplimit, stop, streams, hangup, claims and atmostonce pass; 373 unit tests pass.

--- a/entry.c
+++ b/entry.c
@@ -663,6 +663,12 @@
   loop_disarm (&e->sweep_timer);
 }
 
+void
+entry_stop_requests (struct entry *e)
+{
+  relays_stop (e->relays, loop_now_us ());
+}
+
 void
 entry_close_listeners (struct entry *e)
 {
--- a/entry.h
+++ b/entry.h
@@ -52,6 +52,8 @@
 void entry_prepare_stop (struct entry *e);
 /* On W's thread: start no more calls to the platform. */
 void entry_stop (struct entry *e);
+/* End the requests of callers that are still open. */
+void entry_stop_requests (struct entry *e);
 /* On W's thread, at the end of the thread. */
 void entry_close_listeners (struct entry *e);
 void entry_free (struct entry *e);
--- a/job.c
+++ b/job.c
@@ -305,7 +305,9 @@
 static void
 on_slot_taken (struct job *j)
 {
-  if (jobclaim_is_needed (j))
+  if (server_phase (j->worker->server) >= PHASE_STOPPED)
+    refuse (j, "stopping", CQ_US_PER_S);
+  else if (jobclaim_is_needed (j))
     jobclaim_start (j);
   else
     attempt_start (j);
@@ -349,6 +351,47 @@
     }
 }
 
+/* --- stop ------------------------------------------------------------ */
+
+static void
+stop_job (struct job *j)
+{
+  switch (j->state)
+    {
+    case JOB_QUEUED:
+      if (jobsched_cancel (j))
+        refuse (j, "stopping", CQ_US_PER_S);
+      break;
+    case JOB_RUNNING:
+      j->may_have_run |= j->handed_over;
+      refuse (j, "stopping", CQ_US_PER_S);
+      break;
+    case JOB_RECORDING:
+      finish (j, j->outcome, j->reason, 0);
+      break;
+    case JOB_CLAIMING:
+    case JOB_WAITING_FOR_OWNER:
+      finish (j, OUT_UNKNOWN, "stopping", 0);
+      break;
+    case JOB_DONE:
+      break;
+    }
+}
+
+/* Ends all jobs of a worker, since the VM stops: streams as broken. */
+void
+job_stop_all (struct worker *w)
+{
+  struct job *j, *next;
+
+  for (j = APR_RING_FIRST (&w->jobs);
+       j != APR_RING_SENTINEL (&w->jobs, job, link); j = next)
+    {
+      next = APR_RING_NEXT (j, link);
+      stop_job (j);
+    }
+}
+
 /* --- sweep ----------------------------------------------------------- */
 
 static void
--- a/libserver.h
+++ b/libserver.h
@@ -87,6 +87,7 @@
   APR_RING_HEAD (job_list, job) jobs; /* live jobs */
   int njobs;                          /* entries in jobs */
   struct loop_timer sweep_timer;      /* runs job_sweep while there are jobs */
+  struct loop_msg stop_requests_msg;  /* posted to end all requests */
   struct loop_msg stop_msg;           /* posted to end the loop */
 };
 
@@ -477,6 +478,7 @@
 void job_caller_disconnected (struct job *j);
 void job_drained (struct job *j);
 void job_sweep (struct worker *w, int64_t now_us);
+void job_stop_all (struct worker *w);
 
 /* Logging and memory of jobs (joblog.c). */
 void job_log (struct job *j, const char *event, const char *fmt, ...)
--- a/relay.c
+++ b/relay.c
@@ -341,6 +341,37 @@
   g_free (rs);
 }
 
+static void
+stop_request (struct relay *r, int64_t now_us)
+{
+  const struct relay_engine *e = &r->rs->opts.engine;
+  bool ran = relay_state_is_handed_over (r->state) || r->may_have_run;
+
+  if (!relay_apply_event (r, RELAY_WITHDRAW))
+    {
+      relay_abort (r, now_us);
+      return;
+    }
+  if (r->call != NULL)
+    e->cancel (e->ctx, r->call);
+  r->call = NULL;
+  relay_give_up (r, out_abandoned (ran, relay_is_repeatable (r)), "stopping",
+                 RETRY_AFTER_FAILURE_US, now_us);
+}
+
+void
+relays_stop (struct relays *rs, int64_t now_us)
+{
+  struct relay *r, *next;
+
+  for (r = APR_RING_FIRST (&rs->all);
+       r != APR_RING_SENTINEL (&rs->all, relay, link); r = next)
+    {
+      next = APR_RING_NEXT (r, link);
+      stop_request (r, now_us);
+    }
+}
+
 int
 relays_count (const struct relays *rs)
 {
--- a/relay.h
+++ b/relay.h
@@ -230,6 +230,8 @@
 void relays_free (struct relays *rs);
 /* Number of live requests. */
 int relays_count (const struct relays *rs);
+/* End all requests, since the VM stops: streams as broken. */
+void relays_stop (struct relays *rs, int64_t now_us);
 /* Fill in WORD the work that the requests of RELAYS, a struct relays, have at
    endpoints. */
 void relays_collect_load (void *relays, struct load_gossip *word);
--- a/srv.c
+++ b/srv.c
@@ -152,6 +152,31 @@
     member_stop (s->member);
 }
 
+/* The daemon of a listener must not be stopped while requests are suspended,
+   and callers must get the end of their replies before. */
+static void
+stop_requests (void *arg)
+{
+  struct worker *w = arg;
+
+  job_stop_all (w);
+  if (w->index == 0 && w->server->entry != NULL)
+    entry_stop_requests (w->server->entry);
+}
+
+static void
+post_stop_requests (struct server *s)
+{
+  int i;
+
+  for (i = 0; i < s->nworkers; i++)
+    {
+      s->workers[i].stop_requests_msg.run = stop_requests;
+      s->workers[i].stop_requests_msg.arg = &s->workers[i];
+      loop_post (s->workers[i].loop, &s->workers[i].stop_requests_msg);
+    }
+}
+
 static bool
 is_quiet (struct server *s)
 {
@@ -219,6 +244,7 @@
   wait_for_jobs (s, limit_s);
   server_set_phase (s, PHASE_STOPPED);
   post_first (s, &stopping, stop_asking);
+  post_stop_requests (s);
   sleep_ms (LINGER_MS);
   wait_until_quiet (s);
   stop_workers (s);
