--- a/attempt.c
+++ b/attempt.c
@@ -230,6 +230,7 @@
   return strcmp (version, j->service_cfg->version) == 0;
 }
 
+/* A stream is complete with its end mark, however its connection ends. */
 static enum send_state
 attempt_send_state (struct job *j, const struct xfer_end *end)
 {
@@ -237,10 +238,11 @@
     return SEND_NONE;
   if (end->status == 0)
     return SEND_PARTIAL;
+  if (j->streaming && j->strm.ended)
+    return SEND_COMPLETE;
   if (end->complete && is_refusal_status (j, end->status))
     return SEND_REFUSED;
-  if (!end->complete || (j->streaming && !j->strm.ended)
-      || !is_version_expected (j))
+  if (!end->complete || j->streaming || !is_version_expected (j))
     return SEND_REPLIED;
   return SEND_COMPLETE;
 }
@@ -341,6 +343,7 @@
   struct out_verdict v;
 
   v = evaluate_with_budget (j, sent);
+  j->answer_whole = sent == SEND_COMPLETE || sent == SEND_REFUSED;
   if (sent != SEND_NONE && sent != SEND_REFUSED)
     j->may_have_run = true;
   job_log (j, "attempt_end",
@@ -399,6 +402,7 @@
   if (j->answer == NULL)
     j->answer = g_string_new (NULL);
   g_string_truncate (j->answer, 0);
+  j->answer_whole = false;
   if (j->is_model)
     strm_start_attempt (&j->strm, j->attempts);
   build_request (j);
@@ -438,6 +442,8 @@
 
   if (!j->handed_over)
     sent = SEND_NONE;
+  else if (j->streaming && j->strm.ended)
+    sent = SEND_COMPLETE;
   else if (j->status != 0)
     sent = SEND_REPLIED;
   attempt_stop (j);
--- a/libserver.h
+++ b/libserver.h
@@ -87,6 +87,7 @@
   APR_RING_HEAD (job_list, job) jobs; /* live jobs */
   int njobs;                          /* entries in jobs */
   struct loop_timer sweep_timer;      /* runs job_sweep while there are jobs */
+  struct loop_msg stop_requests_msg;  /* posted to end all requests */
   struct loop_msg stop_msg;           /* posted to end the loop */
 };
 
@@ -263,6 +264,7 @@
   size_t out_used;               /* bytes of out already written */
   bool out_ended;                /* the stream has ended */
   bool out_aborted;              /* close the stream without its last chunk */
+  bool out_chunked;              /* the caller reads chunked replies */
   struct job *job;               /* job that runs the request, or NULL */
 };
 
@@ -443,6 +445,7 @@
   int status;                         /* HTTP status of the attempt's reply */
   char answer_type[80];               /* content type of the reply */
   GString *answer;                    /* reply body received so far */
+  bool answer_whole;                  /* the reply arrived to its end */
   bool streaming;                     /* the reply is an event stream */
   struct strm strm;                   /* state of the stream across attempts */
   bool stream_begun;          /* part of the stream was sent to the caller */
@@ -477,6 +480,7 @@
 void job_caller_disconnected (struct job *j);
 void job_drained (struct job *j);
 void job_sweep (struct worker *w, int64_t now_us);
+void job_stop_all (struct worker *w);
 
 /* Logging and memory of jobs (joblog.c). */
 void job_log (struct job *j, const char *event, const char *fmt, ...)
