Known red: an answer of another type ends a resumed stream as complete

Callers would see: part of a stream, then the body of another answer if that has a blank line, and the last chunk.

Cause: on the platform's interface each answer with status 200 on a streaming route counts as the rest of the stream. The product's own interface asks for the type of an event stream.

The stand-in gets the body of answers to resumed requests.

--- a/regress/fakesrv.c
+++ b/regress/fakesrv.c
@@ -22,6 +22,7 @@
  *   status       of the answers
  *   status_resumed  of the answers to requests that resume a stream, which
  *                are no streams then
+ *   text_resumed body of these answers
  *   silent       read requests and never answer
  *   crash_on     the process dies under a run whose body holds this text
  *   late_order   so many orders get no answer and are carried out later
@@ -364,6 +365,7 @@
   g_autofree char *expected = header (in, "X-Expect-Instance");
   g_autofree char *id = fk_string ("id", "");
   g_autofree char *resumed = NULL;
+  g_autofree char *ran = NULL;
   g_autofree char *text = NULL;
   int status = 0;
 
@@ -409,7 +411,8 @@
     status = (int)fk_number ("status_resumed", 0);
   if (fk_number ("events", 0) > 0 && status == 0)
     return stream (in);
-  text = g_strdup_printf ("%s ran %s %s", id, in->target, in->body->str);
+  ran = g_strdup_printf ("%s ran %s %s", id, in->target, in->body->str);
+  text = status != 0 ? fk_string ("text_resumed", ran) : g_strdup (ran);
   answer (in, status != 0 ? status : (int)fk_number ("status", 200), text);
   return !fk_number ("unframed", 0) && !fk_number ("close_after", 0);
 }
