Resume a stream only with a stream of its type

Callers would see: part of a stream, the body of another answer, the last chunk.

Cause: each answer with status 200 on a streaming route counted as the rest of the stream.

Evidence: regress/resumeother failed on the code before.

Change: once the caller has part of a stream, an answer of another media type is no stream. It is not forwarded, and leaves the stream broken. A stream's first head is taken as before, whatever its type.

resumeother, resumeerror, cuthead, streams, streamcut, entry, hangup and soak pass; 373 unit tests pass.

--- a/relayend.c
+++ b/relayend.c
@@ -86,6 +86,7 @@
   sse_clear (&r->events);
   g_string_free (r->answer, TRUE);
   g_strfreev (r->lines);
+  g_free (r->stream_type);
   fleet_conf_unref (r->conf);
   g_free (r);
 }
--- a/relaytry.c
+++ b/relaytry.c
@@ -179,6 +179,38 @@
     speed_add (&r->endpoint->speed, head->speed_percent, now_us);
 }
 
+/* The media type without parameters, "" if the head names none. */
+static char *
+media_type (char **lines)
+{
+  static const char name[] = "Content-Type:";
+  size_t n = strlen (name);
+  const char *value;
+
+  for (; lines != NULL && *lines != NULL; lines++)
+    if (g_ascii_strncasecmp (*lines, name, n) == 0)
+      {
+        value = *lines + n;
+        return g_strstrip (g_strndup (value, strcspn (value, ";")));
+      }
+  return g_strdup ("");
+}
+
+/* Whether the head is that of a stream, and of the one that the caller has a
+   part of. */
+static bool
+is_stream (const struct relay *r, const struct relay_head *head)
+{
+  g_autofree char *type = NULL;
+
+  if (r->route->kind != FLEET_STREAM || head->status != 200)
+    return false;
+  if (!r->stream_begun)
+    return true;
+  type = media_type (head->lines);
+  return g_ascii_strcasecmp (type, r->stream_type) == 0;
+}
+
 static bool
 on_head (void *arg, const struct relay_head *head)
 {
@@ -216,7 +248,7 @@
       r->stop_reason = "not_genuine";
       return false;
     }
-  r->streaming = r->route->kind == FLEET_STREAM && head->status == 200;
+  r->streaming = is_stream (r, head);
   g_strfreev (r->lines);
   r->lines = g_strdupv (head->lines);
   return true;
@@ -250,6 +282,7 @@
   if (!r->stream_begun)
     {
       r->stream_begun = true;
+      r->stream_type = media_type (r->lines);
       r->reply = RELAY_REPLY_STREAM;
       r->first_chunk_us = loop_now_us ();
       pick_learn_prefill_rate (r->rs->opts.fleet, r->endpoint,
