--- a/librelay.h
+++ b/librelay.h
@@ -132,6 +132,7 @@
   bool is_prefilling;      /* the endpoint still processes its prompt */
   bool is_long_prompt;     /* its work is reported to other VMs */
   bool may_have_run;       /* an earlier attempt may have run */
+  char *stream_type; /* media type of the stream, NULL before it begins */
   bool stream_begun; /* the caller has got the head and part of a stream */
   enum relay_reply reply; /* what the caller has got */
   bool paused;            /* the attempt waits for a slow reader */
@@ -216,6 +217,9 @@
 const char *relay_send_obstacle (struct relay *r, int64_t now_us);
 /* The first byte of an attempt leaves now. */
 void relay_handed_over (struct relay *r, int64_t now_us);
+/* Whether HEAD is that of a stream, and of the one that R's caller has a part
+   of. */
+bool relay_is_stream (const struct relay *r, const struct relay_head *head);
 /* Body bytes of an attempt's answer arrived; ARG is its request. */
 enum relay_body_result relay_on_body (void *arg, const char *data, size_t len);
 /* How far an attempt got that ends now, its answer complete if WHOLE. */
--- a/relayattempt.c
+++ b/relayattempt.c
@@ -1,6 +1,8 @@
 /* The relay: what attempts at endpoints and at other VMs have in common. */
 #include "librelay.h"
 
+#include <string.h>
+
 #include "log.h"
 #include "met.h"
 
@@ -70,6 +72,36 @@
 
 /* --- answer ---------------------------------------------------------- */
 
+/* The media type without parameters, "" if the head names none. */
+static char *
+media_type (char **lines)
+{
+  static const char name[] = "Content-Type:";
+  size_t n = strlen (name);
+  const char *value;
+
+  for (; lines != NULL && *lines != NULL; lines++)
+    if (g_ascii_strncasecmp (*lines, name, n) == 0)
+      {
+        value = *lines + n;
+        return g_strstrip (g_strndup (value, strcspn (value, ";")));
+      }
+  return g_strdup ("");
+}
+
+bool
+relay_is_stream (const struct relay *r, const struct relay_head *head)
+{
+  g_autofree char *type = NULL;
+
+  if (r->route->kind != FLEET_STREAM || head->status != 200)
+    return false;
+  if (!r->stream_begun)
+    return true;
+  type = media_type (head->lines);
+  return g_ascii_strcasecmp (type, r->stream_type) == 0;
+}
+
 /* A pause across two attempts says nothing of either endpoint. */
 static void
 record_pause (struct relay *r, int64_t now_us)
@@ -115,6 +147,7 @@
   if (!r->stream_begun)
     {
       r->stream_begun = true;
+      r->stream_type = media_type (r->lines);
       r->reply = RELAY_REPLY_STREAM;
       r->first_chunk_us = loop_now_us ();
       met_observe (MET_FIRST_TOKEN, r->first_chunk_us - r->arrived_us);
--- a/relayforward.c
+++ b/relayforward.c
@@ -121,7 +121,7 @@
       r->stop_reason = "vm_failed";
       return false;
     }
-  r->streaming = r->route->kind == FLEET_STREAM && head->status == 200;
+  r->streaming = relay_is_stream (r, head);
   g_strfreev (r->lines);
   r->lines = g_strdupv (head->lines);
   return true;
--- a/relaytry.c
+++ b/relaytry.c
@@ -190,7 +190,7 @@
       r->stop_reason = "not_genuine";
       return false;
     }
-  r->streaming = r->route->kind == FLEET_STREAM && head->status == 200;
+  r->streaming = relay_is_stream (r, head);
   g_strfreev (r->lines);
   r->lines = g_strdupv (head->lines);
   return true;
