Refuse a request of no VM before its body is read

At the address for other VMs a request's seal was checked once its body was whole, so a stranger could have filled the memory for bodies. That a VM made the seal, a short time ago, is now checked at the request's head; that it is the seal of this request is checked as before.

The part of partition on strangers fails on the code before (100 Continue in place of 403).

--- a/entry.h
+++ b/entry.h
@@ -19,7 +19,8 @@
 {
   struct relays *relays; /* relays requests to endpoints */
   struct fleet *fleet;   /* holds the limits in force */
-  /* Whether SEAL proves that another VM forwarded D. */
+  /* Whether SEAL proves that another VM forwarded D; with D NULL, a request
+     whose body was not read yet. */
   bool (*accept_forward) (void *arg, const struct relay_desc *d,
                           const char *seal, int64_t now_us);
   void *forward_arg; /* for accept_forward */
--- a/forwardseal.c
+++ b/forwardseal.c
@@ -79,11 +79,14 @@
     return false;
   memcpy (&at_ms, plain->data, sizeof at_ms);
   at_ms = GINT64_FROM_BE (at_ms);
-  digest (d, expected);
-  valid = ABS (now_ms - at_ms) <= SEAL_AGE_MAX_MS
-          && sodium_memcmp (plain->data + sizeof at_ms, expected,
-                            sizeof expected)
-                 == 0;
+  valid = ABS (now_ms - at_ms) <= SEAL_AGE_MAX_MS;
+  if (valid && d != NULL)
+    {
+      digest (d, expected);
+      valid = sodium_memcmp (plain->data + sizeof at_ms, expected,
+                             sizeof expected)
+              == 0;
+    }
   g_byte_array_unref (plain);
   return valid;
 }
--- a/forwardseal.h
+++ b/forwardseal.h
@@ -17,7 +17,7 @@
 char *forwardseal_make (const struct relay_desc *d, int64_t now_ms,
                         const uint8_t *key);
 /* Whether TEXT, as received, is the seal of D under KEY, made a short time
-   before NOW_MS. */
+   before NOW_MS; with D NULL, whether it is such a seal of any request. */
 bool forwardseal_check (const struct relay_desc *d, const char *text,
                         int64_t now_ms, const uint8_t *key);
 
--- a/regress/partition.sh
+++ b/regress/partition.sh
@@ -143,5 +143,9 @@
 	id=stranger ask s /safe/x -d x -H "Camphorquay-Forwarded: $seal"
 done
 id=stranger ask s /safe/x -d x
+# A body beyond what is read of a stranger.
+head -c 19000 /dev/zero >"$tmp/zeros"
+id=stranger ask s /safe/x --data-binary "@$tmp/zeros" -H "Camphorquay-Forwarded: x" -H "Expect: 100-continue" --expect100-timeout 20
+echo "body sent: $(sed -n '1s/\r$//p' "$tmp/head")"
 id=named ask b /safe/x -d x -H "Camphorquay-Forwarded: x"
 echo "ran: $(runs 'Attempt-Id=stranger'), with the header: $(runs 'Camphorquay-Forwarded')"
--- a/regress/test-forward.c
+++ b/regress/test-forward.c
@@ -301,6 +301,10 @@
   seal = forwardseal_make (&d, 100000, key);
   g_assert_true (forwardseal_check (&d, seal, 100000, key));
   g_assert_true (forwardseal_check (&d, seal, 104000, key));
+  g_assert_true (forwardseal_check (NULL, seal, 100000, key));
+  g_assert_false (forwardseal_check (NULL, seal, 106000, key));
+  g_assert_false (forwardseal_check (NULL, seal, 100000, other));
+  g_assert_false (forwardseal_check (NULL, "x", 100000, key));
   g_assert_false (forwardseal_check (&d, seal, 106000, key));
   g_assert_false (forwardseal_check (&d, seal, 94000, key));
   g_assert_false (forwardseal_check (&d, seal, 100000, other));
