Take no refused probe for a crash while the path may be lost

Callers would see: their requests refused with crashes_endpoints for up to a minute and longer, though no endpoint crashed under them.

Cause: when connections to an endpoint broke, the VM probed it, and a refused connection was evidence of a crash. A partition that resets connections and refuses new ones looks the same from the VM.

The engine adapter now tells a refused connection (RELAY_PROBE_REFUSED) from an answer of another incarnation (RELAY_PROBE_CRASHED), which shows a path by itself. A refusal counts as a crash only if another endpoint, of any service, accepted a connection that was begun after the probe, so that both show the same moment. If no request made one, another endpoint is probed at once, which adds the time of one probe; a result that is not proved is logged as outcome=unconfirmed, tried again like a silent probe, and then dropped. Where there is no other endpoint, a refusal is enough, as before.

With refusals taken for crashes again, /relay/refused-without-path and /relay/refused-beside-connection fail.

regress/crashes killed all endpoints that were listed at once and waited for each VM to find one of them crashed. A VM cannot tell that from the loss of its own links. The test is of a domain that loses power, so an endpoint of another service outside of it is listed now; what it expects is unchanged.

--- a/regress/crashes.sh
+++ b/regress/crashes.sh
@@ -116,8 +116,12 @@
 	server $s app
 	control $s '{"delay_ms":60000}'
 done
+# Outside of the domain: without any endpoint that answers, a VM cannot tell
+# crashes from the loss of its own links.
+server m llm m 1
 for s in g1 g2 g3 g4 g5 g6 g7 g8 g9; do drop_row servers i-$s; done
 for v in a b c; do wait_for has_line "$tmp/$v.log" 'endpoint=i-h4 outcome=ready'; done
+for v in a b c; do wait_for has_line "$tmp/$v.log" 'endpoint=i-m outcome=ready'; done
 for v in a b c; do wait_for has_line "$tmp/$v.log" 'endpoint=i-g9 outcome=removed'; done
 for v in a b c; do for i in 1 2 3 4; do id=many$v$i ask $v /once/x -d often >/dev/null & done; done
 are_running() { [ "$(crashed many)" -ge 12 ]; }
--- a/regress/relayharness.c
+++ b/regress/relayharness.c
@@ -50,7 +50,7 @@
 {
   struct harness *p = ctx;
 
-  (void)e;
+  g_strlcpy (p->probed, e->listing.id, sizeof p->probed);
   p->probes++;
   p->probe = done;
   p->probe_arg = arg;
--- a/regress/relayharness.h
+++ b/regress/relayharness.h
@@ -40,10 +40,11 @@
   struct quar *quar;                /* evidence */
   bool evidence_known;              /* evidence of other VMs was read */
   int observed;                     /* times that this VM added evidence */
-  relay_probe_done probe; /* callback of the probe under way, or NULL */
-  void *probe_arg;        /* for it */
-  int probes;             /* probes so far */
-  bool turn;              /* this VM may send suspect requests */
+  relay_probe_done probe;       /* callback of the probe under way, or NULL */
+  void *probe_arg;              /* for it */
+  int probes;                   /* probes so far */
+  char probed[FLEET_NAME_SIZE]; /* endpoint that was probed last */
+  bool turn;                    /* this VM may send suspect requests */
 };
 
 /* Header lines of a genuine answer, NULL-terminated. */
--- a/regress/test-reach.c
+++ b/regress/test-reach.c
@@ -143,7 +143,31 @@
   harness_free (p);
 }
 
+/* Guards against connections to an endpoint that count as a path when that
+   same endpoint refuses others. */
+static void
+test_connected_since (void)
+{
+  struct harness *p = harness_new (FLEET_IDEMPOTENT);
+  struct relayreach *t = p->relays->reach;
+  const struct fleet_endpoint *a = harness_endpoint (p, "a");
+  const struct fleet_endpoint *b = harness_endpoint (p, "b");
+
+  g_assert_false (relayreach_connected_since (t, a, 0));
+  relayreach_connected (t, a, 10 * MS, 11 * MS);
+  g_assert_false (relayreach_connected_since (t, a, 5 * MS));
+  g_assert_true (relayreach_connected_since (t, b, 5 * MS));
+  g_assert_false (relayreach_connected_since (t, b, 10 * MS));
+  relayreach_connected (t, b, 20 * MS, 21 * MS);
+  relayreach_connected (t, b, 30 * MS, 31 * MS);
+  g_assert_true (relayreach_connected_since (t, a, 25 * MS));
+  g_assert_true (relayreach_connected_since (t, b, 5 * MS));
+  g_assert_false (relayreach_connected_since (t, b, 15 * MS));
+  harness_free (p);
+}
+
 const struct unit reach_units[] = {
+  { "/reach/connected-since", test_connected_since },
   { "/reach/few-lost", test_few_lost },
   { "/reach/isolated", test_isolated },
   { "/reach/late-failures", test_late_failures },
--- a/regress/test-relayquar.c
+++ b/regress/test-relayquar.c
@@ -242,6 +242,142 @@
   harness_free (p);
 }
 
+/* The connection of a request breaks, and its endpoint refuses the probe. */
+static void
+break_and_refuse (struct harness *p)
+{
+  harness_start (p);
+  g_assert_true (p->event->before_send (p->arg));
+  harness_end (p, true, false);
+  g_assert_cmpint (p->probes, ==, 1);
+  g_assert_cmpstr (p->probed, ==, p->to[0]);
+  p->probe (p->probe_arg, RELAY_PROBE_REFUSED, NULL);
+}
+
+/* Guards against a VM without a path to any endpoint that takes those which
+   refuse it for crashed. */
+static void
+test_refused_without_path (void)
+{
+  static const enum relay_probe_result others[]
+      = { RELAY_PROBE_REFUSED, RELAY_PROBE_SILENT };
+  struct harness *p;
+  struct reqid id;
+  size_t i;
+  int n;
+
+  for (i = 0; i < G_N_ELEMENTS (others); i++)
+    {
+      p = harness_new (FLEET_AT_MOST_ONCE);
+      reqid_of (&p->desc, "ws", &id);
+      break_and_refuse (p);
+      for (n = 2; n <= 8; n += 2)
+        {
+          g_assert_cmpint (p->probes, ==, n);
+          g_assert_cmpstr (p->probed, !=, p->to[0]);
+          p->probe (p->probe_arg, others[i], NULL);
+          harness_run (p, 150 * CQ_US_PER_MS);
+          if (p->probes > n)
+            p->probe (p->probe_arg, RELAY_PROBE_REFUSED, NULL);
+        }
+      harness_run (p, 1200 * CQ_US_PER_MS);
+      g_assert_cmpint (p->probes, ==, 8);
+      g_assert_cmpint (p->observed, ==, 0);
+      g_assert_false (quar_has_crashes (p->quar, &id));
+      harness_free (p);
+    }
+}
+
+/* Guards against a crash that is not found, or found late, where another
+   endpoint answers or there is none. */
+static void
+test_refused_with_path (void)
+{
+  static const enum relay_probe_result others[]
+      = { RELAY_PROBE_ALIVE, RELAY_PROBE_CRASHED };
+  struct harness *p;
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (others); i++)
+    {
+      p = harness_new (FLEET_AT_MOST_ONCE);
+      break_and_refuse (p);
+      g_assert_cmpint (p->observed, ==, 0);
+      p->probe (p->probe_arg, others[i], NULL);
+      g_assert_cmpint (p->probes, ==, 2);
+      g_assert_cmpint (p->observed, ==, 1);
+      harness_free (p);
+    }
+  p = harness_new (FLEET_AT_MOST_ONCE);
+  harness_endpoint (p, "b")->draining = true;
+  break_and_refuse (p);
+  g_assert_cmpint (p->probes, ==, 1);
+  g_assert_cmpint (p->observed, ==, 1);
+  harness_free (p);
+}
+
+/* Another request connects to the other endpoint, before or after the
+   connection of the first one breaks; then a probe is refused.  Returns
+   whether that is evidence. */
+static bool
+is_crash_beside (bool connect_before)
+{
+  struct harness *p = harness_new (FLEET_AT_MOST_ONCE);
+  struct relay_end broken = { .handed_over = true, .error = "" };
+  const struct relay_events *event;
+  bool crashed;
+  void *arg;
+
+  harness_start (p);
+  g_assert_true (p->event->before_send (p->arg));
+  event = p->event;
+  arg = p->arg;
+  if (!connect_before)
+    event->end (arg, &broken);
+  harness_run (p, CQ_US_PER_MS);
+  harness_start (p);
+  g_assert_cmpstr (p->to[0], !=, p->to[1]);
+  g_assert_true (p->event->before_send (p->arg));
+  if (connect_before)
+    event->end (arg, &broken);
+  p->probe (p->probe_arg, RELAY_PROBE_REFUSED, NULL);
+  crashed = p->observed == 1;
+  g_assert_cmpint (p->probes, ==, crashed ? 1 : 2);
+  if (!crashed)
+    p->probe (p->probe_arg, RELAY_PROBE_SILENT, NULL);
+  g_assert_cmpint (p->observed, ==, crashed);
+  harness_head (p, 200);
+  harness_end (p, true, true);
+  harness_free (p);
+  return crashed;
+}
+
+/* Guards against a connection that is older than the loss of the path and
+   counts as one. */
+static void
+test_refused_beside_connection (void)
+{
+  g_assert_true (is_crash_beside (false));
+  g_assert_false (is_crash_beside (true));
+}
+
+/* Guards against a probe of another endpoint that returns after the relay is
+   gone. */
+static void
+test_other_probe_outlives (void)
+{
+  struct harness *p = harness_new (FLEET_AT_MOST_ONCE);
+  relay_probe_done done;
+  void *arg;
+
+  break_and_refuse (p);
+  g_assert_cmpint (p->probes, ==, 2);
+  done = p->probe;
+  arg = p->probe_arg;
+  harness_free (p);
+  done (arg, RELAY_PROBE_ALIVE, NULL);
+}
+
 /* A draining endpoint ends as announced, whatever requests it still has. */
 static void
 test_draining_not_probed (void)
@@ -300,6 +436,10 @@
   { "/relay/evidence-unknown", test_evidence_unknown },
   { "/relay/broken-endpoint-probed", test_broken_endpoint_probed },
   { "/relay/probed-again", test_probed_again },
+  { "/relay/refused-without-path", test_refused_without_path },
+  { "/relay/refused-with-path", test_refused_with_path },
+  { "/relay/refused-beside-connection", test_refused_beside_connection },
+  { "/relay/other-probe-outlives", test_other_probe_outlives },
   { "/relay/draining-not-probed", test_draining_not_probed },
   { "/relay/probe-interval", test_probe_interval },
   { "/relay/no-evidence-no-digest", test_no_evidence_no_digest },
--- a/relay.c
+++ b/relay.c
@@ -288,6 +288,7 @@
   if (rs->opts.quar == NULL || rs->opts.engine.probe == NULL)
     return NULL;
   o.engine = &rs->opts.engine;
+  o.reach = rs->reach;
   o.clock_ms = rs->opts.clock_ms;
   o.on_evidence = rs->opts.on_evidence;
   o.arg = rs->opts.quar_arg;
@@ -327,9 +328,9 @@
 
   rs->opts = *opts;
   rs->random_state = opts->seed;
+  rs->reach = new_reach (rs);
   rs->crash = new_crash_detection (rs);
   rs->health = new_health (rs);
-  rs->reach = new_reach (rs);
   rs->sweep.fire = on_sweep;
   rs->sweep.arg = rs;
   rs->services
--- a/relay.h
+++ b/relay.h
@@ -161,7 +161,9 @@
 enum relay_probe_result
 {
   RELAY_PROBE_ALIVE,   /* it answers, and not as another incarnation */
-  RELAY_PROBE_CRASHED, /* nothing listens there, or another incarnation does */
+  RELAY_PROBE_CRASHED, /* another incarnation answers there */
+  RELAY_PROBE_REFUSED, /* the connection was refused: nothing listens there, or
+                          this VM has lost its path to it */
   RELAY_PROBE_SILENT   /* no answer: it may be unreachable */
 };
 
--- a/relaycrash.c
+++ b/relaycrash.c
@@ -97,16 +97,16 @@
 }
 
 static void
-on_probe (void *arg, enum relay_probe_result probe,
-          const struct notice *notice)
+end_probe (struct suspect *s, enum relay_probe_result probe,
+           const struct notice *notice, int64_t now)
 {
   static const char *const names[] = {
     [RELAY_PROBE_ALIVE] = "alive",
     [RELAY_PROBE_CRASHED] = "crashed",
+    [RELAY_PROBE_REFUSED] = "unconfirmed",
     [RELAY_PROBE_SILENT] = "silent",
   };
-  struct suspect *s = arg;
-  int64_t now = loop_now_us ();
+  bool has_result = probe == RELAY_PROBE_ALIVE || probe == RELAY_PROBE_CRASHED;
 
   s->probing = false;
   log_event (LOG_LEVEL_INFO, "endpoint_broke",
@@ -120,7 +120,7 @@
     }
   if (notice != NULL)
     apply_notice (s, notice, now);
-  if (probe == RELAY_PROBE_SILENT && ++s->silent < PROBES_MAX)
+  if (!has_result && ++s->silent < PROBES_MAX)
     {
       loop_arm (s->owner->opts.loop, &s->timer, now + PROBE_RETRY_US);
       return;
@@ -133,6 +133,43 @@
   loop_arm (s->owner->opts.loop, &s->timer, s->probed_us + PROBE_INTERVAL_US);
 }
 
+/* Whether another endpoint accepted a connection while this one refused the
+   probe. */
+static bool
+has_path (const struct suspect *s)
+{
+  return relayreach_connected_since (s->owner->opts.reach, s->endpoint,
+                                     s->probed_us);
+}
+
+static void
+on_other_probe (void *arg)
+{
+  struct suspect *s = arg;
+  bool confirmed = !s->owner->closed && has_path (s);
+
+  end_probe (s, confirmed ? RELAY_PROBE_CRASHED : RELAY_PROBE_REFUSED, NULL,
+             loop_now_us ());
+}
+
+static void
+on_probe (void *arg, enum relay_probe_result probe,
+          const struct notice *notice)
+{
+  struct suspect *s = arg;
+
+  if (probe == RELAY_PROBE_REFUSED && !s->owner->closed)
+    {
+      if (!has_path (s)
+          && relayreach_probe_other (s->owner->opts.reach, s->endpoint,
+                                     on_other_probe, s))
+        return;
+      /* Without another endpoint there is nothing to compare with. */
+      probe = RELAY_PROBE_CRASHED;
+    }
+  end_probe (s, probe, notice, loop_now_us ());
+}
+
 static void
 send_probe (struct suspect *s, int64_t now_us)
 {
--- a/relaycrash.h
+++ b/relaycrash.h
@@ -5,13 +5,16 @@
  * close.  A connection may also close for other reasons: links are reset, and
  * an endpoint may break off an answer and continue to run.  So an endpoint at
  * which a connection broke is probed, and the broken requests become evidence
- * only if nothing listens there any more.  The probe costs one call for each
- * crash, not for each request.
+ * only if nothing listens there any more.  A refused connection shows that
+ * only while this VM has a path to endpoints: a partition refuses connections
+ * to endpoints that run.  The probes cost one or two calls for each crash, not
+ * for each request.
  */
 #ifndef CQ_RELAYCRASH_H
 #define CQ_RELAYCRASH_H
 
 #include "relay.h"
+#include "relayreach.h"
 
 /* Crash detection of one worker. */
 struct relaycrash;
@@ -20,6 +23,7 @@
 {
   struct loop *loop;                 /* event loop of the worker */
   const struct relay_engine *engine; /* engine adapter, with probe */
+  struct relayreach *reach;          /* connections to endpoints */
   struct quar *quar;                 /* stores the evidence */
   /* The platform's clock in Unix ms, 0 if it is not known. */
   int64_t (*clock_ms) (void *arg, int64_t now_us);
--- a/relayhealth.c
+++ b/relayhealth.c
@@ -347,7 +347,7 @@
     ;
   else if (result == RELAY_PROBE_ALIVE)
     on_probe_answer (p, notice, now);
-  else if (result == RELAY_PROBE_CRASHED)
+  else if (result == RELAY_PROBE_CRASHED || result == RELAY_PROBE_REFUSED)
     add_failure (t, &p->attempt, LOAD_SEEN_REFUSED, true, now);
   else
     add_failure (t, &p->attempt, LOAD_SEEN_UNREACHABLE,
--- a/relayreach.c
+++ b/relayreach.c
@@ -10,11 +10,20 @@
 /* Interval of looks for probes that are due. */
 #define CHECK_INTERVAL_US (50 * CQ_US_PER_MS)
 
+/* A connection that was established. */
+struct path
+{
+  uint64_t endpoint;  /* its key */
+  int64_t started_us; /* start of the attempt to connect; 0 for none */
+};
+
 struct relayreach
 {
   struct relayreach_opts opts; /* copy of the options */
   GHashTable *services;        /* name to struct service_reach */
   struct loop_timer check;     /* sends probes that are due */
+  struct path newest;          /* the path that was used last */
+  struct path other;           /* the last one to another endpoint than that */
   uint64_t random_state;       /* selects the endpoint that is probed */
   int nprobes;                 /* probes under way */
   bool closed;                 /* freed when no probe is under way */
@@ -32,13 +41,21 @@
 {
   struct relayreach *owner;
   struct fleet_endpoint *endpoint; /* destination; a reference */
+  int64_t started_us;              /* when it was sent */
+  void (*done) (void *arg);        /* called after the result, or NULL */
+  void *arg;                       /* passed to done */
 };
 
+static bool
+is_in_use (const struct fleet_endpoint *e)
+{
+  return !e->draining && !e->removed;
+}
+
 static bool
 is_usable (const struct fleet_endpoint *e, const char *service)
 {
-  return !e->draining && !e->removed
-         && strcmp (e->listing.service, service) == 0;
+  return is_in_use (e) && strcmp (e->listing.service, service) == 0;
 }
 
 static int
@@ -83,6 +100,14 @@
 
 /* --- probes ---------------------------------------------------------- */
 
+static uint64_t
+next_random (struct relayreach *t)
+{
+  t->random_state = t->random_state * UINT64_C (6364136223846793005)
+                    + UINT64_C (1442695040888963407);
+  return t->random_state >> 33;
+}
+
 /* A pseudo-random endpoint of SERVICE, or NULL. */
 static struct fleet_endpoint *
 pick_any (struct relayreach *t, const char *service)
@@ -92,15 +117,35 @@
 
   if (n == 0)
     return NULL;
-  t->random_state = t->random_state * UINT64_C (6364136223846793005)
-                    + UINT64_C (1442695040888963407);
-  n = (int)((t->random_state >> 33) % (uint64_t)n);
+  n = (int)(next_random (t) % (uint64_t)n);
   APR_RING_FOREACH (e, &t->opts.fleet->endpoints, fleet_endpoint, link)
   if (is_usable (e, service) && n-- == 0)
     return e;
   return NULL;
 }
 
+/* A pseudo-random endpoint of any service other than E, one without failures
+   if there is one, since it is more likely to answer; or NULL. */
+static struct fleet_endpoint *
+pick_other (struct relayreach *t, const struct fleet_endpoint *e)
+{
+  struct fleet_endpoint *other, *picked = NULL;
+  uint64_t n = 0;
+
+  APR_RING_FOREACH (other, &t->opts.fleet->endpoints, fleet_endpoint, link)
+  {
+    if (other == e || !is_in_use (other))
+      continue;
+    if (picked != NULL && picked->failures == 0 && other->failures > 0)
+      continue;
+    if (picked != NULL && picked->failures > 0 && other->failures == 0)
+      n = 0;
+    if (next_random (t) % ++n == 0)
+      picked = other;
+  }
+  return picked;
+}
+
 static void
 release (struct relayreach *t)
 {
@@ -119,34 +164,50 @@
 
   (void)notice;
   t->nprobes--;
-  if (result == RELAY_PROBE_ALIVE && !t->closed)
-    relayreach_connected (t, p->endpoint, loop_now_us ());
+  if ((result == RELAY_PROBE_ALIVE || result == RELAY_PROBE_CRASHED)
+      && !t->closed)
+    relayreach_connected (t, p->endpoint, p->started_us, loop_now_us ());
+  if (p->done != NULL)
+    p->done (p->arg);
   fleet_endpoint_unref (p->endpoint);
   g_free (p);
   release (t);
 }
 
 static void
-send_probe (struct relayreach *t, const char *service)
+send_probe (struct relayreach *t, struct fleet_endpoint *e,
+            void (*done) (void *arg), void *arg)
 {
   const struct relay_engine *engine = t->opts.engine;
-  struct fleet_endpoint *e = pick_any (t, service);
-  struct probe *p;
+  struct probe *p = g_new0 (struct probe, 1);
 
-  if (e == NULL)
-    return;
-  p = g_new0 (struct probe, 1);
   p->owner = t;
   p->endpoint = fleet_endpoint_ref (e);
+  p->started_us = loop_now_us ();
+  p->done = done;
+  p->arg = arg;
   t->nprobes++;
   engine->probe (engine->ctx, e, on_probe, p);
 }
 
+bool
+relayreach_probe_other (struct relayreach *t, const struct fleet_endpoint *e,
+                        void (*done) (void *arg), void *arg)
+{
+  struct fleet_endpoint *other = pick_other (t, e);
+
+  if (other == NULL)
+    return false;
+  send_probe (t, other, done, arg);
+  return true;
+}
+
 static void
 on_check (void *arg, int64_t now_us)
 {
   struct relayreach *t = arg;
   struct service_reach *s;
+  struct fleet_endpoint *e;
   GHashTableIter it;
   bool any = false;
   char *service;
@@ -157,8 +218,9 @@
       if (!s->isolated)
         continue;
       any = true;
-      if (reach_take_probe (&s->reach, now_us))
-        send_probe (t, service);
+      if (reach_take_probe (&s->reach, now_us)
+          && (e = pick_any (t, service)) != NULL)
+        send_probe (t, e, NULL, NULL);
     }
   if (any)
     loop_arm (t->opts.loop, &t->check, now_us + CHECK_INTERVAL_US);
@@ -166,13 +228,25 @@
 
 /* --- evidence -------------------------------------------------------- */
 
+static void
+record_path (struct relayreach *t, uint64_t endpoint, int64_t started_us)
+{
+  if (endpoint != t->newest.endpoint)
+    {
+      t->other = t->newest;
+      t->newest = (struct path){ .endpoint = endpoint };
+    }
+  t->newest.started_us = MAX (started_us, t->newest.started_us);
+}
+
 void
 relayreach_connected (struct relayreach *t, const struct fleet_endpoint *e,
-                      int64_t now_us)
+                      int64_t started_us, int64_t now_us)
 {
   struct service_reach *s = get_or_add_service (t, e->listing.service);
   int64_t since_us = s->reach.failed_us;
 
+  record_path (t, e->key, started_us);
   reach_add_connected (&s->reach, now_us);
   if (s->isolated)
     log_change (t, s, e->listing.service, since_us, now_us);
@@ -199,6 +273,17 @@
   return s != NULL && s->isolated;
 }
 
+/* An attempt that was started before SINCE_US may have been connected before
+   the path was lost. */
+bool
+relayreach_connected_since (const struct relayreach *t,
+                            const struct fleet_endpoint *e, int64_t since_us)
+{
+  const struct path *p = t->newest.endpoint == e->key ? &t->other : &t->newest;
+
+  return p->started_us > since_us;
+}
+
 /* --- lifecycle ------------------------------------------------------- */
 
 struct relayreach *
--- a/relayreach.h
+++ b/relayreach.h
@@ -23,13 +23,25 @@
 struct relayreach *relayreach_new (const struct relayreach_opts *opts);
 /* Memory is released once the last probe under way has returned. */
 void relayreach_free (struct relayreach *t);
-/* A connection to E was established. */
+/* A connection to E, started at STARTED_US, was established. */
 void relayreach_connected (struct relayreach *t,
-                           const struct fleet_endpoint *e, int64_t now_us);
+                           const struct fleet_endpoint *e, int64_t started_us,
+                           int64_t now_us);
 /* An attempt to connect to E, started at STARTED_US, failed. */
 void relayreach_failed (struct relayreach *t, const struct fleet_endpoint *e,
                         int64_t started_us, int64_t now_us);
 /* Whether no endpoint of SERVICE is reached. */
 bool relayreach_is_isolated (const struct relayreach *t, const char *service);
+/* Whether a connection to an endpoint of any service other than E was
+   established that was started after SINCE_US. */
+bool relayreach_connected_since (const struct relayreach *t,
+                                 const struct fleet_endpoint *e,
+                                 int64_t since_us);
+/* Probe an endpoint of any service other than E.  DONE is called once, after
+   the call has returned, also if T is freed before; false, and DONE is not
+   called, if there is no other endpoint. */
+bool relayreach_probe_other (struct relayreach *t,
+                             const struct fleet_endpoint *e,
+                             void (*done) (void *arg), void *arg);
 
 #endif
--- a/relaytry.c
+++ b/relaytry.c
@@ -85,7 +85,7 @@
   /* Not allowed; the checks below need an attempt that is placed. */
   if (r->state != RELAY_PLACED)
     return relay_apply_event (r, RELAY_HAND_OVER);
-  relayreach_connected (r->rs->reach, r->endpoint, now);
+  relayreach_connected (r->rs->reach, r->endpoint, r->sent_us, now);
   if (r->stop_reason == NULL)
     r->stop_reason = relay_send_obstacle (r, now);
   if (r->stop_reason != NULL)
