Answer 502, not 503, to a call that a stop ends while it may run

Callers would have seen status 503 with outcome "unknown" for a call that had been sent when a stop no longer waited; 503 is for calls that did not run.

Change: such a call ends with broken_after_send (502), one that waits for the owner of its claim with still_running (504).

--- a/job.c
+++ b/job.c
@@ -364,14 +364,15 @@
       break;
     case JOB_RUNNING:
       j->may_have_run |= j->handed_over;
-      refuse (j, "stopping", CQ_US_PER_S);
+      refuse (j, j->may_have_run ? "broken_after_send" : "stopping",
+              CQ_US_PER_S);
       break;
     case JOB_RECORDING:
       finish (j, j->outcome, j->reason, 0);
       break;
     case JOB_CLAIMING:
     case JOB_WAITING_FOR_OWNER:
-      finish (j, OUT_UNKNOWN, "stopping", 0);
+      finish (j, OUT_UNKNOWN, "still_running", 0);
       break;
     case JOB_DONE:
       break;
--- a/regress/stoplimit.sh
+++ b/regress/stoplimit.sh
@@ -1,5 +1,6 @@
 # Guards against a VM that aborts when its stop no longer waits for an open
-# stream, and against a stream that its caller takes for complete then.
+# stream, and against a stream that its caller takes for complete then, or a
+# call that may have run and is answered as one that did not.
 . ./lib.sh || exit 1
 . ./site.sh
 
@@ -30,3 +31,17 @@
 	echo "exit code of the VM: $?, ends in the log: $(grep -c event=finish "$tmp/a.log")"
 	rm "$tmp/body"
 done
+
+echo "== a call on the product's own interface"
+plain_base
+control p1 '{"delay_ms":20000}'
+echo 'drain_limit_s = 1' >"$tmp/b.ini"
+start_vm b
+post b ws /v1/call/trucks/send one >"$tmp/status" &
+pid_post=$!
+wait_for has_line "$tmp/p1.err" 'event=ran'
+kill -TERM "$pid_b"
+wait "$pid_post"
+echo "status $(cat "$tmp/status"), outcome $(outcome), code $(code)"
+wait "$pid_b" 2>/dev/null
+echo "exit code of the VM: $?"
