--- a/srv.c
+++ b/srv.c
@@ -244,9 +244,13 @@
   wait_for_jobs (s, limit_s);
   server_set_phase (s, PHASE_STOPPED);
   post_first (s, &stopping, stop_asking);
-  post_stop_requests (s);
   sleep_ms (LINGER_MS);
   wait_until_quiet (s);
+  if (__atomic_load_n (&s->live_jobs, __ATOMIC_RELAXED) > 0)
+    {
+      post_stop_requests (s);
+      sleep_ms (LINGER_MS);
+    }
   stop_workers (s);
 }
 
