--- a/httpserver.c
+++ b/httpserver.c
@@ -150,8 +150,9 @@
       = MHD_get_connection_info (r->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
   const struct sockaddr none = { .sa_family = AF_UNSPEC };
 
-  if (info != NULL)
-    connect (info->connect_fd, &none, sizeof none);
+  if (info != NULL && connect (info->connect_fd, &none, sizeof none) != 0)
+    log_event (LOG_LEVEL_WARNING, "reset", "req=%s outcome=failed error=%d",
+               r->id, errno);
 }
 
 static ssize_t
--- a/regress/cutevidence.sh
+++ b/regress/cutevidence.sh
@@ -3,16 +3,6 @@
 . ./lib.sh || exit 1
 . ./site.sh
 
-# view VM: how it reads the store, and reaches the endpoints listed there.
-view() {
-	eval "view_$1=$(curl -sf --noproxy '*' -X PUT -d '' "http://127.0.0.1:$port_rows/view/$1" |
-		sed -n 's/.*"port":\([0-9]*\).*/\1/p')"
-}
-# cut VM MODE: its links to the endpoints are up (0), refuse (1), or hang (2).
-cut() {
-	curl -sf --max-time 10 --noproxy '*' -X PUT -d '' "http://127.0.0.1:$port_rows/cut/$1/$2" >/dev/null || fail "cut $1 $2"
-}
-
 # running N PATTERN: the endpoints run N requests that match.
 running() { [ "$(runs "$2")" -ge "$1" ]; }
 # probed ENDPOINT: the probes of it showed something, or were given up.
--- a/regress/site.sh
+++ b/regress/site.sh
@@ -40,6 +40,16 @@
 	row servers "i-$1" "{\"Service\":\"$2\",\"Address\":\"127.0.0.1:$_port\",\"Zone\":\"d1\",\"Slots\":8,$_models\"State\":\"${5:-ready}\"${6:+,\"born\":$6}}"
 }
 
+# view VM: how it reads the store, and reaches the endpoints listed there.
+view() {
+	eval "view_$1=$(curl -sf --noproxy '*' -X PUT -d '' "http://127.0.0.1:$port_rows/view/$1" |
+		sed -n 's/.*"port":\([0-9]*\).*/\1/p')"
+}
+# cut VM MODE: its links to the endpoints are up (0), refuse (1), or hang (2).
+cut() {
+	curl -sf --max-time 10 --noproxy '*' -X PUT -d '' "http://127.0.0.1:$port_rows/cut/$1/$2" >/dev/null || fail "cut $1 $2"
+}
+
 # entry NAME: a VM whose settings are rendered from the template.
 entry() {
 	sed -e "s/{{NodeName}}/$1/" -e 's/{{Zone}}/d1/' \
--- a/relay.c
+++ b/relay.c
@@ -389,6 +389,12 @@
     }
 }
 
+bool
+relays_is_isolated (const struct relays *rs, const char *service)
+{
+  return relayreach_is_isolated (rs->reach, service);
+}
+
 int
 relays_count (const struct relays *rs)
 {
--- a/relay.h
+++ b/relay.h
@@ -260,6 +260,8 @@
 int relays_count (const struct relays *rs);
 /* End all requests, since the VM stops: streams as broken. */
 void relays_stop (struct relays *rs, int64_t now_us);
+/* Whether this VM reaches no endpoint of SERVICE. */
+bool relays_is_isolated (const struct relays *rs, const char *service);
 /* Fill in WORD the work that the requests of RELAYS, a struct relays, have at
    endpoints. */
 void relays_collect_load (void *relays, struct load_gossip *word);
