Tests: the function that cuts links does not hide a program

The orders were right; the function cut, which had moved from partition.sh to site.sh, stood in place of the program cut that platform.sh uses.

--- a/regress/cutevidence.sh
+++ b/regress/cutevidence.sh
@@ -30,13 +30,13 @@
 broken=
 for s in p q r s; do grep -q "Attempt-Id=cut-" "$tmp/$s.err" && broken="$broken $s"; done
 [ "$(wc -w <<<"$broken")" -ge 2 ] || fail "all requests at $broken"
-cut a 1
+cut_links a 1
 for s in $broken; do wait_for probed "$s"; done
 echo "crashed: $(grep -c 'event=endpoint_broke .*outcome=crashed' "$tmp/a.log")"
 echo "evidence: $(cat "$tmp"/[ab].log | grep 'event=evidence' | grep -c 'outcome=\(written\|taken\)')"
 
 echo "== an endpoint crashes under a request of a VM with links"
-cut a 0
+cut_links a 0
 server t app
 control t '{"crash_on":"boom"}'
 for s in p q r s; do drop_row servers i-$s; done
--- a/regress/cutorders.sh
+++ b/regress/cutorders.sh
@@ -25,7 +25,7 @@
 for s in e f; do wait_for has_line "$tmp/a.log" "endpoint=i-$s outcome=ready"; done
 
 echo "== a lone VM takes the lease though it is cut off from the endpoints"
-cut a 1
+cut_links a 1
 wait_for isolated
 row op version/m '{"Model":"m","Version":2}'
 wait_for took a 1
@@ -42,7 +42,7 @@
 grep -c 'event=lease.*outcome=taken' "$tmp/a.log"
 
 echo "== its links are up, and it is left alone"
-cut a 0
+cut_links a 0
 wait_for has_line "$tmp/a.log" 'event=reach service=llm outcome=reached'
 die b
 row op version/m '{"Model":"m","Version":4}'
--- a/regress/partition.sh
+++ b/regress/partition.sh
@@ -70,7 +70,7 @@
 for v in a b; do soon $v; done
 
 echo "== one VM is cut off from the endpoints, connections are refused"
-cut a 1
+cut_links a 1
 soon a
 batch a refused
 big=$(head -c 6000 /dev/urandom | od -An -tx1 | tr -d ' \n')
@@ -79,20 +79,20 @@
 ask a /nowhere/
 
 echo "== connections hang"
-cut a 0
+cut_links a 0
 soon a
-cut a 2
+cut_links a 2
 soon a
 batch a hang
 
 echo "== two VMs are cut off"
-cut a 1
-cut b 1
+cut_links a 1
+cut_links b 1
 for v in a b; do soon $v; done
 for v in a b; do batch $v two-$v; done
 
 echo "== all VMs are cut off"
-cut c 1
+cut_links c 1
 for v in a b c; do
 	for k in safe once tell; do
 		id=all-$v-$k ask $v /$k/x -d x --max-time 1
@@ -110,7 +110,7 @@
 echo "ran: $(runs 'Attempt-Id=all-')"
 
 echo "== healed"
-for v in a b c; do cut $v 0; done
+for v in a b c; do cut_links $v 0; done
 turn=0
 # Answered without another VM.
 direct() {
--- a/regress/site.sh
+++ b/regress/site.sh
@@ -45,8 +45,8 @@
 	eval "view_$1=$(curl -sf --noproxy '*' -X PUT -d '' "http://127.0.0.1:$port_rows/view/$1" |
 		sed -n 's/.*"port":\([0-9]*\).*/\1/p')"
 }
-# cut VM MODE: its links to the endpoints are up (0), refuse (1), or hang (2).
-cut() {
+# cut_links VM MODE: its links to the endpoints are up (0), refuse (1), or hang (2).
+cut_links() {
 	curl -sf --max-time 10 --noproxy '*' -X PUT -d '' "http://127.0.0.1:$port_rows/cut/$1/$2" >/dev/null || fail "cut $1 $2"
 }
 
