Log and count the builds of endpoints, and what a resume names

Needed to tell apart how a stream meets a second build: the VM's own resume (after= and build= of consecutive send lines, and camphorquay_resumes_other_build_total), a caller's resume (after= and resumes= in its first send line), or an endpoint whose entry changes (build= in the endpoint line, logged on a change too).

No decision depends on them yet.

--- a/fleet.h
+++ b/fleet.h
@@ -145,6 +145,7 @@
   char domain[FLEET_NAME_SIZE];  /* failure domain */
   char model[FLEET_NAME_SIZE];   /* model whose weights it has; "" if plain */
   int64_t version;               /* version of these weights */
+  char build[FLEET_NAME_SIZE];   /* version of its software; "" if unknown */
   int slots;                     /* requests that it runs concurrently */
   bool draining;                 /* it drains and takes no new requests */
   int64_t cold_us;               /* remaining cold time by its entry */
--- a/follow.c
+++ b/follow.c
@@ -232,6 +232,8 @@
   bool cold = old != NULL && !restarted && cold_is (&old->cold, now_us);
   int64_t version = old != NULL ? old->version : 0;
   int64_t before = old != NULL ? old->listing.started_ms : 0;
+  bool same_build
+      = old != NULL && strcmp (old->listing.build, it->listing.build) == 0;
   struct fleet_endpoint *e;
 
   if (old != NULL
@@ -243,16 +245,17 @@
     }
   e = fleet_apply_listing (f, &it->listing, now_us);
   if (old == NULL || restarted || draining != e->draining
-      || version != e->version)
+      || version != e->version || !same_build)
     log_event (LOG_LEVEL_INFO, "endpoint",
                "endpoint=%s outcome=%s%s service=%s address=%s domain=%s "
-               "version=%" G_GINT64_FORMAT " born_ms=%" G_GINT64_FORMAT
-               " before_ms=%" G_GINT64_FORMAT
+               "build=%s version=%" G_GINT64_FORMAT
+               " born_ms=%" G_GINT64_FORMAT " before_ms=%" G_GINT64_FORMAT
                " source=list row=%" G_GINT64_FORMAT,
                e->listing.id, restarted ? "started_again_" : "",
                e->draining ? "draining" : "ready", e->listing.service,
-               e->listing.address, e->listing.domain, (gint64)e->version,
-               (gint64)e->listing.started_ms, (gint64)before, (gint64)it->row);
+               e->listing.address, e->listing.domain, e->listing.build,
+               (gint64)e->version, (gint64)e->listing.started_ms,
+               (gint64)before, (gint64)it->row);
   if (!cold && cold_is (&e->cold, now_us))
     log_event (LOG_LEVEL_INFO, "endpoint_cold",
                "endpoint=%s domain=%s left_us=%" G_GINT64_FORMAT
--- a/mirrorwire.c
+++ b/mirrorwire.c
@@ -58,6 +58,7 @@
   p.service = (char *)l->service;
   p.domain = (char *)l->domain;
   p.model = (char *)l->model;
+  p.build = (char *)l->build;
   p.started_ms = (uint64_t)l->started_ms;
   p.weights = (uint64_t)l->version;
   p.draining = l->draining;
@@ -82,6 +83,7 @@
          && g_strlcpy (l->domain, p->domain, sizeof l->domain)
                 < sizeof l->domain
          && g_strlcpy (l->model, p->model, sizeof l->model) < sizeof l->model
+         && g_strlcpy (l->build, p->build, sizeof l->build) < sizeof l->build
          && l->id[0] != '\0' && l->address[0] != '\0' && l->started_ms >= 0
          && l->version >= 0 && l->slots >= 0;
 }
--- a/peer.h
+++ b/peer.h
@@ -145,6 +145,7 @@
 	u_int slots;
 	bool_t draining;
 	u_int cold_ms;
+	char *build;
 };
 typedef struct peer_listing peer_listing;
 
--- a/peer.x
+++ b/peer.x
@@ -135,6 +135,7 @@
   unsigned int slots;
   bool draining;
   unsigned int cold_ms;
+  string build<PEER_NAME_MAX>;
 };
 
 /* A VM as the platform lists it. */
--- a/peer_xdr.c
+++ b/peer_xdr.c
@@ -291,6 +291,69 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_string (xdrs, &objp->address, PEER_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->service, PEER_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->domain, PEER_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->model, PEER_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->started_ms))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->weights))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->slots))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->draining))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cold_ms))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->slots);
+		IXDR_PUT_BOOL(buf, objp->draining);
+		IXDR_PUT_U_LONG(buf, objp->cold_ms);
+		}
+		 if (!xdr_string (xdrs, &objp->build, PEER_NAME_MAX))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_string (xdrs, &objp->address, PEER_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->service, PEER_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->domain, PEER_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->model, PEER_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->started_ms))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->weights))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->slots))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->draining))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cold_ms))
+				 return FALSE;
+
+		} else {
+		objp->slots = IXDR_GET_U_LONG(buf);
+		objp->draining = IXDR_GET_BOOL(buf);
+		objp->cold_ms = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_string (xdrs, &objp->build, PEER_NAME_MAX))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_string (xdrs, &objp->address, PEER_NAME_MAX))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->service, PEER_NAME_MAX))
@@ -309,6 +372,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->cold_ms))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->build, PEER_NAME_MAX))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/relay.h
+++ b/relay.h
@@ -71,6 +71,8 @@
   int nparts;               /* entries in parts */
   int64_t deadline_us;      /* end of the caller's time, 0 if not given */
   int64_t resume_after;     /* last event the caller has, -1 for none */
+  const char *resumes;      /* id of the request that began the stream; NULL if
+                               not named, "" if it names no request */
   const char *body;         /* complete */
   size_t body_len;          /* bytes of body */
   bool forwarded;           /* by another VM */
--- a/relayattempt.c
+++ b/relayattempt.c
@@ -152,7 +152,11 @@
       r->first_chunk_us = loop_now_us ();
       met_observe (MET_FIRST_TOKEN, r->first_chunk_us - r->arrived_us);
       if (r->endpoint != NULL)
-        relay_record_wait (r, r->first_chunk_us);
+        {
+          g_strlcpy (r->stream_build, r->endpoint->listing.build,
+                     sizeof r->stream_build);
+          relay_record_wait (r, r->first_chunk_us);
+        }
       r->desc.caller->begin (r->desc.arg, r->status,
                              (const char *const *)r->lines);
     }
--- a/relaytry.c
+++ b/relaytry.c
@@ -514,11 +514,15 @@
     }
 
   met_add (MET_ATTEMPTS, 1);
+  if (r->stream_begun
+      && strcmp (r->stream_build, c->endpoint->listing.build) != 0)
+    met_add (MET_RESUMES_OTHER_BUILD, 1);
   if (c->slow > 0)
     met_add (MET_SLOW_AVOIDED, 1);
   log_event (
       LOG_LEVEL_INFO, "send",
-      "req=%s route=%s endpoint=%s load=%d candidates=%d over_bound=%d "
+      "req=%s route=%s endpoint=%s build=%s after=%" G_GINT64_FORMAT
+      " resumes=%s load=%d candidates=%d over_bound=%d "
       "ahead=%" G_GINT64_FORMAT " held=%" G_GINT64_FORMAT " "
       "wait_us=%" G_GINT64_FORMAT
       " fetch=%d save=%d fetch_tokens=%" G_GINT64_FORMAT
@@ -527,9 +531,11 @@
       " left_us=%" G_GINT64_FORMAT " conf=%" G_GINT64_FORMAT
       " conf_age_us=%" G_GINT64_FORMAT
       " slow=%d speed=%d speed_age_us=%" G_GINT64_FORMAT,
-      r->desc.id, r->route->name, c->endpoint->listing.id, c->load,
-      c->candidates, c->over_bound, (gint64)c->pending_prefill_tokens,
-      (gint64)c->kv_tokens, (gint64)c->wait_us, r->plan.nfetch, r->plan.nsave,
+      r->desc.id, r->route->name, c->endpoint->listing.id,
+      c->endpoint->listing.build, (gint64)s.resume_after,
+      r->desc.resumes != NULL ? r->desc.resumes : "-", c->load, c->candidates,
+      c->over_bound, (gint64)c->pending_prefill_tokens, (gint64)c->kv_tokens,
+      (gint64)c->wait_us, r->plan.nfetch, r->plan.nsave,
       (gint64)r->plan.fetch_tokens, (gint64)s.version,
       (gint64)(newer != NULL ? newer->version : 0),
       (gint64)newer_named_for_us (o->fleet, c->endpoint, now_us),
