Known red: a VM resumes a broken stream at another build

Two endpoints of each of two builds; a stream breaks after its first event. Of 32 streams one soon goes on at the other build: assertion failed (build_of (p, 0) == build_of (p, 1)): ("v2" == "v1")

--- a/regress/relayharness.c
+++ b/regress/relayharness.c
@@ -235,16 +235,23 @@
 }
 
 void
-harness_add_endpoint (struct harness *p, const char *id)
+harness_add_build (struct harness *p, const char *id, const char *build)
 {
   struct fleet_listing l = { .version = 3 };
 
   g_strlcpy (l.id, id, sizeof l.id);
   g_strlcpy (l.service, "s", sizeof l.service);
   g_strlcpy (l.model, "m", sizeof l.model);
+  g_strlcpy (l.build, build, sizeof l.build);
   fleet_apply_listing (&p->fleet, &l, 1);
 }
 
+void
+harness_add_endpoint (struct harness *p, const char *id)
+{
+  harness_add_build (p, id, "v1");
+}
+
 struct harness *
 harness_new (enum fleet_kind kind)
 {
--- a/regress/relayharness.h
+++ b/regress/relayharness.h
@@ -59,8 +59,10 @@
                                  const char *key);
 /* The route of the present configuration. */
 struct fleet_route *harness_route (struct harness *p);
-/* List one more endpoint. */
+/* List one more endpoint, or list it again. */
 void harness_add_endpoint (struct harness *p, const char *id);
+/* The same with this version of its software. */
+void harness_add_build (struct harness *p, const char *id, const char *build);
 /* A VM with two endpoints, a and b, and one request that is not started. */
 struct harness *harness_new (enum fleet_kind kind);
 /* Start the request. */
--- a/regress/units.h
+++ b/regress/units.h
@@ -41,5 +41,6 @@
 extern const struct unit health_units[];
 extern const struct unit reach_units[];
 extern const struct unit forward_units[];
+extern const struct unit build_units[];
 
 #endif
