Known red: callers' resumed streams go on at another build

Three VMs, two endpoints of each of two builds; callers leave in the middle of a stream and come back with Last-Event-Id and Resumes. 3 of 8 streams that were taken up at the same VM, and 2 of 8 at other VMs, hold events of both builds.

--- a/regress/fakesrv.c
+++ b/regress/fakesrv.c
@@ -15,6 +15,7 @@
  *   unframed     answers have no length and end with their connection
  *   events       events of a stream; 0 answers with a whole body
  *   event_ms     pause between them
+ *   build        version of its software, which its events name
  *   break_after  so many streams break after two and a half events
  *   cut_head     so many answers end with their connection in the middle of
  *                their head, after the seal
@@ -289,6 +290,7 @@
   g_autofree char *last = header (in, "Last-Event-Id");
   int64_t i = last != NULL ? g_ascii_strtoll (last, NULL, 10) + 1 : 1;
   int64_t n = fk_number ("events", 0);
+  g_autofree char *build = fk_string ("build", "");
   bool breaks = fk_take ("break_after");
   int told = 0;
 
@@ -296,7 +298,7 @@
   for (; i <= n; i++)
     {
       g_autofree char *e
-          = g_strdup_printf ("id: %d\ndata: t%d\n\n", (int)i, (int)i);
+          = g_strdup_printf ("id: %d\ndata: %st%d\n\n", (int)i, build, (int)i);
 
       if (!work (in->fd, fk_number ("event_ms", 1)))
         {
--- a/regress/site.sh
+++ b/regress/site.sh
@@ -26,7 +26,8 @@
 EOF
 }
 
-# server NAME SERVICE [MODEL VERSION]: a stand-in, listed as ready.
+# server NAME SERVICE [MODEL VERSION]: a stand-in, listed as ready, of the
+# software version in build.
 server() {
 	start_fake "$1" server
 	control "$1" "{\"id\":\"i-$1\"}"
@@ -37,7 +38,7 @@
 	eval "_port=\$port_$1"
 	_models=
 	[ -n "${3:-}" ] && _models="\"Models\":[{\"Name\":\"$3\",\"Version\":$4}],"
-	row servers "i-$1" "{\"Service\":\"$2\",\"Address\":\"127.0.0.1:$_port\",\"Zone\":\"d1\",\"Slots\":8,$_models\"State\":\"${5:-ready}\"${6:+,\"born\":$6}}"
+	row servers "i-$1" "{\"Service\":\"$2\",\"Address\":\"127.0.0.1:$_port\",\"Zone\":\"d1\",\"Slots\":8,\"Version\":\"${build:-v1}\",$_models\"State\":\"${5:-ready}\"${6:+,\"born\":$6}}"
 }
 
 # view VM: how it reads the store, and reaches the endpoints listed there.
