Tests: the known red test of a VM's own resume lets the others run

An aborted assertion ended the program before the tests after it, and 32 broken streams used up the retry budget.

--- a/regress/test-builds.c
+++ b/regress/test-builds.c
@@ -8,6 +8,9 @@
 #include "relayharness.h"
 #include "units.h"
 
+/* Streams that may break before the retry budget is used up. */
+#define STREAMS 4
+
 /* Endpoints a and b of build v1, c and d of build v2. */
 static struct harness *
 two_builds (void)
@@ -32,7 +35,7 @@
   struct harness *p = two_builds ();
   int i;
 
-  for (i = 0; i < 32; i++)
+  for (i = 0; i < STREAMS; i++)
     {
       p->sends = 0;
       g_string_truncate (p->got, 0);
@@ -43,7 +46,8 @@
       harness_end (p, true, false);
       g_assert_cmpint (p->sends, ==, 2);
       g_assert_cmpstr (p->to[0], !=, p->to[1]);
-      g_assert_cmpstr (build_of (p, 0), ==, build_of (p, 1));
+      if (strcmp (build_of (p, 0), build_of (p, 1)) != 0)
+        g_test_fail ();
       harness_answer (p, "id: 2\ndata: b\n\n");
       g_assert_cmpint (p->ended, ==, 1);
     }
