Resume a broken stream only at an endpoint of the build that began it

Callers got streams with events of two versions of the endpoints' software: when an endpoint broke off, the VM resumed the stream at any other endpoint of the service.

Cause: the choice compared endpoints by service and weights only; what a stream began at was forgotten with the attempt. Now each incarnation has a key of its service and build; the request keeps that of the endpoint whose first event it passed on, and pick_endpoint excludes all others. An endpoint without a build is a build of its own. A changed build is a new incarnation, and a stream that began while its endpoint was replaced under its id has no known build. If none is left, the stream ends as broken: joined events could not be told from whole ones.

--- a/fleet.c
+++ b/fleet.c
@@ -214,6 +214,66 @@
   return e;
 }
 
+/* --- builds ---------------------------------------------------------- */
+
+/* An endpoint whose build is not known may differ from any other one. */
+static uint64_t
+build_key_of (const struct fleet_listing *l)
+{
+  uint64_t seed = XXH3_64bits (l->service, strlen (l->service));
+  uint64_t key;
+
+  if (l->build[0] != '\0')
+    key = XXH3_64bits_withSeed (l->build, strlen (l->build), seed);
+  else
+    key = XXH3_64bits_withSeed (l->id, strlen (l->id),
+                                seed ^ (uint64_t)l->started_ms);
+  return MAX (key, 1);
+}
+
+uint64_t
+fleet_build_of (const struct fleet *f, const struct fleet_endpoint *e)
+{
+  const struct fleet_endpoint *now
+      = g_hash_table_lookup (f->by_id, e->listing.id);
+
+  return now == NULL || now == e ? e->build_key : 0;
+}
+
+uint64_t
+fleet_only_build (const struct fleet *f, const char *service)
+{
+  const struct fleet_ring *const rings[] = { &f->endpoints, &f->former };
+  const struct fleet_endpoint *e;
+  uint64_t only = 0;
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (rings); i++)
+    APR_RING_FOREACH (e, rings[i], fleet_endpoint, link)
+    {
+      if (strcmp (e->listing.service, service) != 0 || e->build_key == only)
+        continue;
+      if (only != 0)
+        return 0;
+      only = e->build_key;
+    }
+  return only;
+}
+
+bool
+fleet_has_build (const struct fleet *f, const char *service,
+                 uint64_t build_key)
+{
+  const struct fleet_endpoint *e;
+
+  APR_RING_FOREACH (e, &f->endpoints, fleet_endpoint, link)
+  {
+    if (e->build_key == build_key && strcmp (e->listing.service, service) == 0)
+      return true;
+  }
+  return false;
+}
+
 /* --- former endpoints ------------------------------------------------ */
 
 static void
@@ -256,7 +316,8 @@
   APR_RING_FOREACH (e, &f->former, fleet_endpoint, link)
   {
     if (strcmp (e->listing.id, l->id) == 0
-        && e->listing.started_ms == l->started_ms)
+        && e->listing.started_ms == l->started_ms
+        && e->build_key == build_key_of (l))
       return e;
   }
   return NULL;
@@ -588,6 +649,7 @@
   e->listing = *l;
   e->version = l->version;
   e->version_us = now_us;
+  e->build_key = build_key_of (l);
   e->key = XXH3_64bits_withSeed (e->listing.id, strlen (e->listing.id),
                                  (uint64_t)e->listing.started_ms);
   APR_RING_ELEM_INIT (e, link);
@@ -632,16 +694,37 @@
 
   l.started_ms = started_ms;
   l.draining = false;
+  l.build[0] = '\0';
   /* It restarts with the weights that it had. */
   l.version = e->version;
   return replace_incarnation (f, e, &l, now_us);
 }
 
+/* A platform may give no start times; a build that changed shows a restart,
+   too.  An entry without a build says nothing on it. */
+static bool
+is_other_build (const struct fleet_endpoint *e, const struct fleet_listing *l)
+{
+  return l->build[0] != '\0' && strcmp (l->build, e->listing.build) != 0;
+}
+
+static struct fleet_endpoint *
+change_build (struct fleet *f, struct fleet_endpoint *old,
+              const struct fleet_listing *l, int64_t now_us)
+{
+  bool draining = old->draining;
+  struct fleet_endpoint *e = replace_incarnation (f, old, l, now_us);
+
+  e->draining |= draining;
+  return e;
+}
+
 struct fleet_endpoint *
 fleet_apply_listing (struct fleet *f, const struct fleet_listing *l,
                      int64_t now_us)
 {
   struct fleet_endpoint *e = g_hash_table_lookup (f->by_id, l->id);
+  char build[FLEET_NAME_SIZE] = "";
 
   switch (fleet_incarnation_compare (e, l->started_ms))
     {
@@ -653,13 +736,17 @@
                     : add_incarnation (f, l, now_us);
       break;
     case FLEET_INCARNATION_SAME:
+      if (is_other_build (e, l))
+        e = change_build (f, e, l, now_us);
       break;
     }
   fleet_apply_version (e, l->version, FLEET_NEVER, now_us);
   if (l->cold_us > 0)
     cold_until (&e->cold, now_us + l->cold_us);
+  g_strlcpy (build, e->listing.build, sizeof build);
   /* by_id uses the id as its key; the new one is equal. */
   e->listing = *l;
+  g_strlcpy (e->listing.build, build, sizeof build);
   /* Draining is final for an incarnation; the next one may be ready. */
   e->draining |= l->draining;
   e->missing_since_us = 0;
--- a/fleet.h
+++ b/fleet.h
@@ -215,6 +215,8 @@
                                report its version */
   uint64_t key;             /* hash of id and start time, the same on all
                                VMs */
+  uint64_t build_key;       /* hash of service and build, the same on all VMs;
+                               without a build, of this incarnation alone */
   int running;              /* requests of this VM at it */
   int reported_running;     /* requests that it runs and queues, by its
                                report */
@@ -428,6 +430,17 @@
 /* The list of endpoints is readable again at NOW_US. */
 void fleet_list_recovered (struct fleet *f, int64_t now_us);
 
+/* Returns the build that a stream has which began at E: its build_key, or 0 if
+   another incarnation has taken E's id meanwhile. */
+uint64_t fleet_build_of (const struct fleet *f,
+                         const struct fleet_endpoint *e);
+/* Returns the build_key that all endpoints of SERVICE have which this VM knows
+   or knew, 0 if they differ or there is none. */
+uint64_t fleet_only_build (const struct fleet *f, const char *service);
+/* Returns whether an endpoint of SERVICE with this build_key is listed. */
+bool fleet_has_build (const struct fleet *f, const char *service,
+                      uint64_t build_key);
+
 struct fleet_endpoint *fleet_endpoint_ref (struct fleet_endpoint *e);
 void fleet_endpoint_unref (struct fleet_endpoint *e);
 
@@ -474,6 +487,8 @@
       *exclude[PICK_EXCLUDE_MAX];   /* endpoints that were tried already */
   int nexclude;                     /* entries in exclude */
   struct fleet_region_limits homes; /* regions that it may use */
+  uint64_t build_key;               /* of the endpoints that may be chosen, 0
+                                       for all */
   uint64_t random;                  /* random number that breaks ties */
   struct pick_work work;            /* prompt tokens; zeros for a plain
                                        service */
@@ -492,7 +507,8 @@
   PICK_LIMITED,            /* some have a limit, and this VM's share is used */
   PICK_BACKOFF,            /* some requested a backoff */
   PICK_REGION_NOT_ALLOWED, /* some are in no region that the request may use */
-  PICK_EVACUATED           /* some are in an evacuated domain */
+  PICK_EVACUATED,          /* some are in an evacuated domain */
+  PICK_NO_BUILD            /* none has the build that is asked for */
 };
 
 struct pick_choice
--- a/librelay.h
+++ b/librelay.h
@@ -132,10 +132,10 @@
   bool is_prefilling;      /* the endpoint still processes its prompt */
   bool is_long_prompt;     /* its work is reported to other VMs */
   bool may_have_run;       /* an earlier attempt may have run */
-  char *stream_type; /* media type of the stream, NULL before it begins */
-  char stream_build[FLEET_NAME_SIZE]; /* build of the endpoint that began the
-                                         stream; "" if unknown */
-  bool stream_begun; /* the caller has got the head and part of a stream */
+  char *stream_type;  /* media type of the stream, NULL before it begins */
+  uint64_t build_key; /* of the endpoint that began the stream; 0 before that,
+                         and if it is not known */
+  bool stream_begun;  /* the caller has got the head and part of a stream */
   enum relay_reply reply; /* what the caller has got */
   bool paused;            /* the attempt waits for a slow reader */
   bool event_pending;     /* prompts were pending at the endpoint when the last
--- a/met.c
+++ b/met.c
@@ -40,9 +40,10 @@
                     "Attempts that started a request over." },
   [MET_RESUMES] = { "camphorquay_resumes_total", "counter",
                     "Attempts that continued a broken stream." },
-  [MET_RESUMES_OTHER_BUILD]
-  = { "camphorquay_resumes_other_build_total", "counter",
-      "Attempts that continued a broken stream at another build." },
+  [MET_RESUMES_NO_BUILD]
+  = { "camphorquay_resumes_no_build_total", "counter",
+      "Streams that could not go on since no endpoint of their build is "
+      "left." },
   [MET_STREAMS_ENDED] = { "camphorquay_streams_ended_total", "counter",
                           "Streams to callers that were ended as complete." },
   [MET_STREAMS_BROKEN] = { "camphorquay_streams_broken_total", "counter",
--- a/pick.c
+++ b/pick.c
@@ -97,6 +97,7 @@
     [PICK_BACKOFF] = "endpoints_resting",
     [PICK_REGION_NOT_ALLOWED] = "no_home",
     [PICK_EVACUATED] = "domain_evacuated",
+    [PICK_NO_BUILD] = "no_build",
   };
 
   return names[code];
@@ -382,6 +383,12 @@
   return false;
 }
 
+static bool
+is_build_allowed (const struct pick_query *q, const struct fleet_endpoint *e)
+{
+  return q->build_key == 0 || e->build_key == q->build_key;
+}
+
 /* Above its rate a cold endpoint would crash, so it is no last resort
    either. */
 static bool
@@ -401,8 +408,9 @@
 tier_of (const struct fleet *f, const struct pick_query *q,
          const struct fleet_endpoint *e, int64_t now_us)
 {
-  if (e->draining || is_excluded (q, e) || is_too_old (f, e, now_us)
-      || is_cold_rate_used (e, now_us) || !limit_may_place (&e->limit, now_us)
+  if (e->draining || is_excluded (q, e) || !is_build_allowed (q, e)
+      || is_too_old (f, e, now_us) || is_cold_rate_used (e, now_us)
+      || !limit_may_place (&e->limit, now_us)
       || pick_is_backoff_requested (e, now_us)
       || fleet_is_evacuated (f, e->listing.domain)
       || !fleet_is_region_allowed (f, &q->homes, e->listing.domain))
@@ -450,7 +458,8 @@
 
   APR_RING_FOREACH (e, &f->endpoints, fleet_endpoint, link)
   {
-    if (strcmp (e->listing.service, q->service) != 0)
+    if (strcmp (e->listing.service, q->service) != 0
+        || !is_build_allowed (q, e))
       continue;
     s.serving += !e->draining;
     s.cold += !e->draining && is_cold_rate_used (e, now_us);
@@ -773,10 +782,10 @@
 }
 
 static enum pick_code
-reject_code (const struct survey *s)
+reject_code (const struct pick_query *q, const struct survey *s)
 {
   if (s->serving == 0)
-    return PICK_NO_ENDPOINT;
+    return q->build_key != 0 ? PICK_NO_BUILD : PICK_NO_ENDPOINT;
   if (s->cold > 0)
     return PICK_COLD;
   if (s->limited > 0)
@@ -799,7 +808,7 @@
   c.candidates = s.count;
   if (s.count == 0)
     {
-      c.code = reject_code (&s);
+      c.code = reject_code (q, &s);
       c.backoff_us = c.code == PICK_BACKOFF ? s.backoff_end_us - now_us : 0;
       return c;
     }
--- a/relaytry.c
+++ b/relaytry.c
@@ -514,9 +514,6 @@
     }
 
   met_add (MET_ATTEMPTS, 1);
-  if (r->stream_begun
-      && strcmp (r->stream_build, c->endpoint->listing.build) != 0)
-    met_add (MET_RESUMES_OTHER_BUILD, 1);
   if (c->slow > 0)
     met_add (MET_SLOW_AVOIDED, 1);
   log_event (
@@ -585,6 +582,8 @@
     met_add (MET_REFUSED_EVACUATED, 1);
   else if (code == PICK_REGION_NOT_ALLOWED)
     met_add (MET_REFUSED_REGION, 1);
+  else if (code == PICK_NO_BUILD)
+    met_add (MET_RESUMES_NO_BUILD, 1);
 }
 
 void
@@ -615,6 +614,11 @@
       give_up_crashing (r, now_us);
       return;
     }
+  if (r->stream_begun && r->build_key == 0)
+    {
+      give_up_unplaced (r, "build_unknown", 0, now_us);
+      return;
+    }
   if (relay_forward (r, &vm_events, now_us))
     return;
   if (relay_has_no_path (r))
@@ -626,6 +630,7 @@
   memcpy (q.exclude, r->tried, sizeof q.exclude);
   q.nexclude = r->ntried;
   q.homes = region_limits_of (r);
+  q.build_key = r->build_key;
   q.random = relay_random (r->rs);
   relay_estimate_work (r, now_us);
   q.work = r->work;
