Let callers' streams go on only at the build that began them

Cause: what a stream began at was known to one struct of one VM until it ended, and a resume was placed like a new request.

Now the VM that passes a stream's first event on records its build under a digest of workspace and request id, and tells six other VMs, by rendezvous hashing, before the event leaves. A VM that gets a resume looks the named request up, asks those VMs if it does not know it (at most 0.2 s), and then chooses among endpoints of that build. Unknown streams are refused as not run, with a Retry-After; those whose build is gone at once, with a header that says to begin anew. A caller that names no request is served while all endpoints that this VM knows or knew are of one build. Nothing of this depends on time or on the platform, so it holds for VMs that are out of touch. Resumes are not refused for load.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,8 @@
 	quarwire.o quarfeed.o follow.o followraw.o observe.o relayobserve.o \
 	sealbox.o lease.o announce.o orders.o parts.o partfeed.o evac.o mirror.o \
 	mirrorpick.o mirrorwire.o mirrorserve.o mirrorfeed.o speed.o spread.o \
-	health.o conntime.o relayhealth.o reach.o relayreach.o relayattempt.o relayforward.o forwardseal.o
+	health.o conntime.o relayhealth.o reach.o relayreach.o relayattempt.o relayforward.o relayresume.o \
+	forwardseal.o origin.o originwire.o originfeed.o
 # The users' platform; translates only.
 PLATFORM = platform/replyhead.o platform/reqhead.o platform/decode.o platform/orders.o \
 	platform/engine.o platform/ingress.o platform/json.o platform/kvstore.o platform/notice.o \
@@ -91,13 +92,13 @@
 	regress/modelrestart.o
 
 # Failed endpoints in simulated time; replaces loop and log as well.
-regress/failures: regress/failures.o met.o librelay.a libdecide.a
-	$(CC) $(CFLAGS) -o $@ regress/failures.o librelay.a met.o libdecide.a $(LIBS)
+regress/failures: regress/failures.o met.o peer_xdr.o librelay.a libdecide.a
+	$(CC) $(CFLAGS) -o $@ regress/failures.o librelay.a met.o peer_xdr.o libdecide.a $(LIBS)
 
 # The deciding code in simulated time: regress/modelworld.c replaces loop and
 # log.
-regress/model: $(MODEL) met.o librelay.a libdecide.a
-	$(CC) $(CFLAGS) -o $@ $(MODEL) librelay.a met.o libdecide.a $(LIBS)
+regress/model: $(MODEL) met.o peer_xdr.o librelay.a libdecide.a
+	$(CC) $(CFLAGS) -o $@ $(MODEL) librelay.a met.o peer_xdr.o libdecide.a $(LIBS)
 
 # Admission of several routes in simulated time.
 regress/burst: regress/burst.o librelay.a log.o met.o loop.o libdecide.a
--- a/entry.c
+++ b/entry.c
@@ -62,6 +62,7 @@
   struct mirrorfeed *mirror; /* reads lists from other VMs; NULL if unset */
   struct mirrorserve *mirror_serve; /* answers such reads; NULL if unset */
   struct mirrorhttp *mirror_http;   /* answers their requests */
+  struct originfeed *origins;       /* where streams began */
   struct quar *quar;         /* evidence about requests that crash endpoints */
   struct quarfeed *quarfeed; /* shares quar with other VMs */
   struct relays *relays;     /* requests under way */
@@ -397,11 +398,12 @@
 }
 
 static bool
-receive_evidence (void *arg, const char *data, size_t len, int64_t now_us)
+receive_datagram (void *arg, const char *data, size_t len, int64_t now_us)
 {
   struct entry *e = arg;
 
-  return quarfeed_receive (e->quarfeed, data, len, now_us);
+  return quarfeed_receive (e->quarfeed, data, len, now_us)
+         || originfeed_receive (e->origins, data, len, now_us);
 }
 
 /* The selected VM changes at each interval, since it may have stopped. */
@@ -444,6 +446,42 @@
   e->quarfeed = quarfeed_new (&o);
 }
 
+/* --- where streams began ---------------------------------------------- */
+
+static int
+send_origin (void *arg, uint64_t stream, int places,
+             const GByteArray *datagram)
+{
+  struct entry *e = arg;
+
+  if (e->load_gossip == NULL)
+    return 0;
+  return loadgossip_send_ranked (e->load_gossip, stream, places, datagram);
+}
+
+static void
+reply_origin (void *arg, const GByteArray *datagram)
+{
+  struct entry *e = arg;
+
+  loadgossip_reply (e->load_gossip, datagram);
+}
+
+static void
+make_origins (struct entry *e)
+{
+  struct originfeed_opts o = { .loop = e->worker->loop, .arg = e };
+
+  o.vm = cfg_vm (e->settings)->name;
+  o.seal_key = seal_key;
+  o.clock_ms = platform_ms;
+  o.send = send_origin;
+  o.reply = reply_origin;
+  e->origins = originfeed_new (&o);
+}
+
+/* --- shares of rates -------------------------------------------------- */
+
 static int
 cold_share_of (void *arg, uint64_t endpoint, int rate)
 {
@@ -505,6 +543,7 @@
 
   entry_adapter.engine_ops (&o.engine, e->worker->pool);
   o.parts = &e->parts;
+  o.origins = e->origins;
   o.loads = e->loads;
   o.on_work_changed = on_work_changed;
   o.work_arg = e;
@@ -622,7 +661,7 @@
   o.seal_key = seal_key;
   o.on_reports = on_reports;
   o.reports_ctx = e;
-  o.on_other_datagram = receive_evidence;
+  o.on_other_datagram = receive_datagram;
   o.on_other_ctx = e;
   o.vm = vm->name;
   o.domain = vm->domain;
@@ -686,6 +725,7 @@
   e->observe = e->cfg->share_reports ? observe_new () : NULL;
   e->quar = quar_new (e->cfg->quarantine_s * CQ_US_PER_S / CQ_US_PER_MS);
   make_partfeed (e);
+  make_origins (e);
   make_relays (e);
   if (!open_listeners (e))
     return NULL;
@@ -763,6 +803,7 @@
   orders_free (e->orders);
   partfeed_free (e->partfeed);
   relays_free (e->relays);
+  originfeed_free (e->origins);
   if (e->load_gossip != NULL)
     loadgossip_free (e->load_gossip);
   quar_free (e->quar);
--- a/fleet.c
+++ b/fleet.c
@@ -260,18 +260,19 @@
   return only;
 }
 
-bool
-fleet_has_build (const struct fleet *f, const char *service,
-                 uint64_t build_key)
+const struct fleet_endpoint *
+fleet_find_build (const struct fleet *f, const char *service,
+                  uint64_t build_key)
 {
   const struct fleet_endpoint *e;
 
   APR_RING_FOREACH (e, &f->endpoints, fleet_endpoint, link)
   {
-    if (e->build_key == build_key && strcmp (e->listing.service, service) == 0)
-      return true;
+    if (e->build_key == build_key && !e->draining
+        && strcmp (e->listing.service, service) == 0)
+      return e;
   }
-  return false;
+  return NULL;
 }
 
 /* --- former endpoints ------------------------------------------------ */
--- a/fleet.h
+++ b/fleet.h
@@ -437,9 +437,11 @@
 /* Returns the build_key that all endpoints of SERVICE have which this VM knows
    or knew, 0 if they differ or there is none. */
 uint64_t fleet_only_build (const struct fleet *f, const char *service);
-/* Returns whether an endpoint of SERVICE with this build_key is listed. */
-bool fleet_has_build (const struct fleet *f, const char *service,
-                      uint64_t build_key);
+/* Returns a listed endpoint of SERVICE with this build_key that does not
+   drain, or NULL. */
+const struct fleet_endpoint *fleet_find_build (const struct fleet *f,
+                                               const char *service,
+                                               uint64_t build_key);
 
 struct fleet_endpoint *fleet_endpoint_ref (struct fleet_endpoint *e);
 void fleet_endpoint_unref (struct fleet_endpoint *e);
--- a/forwardseal.h
+++ b/forwardseal.h
@@ -12,6 +12,9 @@
 /* Header of the answer of a VM that reaches no endpoint for it. */
 #define FORWARD_NO_PATH_HEADER "Camphorquay-No-Path"
 
+/* Header of the answer to a caller whose stream no endpoint can go on with. */
+#define NO_BUILD_HEADER "Camphorquay-Begin-Anew"
+
 /* The seal of D at NOW_MS of the platform's clock, under KEY; the caller frees
    it. */
 char *forwardseal_make (const struct relay_desc *d, int64_t now_ms,
--- a/librelay.h
+++ b/librelay.h
@@ -135,7 +135,10 @@
   char *stream_type;  /* media type of the stream, NULL before it begins */
   uint64_t build_key; /* of the endpoint that began the stream; 0 before that,
                          and if it is not known */
-  bool stream_begun;  /* the caller has got the head and part of a stream */
+  struct originfeed_question question; /* where the stream began */
+  const char *origin_source; /* how this VM knows that, for the log */
+  bool no_build;             /* no endpoint of the stream's build is left */
+  bool stream_begun; /* the caller has got the head and part of a stream */
   enum relay_reply reply; /* what the caller has got */
   bool paused;            /* the attempt waits for a slow reader */
   bool event_pending;     /* prompts were pending at the endpoint when the last
@@ -269,6 +272,19 @@
                          int64_t now_us);
 void relay_observe_end (struct relay *r, enum send_state sent, int64_t now_us);
 
+/* Whether R's caller takes up a stream that began before. */
+bool relay_takes_up (const struct relay *r);
+/* Find out where that stream began, and place R, or refuse it. */
+void relay_take_up (struct relay *r, int64_t now_us);
+/* The deadline passed meanwhile. */
+void relay_take_up_timed_out (struct relay *r, int64_t now_us);
+/* R's stream begins, or goes on, with the first event of its endpoint. */
+void relay_stream_began (struct relay *r, int64_t now_us);
+/* End R, whose stream no endpoint can go on with. */
+void relay_give_up_no_build (struct relay *r, int64_t now_us);
+/* R is sent to SERVICE, which its route allows. */
+void relay_set_service (struct relay *r, const char *service);
+
 /* Choose an endpoint and send the next attempt, or give up. */
 void relay_place (struct relay *r, int64_t now_us);
 /* Whether R's stream still waits at an endpoint whose weights are so old that
--- a/loadgossip.c
+++ b/loadgossip.c
@@ -53,6 +53,7 @@
 /* Limit of known VMs: anybody can send datagrams with any number of invented
    names. */
 #define VMS_MAX 4096
+#define RANKED_MAX 16 /* VMs that one datagram is sent to by their rank */
 /* Datagrams received in one iteration of the event loop. */
 #define DATAGRAMS_PER_TURN 64
 
@@ -81,6 +82,7 @@
   GPtrArray *peers;             /* struct peer, sorted by_rank */
   GHashTable *by_name;          /* VM's name to struct peer */
   struct load_gossip message;   /* sent last */
+  const apr_sockaddr_t *sender; /* of the datagram that is being handled */
   struct loop_timer send_timer; /* sends the next message */
   struct loop_timer list;       /* starts the next read of the roster */
   int64_t list_pause_us;        /* after the next read */
@@ -387,6 +389,7 @@
   struct peer *l;
   char *ip;
 
+  t->sender = from;
   if (t->opts.on_other_datagram != NULL
       && t->opts.on_other_datagram (t->opts.on_other_ctx, data, len, now_us))
     return;
@@ -719,6 +722,71 @@
   return t->listed && own_rank (t, key) == 0;
 }
 
+/* Fills PEERS with the first PLACES active VMs other than this one, best
+   first; returns their number. */
+static int
+first_ranked (const struct loadgossip *t, uint64_t key, int places,
+              const struct peer **peers)
+{
+  uint64_t score, scores[RANKED_MAX];
+  const struct peer *l;
+  int at, n = 0;
+  guint i;
+
+  for (i = 0; i < t->peers->len; i++)
+    {
+      l = t->peers->pdata[i];
+      if (!is_active_peer (l))
+        continue;
+      score = rendezvous_score (l->row.vm, key);
+      at = n;
+      while (at > 0 && scores[at - 1] < score)
+        at--;
+      if (at == places)
+        continue;
+      n = MIN (n + 1, places);
+      memmove (scores + at + 1, scores + at,
+               sizeof *scores * (size_t)(n - 1 - at));
+      memmove (peers + at + 1, peers + at,
+               sizeof *peers * (size_t)(n - 1 - at));
+      scores[at] = score;
+      peers[at] = l;
+    }
+  return n;
+}
+
+static void
+send_to (struct loadgossip *t, const apr_sockaddr_t *to,
+         const GByteArray *datagram)
+{
+  apr_size_t len = datagram->len;
+
+  apr_socket_sendto (t->sock, (apr_sockaddr_t *)to, 0,
+                     (const char *)datagram->data, &len);
+}
+
+int
+loadgossip_send_ranked (struct loadgossip *t, uint64_t key, int places,
+                        const GByteArray *datagram)
+{
+  const struct peer *peers[RANKED_MAX];
+  int i, n;
+
+  if (t->stopped)
+    return 0;
+  n = first_ranked (t, key, MIN (places, RANKED_MAX), peers);
+  for (i = 0; i < n; i++)
+    send_to (t, peers[i]->to, datagram);
+  return n;
+}
+
+void
+loadgossip_reply (struct loadgossip *t, const GByteArray *datagram)
+{
+  if (!t->stopped)
+    send_to (t, t->sender, datagram);
+}
+
 /* --- lists for other VMs --------------------------------------------- */
 
 bool
--- a/loadgossip.h
+++ b/loadgossip.h
@@ -103,6 +103,12 @@
 void loadgossip_store_restored (struct loadgossip *t, int64_t now_us);
 /* Send a datagram of another kind to the VMs that get this VM's messages. */
 void loadgossip_send (struct loadgossip *t, const GByteArray *datagram);
+/* Send a datagram to the first PLACES other VMs of the roster by rendezvous
+   hashing for KEY; returns their number. */
+int loadgossip_send_ranked (struct loadgossip *t, uint64_t key, int places,
+                            const GByteArray *datagram);
+/* Within on_other_datagram: send a datagram back to the sender. */
+void loadgossip_reply (struct loadgossip *t, const GByteArray *datagram);
 /* Send no more messages and start no more calls. */
 void loadgossip_stop (struct loadgossip *t);
 void loadgossip_free (struct loadgossip *t);
--- a/met.c
+++ b/met.c
@@ -44,6 +44,21 @@
   = { "camphorquay_resumes_no_build_total", "counter",
       "Streams that could not go on since no endpoint of their build is "
       "left." },
+  [MET_TAKEN_UP]
+  = { "camphorquay_taken_up_total", "counter",
+      "Streams that callers took up again and that go on at their build." },
+  [MET_TAKEN_UP_UNKNOWN]
+  = { "camphorquay_taken_up_unknown_total", "counter",
+      "Streams that callers took up again and no VM knew the build of." },
+  [MET_ORIGINS_SENT]
+  = { "camphorquay_origins_sent_total", "counter",
+      "Messages on where a stream began, counted once for each VM." },
+  [MET_ORIGINS_ASKED]
+  = { "camphorquay_origins_asked_total", "counter",
+      "Questions where a stream began, counted once for each VM." },
+  [MET_ORIGINS_INVALID]
+  = { "camphorquay_origins_invalid_total", "counter",
+      "Datagrams on where streams began that were not accepted." },
   [MET_STREAMS_ENDED] = { "camphorquay_streams_ended_total", "counter",
                           "Streams to callers that were ended as complete." },
   [MET_STREAMS_BROKEN] = { "camphorquay_streams_broken_total", "counter",
--- a/regress/test-relaystate.c
+++ b/regress/test-relaystate.c
@@ -14,18 +14,21 @@
 test_table (void)
 {
   static const char expected[]
-      = "              received  placed    sent      begun     ended\n"
-        "place         received  -         -         -         -\n"
-        "send          placed    -         -         -         -\n"
-        "hand_over     -         sent      -         -         -\n"
-        "head          -         -         begun     -         -\n"
-        "chunk         -         -         -         begun     -\n"
-        "attempt_ended -         received  received  received  -\n"
-        "caller_gone   received  received  received  received  -\n"
-        "deadline      -         received  received  received  -\n"
-        "withdraw      -         received  received  received  -\n"
-        "give_up       ended     -         -         -         -\n"
-        "finish        ended     -         -         -         -\n";
+      = "              received  asking    placed    sent      begun     "
+        "ended\n"
+        "ask           asking    -         -         -         -         -\n"
+        "found         -         received  -         -         -         -\n"
+        "place         received  -         -         -         -         -\n"
+        "send          placed    -         -         -         -         -\n"
+        "hand_over     -         -         sent      -         -         -\n"
+        "head          -         -         -         begun     -         -\n"
+        "chunk         -         -         -         -         begun     -\n"
+        "attempt_ended -         -         received  received  received  -\n"
+        "caller_gone   received  received  received  received  received  -\n"
+        "deadline      -         received  received  received  received  -\n"
+        "withdraw      -         received  received  received  received  -\n"
+        "give_up       ended     -         -         -         -         -\n"
+        "finish        ended     -         -         -         -         -\n";
   g_autoptr (GString) seen = g_string_new ("             ");
   enum relay_state from, to;
   enum relay_event event;
--- a/relay.c
+++ b/relay.c
@@ -143,6 +143,18 @@
   return !stale && *workspace != NULL;
 }
 
+/* The name must be the route's: that of an endpoint may be freed. */
+void
+relay_set_service (struct relay *r, const char *service)
+{
+  int i;
+
+  for (i = 0; i < r->route->nsplits; i++)
+    if (strcmp (r->route->splits[i].service, service) == 0)
+      r->service = r->route->splits[i].service;
+  r->service_state = get_or_add_service (r->rs, r->service);
+}
+
 static struct relay *
 relay_new (struct relays *rs, const struct relay_desc *d,
            const struct fleet_route *route, int64_t now_us)
@@ -217,7 +229,10 @@
   relay_add_demand (r, requested_tokens (d), now_us);
   /* As if unpause were queued, which keeps relay_finish from freeing it. */
   r->unpause_posted = true;
-  relay_place (r, now_us);
+  if (relay_takes_up (r))
+    relay_take_up (r, now_us);
+  else
+    relay_place (r, now_us);
   r->unpause_posted = false;
   if (r->state != RELAY_ENDED)
     return r;
--- a/relay.h
+++ b/relay.h
@@ -17,6 +17,7 @@
 #include "load.h"
 #include "loop.h"
 #include "notice.h"
+#include "originfeed.h"
 #include "parts.h"
 #include "quar.h"
 
@@ -35,6 +36,8 @@
   RELAY_NOT_RUN,   /* it did not run, and may be sent again */
   RELAY_NO_PATH,   /* the same, of a request that another VM forwarded: this VM
                       reaches no endpoint for it either */
+  RELAY_NO_BUILD,  /* it did not run: its stream can go on at no endpoint, and
+                      is to begin anew */
   RELAY_UNKNOWN,   /* it may have run, or it failed */
   RELAY_TIMED_OUT  /* it was sent, and the deadline passed without an answer */
 };
@@ -125,6 +128,7 @@
   int64_t version;    /* weight version that ran, 0 if not given */
   struct notice notice; /* the endpoint's notices on its own state */
   bool no_path;         /* of another VM's answer: it reaches no endpoint */
+  bool no_build;        /* likewise: the stream can go on at no endpoint */
   char **lines;         /* "Name: value" lines for the caller */
 };
 
@@ -203,6 +207,8 @@
   struct fleet *fleet;            /* known endpoints and configuration */
   struct parts *parts;            /* contents of the KV stores, or NULL */
   struct relay_engine engine;     /* engine adapter */
+  struct originfeed *origins;     /* where streams began; NULL: the streams
+                                     that callers name are not known */
   const struct load_table *loads; /* load caused by other VMs, or NULL */
   /* A long prompt was sent to an endpoint, was processed, or its request
      ended; may be NULL. */
--- a/relayadmit.c
+++ b/relayadmit.c
@@ -244,7 +244,8 @@
 {
   int64_t wait = now_us - r->arrived_us + c->wait_us;
 
-  if (r->route->kind != FLEET_STREAM || r->stream_begun)
+  /* Of a stream that goes on, the caller has a part already. */
+  if (r->route->kind != FLEET_STREAM || r->stream_begun || r->build_key != 0)
     return CQ_PERMILLE;
   if (r->arrived_us + wait > r->deadline_us)
     return 0;
--- a/relayattempt.c
+++ b/relayattempt.c
@@ -153,7 +153,7 @@
       met_observe (MET_FIRST_TOKEN, r->first_chunk_us - r->arrived_us);
       if (r->endpoint != NULL)
         {
-          r->build_key = fleet_build_of (r->rs->opts.fleet, r->endpoint);
+          relay_stream_began (r, r->first_chunk_us);
           relay_record_wait (r, r->first_chunk_us);
         }
       r->desc.caller->begin (r->desc.arg, r->status,
--- a/relayend.c
+++ b/relayend.c
@@ -152,6 +152,8 @@
       (gint64)(r->first_chunk_us ? r->first_chunk_us - r->arrived_us : 0),
       (gint64)(now_us - r->arrived_us), (gint64)r->gap_us);
   relay_release_endpoint (r, now_us);
+  if (r->question.waiting)
+    originfeed_cancel (r->rs->opts.origins, &r->question);
   APR_RING_REMOVE (r, link);
   r->rs->count--;
   if (!r->unpause_posted)
@@ -203,7 +205,9 @@
       relay_abort (r, now_us);
       return;
     }
-  if (outcome == OUT_NOT_RUN)
+  if (outcome == OUT_NOT_RUN && r->no_build)
+    why = RELAY_NO_BUILD;
+  else if (outcome == OUT_NOT_RUN)
     why = relay_has_no_path (r) ? RELAY_NO_PATH : RELAY_NOT_RUN;
   else if (now_us >= r->deadline_us)
     why = RELAY_TIMED_OUT;
--- a/relayforward.c
+++ b/relayforward.c
@@ -115,6 +115,7 @@
   r->status = head->status;
   r->not_run = says_not_run (head);
   r->vm_no_path = r->not_run && head->no_path;
+  r->no_build = r->not_run && head->no_build;
   r->vm_retry_us = head->notice.backoff_us;
   if (!r->not_run && !head->genuine)
     {
@@ -154,6 +155,8 @@
     }
   if (v.passes_answer)
     relay_pass_answer (r, v.outcome, v.reason, now_us);
+  else if (r->no_build)
+    relay_give_up_no_build (r, now_us);
   else
     relay_give_up (
         r, v.outcome, reason,
--- a/relaytry.c
+++ b/relaytry.c
@@ -190,6 +190,13 @@
       r->stop_reason = "not_genuine";
       return false;
     }
+  /* Its endpoint started again under its id, with another build. */
+  if (!head->not_run && r->build_key != 0
+      && fleet_build_of (r->rs->opts.fleet, r->endpoint) != r->build_key)
+    {
+      r->stop_reason = "build_changed";
+      return false;
+    }
   r->streaming = relay_is_stream (r, head);
   g_strfreev (r->lines);
   r->lines = g_strdupv (head->lines);
@@ -582,8 +589,6 @@
     met_add (MET_REFUSED_EVACUATED, 1);
   else if (code == PICK_REGION_NOT_ALLOWED)
     met_add (MET_REFUSED_REGION, 1);
-  else if (code == PICK_NO_BUILD)
-    met_add (MET_RESUMES_NO_BUILD, 1);
 }
 
 void
@@ -648,6 +653,8 @@
       relay_admitted (r, now_us);
       send_attempt (r, &c, now_us);
     }
+  else if (c.code == PICK_NO_BUILD)
+    relay_give_up_no_build (r, now_us);
   else
     {
       count_unplaced_reason (c.code);
@@ -682,6 +689,11 @@
 void
 relay_time_out (struct relay *r, int64_t now_us)
 {
+  if (r->state == RELAY_ASKING)
+    {
+      relay_take_up_timed_out (r, now_us);
+      return;
+    }
   cancel_attempt (r, RELAY_DEADLINE, "deadline", now_us);
 }
 
