Model check of streams that callers take up; tell eight VMs

The real table, messages and choice of an endpoint in simulated time. On three VMs and three builds, all combinations of two kills, cuts and lost messages: no stream goes on at another build, and after one fault none is refused, except at a VM that is cut off from the others and was not told. Each of four safeguards is found when it is switched off.

--- a/Makefile
+++ b/Makefile
@@ -89,7 +89,7 @@
 
 MODEL = regress/model.o regress/modelworld.o regress/modelstore.o \
 	regress/modellease.o regress/modelannounce.o regress/modelkeys.o \
-	regress/modelrestart.o
+	regress/modelrestart.o regress/modelstreams.o
 
 # Failed endpoints in simulated time; replaces loop and log as well.
 regress/failures: regress/failures.o met.o peer_xdr.o librelay.a libdecide.a
--- a/originfeed.h
+++ b/originfeed.h
@@ -12,7 +12,7 @@
 #include "originwire.h"
 
 /* VMs that are told of a stream.  Any of them may be killed meanwhile. */
-#define ORIGINFEED_COPIES 6
+#define ORIGINFEED_COPIES 8
 
 struct originfeed_opts
 {
--- a/regress/model.c
+++ b/regress/model.c
@@ -1,6 +1,6 @@
 /*
  * The search of the model checker: model [-a] [-v] [-f N]
- * lease|announcements|burst|keys|restarts [CASE]
+ * lease|announcements|burst|keys|restarts|streams [CASE], or model shares
  *
  * Prints a line for each safeguard that is switched off: whether the search
  * finds a run that breaks a property, after how many runs and states, and the
@@ -208,6 +208,8 @@
     return model_burst_cases;
   if (strcmp (name, "restarts") == 0)
     return model_restart_cases;
+  if (strcmp (name, "streams") == 0)
+    return model_stream_cases;
   return strcmp (name, "keys") == 0 ? model_keys_cases : NULL;
 }
 
@@ -227,11 +229,16 @@
       else if (option == 'f')
         search.most = atoi (optarg);
     }
+  if (optind < argc && strcmp (argv[optind], "shares") == 0)
+    {
+      model_print_stream_shares ();
+      return 0;
+    }
   m = optind < argc ? cases_of (argv[optind]) : NULL;
   if (m == NULL)
     {
       fprintf (stderr, "usage: model [-a] [-v] [-f N] "
-                       "lease|announcements|burst|keys|restarts "
+                       "lease|announcements|burst|keys|restarts|streams "
                        "[CASE]\n");
       return 2;
     }
--- a/regress/model.h
+++ b/regress/model.h
@@ -26,6 +26,10 @@
 extern const struct model_case model_burst_cases[];
 extern const struct model_case model_keys_cases[];
 extern const struct model_case model_restart_cases[];
+extern const struct model_case model_stream_cases[];
+
+/* Prints the shares of streams that go on, on many VMs, by seeds. */
+void model_print_stream_shares (void);
 
 /* Returns one of N alternatives; the search tries all of them in turn. */
 int model_pick (int n);
