Test callers that take up streams: killed VM, store away, build that leaves

Real processes, three VMs, two endpoints of each of two builds: the stream taken up again and again, at several VMs at once, through a VM without a path to endpoints, with the store away, with the first VM killed, and with one build draining. What is not known (an id never seen, empty, oversized, named twice, of another workspace, or not named while two builds serve) runs nowhere and gets a Retry-After; a stream whose build is gone gets Camphorquay-Begin-Anew.

--- a/regress/builds.sh
+++ b/regress/builds.sh
@@ -52,8 +52,11 @@
 	told "$_set" $_ids
 }
 
+refused() { sed -n 's/\r$//; s/^Retry-After: .*/Retry-After/p; s/^\(Camphorquay-Begin-Anew\).*/\1/p' "$tmp/head" | tr '\n' ' '; }
+runs_of() { runs "Attempt-Id=$1 "; }
+
 start_fake rows rows
-row op config "$(site_conf 3 '"k1"')"
+row op config "$(site_conf 3 '"k1"' | sed 's/"Tenants":\[/&{"Name":"dyers","ApiKeys":["k2"]},/')"
 for s in p q r s; do
 	case $s in
 	[pq]) build=v1 ;;
@@ -66,10 +69,85 @@
 	view $v
 	eval "port_rows=\$view_$v entry $v"
 done
-for v in a b c; do wait_for is_ready $v; done
+# The VMs are in the list that each of them read.
+all_known() { grep -q "event=vms_listed vms=3" "$tmp/$1.log"; }
 for v in a b c; do
-	for o in a b c; do [ $o = $v ] || wait_for has_line "$tmp/$v.log" "event=vm_known name=$o"; done
+	wait_for is_ready $v
+	wait_for all_known $v
 done
 
 streams same a a
 streams other a b c
+
+echo "== again and again, and several at once"
+begin a again
+for v in b c a b; do
+	_last=$(sed -n 's/^id: //p' "$tmp/again.all" | tail -1)
+	[ "$_last" -lt 5 ] || break
+	out=$tmp/again.part id=again-$v ask $v /tell/again -d x --max-time 0.1 \
+		-H "Last-Event-Id: $_last" -H 'Resumes: again' >/dev/null
+	# A part of an event is not an event.
+	awk 'BEGIN { RS = ""; ORS = "\n\n" } /^id: [0-9]+\ndata: v[0-9]t[0-9]$/' "$tmp/again.part" >>"$tmp/again.all"
+done
+go_on c again 5
+told again again
+begin a once
+for v in a b c; do
+	cp "$tmp/once.all" "$tmp/once$v.all"
+	(
+		out=$tmp/once$v.part id=once-$v ask $v /tell/once -d x \
+			-H "Last-Event-Id: $(sed -n 's/^id: //p' "$tmp/once.all" | tail -1)" -H 'Resumes: once' >/dev/null
+		cat "$tmp/once$v.part" >>"$tmp/once$v.all"
+	) &
+	eval "job_$v=$!"
+done
+wait "$job_a" "$job_b" "$job_c"
+told once oncea onceb oncec
+
+echo "== what is not known runs nowhere"
+go_wrong() {
+	echo "$1: $(out=$tmp/wrong id=wrong-$1 key=${key:-k1} ask b /tell/x -d x -H 'Last-Event-Id: 2' "${@:2}") $(refused)ran $(runs_of "wrong-$1")"
+}
+go_wrong unseen -H 'Resumes: nobody'
+go_wrong empty -H 'Resumes;'
+go_wrong long -H "Resumes: $(head -c 3000 /dev/zero | tr '\0' x)"
+go_wrong twice -H 'Resumes: again' -H 'Resumes: other1'
+key=k2 go_wrong stranger -H 'Resumes: again'
+go_wrong unnamed
+
+echo "== a VM without a path to the endpoints"
+cut_links b 1
+isolated() { id=poll ask b /tell/x -d x >/dev/null && has_line "$tmp/b.log" 'event=forward req=poll'; }
+wait_for isolated
+streams forwarded b b c a
+cut_links b 0
+
+echo "== the store is away"
+control rows '{"silent":1}'
+streams storeless a b c
+control rows '{"silent":0}'
+
+echo "== the first VM is killed"
+for j in 1 2 3 4; do begin a killed$j; done
+die a
+for j in 1 2 3 4; do go_on $([ $j -lt 3 ] && echo b || echo c) killed$j; done
+told killed killed1 killed2 killed3 killed4
+
+echo "== a build leaves"
+for j in 1 2 3 4 5 6; do begin b leaving$j; done
+for s in p q; do
+	build=v1 list_server $s llm m 1 draining
+	wait_for has_line "$tmp/c.log" "endpoint=i-$s outcome=draining"
+done
+on=0 anew=0 other=0
+for j in 1 2 3 4 5 6; do
+	go_on c leaving$j
+	case $(cat "$tmp/leaving$j.status") in
+	200) on=$((on + 1)) ;;
+	503) [ "$(refused)" = 'Camphorquay-Begin-Anew ' ] && anew=$((anew + 1)) || other=$((other + 1)) ;;
+	*) other=$((other + 1)) ;;
+	esac
+done
+v2=$(cat "$tmp"/leaving?.all | grep -c '^data: v2t1$')
+[ $on = "$v2" ] && [ $((on + anew)) = 6 ] && echo "those of the other build go on, the rest is to begin anew" || echo "on $on, of v2 $v2, anew $anew, other $other"
+cat "$tmp"/[bc].log | grep -o 'event=take_up .* outcome=[a-z_]*' | sed 's/.*outcome=//' | sort -u
