Unit tests of callers that take up streams; fuzz their messages

No answer, a caller that leaves, a stop and a deadline while other VMs are asked; the attempt that is named; callers that name none; an endpoint that starts again with another build after it was chosen; the table's bound and its conflicts; the wire format. They found that a route to a single service with weight 0, which is served, refused resumes.

--- a/regress/fuzz-input.c
+++ b/regress/fuzz-input.c
@@ -7,7 +7,9 @@
 #include <string.h>
 
 #include "sse.h"
+#include "originwire.h"
 #include "peer.h"
+#include "sealbox.h"
 #include "platform/platform.h"
 #include "wire.h"
 
@@ -398,6 +400,19 @@
     g_error ("a fact out of its range");
 }
 
+static void
+fuzz_origins (const char *data, size_t size)
+{
+  static const uint8_t key[SEALBOX_KEY_BYTES] = { 1 };
+  struct origin_message m;
+
+  if (originwire_open ((const uint8_t *)data, size, key, &m))
+    g_error ("accepted a datagram without a valid seal");
+  if (originwire_decode ((const uint8_t *)data, size, &m)
+      && (m.keep_us < 0 || m.keep_us > ORIGIN_KEEP_MAX_US || m.at_ms < 0))
+    g_error ("a message of a stream is out of bounds");
+}
+
 static void
 fuzz_facts (const char *data, size_t size)
 {
@@ -613,6 +628,7 @@
       break;
     case 10:
       fuzz_facts (text, size - 1);
+      fuzz_origins (text, size - 1);
       break;
     case 11:
       fuzz_lists (data + 1, size - 1);
--- a/regress/relayharness.c
+++ b/regress/relayharness.c
@@ -123,6 +123,39 @@
   return g_strdup ("seal");
 }
 
+static const uint8_t *
+seal_key (void *arg)
+{
+  static const uint8_t key[32];
+
+  (void)arg;
+  return key;
+}
+
+static int
+send_origin (void *arg, uint64_t stream, int places,
+             const GByteArray *datagram)
+{
+  struct harness *p = arg;
+
+  (void)stream;
+  (void)places;
+  (void)datagram;
+  p->origin_messages += p->told;
+  return p->told;
+}
+
+static struct originfeed *
+new_origins (struct harness *p)
+{
+  struct originfeed_opts o = { .loop = p->loop, .vm = "vm", .arg = p };
+
+  o.seal_key = seal_key;
+  o.clock_ms = clock_ms;
+  o.send = send_origin;
+  return originfeed_new (&o);
+}
+
 /* --- simulated caller ------------------------------------------------ */
 
 static void
@@ -286,6 +319,8 @@
   o.on_evidence = on_observed;
   o.is_evidence_known = is_evidence_known;
   o.quar_arg = p;
+  p->origins = new_origins (p);
+  o.origins = p->origins;
   o.retry_percent = 10;
   o.retry_burst = 4;
   o.stream_buffer = 4096;
@@ -332,6 +367,7 @@
 {
   g_assert_cmpint (relays_count (p->relays), ==, 0);
   relays_free (p->relays);
+  originfeed_free (p->origins);
   quar_free (p->quar);
   fleet_clear (&p->fleet);
   loop_free (p->loop);
--- a/regress/relayharness.h
+++ b/regress/relayharness.h
@@ -49,6 +49,9 @@
   int probes;                   /* probes so far */
   char probed[FLEET_NAME_SIZE]; /* endpoint that was probed last */
   bool turn;                    /* this VM may send suspect requests */
+  struct originfeed *origins;   /* where streams began */
+  int told;                     /* VMs that messages on them go to */
+  int origin_messages;          /* such messages */
 };
 
 /* Header lines of a genuine answer, NULL-terminated. */
--- a/regress/test-builds.c
+++ b/regress/test-builds.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "relayharness.h"
+#include "sealbox.h"
 #include "units.h"
 
 /* Streams that may break before the retry budget is used up. */
@@ -114,10 +115,233 @@
   harness_free (p);
 }
 
+/* --- callers that take streams up ------------------------------------ */
+
+#define ANSWER_US (400 * CQ_US_PER_MS) /* longer than a question waits */
+
+/* A request that takes up stream RESUMES, and one other VM, which does not
+   answer. */
+static struct harness *
+taking_up (const char *resumes)
+{
+  struct harness *p = two_builds ();
+
+  p->told = 1;
+  p->desc.resumes = resumes;
+  p->desc.resume_after = 1;
+  return p;
+}
+
+/* Guards against a stream that runs at any build since no VM answered. */
+static void
+test_no_answer (void)
+{
+  struct harness *p = taking_up ("other");
+
+  harness_start (p);
+  g_assert_cmpint (p->refused, ==, -1);
+  harness_run (p, ANSWER_US);
+  g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
+  g_assert_cmpint (p->retry_after_us, >, 0);
+  g_assert_cmpint (p->sends, ==, 0);
+  harness_free (p);
+}
+
+/* Guards against an answer for a request whose caller left meanwhile. */
+static void
+test_leaves_while_asked (void)
+{
+  struct harness *p = taking_up ("other");
+
+  harness_start (p);
+  relay_caller_disconnected (p->relay);
+  g_assert_cmpint (relays_count (p->relays), ==, 0);
+  harness_run (p, ANSWER_US);
+  g_assert_cmpint (p->sends, ==, 0);
+  harness_free (p);
+}
+
+/* Guards against a request that outlives a stop of the VM, or its deadline,
+   while other VMs are asked. */
+static void
+test_ends_while_asked (void)
+{
+  struct harness *p = taking_up ("other");
+
+  harness_start (p);
+  relays_stop (p->relays, loop_now_us ());
+  g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
+  p->refused = -1;
+  p->desc.deadline_us = loop_now_us () + 20 * CQ_US_PER_MS;
+  harness_start (p);
+  harness_run (p, 100 * CQ_US_PER_MS);
+  g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
+  harness_run (p, ANSWER_US);
+  g_assert_cmpint (p->sends, ==, 0);
+  harness_free (p);
+}
+
+/* Guards against a stream whose second resume names an attempt that nobody
+   knows: each attempt names the first one, and is recorded under it. */
+static void
+test_named_by_first (void)
+{
+  struct harness *p = taking_up (NULL);
+  const char *build;
+  int i;
+
+  p->desc.id = "first";
+  p->desc.resume_after = -1;
+  harness_start (p);
+  build = build_of (p, 0);
+  g_assert_true (p->event->before_send (p->arg));
+  harness_head (p, 200);
+  harness_body (p, "id: 1\ndata: a\n\n");
+  g_assert_cmpint (p->origin_messages, ==, 1);
+  relay_caller_disconnected (p->relay);
+  p->desc.resumes = "first";
+  for (i = 1; i < 4; i++)
+    {
+      p->desc.id = "later";
+      p->desc.resume_after = i;
+      harness_start (p);
+      g_assert_cmpint (p->sends, ==, i + 1);
+      g_assert_cmpstr (build_of (p, i), ==, build);
+      g_assert_cmpint (p->resume_after, ==, i);
+      g_assert_true (p->event->before_send (p->arg));
+      harness_head (p, 200);
+      harness_body (p, "id: 5\ndata: a\n\n");
+      relay_caller_disconnected (p->relay);
+    }
+  g_assert_cmpint (originfeed_count (p->origins), ==, 1);
+  harness_free (p);
+}
+
+/* Guards against callers that name no attempt and are refused although there
+   is only one build, or served although there are two. */
+static void
+test_unnamed (void)
+{
+  struct harness *p = harness_new (FLEET_STREAM);
+
+  p->desc.resume_after = 1;
+  harness_start (p);
+  harness_answer (p, "id: 2\ndata: b\n\n");
+  g_assert_cmpint (p->ended, ==, 1);
+  harness_add_build (p, "c", "v2");
+  harness_start (p);
+  g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
+  g_assert_cmpint (p->sends, ==, 1);
+  harness_free (p);
+}
+
+/* Guards against a resume that runs at an endpoint which started again under
+   its id with another build after it was chosen. */
+static void
+test_restarted_when_resumed (void)
+{
+  struct harness *p = harness_new (FLEET_STREAM);
+  struct relay_head h = { .status = 200, .genuine = true, .running = -1 };
+
+  h.lines = harness_seal;
+  p->desc.resume_after = 1;
+  harness_start (p);
+  g_assert_true (p->event->before_send (p->arg));
+  harness_add_build (p, p->to[0], "v2");
+  g_assert_false (p->event->head (p->arg, &h));
+  harness_end (p, true, false);
+  g_assert_cmpint (p->got->len, ==, 0);
+  g_assert_cmpint (p->sends, ==, 2);
+  g_assert_cmpstr (build_of (p, 1), ==, "v1");
+  harness_answer (p, "id: 2\ndata: b\n\n");
+  harness_free (p);
+}
+
+/* --- records --------------------------------------------------------- */
+
+static struct origin_key
+stream_key (int i)
+{
+  struct origin_key key = { { 0 } };
+
+  memcpy (key.bytes, &i, sizeof i);
+  return key;
+}
+
+/* Guards against a table that grows without bound, and against a stream that
+   is recorded with two builds and goes on at either. */
+static void
+test_table (void)
+{
+  struct origin_table *t = origin_new ();
+  struct origin_key key = stream_key (0);
+  int64_t left;
+  int i;
+
+  for (i = 0; i < 2 * ORIGIN_ENTRIES_MAX; i++)
+    {
+      key = stream_key (i);
+      origin_put (t, &key, 1, CQ_US_PER_S, 10);
+    }
+  g_assert_cmpint (origin_count (t), ==, ORIGIN_ENTRIES_MAX);
+  g_assert_cmpint (origin_find (t, &key, &left, 10), ==, 1);
+  g_assert_cmpint (left, ==, CQ_US_PER_S);
+  origin_put (t, &key, 2, CQ_US_PER_S, 10);
+  g_assert_cmpint (origin_find (t, &key, &left, 10), ==, 0);
+  origin_put (t, &key, 1, CQ_US_PER_S, 10);
+  g_assert_cmpint (origin_find (t, &key, &left, 10), ==, 0);
+  g_assert_cmpint (origin_find (t, &key, &left, 10 + CQ_US_PER_S), ==, 0);
+  origin_put (t, &key, 1, CQ_US_PER_S, 10 + CQ_US_PER_S);
+  g_assert_cmpint (origin_find (t, &key, &left, 10 + CQ_US_PER_S), ==, 1);
+  origin_free (t);
+}
+
+/* Guards against messages of strangers, and against changed ones. */
+static void
+test_wire (void)
+{
+  static const uint8_t key[SEALBOX_KEY_BYTES] = { 1 };
+  static const uint8_t other[SEALBOX_KEY_BYTES] = { 2 };
+  struct origin_message m = { .asks = true, .sender = 3, .at_ms = 4 };
+  struct origin_message got;
+  g_autoptr (GByteArray) bytes = NULL;
+  guint i;
+
+  m.key = stream_key (5);
+  m.build = 6;
+  m.keep_us = 7 * CQ_US_PER_S;
+  bytes = originwire_seal (&m, key);
+  g_assert_true (originwire_is_sealed (bytes->data, bytes->len));
+  g_assert_true (originwire_open (bytes->data, bytes->len, key, &got));
+  g_assert_true (got.asks);
+  g_assert_cmpint (got.sender, ==, 3);
+  g_assert_cmpint (got.at_ms, ==, 4);
+  g_assert_cmpint (got.build, ==, 6);
+  g_assert_cmpint (got.keep_us, ==, 7 * CQ_US_PER_S);
+  g_assert_cmpmem (got.key.bytes, ORIGIN_KEY_BYTES, m.key.bytes,
+                   ORIGIN_KEY_BYTES);
+  g_assert_false (originwire_open (bytes->data, bytes->len, other, &got));
+  for (i = 0; i < bytes->len; i++)
+    {
+      bytes->data[i] ^= 1;
+      g_assert_false (originwire_open (bytes->data, bytes->len, key, &got));
+      bytes->data[i] ^= 1;
+    }
+  g_assert_false (originwire_open (bytes->data, bytes->len - 1, key, &got));
+}
+
 const struct unit build_units[] = {
   { "/builds/own-resume", test_own_resume },
   { "/builds/none-left", test_none_left },
   { "/builds/restarted", test_restarted },
   { "/builds/no-build", test_no_build },
+  { "/builds/no-answer", test_no_answer },
+  { "/builds/leaves-while-asked", test_leaves_while_asked },
+  { "/builds/ends-while-asked", test_ends_while_asked },
+  { "/builds/named-by-first", test_named_by_first },
+  { "/builds/unnamed", test_unnamed },
+  { "/builds/restarted-when-resumed", test_restarted_when_resumed },
+  { "/builds/table", test_table },
+  { "/builds/wire", test_wire },
   { NULL, NULL },
 };
--- a/relayresume.c
+++ b/relayresume.c
@@ -74,7 +74,7 @@
              (gint64)(now_us - r->arrived_us));
 }
 
-/* The service of the route that has endpoints of BUILD, or NULL. */
+/* An endpoint of BUILD in a service that the route still sends to, or NULL. */
 static const struct fleet_endpoint *
 find_build (const struct relay *r, uint64_t build)
 {
@@ -82,7 +82,7 @@
   int i;
 
   for (i = 0; e == NULL && i < r->route->nsplits; i++)
-    if (r->route->splits[i].weight > 0)
+    if (r->route->nsplits == 1 || r->route->splits[i].weight > 0)
       e = fleet_find_build (r->rs->opts.fleet, r->route->splits[i].service,
                             build);
   return e;
