--- a/librelay.h
+++ b/librelay.h
@@ -280,6 +280,12 @@
 void relay_take_up_timed_out (struct relay *r, int64_t now_us);
 /* R's stream begins, or goes on, with the first event of its endpoint. */
 void relay_stream_began (struct relay *r, int64_t now_us);
+/* Log what became of a stream that R's caller takes up, at endpoints of
+   BUILD. */
+void relay_log_take_up (const struct relay *r, const char *outcome,
+                        const char *build, int64_t now_us);
+/* Refuse R, since it is not known where its stream began. */
+void relay_refuse_unknown (struct relay *r, int64_t now_us);
 /* End R, whose stream no endpoint can go on with. */
 void relay_give_up_no_build (struct relay *r, int64_t now_us);
 /* R is sent to SERVICE, which its route allows. */
--- a/relay.c
+++ b/relay.c
@@ -16,20 +16,6 @@
 
 /* --- small helpers --------------------------------------------------- */
 
-static struct relay_service *
-get_or_add_service (struct relays *rs, const char *name)
-{
-  struct relay_service *s = g_hash_table_lookup (rs->services, name);
-
-  if (s != NULL)
-    return s;
-  s = g_new0 (struct relay_service, 1);
-  budget_init (&s->budget, rs->opts.retry_percent, rs->opts.retry_burst);
-  admit_init (&s->admit);
-  g_hash_table_insert (rs->services, g_strdup (name), s);
-  return s;
-}
-
 /* Work that a request asks for: the tokens of its prompt, plus one. */
 static int64_t
 requested_tokens (const struct relay_desc *d)
@@ -143,18 +129,6 @@
   return !stale && *workspace != NULL;
 }
 
-/* The name must be the route's: that of an endpoint may be freed. */
-void
-relay_set_service (struct relay *r, const char *service)
-{
-  int i;
-
-  for (i = 0; i < r->route->nsplits; i++)
-    if (strcmp (r->route->splits[i].service, service) == 0)
-      r->service = r->route->splits[i].service;
-  r->service_state = get_or_add_service (r->rs, r->service);
-}
-
 static struct relay *
 relay_new (struct relays *rs, const struct relay_desc *d,
            const struct fleet_route *route, int64_t now_us)
@@ -166,8 +140,7 @@
   r->desc = *d;
   r->conf = fleet_conf_ref (rs->opts.fleet->conf);
   r->route = route;
-  r->service = fleet_split_select (route, digest);
-  r->service_state = get_or_add_service (rs, r->service);
+  relay_set_service (r, fleet_split_select (route, digest));
   r->arrived_us = now_us;
   r->deadline_us = now_us + route->timeout_us;
   if (d->deadline_us > 0 && d->deadline_us < r->deadline_us)
--- a/relayadmit.c
+++ b/relayadmit.c
@@ -38,6 +38,34 @@
    refused together do not return together. */
 #define OVERLOAD_JITTER_DIVISOR 5
 
+/* --- services --------------------------------------------------------- */
+
+static struct relay_service *
+get_or_add_service (struct relays *rs, const char *name)
+{
+  struct relay_service *s = g_hash_table_lookup (rs->services, name);
+
+  if (s != NULL)
+    return s;
+  s = g_new0 (struct relay_service, 1);
+  budget_init (&s->budget, rs->opts.retry_percent, rs->opts.retry_burst);
+  admit_init (&s->admit);
+  g_hash_table_insert (rs->services, g_strdup (name), s);
+  return s;
+}
+
+/* The name must be the route's: that of an endpoint may be freed. */
+void
+relay_set_service (struct relay *r, const char *service)
+{
+  int i;
+
+  for (i = 0; i < r->route->nsplits; i++)
+    if (strcmp (r->route->splits[i].service, service) == 0)
+      r->service = r->route->splits[i].service;
+  r->service_state = get_or_add_service (r->rs, r->service);
+}
+
 /* --- callers ---------------------------------------------------------- */
 
 const char *
--- a/relayresume.c
+++ b/relayresume.c
@@ -12,68 +12,6 @@
 #include "log.h"
 #include "met.h"
 
-/* How long a caller without a deadline may take its stream up again. */
-#define KEEP_DEFAULT_US (60 * CQ_US_PER_S)
-/* Added to the caller's deadline, for its time on the way. */
-#define KEEP_MARGIN_US (5 * CQ_US_PER_S)
-
-bool
-relay_takes_up (const struct relay *r)
-{
-  return r->route->kind == FLEET_STREAM
-         && (r->desc.resume_after >= 0 || r->desc.resumes != NULL);
-}
-
-/* --- begin of a stream ----------------------------------------------- */
-
-/* The id of the request that brought the stream's first event; NULL if it is
-   not known. */
-static const char *
-first_id (const struct relay *r)
-{
-  if (!relay_takes_up (r))
-    return r->desc.id;
-  return r->desc.resumes != NULL && r->desc.resumes[0] != '\0'
-             ? r->desc.resumes
-             : NULL;
-}
-
-/* A stream that goes on is recorded again, since VMs that knew it may have
-   been restarted. */
-void
-relay_stream_began (struct relay *r, int64_t now_us)
-{
-  const struct relays_opts *o = &r->rs->opts;
-  const char *id = first_id (r);
-  int64_t keep_us = KEEP_DEFAULT_US;
-  struct origin_key key;
-
-  if (r->build_key == 0)
-    r->build_key = fleet_build_of (o->fleet, r->endpoint);
-  if (r->build_key == 0 || id == NULL || o->origins == NULL)
-    return;
-  if (r->desc.deadline_us > 0)
-    keep_us = r->desc.deadline_us - now_us + KEEP_MARGIN_US;
-  origin_key_init (&key, relay_workspace (r), id);
-  originfeed_began (o->origins, &key, r->build_key, keep_us, now_us);
-}
-
-/* --- a caller takes a stream up -------------------------------------- */
-
-static void
-log_take_up (const struct relay *r, const char *outcome, const char *build,
-             int64_t now_us)
-{
-  log_event (LOG_LEVEL_INFO, "take_up",
-             "req=%s resumes=%s after=%" G_GINT64_FORMAT
-             " route=%s outcome=%s source=%s service=%s build=%s "
-             "wait_us=%" G_GINT64_FORMAT,
-             r->desc.id, r->desc.resumes != NULL ? r->desc.resumes : "-",
-             (gint64)r->desc.resume_after, r->route->name, outcome,
-             r->origin_source, r->service, build,
-             (gint64)(now_us - r->arrived_us));
-}
-
 /* An endpoint of BUILD in a service that the route still sends to, or NULL. */
 static const struct fleet_endpoint *
 find_build (const struct relay *r, uint64_t build)
@@ -88,28 +26,6 @@
   return e;
 }
 
-/* The caller's retry may reach a VM that knows. */
-static void
-refuse_unknown (struct relay *r, int64_t now_us)
-{
-  log_take_up (r, "unknown", "-", now_us);
-  met_add (MET_TAKEN_UP_UNKNOWN, 1);
-  relay_give_up (
-      r, OUT_NOT_RUN, "stream_unknown",
-      RETRY_AFTER_FAILURE_US
-          + (int64_t)(relay_random (r->rs) % (uint64_t)RETRY_JITTER_US),
-      now_us);
-}
-
-void
-relay_give_up_no_build (struct relay *r, int64_t now_us)
-{
-  met_add (MET_RESUMES_NO_BUILD, 1);
-  r->no_build = true;
-  relay_give_up (r, out_abandoned (r->may_have_run, relay_is_repeatable (r)),
-                 "no_build", 0, now_us);
-}
-
 /* BUILD is 0 if it is not known where the stream began. */
 static void
 take_up (struct relay *r, uint64_t build, int64_t now_us)
@@ -118,19 +34,19 @@
 
   if (build == 0)
     {
-      refuse_unknown (r, now_us);
+      relay_refuse_unknown (r, now_us);
       return;
     }
   e = find_build (r, build);
   if (e == NULL)
     {
-      log_take_up (r, "none_left", "-", now_us);
+      relay_log_take_up (r, "none_left", "-", now_us);
       relay_give_up_no_build (r, now_us);
       return;
     }
   relay_set_service (r, e->listing.service);
   r->build_key = build;
-  log_take_up (r, "same_build", e->listing.build, now_us);
+  relay_log_take_up (r, "same_build", e->listing.build, now_us);
   met_add (MET_TAKEN_UP, 1);
   relay_place (r, now_us);
 }
@@ -180,10 +96,3 @@
     }
   take_up (r, build, now_us);
 }
-
-void
-relay_take_up_timed_out (struct relay *r, int64_t now_us)
-{
-  if (relay_apply_event (r, RELAY_DEADLINE))
-    refuse_unknown (r, now_us);
-}
