--- a/loadgossip.c
+++ b/loadgossip.c
@@ -728,7 +728,7 @@
 first_ranked (const struct loadgossip *t, uint64_t key, int places,
               const struct peer **peers)
 {
-  uint64_t score, scores[RANKED_MAX];
+  uint64_t score, scores[RANKED_MAX] = { 0 };
   const struct peer *l;
   int at, n = 0;
   guint i;
@@ -739,16 +739,15 @@
       if (!is_active_peer (l))
         continue;
       score = rendezvous_score (l->row.vm, key);
-      at = n;
-      while (at > 0 && scores[at - 1] < score)
-        at--;
-      if (at == places)
+      if (n < places)
+        n++;
+      else if (n == 0 || score <= scores[n - 1])
         continue;
-      n = MIN (n + 1, places);
-      memmove (scores + at + 1, scores + at,
-               sizeof *scores * (size_t)(n - 1 - at));
-      memmove (peers + at + 1, peers + at,
-               sizeof *peers * (size_t)(n - 1 - at));
+      for (at = n - 1; at > 0 && scores[at - 1] < score; at--)
+        {
+          scores[at] = scores[at - 1];
+          peers[at] = peers[at - 1];
+        }
       scores[at] = score;
       peers[at] = l;
     }
