Resume a stream of the product's own interface only at the same build

An engine gives the version of its software as build in its load report; the job keeps that of the engine that began its stream, and routing excludes engines with another one. Engines that report none are taken for one build, as they were.

--- a/decide.h
+++ b/decide.h
@@ -398,6 +398,7 @@
   int running;           /* requests that it ran */
   int64_t queued_tokens; /* queued prompt tokens */
   char version[40];      /* weight version that it serves */
+  char build[40];        /* version of its software, "" if not reported */
   char incarnation[40];  /* one run of the endpoint */
   bool leaving;          /* it reported that it is leaving */
 };
@@ -450,9 +451,10 @@
 /* Inputs of the choice of an endpoint for one request. */
 struct route_query
 {
-  int service;                /* index of the service */
-  const char *version;        /* weight version, NULL for plain services */
-  int64_t prompt_tokens;      /* tokens of the prompt */
+  int service;           /* index of the service */
+  const char *version;   /* weight version, NULL for plain services */
+  const char *build;     /* version of the endpoint's software, NULL for any */
+  int64_t prompt_tokens; /* tokens of the prompt */
   const struct pfx_hit *hits; /* endpoints that probably cache a prefix */
   int nhits;                  /* entries in hits */
   int block_tokens;           /* tokens in one prefix block */
--- a/endpointclient.c
+++ b/endpointclient.c
@@ -92,6 +92,7 @@
   r->route.at_us -= int_field (doc, "age_ms") * 1000;
   r->route.leaving = json_is_true (json_object_get (doc, "leaving"));
   copy_field (doc, "version", r->route.version, sizeof r->route.version);
+  copy_field (doc, "build", r->route.build, sizeof r->route.build);
   copy_field (doc, "incarnation", r->route.incarnation,
               sizeof r->route.incarnation);
   r->filled_tokens = int_field (doc, "filled_tokens");
--- a/jobreply.c
+++ b/jobreply.c
@@ -23,6 +23,7 @@
 jobreply_begin_stream (struct job *j)
 {
   j->stream_begun = true;
+  g_strlcpy (j->stream_build, j->build, sizeof j->stream_build);
   j->caller->stream_begin (j->caller_arg, "text/event-stream");
 }
 
--- a/jobsched.c
+++ b/jobsched.c
@@ -226,9 +226,14 @@
       q.nsources
           = kvcache_find_sources (s->kvcache, j, now_us, sources, SOURCES_MAX);
     }
+  /* What two builds write does not fit together in one stream. */
+  if (j->stream_begun)
+    q.build = j->stream_build;
   c = route_pick (s->routes, &q, now_us);
   if (c.code == ROUTE_CHOSEN)
     {
+      g_strlcpy (j->build, route_get (s->routes, c.endpoint)->report.build,
+                 sizeof j->build);
       route_sent (s->routes, c.endpoint,
                   q.prompt_tokens - c.cached_tokens - c.import_tokens, now_us);
       pfx_add_filled (s->prefixes, c.endpoint,
--- a/libserver.h
+++ b/libserver.h
@@ -449,6 +449,9 @@
   bool streaming;                     /* the reply is an event stream */
   struct strm strm;                   /* state of the stream across attempts */
   bool stream_begun;          /* part of the stream was sent to the caller */
+  char build[40];             /* version of the software of the attempt's
+                                 endpoint, "" if not reported */
+  char stream_build[40];      /* of the endpoint that began the stream */
   bool paused;                /* the attempt is paused for a slow caller */
   struct loop_msg unpause;    /* posted once the caller has caught up */
   bool unpause_posted;        /* unpause has not run yet */
--- a/poll.c
+++ b/poll.c
@@ -67,10 +67,10 @@
 
   if (strcmp (old->version, new->version) != 0
       || strcmp (old->incarnation, new->incarnation) != 0
-      || old->leaving != new->leaving)
+      || strcmp (old->build, new->build) != 0 || old->leaving != new->leaving)
     log_event (LOG_LEVEL_INFO, "endpoint",
-               "endpoint=%s version=%s incarnation=%s leaving=%d", id,
-               new->version, new->incarnation, new->leaving);
+               "endpoint=%s version=%s build=%s incarnation=%s leaving=%d", id,
+               new->version, new->build, new->incarnation, new->leaving);
 }
 
 /* Returns true if the endpoint restarted or changed its weight version, and so
--- a/regress/fakeeng.c
+++ b/regress/fakeeng.c
@@ -3,7 +3,7 @@
  * rates, a bounded prefix cache, priorities, cancel, resume, load reports
  * with a lag.
  *
- *   version, incarnation  what it reports
+ *   version, incarnation, build  what it reports
  *   prefill_tokens_s      prompt tokens a second (0: at once)
  *   decode_us             time for each generated token
  *   slots                 requests run at once
@@ -333,10 +333,12 @@
 {
   g_autofree char *version = fk_string ("version", "v1");
   g_autofree char *incarnation = fk_string ("incarnation", "1");
+  g_autofree char *build = fk_string ("build", "");
 
-  return json_pack ("{s:i,s:I,s:s,s:s,s:b}", "running", running + waiting,
-                    "queued_tokens", (json_int_t)queued_tokens, "version",
-                    version, "incarnation", incarnation, "leaving",
+  return json_pack ("{s:s,s:i,s:I,s:s,s:s,s:b}", "build", build, "running",
+                    running + waiting, "queued_tokens",
+                    (json_int_t)queued_tokens, "version", version,
+                    "incarnation", incarnation, "leaving",
                     (int)fk_number ("leaving", 0));
 }
 
--- a/route.c
+++ b/route.c
@@ -274,6 +274,8 @@
     return false;
   if (q->version != NULL && strcmp (e->report.version, q->version) != 0)
     code = ROUTE_NO_VERSION;
+  else if (q->build != NULL && strcmp (e->report.build, q->build) != 0)
+    code = ROUTE_NO_VERSION;
   else if (route_state (e, now_us) != ROUTE_OK || is_excluded (q, i))
     code = ROUTE_ALL_DOWN;
   else if (free_slots_of (e) == 0)
