--- a/regress/test-builds.c
+++ b/regress/test-builds.c
@@ -217,6 +217,21 @@
   harness_free (p);
 }
 
+/* Guards against messages on streams that nobody may take up. */
+static void
+test_not_resumable (void)
+{
+  struct harness *p = harness_new (FLEET_STREAM);
+
+  p->told = 1;
+  harness_route (p)->resumable = false;
+  harness_start (p);
+  harness_answer (p, "id: 1\ndata: a\n\n");
+  g_assert_cmpint (p->ended, ==, 1);
+  g_assert_cmpint (p->origin_messages, ==, 0);
+  harness_free (p);
+}
+
 /* Guards against callers that name no attempt and are refused although there
    is only one build, or served although there are two. */
 static void
@@ -339,6 +354,7 @@
   { "/builds/leaves-while-asked", test_leaves_while_asked },
   { "/builds/ends-while-asked", test_ends_while_asked },
   { "/builds/named-by-first", test_named_by_first },
+  { "/builds/not-resumable", test_not_resumable },
   { "/builds/unnamed", test_unnamed },
   { "/builds/restarted-when-resumed", test_restarted_when_resumed },
   { "/builds/table", test_table },
--- a/relayorigin.c
+++ b/relayorigin.c
@@ -45,7 +45,8 @@
 
   if (r->build_key == 0)
     r->build_key = fleet_build_of (o->fleet, r->endpoint);
-  if (r->build_key == 0 || id == NULL || o->origins == NULL)
+  if (r->build_key == 0 || id == NULL || o->origins == NULL
+      || !r->route->resumable)
     return;
   if (r->desc.deadline_us > 0)
     keep_us = r->desc.deadline_us - now_us + KEEP_MARGIN_US;
