--- a/regress/test-builds.c
+++ b/regress/test-builds.c
@@ -5,6 +5,8 @@
 #include <glib.h>
 #include <string.h>
 
+#include "mirrorwire.h"
+#include "platform/platform.h"
 #include "relayharness.h"
 #include "sealbox.h"
 #include "units.h"
@@ -272,6 +274,74 @@
   harness_free (p);
 }
 
+/* --- what callers and the platform say -------------------------------- */
+
+static void
+check_resumes (const char *first, const char *second, const char *expected)
+{
+  struct preqhead h;
+
+  preqhead_init (&h);
+  if (first != NULL)
+    preqhead_add (&h, "Resumes", first);
+  if (second != NULL)
+    preqhead_add (&h, "resumes", second);
+  preqhead_finish (&h);
+  g_assert_cmpstr (h.resumes, ==, expected);
+  g_assert_false (h.malformed);
+  preqhead_clear (&h);
+}
+
+/* Guards against a header that names another request than it seems to. */
+static void
+test_header (void)
+{
+  g_autofree char *longest = g_strnfill (128, 'x');
+  g_autofree char *too_long = g_strnfill (129, 'x');
+
+  check_resumes (NULL, NULL, NULL);
+  check_resumes ("9c41", NULL, "9c41");
+  check_resumes ("9c41", "9c41", "9c41");
+  check_resumes ("9c41", "9c42", "");
+  check_resumes ("", NULL, "");
+  check_resumes ("9c 41", NULL, "");
+  check_resumes (longest, NULL, longest);
+  check_resumes (too_long, NULL, "");
+}
+
+static void
+check_entry (const char *version, const char *expected)
+{
+  g_autofree char *text = g_strdup_printf (
+      "{\"Service\":\"s\",\"Address\":\"10.0.0.1:80\",\"Zone\":\"z\","
+      "\"Slots\":1,\"State\":\"ready\"%s}",
+      version);
+  g_autoptr (GByteArray) passed_on = NULL;
+  struct fleet_listing l, got;
+
+  g_assert_null (pdecode_endpoint ("e", text, strlen (text), &l));
+  g_assert_cmpstr (l.build, ==, expected);
+  passed_on = mirrorwire_encode_listing (&l);
+  g_assert_true (
+      mirrorwire_decode_listing ("e", passed_on->data, passed_on->len, &got));
+  g_assert_cmpstr (got.build, ==, expected);
+}
+
+/* Guards against an entry whose build is lost, or that is not listed since its
+   build is spoiled. */
+static void
+test_entry (void)
+{
+  g_autofree char *name = g_strnfill (FLEET_NAME_SIZE, 'x');
+  g_autofree char *too_long = g_strdup_printf (",\"Version\":\"%s\"", name);
+
+  check_entry (",\"Version\":\"v1.2\"", "v1.2");
+  check_entry ("", "");
+  check_entry (",\"Version\":7", "");
+  check_entry (",\"Version\":\"v1 x=2\"", "");
+  check_entry (too_long, "");
+}
+
 /* --- records --------------------------------------------------------- */
 
 static struct origin_key
@@ -357,6 +427,8 @@
   { "/builds/not-resumable", test_not_resumable },
   { "/builds/unnamed", test_unnamed },
   { "/builds/restarted-when-resumed", test_restarted_when_resumed },
+  { "/builds/header", test_header },
+  { "/builds/entry", test_entry },
   { "/builds/table", test_table },
   { "/builds/wire", test_wire },
   { NULL, NULL },
