--- a/origin.c
+++ b/origin.c
@@ -39,17 +39,17 @@
 }
 
 /* The keys are digests already. */
-static guint
-key_hash (gconstpointer key)
+unsigned
+origin_key_hash (const void *key)
 {
-  guint hash;
+  unsigned hash;
 
   memcpy (&hash, ((const struct origin_key *)key)->bytes, sizeof hash);
   return hash;
 }
 
-static gboolean
-key_equal (gconstpointer a, gconstpointer b)
+int
+origin_key_equal (const void *a, const void *b)
 {
   return memcmp (a, b, ORIGIN_KEY_BYTES) == 0;
 }
@@ -59,7 +59,7 @@
 {
   struct origin_table *t = g_new0 (struct origin_table, 1);
 
-  t->by_key = g_hash_table_new (key_hash, key_equal);
+  t->by_key = g_hash_table_new (origin_key_hash, origin_key_equal);
   APR_RING_INIT (&t->all, entry, link);
   return t;
 }
--- a/origin.h
+++ b/origin.h
@@ -32,6 +32,10 @@
 void origin_key_init (struct origin_key *key, const char *workspace,
                       const char *id);
 
+/* For hash tables by such keys. */
+unsigned origin_key_hash (const void *key);
+int origin_key_equal (const void *a, const void *b);
+
 struct origin_table *origin_new (void);
 void origin_free (struct origin_table *t);
 /* Record that the stream KEY began at BUILD, not 0, until KEEP_US after
--- a/originfeed.c
+++ b/originfeed.c
@@ -95,7 +95,7 @@
 free_pending (struct pending *p)
 {
   loop_disarm (&p->timer);
-  g_hash_table_remove (p->owner->pending, p->key.bytes);
+  g_hash_table_remove (p->owner->pending, &p->key);
   g_free (p);
 }
 
@@ -149,7 +149,7 @@
 get_or_add_pending (struct originfeed *f, const struct origin_key *key,
                     int64_t now_us)
 {
-  struct pending *p = g_hash_table_lookup (f->pending, key->bytes);
+  struct pending *p = g_hash_table_lookup (f->pending, key);
 
   if (p != NULL || g_hash_table_size (f->pending) >= PENDING_MAX)
     return p;
@@ -159,7 +159,7 @@
   APR_RING_INIT (&p->questions, originfeed_question, link);
   p->timer.fire = on_timer;
   p->timer.arg = p;
-  g_hash_table_insert (f->pending, p->key.bytes, p);
+  g_hash_table_insert (f->pending, &p->key, p);
   ask (p, now_us);
   loop_arm (f->opts.loop, &p->timer,
             p->vms > 0 ? now_us + ASK_INTERVAL_US : now_us);
@@ -227,7 +227,7 @@
 static void
 take (struct originfeed *f, const struct origin_message *m, int64_t now_us)
 {
-  struct pending *p = g_hash_table_lookup (f->pending, m->key.bytes);
+  struct pending *p = g_hash_table_lookup (f->pending, &m->key);
   int64_t left;
 
   if (m->build != 0)
@@ -273,21 +273,6 @@
 
 /* --- lifecycle ------------------------------------------------------- */
 
-static guint
-key_hash (gconstpointer key)
-{
-  guint hash;
-
-  memcpy (&hash, key, sizeof hash);
-  return hash;
-}
-
-static gboolean
-key_equal (gconstpointer a, gconstpointer b)
-{
-  return memcmp (a, b, ORIGIN_KEY_BYTES) == 0;
-}
-
 struct originfeed *
 originfeed_new (const struct originfeed_opts *opts)
 {
@@ -295,7 +280,7 @@
 
   f->opts = *opts;
   f->table = origin_new ();
-  f->pending = g_hash_table_new (key_hash, key_equal);
+  f->pending = g_hash_table_new (origin_key_hash, origin_key_equal);
   f->self = XXH3_64bits (opts->vm, strlen (opts->vm));
   return f;
 }
--- a/originfeed.h
+++ b/originfeed.h
@@ -52,8 +52,8 @@
 void originfeed_began (struct originfeed *f, const struct origin_key *key,
                        uint64_t build, int64_t keep_us, int64_t now_us);
 /* Returns the build of the stream KEY if this VM knows it.  Otherwise returns
-   0, and asks other VMs: Q's callback is called after this call, some 0.2 s
-   later at most, unless there are none. */
+   0 and asks other VMs: if Q is waiting then, its callback is called some 0.2
+   s later at most. */
 uint64_t originfeed_find (struct originfeed *f, const struct origin_key *key,
                           struct originfeed_question *q, int64_t now_us);
 /* Q's callback is not called any more. */
--- a/originwire.c
+++ b/originwire.c
@@ -9,7 +9,7 @@
 
 /* First word of the plain text; messages of load gossip under the same key
    begin with another one, and those of evidence with a small count. */
-#define KIND_ORIGINS 0x6f726731
+#define KIND_ORIGIN 0x6f726731
 #define MESSAGE_MAX_BYTES 512
 
 G_STATIC_ASSERT (ORIGIN_KEY_BYTES == PEER_REQUEST_BYTES);
@@ -19,21 +19,19 @@
 GByteArray *
 originwire_seal (const struct origin_message *m, const uint8_t *key)
 {
-  peer_origin one = { .build = m->build };
-  peer_origins all = { .kind = KIND_ORIGINS, .asks = m->asks };
+  peer_origin one = { .kind = KIND_ORIGIN, .asks = m->asks };
   char buf[MESSAGE_MAX_BYTES];
   GByteArray *out = NULL;
   XDR x;
 
+  one.sender = m->sender;
+  one.at_ms = (uint64_t)MAX (m->at_ms, 0);
   memcpy (one.stream, m->key.bytes, sizeof one.stream);
+  one.build = m->build;
   one.keep_ms
       = (u_int)(CLAMP (m->keep_us, 0, ORIGIN_KEEP_MAX_US) / CQ_US_PER_MS);
-  all.sender = m->sender;
-  all.at_ms = (uint64_t)MAX (m->at_ms, 0);
-  all.origins.origins_len = 1;
-  all.origins.origins_val = &one;
   xdrmem_create (&x, buf, sizeof buf, XDR_ENCODE);
-  if (xdr_peer_origins (&x, &all))
+  if (xdr_peer_origin (&x, &one))
     out = sealbox_seal (magic, (const uint8_t *)buf, xdr_getpos (&x), key);
   xdr_destroy (&x);
   return out;
@@ -48,30 +46,25 @@
 bool
 originwire_decode (const uint8_t *plain, size_t len, struct origin_message *m)
 {
-  peer_origins all = { 0 };
-  const peer_origin *one;
+  peer_origin one = { 0 };
   bool is_valid;
   XDR x;
 
   if (len > MESSAGE_MAX_BYTES)
     return false;
   xdrmem_create (&x, (char *)plain, (u_int)len, XDR_DECODE);
-  is_valid = xdr_peer_origins (&x, &all) && all.kind == KIND_ORIGINS
-             && all.at_ms <= G_MAXINT64 / 2 && all.origins.origins_len == 1;
-  if (is_valid)
-    {
-      one = &all.origins.origins_val[0];
-      m->asks = all.asks;
-      m->sender = all.sender;
-      m->at_ms = (int64_t)all.at_ms;
-      memcpy (m->key.bytes, one->stream, sizeof m->key.bytes);
-      m->build = one->build;
-      m->keep_us
-          = MIN ((int64_t)one->keep_ms * CQ_US_PER_MS, ORIGIN_KEEP_MAX_US);
-    }
+  is_valid = xdr_peer_origin (&x, &one) && one.kind == KIND_ORIGIN
+             && one.at_ms <= G_MAXINT64 / 2;
   xdr_destroy (&x);
-  xdr_free ((xdrproc_t)xdr_peer_origins, &all);
-  return is_valid;
+  if (!is_valid)
+    return false;
+  m->asks = one.asks;
+  m->sender = one.sender;
+  m->at_ms = (int64_t)one.at_ms;
+  memcpy (m->key.bytes, one.stream, sizeof m->key.bytes);
+  m->build = one.build;
+  m->keep_us = MIN ((int64_t)one.keep_ms * CQ_US_PER_MS, ORIGIN_KEEP_MAX_US);
+  return true;
 }
 
 bool
--- a/peer.h
+++ b/peer.h
@@ -21,7 +21,6 @@
 #define PEER_WORK_MAX 40
 #define PEER_REPORTS_MAX 24
 #define PEER_FACTS_MAX 128
-#define PEER_ORIGINS_MAX 16
 #define PEER_REQUEST_BYTES 16
 #define PEER_NONCE_BYTES 16
 #define PEER_DIGEST_BYTES 32
@@ -197,23 +196,15 @@
 typedef struct peer_facts peer_facts;
 
 struct peer_origin {
-	char stream[PEER_REQUEST_BYTES];
-	u_quad_t build;
-	u_int keep_ms;
-};
-typedef struct peer_origin peer_origin;
-
-struct peer_origins {
 	u_int kind;
 	bool_t asks;
 	u_quad_t sender;
 	u_quad_t at_ms;
-	struct {
-		u_int origins_len;
-		peer_origin *origins_val;
-	} origins;
+	char stream[PEER_REQUEST_BYTES];
+	u_quad_t build;
+	u_int keep_ms;
 };
-typedef struct peer_origins peer_origins;
+typedef struct peer_origin peer_origin;
 
 enum peer_proc {
 	PEER_PING = 1,
@@ -281,7 +272,6 @@
 extern  bool_t xdr_peer_fact (XDR *, peer_fact*);
 extern  bool_t xdr_peer_facts (XDR *, peer_facts*);
 extern  bool_t xdr_peer_origin (XDR *, peer_origin*);
-extern  bool_t xdr_peer_origins (XDR *, peer_origins*);
 extern  bool_t xdr_peer_proc (XDR *, peer_proc*);
 extern  bool_t xdr_peer_envelope (XDR *, peer_envelope*);
 extern  bool_t xdr_peer_sealed (XDR *, peer_sealed*);
@@ -306,7 +296,6 @@
 extern bool_t xdr_peer_fact ();
 extern bool_t xdr_peer_facts ();
 extern bool_t xdr_peer_origin ();
-extern bool_t xdr_peer_origins ();
 extern bool_t xdr_peer_proc ();
 extern bool_t xdr_peer_envelope ();
 extern bool_t xdr_peer_sealed ();
--- a/peer.x
+++ b/peer.x
@@ -11,7 +11,6 @@
 const PEER_WORK_MAX = 40;
 const PEER_REPORTS_MAX = 24;
 const PEER_FACTS_MAX = 128;
-const PEER_ORIGINS_MAX = 16;
 const PEER_REQUEST_BYTES = 16;
 const PEER_NONCE_BYTES = 16;
 const PEER_DIGEST_BYTES = 32;
@@ -191,24 +190,18 @@
   peer_fact facts<PEER_FACTS_MAX>;
 };
 
-/* The build at which a stream began, 0 if the sender does not know it. */
+/* Tells where a stream began, or asks for it; sealed, in a datagram of its own.
+   KIND is a constant that no other message under the same key begins with,
+   SENDER a hash of the VM's name, and BUILD 0 if the sender does not know. */
 struct peer_origin
-{
-  opaque stream[PEER_REQUEST_BYTES];
-  unsigned hyper build;
-  unsigned int keep_ms;
-};
-
-/* Tells where streams began, or asks for it; sealed, in a datagram of its own.
-   KIND is a constant that no other message under the same key begins with, and
-   SENDER a hash of the VM's name. */
-struct peer_origins
 {
   unsigned int kind;
   bool asks;
   unsigned hyper sender;
   unsigned hyper at_ms;
-  peer_origin origins<PEER_ORIGINS_MAX>;
+  opaque stream[PEER_REQUEST_BYTES];
+  unsigned hyper build;
+  unsigned int keep_ms;
 };
 
 /* Kinds of messages. */
--- a/peer_xdr.c
+++ b/peer_xdr.c
@@ -473,20 +473,6 @@
 	register int32_t *buf;
 
 	int i;
-	 if (!xdr_opaque (xdrs, objp->stream, PEER_REQUEST_BYTES))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->build))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->keep_ms))
-		 return FALSE;
-	return TRUE;
-}
-
-bool_t
-xdr_peer_origins (XDR *xdrs, peer_origins *objp)
-{
-	register int32_t *buf;
-
 	 if (!xdr_u_int (xdrs, &objp->kind))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->asks))
@@ -495,8 +481,11 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->at_ms))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->origins.origins_val, (u_int *) &objp->origins.origins_len, PEER_ORIGINS_MAX,
-		sizeof (peer_origin), (xdrproc_t) xdr_peer_origin))
+	 if (!xdr_opaque (xdrs, objp->stream, PEER_REQUEST_BYTES))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->build))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->keep_ms))
 		 return FALSE;
 	return TRUE;
 }
--- a/relayresume.c
+++ b/relayresume.c
@@ -7,8 +7,6 @@
  */
 #include "librelay.h"
 
-#include <string.h>
-
 #include "log.h"
 #include "met.h"
 
