--- a/decide.h
+++ b/decide.h
@@ -470,7 +470,7 @@
 {
   ROUTE_CHOSEN,
   ROUTE_NO_ENDPOINT, /* none serves this service */
-  ROUTE_NO_VERSION,  /* none reports the required weight version */
+  ROUTE_NO_VERSION,  /* none reports the required weights and build */
   ROUTE_ALL_DOWN,    /* all are ejected, draining or leaving */
   ROUTE_BUSY         /* no endpoint has a free slot */
 };
--- a/route.c
+++ b/route.c
@@ -260,6 +260,14 @@
   return c;
 }
 
+/* Whether E reports the weights and the build that are asked for. */
+static bool
+has_versions (const struct route_endpoint *e, const struct route_query *q)
+{
+  return (q->version == NULL || strcmp (e->report.version, q->version) == 0)
+         && (q->build == NULL || strcmp (e->report.build, q->build) == 0);
+}
+
 /*
  * Whether E may be chosen.  Otherwise *WHY is raised to the reason that is
  * closest to success, so that the refusal names the actual obstacle.
@@ -272,9 +280,7 @@
 
   if (e->opts.service != q->service)
     return false;
-  if (q->version != NULL && strcmp (e->report.version, q->version) != 0)
-    code = ROUTE_NO_VERSION;
-  else if (q->build != NULL && strcmp (e->report.build, q->build) != 0)
+  if (!has_versions (e, q))
     code = ROUTE_NO_VERSION;
   else if (route_state (e, now_us) != ROUTE_OK || is_excluded (q, i))
     code = ROUTE_ALL_DOWN;
