--- a/regress/site.sh
+++ b/regress/site.sh
@@ -53,7 +53,7 @@
 
 # entry NAME: a VM whose settings are rendered from the template.
 entry() {
-	sed -e "s/{{NodeName}}/$1/" -e 's/{{Zone}}/d1/' \
+	sed -e "s/{{NodeName}}/$1/" -e "s/{{Zone}}/${domain:-d1}/" \
 		-e "s/{{Listen.[A-Za-z]*}}/127.0.0.1:0/" \
 		-e "s/{{Platform.Address}}/127.0.0.1:$port_rows/" \
 		-e "s/{{Ip}}:{{PortRange.0}}/127.0.0.1:0/" \
@@ -61,7 +61,7 @@
 		-e "s/{{Bounds.DrainMs}}/${drain_ms:-3000}/" \
 		-e "s/{{Bounds.RevokeMs}}/${revoke_ms:-5000}/" \
 		-e "s/{{Bounds.ConfigApplyMs}}/${apply_ms:-2000}/" \
-		-e 's/{{#Zones}}.*{{.Zones}}/d1=r1 d2=r2/' \
+		-e 's/{{#Zones}}.*{{.Zones}}/d1=r1 d2=r2 d3=r1/' \
 		-e "s/{{Bounds.LeaseMs}}/${lease_ms:-3000}/" \
 		-e "s/{{Bounds.VersionMs}}/${version_ms:-12000}/" "$top/platform/vm.ini.tmpl" >"$tmp/$1.site.ini"
 	if grep -q '{{' "$tmp/$1.site.ini"; then fail "template: $(grep '{{' "$tmp/$1.site.ini")"; fi
