Forward requests only to VMs that say they reach the service

Callers of VMs that were cut off from the endpoints were served far worse than the others where most VMs of a failure domain were cut, or where one of the others stood still.

Cause: a VM to forward to was drawn at random, three times at most, near ones first; whether it has a path, or is alive, was learned from the request itself and forgotten after a second. The class is a belief on other VMs that is paid for with a caller's request. Evidence: forward_end lines with no_path=1 for all draws (a domain, most VMs cut), and sent=partial with no status (frozen).

Now a VM whose connections to a service fail asks four others, each domain half, which services they reach (vmpath.c, relayvms.c), every 0.2 s while requests need it; answers count for 0.45 s, less if the next one is late. A request goes to a VM that confirmed its path, the one of two drawn that has less to do for others. Questions and answers are sealed (pathwire.c). Without a confirmed VM the draw is as before, but only the first one is near, and VMs that are silent or refused are left out, for longer each time.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 	sealbox.o lease.o announce.o orders.o parts.o partfeed.o evac.o mirror.o \
 	mirrorpick.o mirrorwire.o mirrorserve.o mirrorfeed.o speed.o spread.o \
 	health.o conntime.o relayhealth.o reach.o relayreach.o relayattempt.o relayforward.o relayresume.o relayorigin.o \
-	forwardseal.o origin.o originwire.o originfeed.o
+	forwardseal.o vmpath.o pathwire.o relayvms.o origin.o originwire.o originfeed.o
 # The users' platform; translates only.
 PLATFORM = platform/replyhead.o platform/reqhead.o platform/decode.o platform/orders.o \
 	platform/engine.o platform/ingress.o platform/json.o platform/kvstore.o platform/notice.o \
@@ -80,7 +80,7 @@
 	regress/test-relayquar.o regress/test-mirror.o regress/test-routeshare.o \
 	regress/test-relaystate.o regress/test-observe.o regress/test-returns.o \
 	regress/test-speed.o regress/test-spread.o regress/test-health.o \
-	regress/test-reach.o regress/test-forward.o regress/test-builds.o \
+	regress/test-reach.o regress/test-forward.o regress/test-builds.o regress/test-vmpath.o \
 	regress/relayharness.o
 
 regress/test-units: $(UNITS) libplatform.a librelay.a libserver.a libwire.a libdecide.a
@@ -138,7 +138,7 @@
 FUZZED = prompt.c strm.c peer_xdr.c platform/replyhead.c platform/reqhead.c \
 	platform/decode.c platform/json.c platform/kvstore.c platform/notice.c platform/jsonread.c \
 	platform/rows.c platform/roster.c \
-	platform/quarrows.c followraw.c mirrorwire.c quar.c sealbox.c quarwire.c originwire.c loadgossipwire.c fleet.c pace.c limit.c cold.c health.c sse.c lease.c fetch.c xfer.c stall.c loop.c
+	platform/quarrows.c followraw.c mirrorwire.c quar.c sealbox.c quarwire.c originwire.c pathwire.c loadgossipwire.c fleet.c pace.c limit.c cold.c health.c sse.c lease.c fetch.c xfer.c stall.c loop.c
 regress/fuzz-input: regress/fuzz-input.c $(FUZZED) wire.h
 	clang -std=gnu11 -D_GNU_SOURCE -g -O1 $(LIB_CFLAGS) -I. \
 		-fsanitize=fuzzer,address,undefined -o $@ \
--- a/entry.c
+++ b/entry.c
@@ -8,6 +8,7 @@
 
 #include "evac.h"
 #include "forwardseal.h"
+#include "pathwire.h"
 
 /* A revoked key must not be accepted once the operator's bound has passed. The
    margin covers the time between the last check and the first byte sent. */
@@ -535,6 +536,70 @@
   return key != NULL && now_ms > 0 && forwardseal_check (d, seal, now_ms, key);
 }
 
+/* A question to another VM. */
+struct path_question
+{
+  struct entry *entry;
+  uint8_t nonce[PATHWIRE_NONCE_BYTES]; /* of the question */
+  vm_asked done;                       /* gets the answer */
+  void *arg;                           /* passed to it */
+};
+
+static void
+on_paths (void *arg, int status, const GString *body)
+{
+  struct path_question *q = arg;
+  const uint8_t *key = seal_key (q->entry);
+  struct vmpath_answer a;
+
+  if (status == 200 && key != NULL
+      && pathwire_read_answer ((const uint8_t *)body->str, body->len, key,
+                               q->nonce, &a))
+    q->done (q->arg, &a, false);
+  else
+    q->done (q->arg, NULL, status == 404);
+  g_free (q);
+}
+
+static bool
+ask_paths (void *arg, const char *address, vm_asked done, void *done_arg)
+{
+  struct entry *e = arg;
+  const uint8_t *key = seal_key (e);
+  g_autoptr (GByteArray) question = NULL;
+  struct path_question *q;
+
+  if (key == NULL)
+    return false;
+  q = g_new0 (struct path_question, 1);
+  q->entry = e;
+  q->done = done;
+  q->arg = done_arg;
+  randombytes_buf (q->nonce, sizeof q->nonce);
+  question = pathwire_question (q->nonce, key);
+  mirrorhttp_ask_paths (e->worker->pool, address, question, on_paths, q);
+  return true;
+}
+
+/* A VM that would refuse a caller's request helps no other VM either. */
+static int
+answer_paths (void *arg, const uint8_t *data, size_t len,
+              GByteArray **answered)
+{
+  struct entry *e = arg;
+  const uint8_t *key = seal_key (e);
+  uint8_t nonce[PATHWIRE_NONCE_BYTES];
+  struct vmpath_answer a;
+
+  if (key == NULL || !pathwire_read_question (data, len, key, nonce))
+    return 403;
+  if (!entry_is_ready (e, loop_now_us ()))
+    return 503;
+  relays_describe_paths (e->relays, &a);
+  *answered = pathwire_answer (nonce, &a, key);
+  return 200;
+}
+
 static void
 make_relays (struct entry *e)
 {
@@ -559,6 +624,7 @@
   o.on_seen = e->observe != NULL ? on_endpoint_seen : NULL;
   o.health_arg = e;
   o.list_vms = e->cfg->forward ? list_vms : NULL;
+  o.ask_paths = ask_paths;
   o.seal_forward = seal_forward;
   o.forward_arg = e;
   o.domain = vm->domain;
@@ -632,8 +698,11 @@
   e->mirror_http = mirrorhttp_open (e->worker, e->list_fd, e->mirror_serve,
                                     o.link_mbit_s, e->cfg->forward);
   if (e->mirror_http != NULL && e->cfg->forward)
-    mirrorhttp_accept_forwarded (
-        e->mirror_http, entry_adapter.forwarded_ops (), &e->listener_ctx);
+    {
+      mirrorhttp_accept_forwarded (
+          e->mirror_http, entry_adapter.forwarded_ops (), &e->listener_ctx);
+      mirrorhttp_answer_paths (e->mirror_http, answer_paths, e);
+    }
   return e->mirror_http != NULL;
 }
 
--- a/librelay.h
+++ b/librelay.h
@@ -15,6 +15,7 @@
 #include "relaystate.h"
 #include "relayhealth.h"
 #include "relayreach.h"
+#include "relayvms.h"
 
 /* Retry-After sent to callers: after a failed attempt, and while this VM has
    no configuration or one that is too old. */
@@ -25,7 +26,7 @@
 #define RETRY_JITTER_US (500 * CQ_US_PER_MS)
 
 /* VMs to which one request is forwarded, one after another. */
-#define RELAY_VMS_MAX 3
+#define RELAY_VMS_MAX 4
 
 /* Reason to end a request after an event that its state does not allow. */
 #define RELAY_STOP_REJECTED "event_rejected"
@@ -64,8 +65,7 @@
   struct relayhealth *health; /* failed endpoints; NULL without
                                  share_reports */
   struct relayreach *reach;   /* services whose endpoints are reached */
-  GHashTable *vms_avoided;    /* name to int64_t: no request is forwarded there
-                                 until then */
+  struct relayvms *vms;       /* other VMs, for requests that are forwarded */
   struct loop_timer sweep;    /* checks deadlines and hang-ups */
   unsigned sweeps;            /* sweeps so far */
   uint64_t random_state;      /* of the pseudo-random generator */
--- a/met.c
+++ b/met.c
@@ -126,6 +126,9 @@
                         "Attempts that got no connection to an endpoint." },
   [MET_FORWARDED] = { "camphorquay_forwarded_total", "counter",
                       "Requests sent to another VM, counted for each one." },
+  [MET_PATH_QUESTIONS]
+  = { "camphorquay_path_questions_total", "counter",
+      "Questions to other VMs which services they reach." },
   [MET_FORWARDS_RECEIVED] = { "camphorquay_forwards_received_total", "counter",
                               "Requests that other VMs forwarded." },
   [MET_ISOLATIONS] = { "camphorquay_isolations_total", "counter",
--- a/mirrorhttp.c
+++ b/mirrorhttp.c
@@ -5,12 +5,17 @@
 
 #include "fetch.h"
 #include "forwardseal.h"
+#include "pathwire.h"
 
 #define LIST_PATH "/list"
+#define PATHS_PATH "/paths"
 /* Time until the first byte of a reply, and between two further bytes: the
    next VM is to be asked before what is known here is too old. */
 #define FIRST_BYTE_MS 500
 #define STALL_MS 500
+/* For the whole answer of a VM that is asked for its paths: requests wait for
+   none of it, and a VM that takes longer is of little help. */
+#define PATHS_MS 250
 /* For a whole reply: 1.2 MB over half of a link of 10 Mbit/s take 2 s. */
 #define TOTAL_MS 6000
 /* Connections of other VMs, each of which keeps one open. */
@@ -36,12 +41,24 @@
   const struct http_listener_ops
       *forwarded_ops;    /* callbacks for forwarded requests, or NULL */
   void *forwarded_owner; /* context for them */
-  int large;             /* large replies being sent */
-  int large_max;         /* most of them */
+  int (*answer_paths) (void *arg, const uint8_t *data, size_t len,
+                       GByteArray **answered); /* answers what services are
+                                                  reached, or NULL */
+  void *paths_arg;                             /* passed to it */
+  int large;                                   /* large replies being sent */
+  int large_max;                               /* most of them */
 };
 
 /* --- answering ------------------------------------------------------- */
 
+static bool
+is_for_paths (const struct req *r)
+{
+  const struct mirrorhttp *m = r->owner;
+
+  return m->answer_paths != NULL && strcmp (r->path, PATHS_PATH) == 0;
+}
+
 /* Requests for lists are POST without the header; callers' requests that
    another VM forwards have it. */
 static void
@@ -57,7 +74,8 @@
       return;
     }
   r->body_max = MIRRORWIRE_REQUEST_MAX;
-  if (strcmp (method, "POST") != 0 || strcmp (r->path, LIST_PATH) != 0)
+  if (strcmp (method, "POST") != 0
+      || (strcmp (r->path, LIST_PATH) != 0 && !is_for_paths (r)))
     req_respond (r, 404, NULL, "", 0);
 }
 
@@ -102,12 +120,33 @@
   g_byte_array_unref (a->head);
 }
 
+static void
+send_paths (struct req *r)
+{
+  struct mirrorhttp *m = r->owner;
+  g_autoptr (GByteArray) answer = NULL;
+  int status = 403;
+
+  if (r->excess == EXCESS_NONE)
+    status = m->answer_paths (m->paths_arg, (const uint8_t *)r->body->str,
+                              r->body->len, &answer);
+  if (answer != NULL)
+    req_respond (r, status, NULL, (const char *)answer->data, answer->len);
+  else
+    req_respond (r, status, NULL, "", 0);
+}
+
 static void
 on_start (struct req *r)
 {
   struct mirrorhttp *m = r->owner;
   struct mirror_answer a;
 
+  if (is_for_paths (r))
+    {
+      send_paths (r);
+      return;
+    }
   if (r->excess == EXCESS_NONE
       && mirrorserve_answer (m->serve, (const uint8_t *)r->body->str,
                              r->body->len, loop_now_us (), &a))
@@ -151,6 +190,16 @@
   m->forwarded_owner = owner;
 }
 
+void
+mirrorhttp_answer_paths (struct mirrorhttp *m,
+                         int (*answer) (void *arg, const uint8_t *data,
+                                        size_t len, GByteArray **answered),
+                         void *arg)
+{
+  m->answer_paths = answer;
+  m->paths_arg = arg;
+}
+
 void
 mirrorhttp_close (struct mirrorhttp *m)
 {
@@ -208,3 +257,20 @@
   ops->ask = ask_vm;
   ops->ctx = pool;
 }
+
+void
+mirrorhttp_ask_paths (struct xfer_pool *pool, const char *address,
+                      const GByteArray *question, fetch_done done, void *arg)
+{
+  g_autofree char *url = g_strconcat ("http://", address, PATHS_PATH, NULL);
+  struct fetch_opts o = { .method = "POST", .url = url, .arg = arg };
+
+  o.body = (const char *)question->data;
+  o.body_len = question->len;
+  o.content_type = "application/octet-stream";
+  o.first_byte_timeout_ms = PATHS_MS;
+  o.timeout_ms = PATHS_MS;
+  o.reply_max_bytes = PATHWIRE_ANSWER_MAX;
+  o.done = done;
+  fetch_start (pool, &o);
+}
--- a/regress/fuzz-input.c
+++ b/regress/fuzz-input.c
@@ -8,6 +8,7 @@
 
 #include "sse.h"
 #include "originwire.h"
+#include "pathwire.h"
 #include "peer.h"
 #include "sealbox.h"
 #include "platform/platform.h"
@@ -413,6 +414,17 @@
     g_error ("a message of a stream is out of bounds");
 }
 
+static void
+fuzz_paths (const char *data, size_t size)
+{
+  static const uint8_t nonce[PATHWIRE_NONCE_BYTES];
+  struct vmpath_answer a;
+
+  if (pathwire_decode_answer ((const uint8_t *)data, size, nonce, &a)
+      && (a.nunreached > VMPATH_SERVICES_MAX || a.forwarded < 0))
+    g_error ("an answer on paths is out of bounds");
+}
+
 static void
 fuzz_facts (const char *data, size_t size)
 {
@@ -629,6 +641,7 @@
     case 10:
       fuzz_facts (text, size - 1);
       fuzz_origins (text, size - 1);
+      fuzz_paths (text, size - 1);
       break;
     case 11:
       fuzz_lists (data + 1, size - 1);
--- a/regress/test-units.c
+++ b/regress/test-units.c
@@ -842,7 +842,8 @@
         limit_units,   notice_units,    regions_units,    evac_units,
         mirror_units,  relayquar_units, routeshare_units, relaystate_units,
         observe_units, returns_units,   speed_units,      spread_units,
-        health_units,  reach_units,     forward_units,    build_units };
+        health_units,  reach_units,     forward_units,    build_units,
+        vmpath_units };
 
 int
 main (int argc, char **argv)
--- a/relay.c
+++ b/relay.c
@@ -309,6 +309,18 @@
   return relayreach_new (&o);
 }
 
+static struct relayvms *
+new_vms (struct relays *rs)
+{
+  struct relayvms_opts o = { .loop = rs->opts.loop };
+
+  o.list_vms = rs->opts.list_vms;
+  o.ask = rs->opts.ask_paths;
+  o.arg = rs->opts.forward_arg;
+  o.seed = rs->opts.seed;
+  return relayvms_new (&o);
+}
+
 struct relays *
 relays_new (const struct relays_opts *opts)
 {
@@ -317,14 +329,13 @@
   rs->opts = *opts;
   rs->random_state = opts->seed;
   rs->reach = new_reach (rs);
+  rs->vms = new_vms (rs);
   rs->crash = new_crash_detection (rs);
   rs->health = new_health (rs);
   rs->sweep.fire = on_sweep;
   rs->sweep.arg = rs;
   rs->services
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  rs->vms_avoided
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   rs->usual_timeouts
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   APR_RING_INIT (&rs->all, relay, link);
@@ -340,9 +351,9 @@
   if (rs->health != NULL)
     relayhealth_free (rs->health);
   relayreach_free (rs->reach);
+  relayvms_free (rs->vms);
   g_hash_table_destroy (rs->services);
   g_hash_table_destroy (rs->usual_timeouts);
-  g_hash_table_destroy (rs->vms_avoided);
   g_free (rs);
 }
 
@@ -377,6 +388,17 @@
     }
 }
 
+void
+relays_describe_paths (const struct relays *rs, struct vmpath_answer *a)
+{
+  const struct relay *r;
+
+  *a = (struct vmpath_answer){ .forwarded = 0 };
+  APR_RING_FOREACH (r, &rs->all, relay, link)
+  a->forwarded += r->desc.forwarded;
+  relayreach_describe (rs->reach, a);
+}
+
 bool
 relays_is_isolated (const struct relays *rs, const char *service)
 {
--- a/relay.h
+++ b/relay.h
@@ -20,6 +20,7 @@
 #include "originfeed.h"
 #include "parts.h"
 #include "quar.h"
+#include "relayvms.h"
 
 struct relay;
 struct relays;
@@ -242,11 +243,15 @@
      of this VM's failure domain; false while they are not known.  NULL: no
      request is forwarded. */
   bool (*list_vms) (void *arg, bool near, GArray *vms);
+  /* Ask the VM at ADDRESS which services it reaches; as in relayvms.h.  NULL:
+     no VM is asked. */
+  bool (*ask_paths) (void *arg, const char *address, vm_asked done,
+                     void *done_arg);
   /* Seal of a request that is forwarded, which the caller frees; NULL while
      there is no key. */
   char *(*seal_forward) (void *arg, const struct relay_desc *desc,
                          int64_t now_us);
-  void *forward_arg;         /* for both callbacks */
+  void *forward_arg;         /* for these callbacks */
   const char *domain;        /* failure domain of this VM */
   int64_t key_max_age_us;    /* older settings: keys are not trusted */
   int64_t denial_max_age_us; /* older settings: nothing is denied for good */
@@ -270,6 +275,8 @@
 void relays_stop (struct relays *rs, int64_t now_us);
 /* Whether this VM reaches no endpoint of SERVICE. */
 bool relays_is_isolated (const struct relays *rs, const char *service);
+/* Fill in A, for another VM that needs help with its requests. */
+void relays_describe_paths (const struct relays *rs, struct vmpath_answer *a);
 /* Fill in WORD the work that the requests of RELAYS, a struct relays, have at
    endpoints. */
 void relays_collect_load (void *relays, struct load_gossip *word);
--- a/relayforward.c
+++ b/relayforward.c
@@ -13,74 +13,6 @@
 #include "log.h"
 #include "met.h"
 
-/* How long a VM is avoided that could not take a request. */
-#define VM_AVOID_US (1000 * CQ_US_PER_MS)
-
-/* --- choice of a VM -------------------------------------------------- */
-
-static bool
-is_avoided (const struct relays *rs, const char *vm, int64_t now_us)
-{
-  const int64_t *until = g_hash_table_lookup (rs->vms_avoided, vm);
-
-  return until != NULL && now_us < *until;
-}
-
-static gboolean
-is_expired (gpointer vm, gpointer until_us, gpointer now_us)
-{
-  (void)vm;
-  return *(const int64_t *)now_us >= *(const int64_t *)until_us;
-}
-
-static void
-avoid (struct relays *rs, const char *vm, int64_t now_us)
-{
-  int64_t *until = g_new (int64_t, 1);
-
-  g_hash_table_foreach_remove (rs->vms_avoided, is_expired, &now_us);
-  *until = now_us + VM_AVOID_US;
-  g_hash_table_insert (rs->vms_avoided, g_strdup (vm), until);
-}
-
-static bool
-was_tried (const struct relay *r, const char *vm)
-{
-  int i;
-
-  for (i = 0; i < r->nvms_tried; i++)
-    if (strcmp (r->vms_tried[i], vm) == 0)
-      return true;
-  return false;
-}
-
-/* Choose at random among the VMs that may take R; false if there is none. */
-static bool
-choose (struct relay *r, bool near, struct mirror_peer *vm, int64_t now_us)
-{
-  const struct relays_opts *o = &r->rs->opts;
-  g_autoptr (GArray) vms
-      = g_array_new (FALSE, FALSE, sizeof (struct mirror_peer));
-  const struct mirror_peer *v;
-  guint i = 0;
-
-  if (!o->list_vms (o->forward_arg, near, vms))
-    return false;
-  while (i < vms->len)
-    {
-      v = &g_array_index (vms, struct mirror_peer, i);
-      if (was_tried (r, v->vm) || is_avoided (r->rs, v->vm, now_us))
-        g_array_remove_index_fast (vms, i);
-      else
-        i++;
-    }
-  if (vms->len == 0)
-    return false;
-  *vm = g_array_index (vms, struct mirror_peer,
-                       relay_random (r->rs) % vms->len);
-  return true;
-}
-
 /* --- callbacks of the attempt ---------------------------------------- */
 
 bool
@@ -149,7 +81,8 @@
     r->may_have_run = true;
   if (unreached || r->vm_no_path)
     {
-      avoid (r->rs, r->vms_tried[r->nvms_tried - 1], now_us);
+      relayvms_refused (r->rs->vms, r->vms_tried[r->nvms_tried - 1],
+                        r->service, now_us);
       if (now_us < r->deadline_us)
         return true;
     }
@@ -187,12 +120,16 @@
          || (r->workspace != NULL && r->workspace->allowed_regions != NULL);
 }
 
-/* Choose the VM, if possible in this failure domain. */
-static bool
-choose_any (struct relay *r, struct mirror_peer *vm, int64_t now_us)
+/* The VM that R is forwarded to, or NULL. */
+static const char *
+choose (struct relay *r, const char **address, bool *confirmed, int64_t now_us)
 {
-  return choose (r, true, vm, now_us)
-         || (!is_bound_to_regions (r) && choose (r, false, vm, now_us));
+  struct vmpath_query q = { .service = r->service, .tried = r->vms_tried };
+
+  q.near_only = is_bound_to_regions (r);
+  q.ntried = r->nvms_tried;
+  q.random = relay_random (r->rs);
+  return relayvms_choose (r->rs->vms, &q, address, confirmed, now_us);
 }
 
 bool
@@ -202,9 +139,14 @@
   const struct relays_opts *o = &r->rs->opts;
   struct relay_forward f = { .desc = &r->desc };
   g_autofree char *seal = NULL;
-  struct mirror_peer vm;
+  const char *vm, *address;
+  bool confirmed;
 
-  if (!may_forward (r) || !choose_any (r, &vm, now_us))
+  if (!may_forward (r))
+    return false;
+  relayvms_want (r->rs->vms, r->service, now_us);
+  vm = choose (r, &address, &confirmed, now_us);
+  if (vm == NULL)
     return false;
   seal = o->seal_forward (o->forward_arg, &r->desc, now_us);
   if (seal == NULL)
@@ -216,14 +158,15 @@
     }
   relay_reset_attempt (r, now_us);
   r->forwarding = true;
-  g_strlcpy (r->vms_tried[r->nvms_tried++], vm.vm, sizeof r->vms_tried[0]);
-  f.address = vm.address;
+  g_strlcpy (r->vms_tried[r->nvms_tried++], vm, sizeof r->vms_tried[0]);
+  f.address = address;
   f.seal = seal;
   f.timeout_us = r->deadline_us - now_us;
   met_add (MET_FORWARDED, 1);
   log_event (LOG_LEVEL_INFO, "forward",
-             "req=%s route=%s service=%s vm=%s left_us=%" G_GINT64_FORMAT,
-             r->desc.id, r->route->name, r->service, vm.vm,
+             "req=%s route=%s service=%s vm=%s confirmed=%d "
+             "left_us=%" G_GINT64_FORMAT,
+             r->desc.id, r->route->name, r->service, vm, confirmed,
              (gint64)f.timeout_us);
   r->call = o->engine.forward (o->engine.ctx, &f, events, r);
   return true;
--- a/relayreach.c
+++ b/relayreach.c
@@ -273,6 +273,28 @@
   return s != NULL && s->isolated;
 }
 
+bool
+relayreach_is_doubtful (const struct relayreach *t, const char *service)
+{
+  const struct service_reach *s = g_hash_table_lookup (t->services, service);
+
+  return s != NULL && s->reach.nfailed > 0;
+}
+
+void
+relayreach_describe (const struct relayreach *t, struct vmpath_answer *a)
+{
+  const struct service_reach *s;
+  GHashTableIter it;
+  char *service;
+
+  g_hash_table_iter_init (&it, t->services);
+  while (g_hash_table_iter_next (&it, (gpointer *)&service, (gpointer *)&s)
+         && a->nunreached < VMPATH_SERVICES_MAX)
+    if (s->isolated)
+      a->unreached[a->nunreached++] = vmpath_key (service);
+}
+
 /* An attempt that was started before SINCE_US may have been connected before
    the path was lost. */
 bool
--- a/relaytry.c
+++ b/relaytry.c
@@ -350,7 +350,12 @@
     return;
   /* Without a reason of this VM's, no connection was established. */
   if (sent == SEND_NONE && r->stop_reason == NULL)
-    relayreach_failed (r->rs->reach, r->endpoint, r->sent_us, now);
+    {
+      relayreach_failed (r->rs->reach, r->endpoint, r->sent_us, now);
+      if (relayreach_is_doubtful (r->rs->reach, r->service)
+          && !r->desc.forwarded)
+        relayvms_want (r->rs->vms, r->service, now);
+    }
   r->call = NULL;
   r->connection_refused = end->connection_refused;
   if (r->rs->health != NULL && end->connect_us > 0)
