--- /dev/null
+++ b/regress/brittle.sh
@@ -0,0 +1,44 @@
+# Guards against brittle endpoints that fall over under the requests that they
+# have to turn away.
+. ./lib.sh || exit 1
+. ./site.sh
+. ./load.sh
+
+start_fake rows rows
+row op config "$(site_conf 3 '"k1"')"
+for e in p q r s; do
+	server $e app
+	control $e '{"slots":3,"queue":12,"delay_ms":400,"fall_ms":2000}'
+done
+for v in a b c; do
+	view $v
+	eval "port_rows=\$view_$v entry $v"
+done
+for v in a b c; do wait_for is_ready $v; done
+for v in a b c; do wait_for ask $v /safe/first; done
+
+# press NAME SECONDS: 1.5 times what the endpoints' slots serve, 30 a second.
+press() {
+	_tries=
+	_began=$(now_ms)
+	for _i in $(seq $(($2 * 15))); do
+		for _v in a b c; do
+			try $_v safe "$1-$_v-$_i" &
+			_tries="$_tries $!"
+		done
+		_left=$((_began + _i * 1000 / 15 - $(now_ms)))
+		[ $_left -le 0 ] || sleep "$(printf '0.%03d' $_left)"
+	done
+}
+
+for e in p q r s; do control $e '{"brittle":4}'; done
+press told 3
+for e in p q r s; do control $e '{"queue":0}'; done
+press brittle 10
+# shellcheck disable=SC2086
+wait $_tries
+falls=$(cat "$tmp"/[pqrs].err | grep -c 'event=fell')
+# 2 and a tenth of four endpoints.
+if [ "$falls" -le 2 ]; then echo "falls: as allowed"; else echo "falls: $falls"; fi
+served=$(cat "$tmp"/try.?.brittle-* | grep -c ' 200$')
+if [ "$served" -ge 270 ]; then echo "served: 0.9 of what the slots give"; else echo "served: $served of 300"; fi
--- a/regress/fakesrv.c
+++ b/regress/fakesrv.c
@@ -29,6 +29,11 @@
  *   late_order   so many orders get no answer and are carried out later
  *   leaving      all its answers to requests say that it leaves
  *   limit        the limit that all answers to requests name, as text
+ *   slots        requests that run at once, 0 for any number; others wait
+ *   queue        requests that may wait; one more is refused
+ *   brittle      all its answers say so; with more refusals in a second for
+ *                want of room it falls over
+ *   fall_ms      for how long: connections close at once
  *   born         start of its life, as its report says; another one is a
  *                restart under its id: it takes orders from number 0 again,
  *                and late ones of before still come
@@ -63,6 +68,13 @@
 static int64_t busy_until;  /* ms of the monotonic clock */
 static int64_t born;        /* start of this life, 0 if unsaid */
 
+/* Room and falls. */
+static int running;          /* requests that run, with slots set */
+static int waiting;          /* that wait */
+static GArray *refused_ms;   /* int64_t: refusals of the last second */
+static int64_t fallen_until; /* ms of the monotonic clock */
+static int falls;            /* so far */
+
 static int64_t
 now_ms (void)
 {
@@ -183,6 +195,9 @@
     g_string_append_printf (s, "Server-Limit: %s\r\n", limit);
   if (fk_number ("leaving", 0))
     g_string_append (s, "Server-Leaving: 1\r\n");
+  if (fk_number ("brittle", 0) > 0)
+    g_string_append_printf (s, "Server-Brittle: %d\r\n",
+                            (int)fk_number ("brittle", 0));
   return g_string_free (s, FALSE);
 }
 
@@ -195,13 +210,17 @@
   bool other = fk_take ("other_id");
   bool bare = fk_take ("no_seal");
   int64_t v;
+  int now_running, now_waiting, slots = (int)fk_number ("slots", 0);
 
   g_mutex_lock (&lock);
   v = version;
+  now_running = slots > 0 ? running : 1;
+  now_waiting = waiting;
   g_mutex_unlock (&lock);
-  return g_strdup_printf ("X-Attempt-Id: %s\r\nX-Server-Load: 1,0,8\r\n"
+  return g_strdup_printf ("X-Attempt-Id: %s\r\nX-Server-Load: %d,%d,%d\r\n"
                           "X-Weight-Versions: %" G_GINT64_FORMAT "\r\n%s%s",
                           other ? "another" : (id != NULL ? id : ""),
+                          now_running, now_waiting, slots > 0 ? slots : 8,
                           (gint64)v, bare ? "" : "X-Server-Seal: 3e1b.07\r\n",
                           n);
 }
@@ -238,10 +257,11 @@
   g_autofree char *line = rest[0] != '\0' && status == 503
                               ? g_strdup_printf ("Retry-After: %s\r\n", rest)
                               : g_strdup ("");
+  g_autofree char *n = notices ();
   g_autofree char *text = g_strdup_printf (
       "HTTP/1.1 %d X\r\nX-Not-Executed: 1\r\nX-Instance-Id: %s\r\n"
-      "%sContent-Length: 0\r\n\r\n",
-      status, id, line);
+      "%s%sContent-Length: 0\r\n\r\n",
+      status, id, line, n);
 
   put_text (in->fd, text);
 }
@@ -254,6 +274,17 @@
   return recv (fd, &c, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
+static bool
+has_fallen (void)
+{
+  bool fallen;
+
+  g_mutex_lock (&lock);
+  fallen = now_ms () < fallen_until;
+  g_mutex_unlock (&lock);
+  return fallen;
+}
+
 /* Work for MS; false if the peer left. */
 static bool
 work (int fd, int64_t ms)
@@ -262,13 +293,75 @@
 
   while (now_ms () < until)
     {
-      if (peer_closed (fd))
+      if (peer_closed (fd) || has_fallen ())
         return false;
       g_usleep (5000);
     }
   return true;
 }
 
+/* One more request was turned away for want of room. */
+static void
+count_refusal (void)
+{
+  int64_t now = now_ms ();
+  int n = (int)fk_number ("brittle", 0);
+
+  g_mutex_lock (&lock);
+  if (refused_ms == NULL)
+    refused_ms = g_array_new (FALSE, FALSE, sizeof (int64_t));
+  while (refused_ms->len > 0
+         && now - g_array_index (refused_ms, int64_t, 0) >= 1000)
+    g_array_remove_index (refused_ms, 0);
+  g_array_append_val (refused_ms, now);
+  if (n > 0 && (int)refused_ms->len > n && now >= fallen_until)
+    {
+      fallen_until = now + fk_number ("fall_ms", 2000);
+      falls++;
+      fk_log ("fell", "falls=%d", falls);
+    }
+  g_mutex_unlock (&lock);
+}
+
+/* Take a slot, after a wait if there is room for that. */
+static bool
+take_slot (int fd)
+{
+  int slots = (int)fk_number ("slots", 0);
+  bool taken = false, waits;
+
+  if (slots <= 0)
+    return true;
+  g_mutex_lock (&lock);
+  taken = running < slots;
+  running += taken;
+  waits = !taken && waiting < fk_number ("queue", 0);
+  waiting += waits;
+  g_mutex_unlock (&lock);
+  while (waits && !taken && !peer_closed (fd) && !has_fallen ())
+    {
+      g_usleep (2000);
+      g_mutex_lock (&lock);
+      taken = running < slots;
+      running += taken;
+      g_mutex_unlock (&lock);
+    }
+  g_mutex_lock (&lock);
+  waiting -= waits;
+  g_mutex_unlock (&lock);
+  return taken;
+}
+
+static void
+release_slot (void)
+{
+  if (fk_number ("slots", 0) <= 0)
+    return;
+  g_mutex_lock (&lock);
+  running -= running > 0;
+  g_mutex_unlock (&lock);
+}
+
 static void
 put_chunk (int fd, const char *text)
 {
@@ -362,16 +455,15 @@
   return on[0] != '\0' && strstr (in->body->str, on) != NULL;
 }
 
+static bool run_taken (const struct in *in);
+
 /* False if the connection must end. */
 static bool
 run (const struct in *in)
 {
   g_autofree char *expected = header (in, "X-Expect-Instance");
   g_autofree char *id = fk_string ("id", "");
-  g_autofree char *resumed = NULL;
-  g_autofree char *ran = NULL;
-  g_autofree char *text = NULL;
-  int status = 0;
+  bool go;
 
   if (expected != NULL && strcmp (expected, id) != 0)
     {
@@ -389,6 +481,29 @@
       refuse (in, 503);
       return true;
     }
+  if (!take_slot (in->fd))
+    {
+      if (has_fallen ())
+        return false;
+      fk_log ("refused", "target=%s", in->target);
+      refuse (in, 503);
+      count_refusal ();
+      return true;
+    }
+  go = run_taken (in);
+  release_slot ();
+  return go;
+}
+
+static bool
+run_taken (const struct in *in)
+{
+  g_autofree char *id = fk_string ("id", "");
+  g_autofree char *resumed = NULL;
+  g_autofree char *ran = NULL;
+  g_autofree char *text = NULL;
+  int status = 0;
+
   log_run (in);
   if (fk_number ("silent", 0))
     {
@@ -514,7 +629,7 @@
       put_text (in->fd, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
       return true;
     }
-  if (fk_number ("down", 0))
+  if (fk_number ("down", 0) || has_fallen ())
     return false;
   if (strcmp (in->target, "/report") == 0)
     {
