Send to brittle endpoints from few VMs, by way of which the others send

Cause: with more VMs than refusals that an endpoint bears, most VMs have no token and meet a full endpoint for the first time in the same second.

Now an endpoint that bears N refusals has N/2 owners, by rendezvous over the listed VMs, one token each. A VM that owns no endpoint of a service forwards its requests to an owner; one that cannot forward is a guest as before. A second refusal within a second stops an owner, so no second holds more than N at an endpoint, whatever its room. Places of requests that ended lapse after 0.1 s: peaks of all VMs together were far above what an endpoint has.

--- a/brittle.c
+++ b/brittle.c
@@ -5,16 +5,18 @@
 
 #include "decide.h"
 
-/* Part of the refusals that are dealt as tokens; the rest is for guests and
-   for VMs that have another list of VMs. */
-#define TOKENS_NUMERATOR 3
-#define TOKENS_DENOMINATOR 4
+/* Refusals for each token: the token's own, and the one that stops its
+   owner. */
+#define REFUSALS_PER_TOKEN 2
 /* A refusal arrives within this time after its request was sent, or the
    request was accepted. */
 #define UNCERTAIN_US (60 * CQ_US_PER_MS)
 /* A token rests for slightly more than a second after a refusal, so that no
    second at the endpoint holds two. */
 #define REFUSED_US (1050 * CQ_US_PER_MS)
+/* A request that ended may be replaced within this time; later, another VM may
+   have its place. */
+#define REPLACE_US (100 * CQ_US_PER_MS)
 /* Requests that waited at an endpoint this long ago may have been served. */
 #define WAITING_AGE_US (1000 * CQ_US_PER_MS)
 /* The share is computed again after this time, as VMs come and go. */
@@ -72,7 +74,13 @@
 static int64_t
 all_tokens (int64_t refusals)
 {
-  return MAX (refusals * TOKENS_NUMERATOR / TOKENS_DENOMINATOR, 1);
+  return MAX (refusals / REFUSALS_PER_TOKEN, 1);
+}
+
+int
+brittle_owners (int64_t refusals, int vms)
+{
+  return (int)MIN (all_tokens (refusals), vms);
 }
 
 int
@@ -100,9 +108,10 @@
 }
 
 void
-brittle_set_share (struct brittle *b, int64_t refusals, int share, int running,
-                   int64_t now_us)
+brittle_set_share (struct brittle *b, int64_t refusals, int share,
+                   bool can_forward, int running, int64_t now_us)
 {
+  b->is_guest = share == 0 && !can_forward;
   if (!b->applies)
     b->accepted = running;
   b->applies = true;
@@ -155,21 +164,33 @@
   return false;
 }
 
+/* Requests that this VM, with RUNNING there, may have without a token. */
+static int
+accepted_now (const struct brittle *b, int running, int64_t now_us)
+{
+  int64_t lapsed = (now_us - b->left_us) / REPLACE_US;
+
+  return (int)MAX (running, b->accepted - lapsed);
+}
+
 bool
 brittle_may_place (const struct brittle *b, const struct brittle_guest *guest,
                    int running, int64_t now_us)
 {
   if (!b->applies)
     return true;
+  if (b->share == 0 && !b->is_guest)
+    return false;
   return now_us >= b->stopped_until_us
-         && (running < b->accepted || has_free_token (b, guest, now_us));
+         && (running < accepted_now (b, running, now_us)
+             || has_free_token (b, guest, now_us));
 }
 
 void
 brittle_placed (struct brittle *b, struct brittle_guest *guest, int running,
                 int64_t now_us)
 {
-  if (b->applies && running >= b->accepted)
+  if (b->applies && running >= accepted_now (b, running, now_us))
     *token_for (b, guest) = now_us + UNCERTAIN_US;
 }
 
@@ -184,7 +205,7 @@
     return true;
   if (now_us < b->stopped_until_us)
     return false;
-  if (running < b->accepted)
+  if (running < accepted_now (b, running, now_us))
     return true;
   token = token_for (b, guest);
   for (i = 0; i < b->share; i++)
@@ -205,7 +226,23 @@
       b->accepted = MIN (b->accepted, MAX (running - 1, 0));
     }
   else
-    b->accepted = MAX (b->accepted, running);
+    b->accepted = accepted_now (b, running, now_us);
+}
+
+/* One that was refused, or that is not to be replaced, is not counted in
+   accepted any more. */
+void
+brittle_left (struct brittle *b, int running, int64_t now_us)
+{
+  if (b->accepted > running)
+    b->accepted = accepted_now (b, running + 1, now_us);
+  b->left_us = now_us;
+}
+
+void
+brittle_crashed (struct brittle *b)
+{
+  b->accepted = 0;
 }
 
 /* The token of the request may be in use again, so the one that is free first
--- a/brittle.h
+++ b/brittle.h
@@ -2,20 +2,22 @@
  * Brittle endpoints: one that has to turn away more than so many requests in a
  * second, from all VMs together, for want of room crashes.
  *
- * Responds to refusals, of which each VM sees its own only, late.  At each
- * brittle endpoint a VM keeps to the number of requests that it had there
- * without a refusal: it replaces those that end.  For one more it needs a
- * token, which is held while a refusal may be on the way, and for a second
- * after one.  The tokens of an endpoint are divided among the VMs that the
- * platform lists, by rendezvous hashing, and are fewer than the refusals that
- * it bears.  A second refusal within that time stops the VM there.  While
- * requests wait at the endpoint, those that end are not replaced and no token
- * is used: it may let fewer wait soon.
+ * Responds to refusals, of which each VM sees its own only, late.  Only a few
+ * VMs send to such an endpoint, fewer than half of the refusals that it bears:
+ * its owners, chosen among the VMs that the platform lists by rendezvous
+ * hashing.  The others forward their requests to one of these.
  *
- * A VM without a token of an endpoint uses one that it has for all endpoints
- * of the service, as a guest, and longer after a refusal, the more VMs there
- * are for each token.  So all VMs serve their callers while there is room, and
- * few find out that there is none.
+ * An owner keeps to the number of requests that it has there: it replaces
+ * those that end, at once or not at all.  For one more it needs a token, which
+ * is held while a refusal may be on the way, and for a second after one.  A
+ * second refusal within that time stops the VM there.  So no second holds more
+ * refusals than there are tokens and owners, whatever room the endpoint has.
+ * While requests wait at the endpoint, those that end are not replaced and no
+ * token is used: it may let fewer wait soon.
+ *
+ * A VM that cannot forward uses one token that it has for all endpoints of the
+ * service, as a guest, and longer after a refusal, the more VMs there are for
+ * each token.
  */
 #ifndef CQ_BRITTLE_H
 #define CQ_BRITTLE_H
@@ -45,8 +47,10 @@
                           has not answered since */
   int64_t applied;     /* refusals that it is taken to bear */
   int64_t share_set_us; /* when the share was set; 0 if it must be set again */
-  int share;            /* this VM's tokens */
+  int share;            /* this VM's tokens; 0 if it is no owner */
+  bool is_guest;        /* it is no owner, and sends there all the same */
   int accepted;         /* requests that this VM may have there without one */
+  int64_t left_us;      /* when the last of them ended */
   int64_t waiting_us;   /* when an answer last said that requests wait there */
   int64_t stopped_until_us; /* it sends nothing there until then */
   int64_t token_free_us[BRITTLE_TOKENS_MAX]; /* when each may be used again */
@@ -66,8 +70,11 @@
 /* Such an answer reported nothing; returns whether this ends it. */
 bool brittle_clear (struct brittle *b, int64_t sent_us);
 
-/* Tokens of the VM with rank RANK, from 0, of VMS at an endpoint that bears
-   REFUSALS in a second. */
+/* Number of owners of an endpoint that bears REFUSALS in a second, among
+   VMS. */
+int brittle_owners (int64_t refusals, int vms);
+/* Tokens there of the VM with rank RANK, from 0, of VMS; 0 if it is no
+   owner. */
 int brittle_share (int64_t refusals, int vms, int rank);
 /* Pause of a guest after a refusal, if VMS share ENDPOINTS of which each bears
    REFUSALS in a second. */
@@ -80,10 +87,11 @@
    brittle. */
 int64_t brittle_refusals (const struct brittle *b, int64_t refusals,
                           int64_t reported_us, int64_t now_us);
-/* The endpoint is taken to bear REFUSALS, of which this VM, with RUNNING
-   requests there, has SHARE. */
+/* The endpoint is taken to bear REFUSALS; this VM, with RUNNING requests
+   there, has SHARE tokens, and is a guest if it has none and cannot forward.
+ */
 void brittle_set_share (struct brittle *b, int64_t refusals, int share,
-                        int running, int64_t now_us);
+                        bool can_forward, int running, int64_t now_us);
 /* The endpoint is not brittle. */
 void brittle_set_none (struct brittle *b, int64_t now_us);
 
@@ -105,6 +113,10 @@
    there, and WAITING of all VMs' wait. */
 void brittle_accepted (struct brittle *b, int running, int waiting,
                        int64_t now_us);
+/* A request ended there, after which RUNNING are left. */
+void brittle_left (struct brittle *b, int running, int64_t now_us);
+/* The endpoint crashed. */
+void brittle_crashed (struct brittle *b);
 /* The endpoint refused a request; RUNNING others of this VM's are there. */
 void brittle_refused (struct brittle *b, struct brittle_guest *guest,
                       int running, int64_t now_us);
--- a/entry.c
+++ b/entry.c
@@ -515,6 +515,17 @@
              : 0;
 }
 
+static bool
+choose_owner (void *arg, uint64_t endpoint, int owners, bool near,
+              uint64_t random, struct mirror_peer *vm)
+{
+  const struct entry *e = arg;
+
+  return e->load_gossip != NULL
+         && loadgossip_choose_ranked (e->load_gossip, endpoint, owners, near,
+                                      random, vm);
+}
+
 /* --- requests forwarded between VMs ----------------------------------- */
 
 static bool
@@ -636,6 +647,7 @@
   o.health_arg = e;
   o.list_vms = e->cfg->forward ? list_vms : NULL;
   o.ask_paths = ask_paths;
+  o.choose_owner = choose_owner;
   o.seal_forward = seal_forward;
   o.forward_arg = e;
   o.domain = vm->domain;
@@ -795,6 +807,7 @@
   e->fleet.limit_interval_us = limit_interval_of;
   e->fleet.brittle_rank = brittle_rank_of;
   e->fleet.share_arg = e;
+  e->fleet.can_forward = e->cfg->forward;
   e->fleet.outdated_accept_us
       = e->cfg->version_ms * CQ_US_PER_MS - OUTDATED_ACCEPT_MARGIN_US;
   e->fleet.factors.pending_prefill = (int)e->cfg->weigh_unread;
--- a/fleet.c
+++ b/fleet.c
@@ -946,7 +946,7 @@
     rank = f->brittle_rank (f->share_arg, e->key, &vms);
   brittle_set_share (&e->brittle, refusals,
                      vms > 0 ? brittle_share (refusals, vms, rank) : 0,
-                     e->running, now_us);
+                     f->can_forward && vms > 1, e->running, now_us);
   s->guest.pause_us
       = vms > 0 ? brittle_guest_pause_us (s->refusals, vms, s->endpoints)
                 : BRITTLE_GUEST_PAUSE_MAX_US;
@@ -986,6 +986,43 @@
   return s != NULL ? &s->guest : NULL;
 }
 
+static bool
+is_brittle_in_use (const struct fleet_endpoint *e, const char *service,
+                   int64_t now_us)
+{
+  return e->brittle.applies && !e->draining && now_us >= e->backoff_until_us
+         && strcmp (e->listing.service, service) == 0;
+}
+
+bool
+fleet_owns_brittle (const struct fleet *f, const char *service, int64_t now_us)
+{
+  const struct fleet_endpoint *e;
+
+  APR_RING_FOREACH (e, &f->endpoints, fleet_endpoint, link)
+  if (is_brittle_in_use (e, service, now_us) && e->brittle.share > 0)
+    return true;
+  return false;
+}
+
+struct fleet_endpoint *
+fleet_choose_not_owned (const struct fleet *f, const char *service,
+                        uint64_t random, int64_t now_us)
+{
+  struct fleet_endpoint *e, *chosen = NULL;
+  uint64_t n = 0;
+
+  APR_RING_FOREACH (e, &f->endpoints, fleet_endpoint, link)
+  {
+    if (!is_brittle_in_use (e, service, now_us) || e->brittle.share > 0)
+      continue;
+    random = random * UINT64_C (6364136223846793005) + 1;
+    if ((random >> 33) % ++n == 0)
+      chosen = e;
+  }
+  return chosen;
+}
+
 bool
 fleet_may_place_brittle (const struct fleet *f, const struct fleet_endpoint *e,
                          int64_t now_us)
--- a/fleet.h
+++ b/fleet.h
@@ -343,6 +343,7 @@
      put into VMS, 0 while it is not known; NULL if it knows no other VMs. */
   int (*brittle_rank) (void *arg, uint64_t endpoint, int *vms);
   void *share_arg;     /* argument of these callbacks */
+  bool can_forward;    /* requests may go to endpoints by way of other VMs */
   GHashTable *brittle; /* service to struct fleet_brittle */
 };
 
@@ -476,6 +477,15 @@
 /* Recomputes this VM's share of the rate of each endpoint that is cold or
    reported a limit, where the share is stale. */
 void fleet_refresh_rate_shares (struct fleet *f, int64_t now_us);
+/* A brittle endpoint of SERVICE of which this VM is no owner, chosen by
+   RANDOM; NULL if there is none. */
+struct fleet_endpoint *fleet_choose_not_owned (const struct fleet *f,
+                                               const char *service,
+                                               uint64_t random,
+                                               int64_t now_us);
+/* Whether this VM owns a brittle endpoint of SERVICE that is in use. */
+bool fleet_owns_brittle (const struct fleet *f, const char *service,
+                         int64_t now_us);
 /* Whether this VM's share of what E bears, if it is brittle, allows it to
    select E; the next three record that it was selected at PLACED_US, sent to,
    which is false if the share was used meanwhile, and refused the request. */
--- a/librelay.h
+++ b/librelay.h
@@ -243,6 +243,10 @@
    is not so or no VM is left.  EVENTS are the callbacks of the attempt. */
 bool relay_forward (struct relay *r, const struct relay_events *events,
                     int64_t now_us);
+/* Likewise to a VM that owns a brittle endpoint of its service. */
+bool relay_forward_to_owner (struct relay *r,
+                             const struct relay_events *events,
+                             int64_t now_us);
 /* Callbacks of such an attempt; ARG is its request. */
 bool relay_forward_before_send (void *arg);
 bool relay_forward_head (void *arg, const struct relay_head *head);
--- a/loadgossip.c
+++ b/loadgossip.c
@@ -761,6 +761,31 @@
   return n;
 }
 
+static bool
+fill_mirror_peer (const struct peer *l, bool near, struct mirror_peer *p)
+{
+  if ((near && !l->near) || l->row.list_address[0] == '\0')
+    return false;
+  g_strlcpy (p->vm, l->row.vm, sizeof p->vm);
+  g_strlcpy (p->address, l->row.list_address, sizeof p->address);
+  p->link_mbit_s = l->row.link_mbit_s;
+  return true;
+}
+
+bool
+loadgossip_choose_ranked (const struct loadgossip *t, uint64_t key, int places,
+                          bool near, uint64_t random, struct mirror_peer *vm)
+{
+  const struct peer *peers[RANKED_MAX];
+  int i, n = first_ranked (t, key, MIN (places, RANKED_MAX), peers);
+
+  for (i = 0; i < n; i++)
+    if (fill_mirror_peer (peers[(random + (uint64_t)i) % (uint64_t)n], near,
+                          vm))
+      return true;
+  return false;
+}
+
 static void
 send_to (struct loadgossip *t, const apr_sockaddr_t *to,
          const GByteArray *datagram)
@@ -805,13 +830,8 @@
   for (i = 0; t->listed && i < t->peers->len; i++)
     {
       l = t->peers->pdata[i];
-      if ((near && !l->near) || !is_active_peer (l)
-          || l->row.list_address[0] == '\0')
-        continue;
-      g_strlcpy (p.vm, l->row.vm, sizeof p.vm);
-      g_strlcpy (p.address, l->row.list_address, sizeof p.address);
-      p.link_mbit_s = l->row.link_mbit_s;
-      g_array_append_val (peers, p);
+      if (is_active_peer (l) && fill_mirror_peer (l, near, &p))
+        g_array_append_val (peers, p);
     }
   return t->listed;
 }
--- a/loadgossip.h
+++ b/loadgossip.h
@@ -127,6 +127,12 @@
 /* This VM's rank, from 0, for KEY by rendezvous hashing; the number of VMs of
    the roster is put into VMS, 0 until this VM has read its own row there. */
 int loadgossip_rank (const struct loadgossip *t, uint64_t key, int *vms);
+/* Choose one of the first PLACES other VMs of the roster for KEY by RANDOM,
+   one that answers requests for lists, with NEAR one of this VM's failure
+   domain; false if there is none. */
+bool loadgossip_choose_ranked (const struct loadgossip *t, uint64_t key,
+                               int places, bool near, uint64_t random,
+                               struct mirror_peer *vm);
 /* Whether this VM has read its own row in the roster. */
 bool loadgossip_is_listed (const struct loadgossip *t);
 /* Whether this VM is among the first PLACES VMs of the roster by rendezvous
--- a/regress/units.h
+++ b/regress/units.h
@@ -43,5 +43,6 @@
 extern const struct unit forward_units[];
 extern const struct unit build_units[];
 extern const struct unit vmpath_units[];
+extern const struct unit brittle_units[];
 
 #endif
--- a/relay.h
+++ b/relay.h
@@ -247,6 +247,11 @@
      no VM is asked. */
   bool (*ask_paths) (void *arg, const char *address, vm_asked done,
                      void *done_arg);
+  /* Choose by RANDOM one of the OWNERS other VMs that own the brittle endpoint
+     with this key, with NEAR one of this failure domain; false if there is
+     none. */
+  bool (*choose_owner) (void *arg, uint64_t endpoint, int owners, bool near,
+                        uint64_t random, struct mirror_peer *vm);
   /* Seal of a request that is forwarded, which the caller frees; NULL while
      there is no key. */
   char *(*seal_forward) (void *arg, const struct relay_desc *desc,
--- a/relayend.c
+++ b/relayend.c
@@ -105,6 +105,7 @@
     return;
   relay_prefill_done (r, now_us);
   pick_request_ended (r->endpoint);
+  brittle_left (&r->endpoint->brittle, r->endpoint->running, now_us);
   fleet_endpoint_unref (r->endpoint);
   r->endpoint = NULL;
   relay_room_freed (r->rs, now_us);
--- a/relayforward.c
+++ b/relayforward.c
@@ -1,18 +1,23 @@
 /*
  * The relay: requests that are forwarded to another VM.
  *
- * Responds to a VM that reaches no endpoint of a service while other VMs do.
+ * Responds to a VM that reaches no endpoint of a service while other VMs do,
+ * and to brittle endpoints, to which only some VMs send.
  * The other VM decides on the request as on one of its own callers, and its
  * answer is passed on.  A request is forwarded once; one that was forwarded
  * goes to an endpoint or is refused.
  */
 #include "librelay.h"
 
+#include <limits.h>
 #include <string.h>
 
 #include "log.h"
 #include "met.h"
 
+/* Draws of an owner of a brittle endpoint before the request is refused. */
+#define OWNER_DRAWS 8
+
 /* --- callbacks of the attempt ---------------------------------------- */
 
 bool
@@ -108,8 +113,7 @@
 
   return o->list_vms != NULL && o->engine.forward != NULL && !r->desc.forwarded
          && r->attempts == 0 && !r->may_have_run
-         && r->nvms_tried < RELAY_VMS_MAX
-         && relayreach_is_isolated (r->rs->reach, r->service);
+         && r->nvms_tried < RELAY_VMS_MAX;
 }
 
 /* A request that is bound to regions stays in this failure domain. */
@@ -132,23 +136,16 @@
   return relayvms_choose (r->rs->vms, &q, address, confirmed, now_us);
 }
 
-bool
-relay_forward (struct relay *r, const struct relay_events *events,
+/* False if there is no key for the seal. */
+static bool
+start_forward (struct relay *r, const char *vm, const char *address,
+               const char *cause, const struct relay_events *events,
                int64_t now_us)
 {
   const struct relays_opts *o = &r->rs->opts;
-  struct relay_forward f = { .desc = &r->desc };
-  g_autofree char *seal = NULL;
-  const char *vm, *address;
-  bool confirmed;
+  struct relay_forward f = { .desc = &r->desc, .address = address };
+  g_autofree char *seal = o->seal_forward (o->forward_arg, &r->desc, now_us);
 
-  if (!may_forward (r))
-    return false;
-  relayvms_want (r->rs->vms, r->service, now_us);
-  vm = choose (r, &address, &confirmed, now_us);
-  if (vm == NULL)
-    return false;
-  seal = o->seal_forward (o->forward_arg, &r->desc, now_us);
   if (seal == NULL)
     return false;
   if (!relay_apply_event (r, RELAY_SEND))
@@ -159,15 +156,77 @@
   relay_reset_attempt (r, now_us);
   r->forwarding = true;
   g_strlcpy (r->vms_tried[r->nvms_tried++], vm, sizeof r->vms_tried[0]);
-  f.address = address;
   f.seal = seal;
   f.timeout_us = r->deadline_us - now_us;
   met_add (MET_FORWARDED, 1);
   log_event (LOG_LEVEL_INFO, "forward",
-             "req=%s route=%s service=%s vm=%s confirmed=%d "
+             "req=%s route=%s service=%s vm=%s cause=%s "
              "left_us=%" G_GINT64_FORMAT,
-             r->desc.id, r->route->name, r->service, vm, confirmed,
+             r->desc.id, r->route->name, r->service, vm, cause,
              (gint64)f.timeout_us);
   r->call = o->engine.forward (o->engine.ctx, &f, events, r);
   return true;
 }
+
+bool
+relay_forward (struct relay *r, const struct relay_events *events,
+               int64_t now_us)
+{
+  const char *vm, *address;
+  bool confirmed;
+
+  if (!may_forward (r) || !relayreach_is_isolated (r->rs->reach, r->service))
+    return false;
+  relayvms_want (r->rs->vms, r->service, now_us);
+  vm = choose (r, &address, &confirmed, now_us);
+  return vm != NULL
+         && start_forward (r, vm, address,
+                           confirmed ? "no_path" : "no_path_drawn", events,
+                           now_us);
+}
+
+static bool
+was_tried (const struct relay *r, const char *vm)
+{
+  int i;
+
+  for (i = 0; i < r->nvms_tried; i++)
+    if (strcmp (r->vms_tried[i], vm) == 0)
+      return true;
+  return false;
+}
+
+/* An owner of some endpoint that is neither known to be away nor was tried. */
+static bool
+choose_owner (struct relay *r, struct mirror_peer *vm, int64_t now_us)
+{
+  const struct relays_opts *o = &r->rs->opts;
+  const struct fleet_endpoint *e;
+  int i, owners;
+
+  for (i = 0; i < OWNER_DRAWS; i++)
+    {
+      e = fleet_choose_not_owned (o->fleet, r->service, relay_random (r->rs),
+                                  now_us);
+      if (e == NULL)
+        return false;
+      owners = brittle_owners (e->brittle.applied, INT_MAX);
+      if (o->choose_owner (o->forward_arg, e->key, owners,
+                           is_bound_to_regions (r), relay_random (r->rs), vm)
+          && !was_tried (r, vm->vm)
+          && !relayvms_is_avoided (r->rs->vms, vm->vm, now_us))
+        return true;
+    }
+  return false;
+}
+
+bool
+relay_forward_to_owner (struct relay *r, const struct relay_events *events,
+                        int64_t now_us)
+{
+  struct mirror_peer vm;
+
+  return may_forward (r) && r->rs->opts.choose_owner != NULL
+         && choose_owner (r, &vm, now_us)
+         && start_forward (r, vm.vm, vm.address, "brittle", events, now_us);
+}
--- a/relaytry.c
+++ b/relaytry.c
@@ -288,7 +288,10 @@
     relayhealth_failed (r->rs->health, &r->connecting, failure_seen (r, sent),
                         now_us);
   else if (r->connection_refused)
-    pick_connection_refused (e, now_us);
+    {
+      pick_connection_refused (e, now_us);
+      brittle_crashed (&e->brittle);
+    }
   else
     pick_request_failed (e, now_us);
 }
@@ -615,6 +618,17 @@
     met_add (MET_REFUSED_REGION, 1);
 }
 
+/* A VM that owns none of the brittle endpoints has nothing to wait for. */
+static bool
+wait_or_forward (struct relay *r, int64_t now_us)
+{
+  if (fleet_owns_brittle (r->rs->opts.fleet, r->service, now_us)
+      && relay_wait_for_room (r, now_us))
+    return true;
+  return relay_forward_to_owner (r, &vm_events, now_us)
+         || relay_wait_for_room (r, now_us);
+}
+
 void
 relay_place (struct relay *r, int64_t now_us)
 {
@@ -677,7 +691,7 @@
       relay_admitted (r, now_us);
       send_attempt (r, &c, now_us);
     }
-  else if (c.code == PICK_BRITTLE && relay_wait_for_room (r, now_us))
+  else if (c.code == PICK_BRITTLE && wait_or_forward (r, now_us))
     return;
   else if (c.code == PICK_NO_BUILD)
     relay_give_up_no_build (r, now_us);
--- a/relayvms.c
+++ b/relayvms.c
@@ -203,10 +203,17 @@
   return draw (t, q, address, now_us);
 }
 
+bool
+relayvms_is_avoided (const struct relayvms *t, const char *vm, int64_t now_us)
+{
+  return vmpath_is_avoided (t->paths, vm, now_us);
+}
+
 void
 relayvms_refused (struct relayvms *t, const char *vm, const char *service,
                   int64_t now_us)
 {
+  refresh_list (t, LIST_INTERVAL_US, now_us);
   vmpath_refused (t->paths, vm, service, now_us);
 }
 
--- a/relayvms.h
+++ b/relayvms.h
@@ -39,6 +39,9 @@
 const char *relayvms_choose (struct relayvms *t, const struct vmpath_query *q,
                              const char **address, bool *confirmed,
                              int64_t now_us);
+/* Whether VM did not take one a short time ago, or was silent. */
+bool relayvms_is_avoided (const struct relayvms *t, const char *vm,
+                          int64_t now_us);
 /* VM did not take a request for SERVICE. */
 void relayvms_refused (struct relayvms *t, const char *vm, const char *service,
                        int64_t now_us);
--- a/vmpath.c
+++ b/vmpath.c
@@ -243,6 +243,14 @@
   avoid (e, now_us);
 }
 
+bool
+vmpath_is_avoided (const struct vmpath *t, const char *vm, int64_t now_us)
+{
+  const struct entry *e = find (t, vm);
+
+  return e != NULL && now_us < e->avoid_until_us;
+}
+
 /* --- whom to ask ----------------------------------------------------- */
 
 static const char *
--- a/vmpath.h
+++ b/vmpath.h
@@ -60,6 +60,10 @@
    or since it was not reached itself. */
 void vmpath_refused (struct vmpath *t, const char *vm, const char *service,
                      int64_t now_us);
+/* Returns whether VM did not take a request, or did not answer, a short time
+   ago. */
+bool vmpath_is_avoided (const struct vmpath *t, const char *vm,
+                        int64_t now_us);
 /* Returns a VM that reaches the service by its own recent answer, the one of
    two drawn that has less to do for others; NULL if there is none. */
 const char *vmpath_pick (struct vmpath *t, const struct vmpath_query *q,
