--- a/regress/fakesrv.c
+++ b/regress/fakesrv.c
@@ -26,9 +26,10 @@
  *   text_resumed body of these answers
  *   silent       read requests and never answer
  *   crash_on     the process dies under a run whose body holds this text
- *   late_order   so many orders get no answer and are carried out later
- *   leaving      all its answers to requests say that it leaves
- *   limit        the limit that all answers to requests name, as text
+ *   crash_part   the process dies as it begins to answer a request whose
+ * prompt has this part late_order   so many orders get no answer and are
+ * carried out later leaving      all its answers to requests say that it
+ * leaves limit        the limit that all answers to requests name, as text
  *   slots        requests that run at once, 0 for any number; others wait
  *   queue        requests that may wait; one more is refused
  *   brittle      all its answers say so; with more refusals in a second for
@@ -455,6 +456,15 @@
   return on[0] != '\0' && strstr (in->body->str, on) != NULL;
 }
 
+static bool
+has_crashing_part (const struct in *in)
+{
+  g_autofree char *part = fk_string ("crash_part", "");
+  g_autofree char *prompt = header (in, "X-Prompt-Prefix");
+
+  return part[0] != '\0' && prompt != NULL && strstr (prompt, part) != NULL;
+}
+
 static bool run_taken (const struct in *in);
 
 /* False if the connection must end. */
@@ -518,6 +528,11 @@
       fk_log ("cancelled", "target=%s", in->target);
       return false;
     }
+  if (has_crashing_part (in))
+    {
+      fk_log ("crashed", "target=%s", in->target);
+      _exit (1);
+    }
   if (fk_take ("drop"))
     return false;
   resumed = header (in, "Last-Event-Id");
