Keep evidence on parts of prompts, not on whole requests alone

Cause: the quarantine knew a request by workspace, method, host, path and body, so of requests of which no two are alike no evidence added up. The class is a cause that is taken for the whole of what was seen, not for what is common to it.

Now each part of a prompt but the last has evidence of its own, of all workspaces together, beside that of the request. Requests whose answer had gone on for 0.2 s when the endpoint crashed accuse no part, and an answer that goes on for so long, or is complete, clears its parts at all VMs, so parts that sound requests share keep none. Where several parts explain the crashes equally well, only requests that have all of them are refused. A part that is refused while another may be the cause is tried once at one VM. Completions have a quarter of what VMs tell each other: evidence crowded them out.

--- a/librelay.h
+++ b/librelay.h
@@ -109,6 +109,7 @@
   struct relayhealth_attempt connecting; /* the attempt's connection */
   int64_t handed_over_us; /* when a first byte left, 0 for never */
   int64_t first_chunk_us; /* when the first chunk was passed on, 0 for never */
+  int64_t body_us;        /* when the attempt's first body bytes arrived */
   int64_t last_event_us;  /* when the last events arrived, 0 for never */
   int64_t gap_us;         /* longest pause between events */
   int ntried;             /* entries in tried */
@@ -119,12 +120,14 @@
   char vms_tried[RELAY_VMS_MAX][LOAD_VM_SIZE]; /* it was forwarded there; the
                                                   last one has the attempt */
   int nvms_tried;                              /* entries in vms_tried */
-  int64_t vm_retry_us;     /* Retry-After of the other VM, 0 if none */
-  int attempts;            /* attempts of which a byte may have left */
-  int unsent;              /* attempts of which no byte left */
-  struct reqid identity;   /* digest of what is asked, if has_identity */
-  bool has_identity;       /* identity was computed */
-  bool is_suspect;         /* by the last check of the quarantine */
+  int64_t vm_retry_us;         /* Retry-After of the other VM, 0 if none */
+  int attempts;                /* attempts of which a byte may have left */
+  int unsent;                  /* attempts of which no byte left */
+  struct quar_subject subject; /* digests of what is asked and of its parts, if
+                                  has_subject */
+  bool has_subject;            /* subject was computed */
+  bool has_cleared_parts;      /* the attempt's answer cleared its parts */
+  bool is_suspect;             /* by the last check of the quarantine */
   bool not_run;            /* the endpoint reported that it did not run it */
   bool connection_refused; /* nothing listens at the endpoint's address */
   bool other_incarnation;  /* another incarnation answered the attempt */
@@ -254,7 +257,10 @@
    be placed again. */
 bool relay_forward_ended (struct relay *r, enum send_state sent,
                           const char *error, int64_t now_us);
-/* Digest of what R asks, computed at the first call. */
+/* Digests of what R asks and of the parts of its prompt, computed at the first
+   call. */
+const struct quar_subject *relay_subject (struct relay *r);
+/* The first of them. */
 const struct reqid *relay_identity (struct relay *r);
 /* What the quarantine decides on a request. */
 enum relay_quar_decision
@@ -268,6 +274,8 @@
    decision on a request that is in the evidence. */
 enum relay_quar_decision relay_check_quarantine (struct relay *r,
                                                  int64_t now_us);
+/* An answer to R goes on: its endpoint outlived the start of it. */
+void relay_record_flow (struct relay *r, int64_t now_us);
 /* Record what the end of an attempt shows: a broken connection may mean that
    the endpoint crashed, a complete answer clears the request. */
 void relay_record_evidence (struct relay *r, enum send_state sent,
--- a/quar.c
+++ b/quar.c
@@ -21,6 +21,17 @@
    shortest quarantine: while all endpoints keep crashing, a request that many
    callers make may reach this number, too. */
 #define INCIDENTS_CERTAIN 6
+/* The same of a part, without the restriction on the length. */
+#define INCIDENTS_CERTAIN_PART 5
+/* A part is tried in this time after its last crash, if another one may be the
+   cause, unless it had more incidents than suffice. */
+#define TRIAL_FROM_MS 4000
+#define TRIAL_TO_MS 10000
+/* Crashes that it shares with another part then. */
+#define DOUBTFUL_MIN 2
+/* This part of the facts that are passed on may be completions, which clear
+   parts that many requests share. */
+#define COMPLETIONS_DIVISOR 4
 /* A request is quarantined if the probability that its crashes coincided by
    chance is at most this. */
 #define QUARANTINE_PROBABILITY_MAX 1e-11
@@ -112,6 +123,19 @@
   return r != NULL && r->n > 0;
 }
 
+bool
+quar_has_crashes_of (const struct quar *q, const struct quar_subject *s)
+{
+  int i;
+
+  if (quar_has_crashes (q, &s->request))
+    return true;
+  for (i = 0; i < s->nparts; i++)
+    if (quar_has_crashes (q, &s->parts[i]))
+      return true;
+  return false;
+}
+
 /* --- evidence -------------------------------------------------------- */
 
 /* Whether A is evicted before B: fewer crashes, or as many but older. */
@@ -311,22 +335,63 @@
   return find_crash ((struct record *)r, endpoint) != NULL;
 }
 
+static bool
+is_of_subject (const struct quar_subject *s, const struct record *r)
+{
+  int i;
+
+  if (id_equal (&s->request, &r->id))
+    return true;
+  for (i = 0; i < s->nparts; i++)
+    if (id_equal (&s->parts[i], &r->id))
+      return true;
+  return false;
+}
+
+/* Whether all endpoints that crashed under R crashed under O. */
+static bool
+covers (const struct record *o, const struct record *r)
+{
+  int i;
+
+  for (i = 0; i < r->n; i++)
+    if (!crashed_under (o, r->crashes[i].crash.endpoint))
+      return false;
+  return true;
+}
+
+/* Whether O explains the crashes of R better, or as well as R if they are
+   parts: either may be the cause then. */
+static bool
+is_better_explanation (const struct record *o, const struct record *r)
+{
+  int no = count_incidents (o), nr = count_incidents (r);
+
+  if (!reqid_is_part (&o->id) && !reqid_is_part (&r->id))
+    return is_likelier_cause (o, r);
+  return no > nr
+         || (no == nr && reqid_is_part (&o->id) && reqid_is_part (&r->id)
+             && covers (o, r));
+}
+
 /*
- * Whether a more likely cause ran on the endpoint.  A crash breaks all
- * requests of an endpoint, and callers whose long answers broke retry at
- * endpoints that the same request crashes; without this check, their requests
- * would be quarantined along with it.
+ * Whether a more likely cause than R, which SUBJECT has, ran on the endpoint.
+ * A crash breaks all requests of an endpoint, and callers whose long answers
+ * broke retry at endpoints that the same request crashes; without this check,
+ * their requests would be quarantined along with it.  What SUBJECT has, too,
+ * is no other cause.
  */
 static bool
 has_likelier_cause (const struct quar *q, const struct record *r,
-                    uint64_t endpoint)
+                    const struct quar_subject *subject, uint64_t endpoint)
 {
   const struct record *o;
   GHashTableIter it;
 
   g_hash_table_iter_init (&it, q->records);
   while (g_hash_table_iter_next (&it, NULL, (gpointer *)&o))
-    if (o != r && crashed_under (o, endpoint) && is_likelier_cause (o, r))
+    if (o != r && crashed_under (o, endpoint) && is_better_explanation (o, r)
+        && !is_of_subject (subject, o))
       return true;
   return false;
 }
@@ -436,7 +501,8 @@
  * one that was unlucky while endpoints were being replaced or kept restarting.
  */
 static void
-estimate_chance (const struct quar *q, const struct record *r, double rate,
+estimate_chance (const struct quar *q, const struct record *r,
+                 const struct quar_subject *subject, double rate,
                  struct quar_verdict *v)
 {
   const struct quar_crash *e, *before = NULL;
@@ -448,7 +514,7 @@
     {
       e = &r->crashes[i].crash;
       if ((v->incidents > 0 && !is_other_incident (e, last, before->at_ms))
-          || has_likelier_cause (q, r, e->endpoint))
+          || has_likelier_cause (q, r, subject, e->endpoint))
         continue;
       v->probability *= MIN (1.0, rate * (double)MAX (e->ran_ms, RAN_MIN_MS));
       last = e->at_ms;
@@ -480,6 +546,7 @@
   GHashTable *explained = g_hash_table_new (g_int64_hash, g_int64_equal);
   g_autoptr (GHashTable) none = g_hash_table_new (g_int64_hash, g_int64_equal);
   g_autoptr (GPtrArray) list = records_by_importance (q);
+  struct quar_subject alone = { .nparts = 0 };
   struct quar_verdict v;
   struct record *r;
   guint i;
@@ -490,16 +557,63 @@
       r = list->pdata[i];
       if (count_incidents (r) < INCIDENTS_MIN)
         break;
-      estimate_chance (q, r, rate_of_others (crashes, r, none, endpoints), &v);
+      alone.request = r->id;
+      estimate_chance (q, r, &alone,
+                       rate_of_others (crashes, r, none, endpoints), &v);
       for (k = 0; is_significant (&v) && k < r->n; k++)
         g_hash_table_add (explained, &r->crashes[k].crash.endpoint);
     }
   return explained;
 }
 
-struct quar_verdict
-quar_evaluate (const struct quar *q, const struct reqid *id, int endpoints,
-               int64_t now_ms)
+/* Whether another part that may crash endpoints was at some that crashed under
+   R, so that R may be the wrong one. */
+static bool
+is_doubtful (const struct quar *q, const struct record *r)
+{
+  const struct record *o;
+  GHashTableIter it;
+  int i, shared;
+
+  g_hash_table_iter_init (&it, q->records);
+  while (g_hash_table_iter_next (&it, NULL, (gpointer *)&o))
+    {
+      if (o == r || !reqid_is_part (&o->id)
+          || count_incidents (o) < INCIDENTS_MIN)
+        continue;
+      for (i = 0, shared = 0; i < r->n; i++)
+        shared += crashed_under (o, r->crashes[i].crash.endpoint);
+      if (shared >= DOUBTFUL_MIN)
+        return true;
+    }
+  return false;
+}
+
+/* A part is refused or not; a suspect one that many sound requests share would
+   hold them up. */
+static void
+decide (const struct quar *q, const struct record *r, int64_t now_ms,
+        struct quar_verdict *v)
+{
+  bool part = reqid_is_part (&r->id);
+
+  v->is_quarantined
+      = (v->incidents >= (part ? INCIDENTS_CERTAIN_PART : INCIDENTS_CERTAIN)
+         || is_significant (v))
+        && now_ms < v->until_ms;
+  v->is_on_trial = part && v->is_quarantined
+                   && count_incidents (r) <= INCIDENTS_CERTAIN_PART
+                   && now_ms - updated_ms (r) >= TRIAL_FROM_MS
+                   && now_ms - updated_ms (r) < TRIAL_TO_MS
+                   && is_doubtful (q, r);
+  v->is_suspect = !part && !v->is_quarantined && v->incidents >= INCIDENTS_MIN
+                  && v->probability <= SUSPECT_PROBABILITY_MAX
+                  && now_ms < v->until_ms;
+}
+
+static struct quar_verdict
+evaluate (const struct quar *q, const struct reqid *id,
+          const struct quar_subject *subject, int endpoints, int64_t now_ms)
 {
   const struct record *r = g_hash_table_lookup (q->records, id);
   struct quar_verdict v = { .probability = 1 };
@@ -511,13 +625,38 @@
     return v;
   crashes = all_crashes (q);
   explained = find_explained_crashes (q, crashes, endpoints);
-  estimate_chance (q, r, rate_of_others (crashes, r, explained, endpoints),
-                   &v);
-  v.is_quarantined = (v.incidents >= INCIDENTS_CERTAIN || is_significant (&v))
-                     && now_ms < v.until_ms;
-  v.is_suspect = !v.is_quarantined && v.incidents >= INCIDENTS_MIN
-                 && v.probability <= SUSPECT_PROBABILITY_MAX
-                 && now_ms < v.until_ms;
+  estimate_chance (q, r, subject,
+                   rate_of_others (crashes, r, explained, endpoints), &v);
+  decide (q, r, now_ms, &v);
+  return v;
+}
+
+struct quar_verdict
+quar_evaluate (const struct quar *q, const struct reqid *id, int endpoints,
+               int64_t now_ms)
+{
+  struct quar_subject alone = { .request = *id };
+
+  return evaluate (q, id, &alone, endpoints, now_ms);
+}
+
+struct quar_verdict
+quar_evaluate_subject (const struct quar *q, const struct quar_subject *s,
+                       int endpoints, int64_t now_ms, struct reqid *id)
+{
+  struct quar_verdict v = evaluate (q, &s->request, s, endpoints, now_ms);
+  struct quar_verdict part;
+  int i;
+
+  *id = s->request;
+  for (i = 0; i < s->nparts && !v.is_quarantined; i++)
+    {
+      part = evaluate (q, &s->parts[i], s, endpoints, now_ms);
+      if (!part.is_quarantined)
+        continue;
+      v = part;
+      *id = s->parts[i];
+    }
   return v;
 }
 
@@ -547,7 +686,7 @@
 }
 
 static void
-add_facts (const struct record *r, bool all, GArray *out, guint max)
+add_crash_facts (const struct record *r, bool all, GArray *out, guint max)
 {
   struct quar_fact f = { .id = r->id };
   int i;
@@ -558,22 +697,45 @@
         f.crash = r->crashes[i].crash;
         g_array_append_val (out, f);
       }
-  if ((all || r->is_completion_own) && r->completed_ms > 0 && out->len < max)
-    {
-      f.completed = true;
-      f.crash = (struct quar_crash){ .at_ms = r->completed_ms };
-      g_array_append_val (out, f);
-    }
 }
 
+static void
+add_completion_fact (const struct record *r, bool all, GArray *out, guint max)
+{
+  struct quar_fact f = { .id = r->id, .completed = true };
+
+  if ((!all && !r->is_completion_own) || r->completed_ms == 0
+      || out->len >= max)
+    return;
+  f.crash.at_ms = r->completed_ms;
+  g_array_append_val (out, f);
+}
+
+static gint
+by_completion (gconstpointer a, gconstpointer b)
+{
+  const struct record *const *ra = a;
+  const struct record *const *rb = b;
+
+  return ((*ra)->completed_ms < (*rb)->completed_ms)
+         - ((*ra)->completed_ms > (*rb)->completed_ms);
+}
+
+/* The newest completions, and then crashes by importance. */
 void
 quar_own_facts (const struct quar *q, GArray *out, guint max)
 {
   g_autoptr (GPtrArray) list = records_by_importance (q);
-  guint i;
+  g_autoptr (GPtrArray) completed = g_ptr_array_new ();
+  guint i, most = MIN (out->len + max / COMPLETIONS_DIVISOR, max);
 
   for (i = 0; i < list->len; i++)
-    add_facts (list->pdata[i], false, out, max);
+    g_ptr_array_add (completed, list->pdata[i]);
+  g_ptr_array_sort (completed, by_completion);
+  for (i = 0; i < completed->len; i++)
+    add_completion_fact (completed->pdata[i], false, out, most);
+  for (i = 0; i < list->len; i++)
+    add_crash_facts (list->pdata[i], false, out, max);
 }
 
 void
@@ -584,7 +746,10 @@
 
   for (i = 0;
        i < list->len && count_incidents (list->pdata[i]) >= INCIDENTS_MIN; i++)
-    add_facts (list->pdata[i], true, out, max);
+    {
+      add_crash_facts (list->pdata[i], true, out, max);
+      add_completion_fact (list->pdata[i], true, out, max);
+    }
 }
 
 guint
--- a/quar.h
+++ b/quar.h
@@ -9,6 +9,16 @@
  * coordination, and a restarted VM only has to read the evidence.  The
  * functions do no I/O and read no clock.
  *
+ * Requests of which no two are alike may have a part of their prompts in
+ * common that crashes endpoints.  So evidence is kept of each part, too, of
+ * all workspaces together.  A part that any endpoint answers on is cleared, so
+ * those that sound requests share don't gather evidence.  Where several parts
+ * explain the crashes equally well, only requests that have all of them are
+ * refused: the others show which part it is.
+ * A part that is refused cannot be cleared by requests, so if another one may
+ * be the cause, one request with it is let through some seconds after its last
+ * crash.
+ *
  * Times are in milliseconds on the platform's clock.
  */
 #ifndef CQ_QUAR_H
@@ -21,6 +31,8 @@
 
 #include "reqid.h"
 
+/* Parts of one prompt that evidence is kept of; the last part is its own. */
+#define QUAR_PARTS_MAX 12
 /* Newest crashes that are kept of each request. */
 #define QUAR_CRASHES_PER_REQUEST_MAX 8
 #define QUAR_REQUESTS_MAX 1024 /* requests with evidence */
@@ -45,13 +57,23 @@
 struct quar_verdict
 {
   bool is_quarantined; /* refuse the request */
-  bool is_suspect; /* not quarantined, but run it on one endpoint at a time */
+  bool is_on_trial; /* quarantined for a part, and one VM may run one request
+                       with it: if that is answered, the part is cleared */
+  bool is_suspect;  /* not quarantined, but run it on one endpoint at a time */
   int incidents; /* incidents that no other request explains better; endpoints
                   that crash together are one incident */
   double probability; /* that these incidents coincided by chance */
   int64_t until_ms;   /* end of the quarantine */
 };
 
+/* A request and the parts of its prompt that others may share. */
+struct quar_subject
+{
+  struct reqid request;               /* digest of the request */
+  struct reqid parts[QUAR_PARTS_MAX]; /* digests of the parts */
+  int nparts;                         /* entries in parts */
+};
+
 struct quar;
 
 /* QUARANTINE_MS is the length of a first quarantine; 0 disables quarantine. */
@@ -65,10 +87,18 @@
 bool quar_has_records (const struct quar *q);
 /* Whether an endpoint is known to have crashed while it ran the request. */
 bool quar_has_crashes (const struct quar *q, const struct reqid *id);
+/* Whether that is so of the request or of one of its parts. */
+bool quar_has_crashes_of (const struct quar *q, const struct quar_subject *s);
 /* Compute the verdict; ENDPOINTS is the size of the request's service. */
 struct quar_verdict quar_evaluate (const struct quar *q,
                                    const struct reqid *id, int endpoints,
                                    int64_t now_ms);
+/* Compute the verdict on S by the evidence on the request and on its parts; ID
+   is set to the digest that decided. */
+struct quar_verdict quar_evaluate_subject (const struct quar *q,
+                                           const struct quar_subject *s,
+                                           int endpoints, int64_t now_ms,
+                                           struct reqid *id);
 /* Remove evidence that is too old to matter. */
 void quar_expire (struct quar *q, int64_t now_ms);
 
--- a/regress/test-quar.c
+++ b/regress/test-quar.c
@@ -372,7 +372,7 @@
   struct relay_engine engine = { .probe = start_probe, .ctx = &probe };
   struct relaycrash_opts o = { .loop = loop_new (), .engine = &engine };
   struct relaycrash *c;
-  struct reqid id;
+  struct quar_subject subject = { .nparts = 0 };
   unsigned i;
 
   o.quar = q;
@@ -381,14 +381,15 @@
   c = relaycrash_new (&o);
   for (i = 1; i <= 40; i++)
     {
-      id = request_id (i);
-      relaycrash_report (c, &e, &id, (i == 40 ? 50 : 500 + i) * INT64_C (1000),
+      subject.request = request_id (i);
+      relaycrash_report (c, &e, &subject,
+                         (i == 40 ? 50 : 500 + i) * INT64_C (1000),
                          loop_now_us ());
     }
   probe.done (probe.arg, RELAY_PROBE_CRASHED, NULL);
   quar_own_facts (q, facts, G_MAXUINT);
   g_assert_cmpuint (facts->len, ==, 16);
-  g_assert_true (quar_has_crashes (q, &id));
+  g_assert_true (quar_has_crashes (q, &subject.request));
   relaycrash_free (c);
   loop_free (o.loop);
   quar_free (q);
--- a/regress/test-relayquar.c
+++ b/regress/test-relayquar.c
@@ -445,7 +445,7 @@
 
   harness_start (p);
   g_assert_true (p->event->before_send (p->arg));
-  g_assert_false (p->relay->has_identity);
+  g_assert_false (p->relay->has_subject);
   harness_head (p, 200);
   harness_body (p, "a");
   harness_end (p, true, true);
--- a/regress/test-units.c
+++ b/regress/test-units.c
@@ -843,7 +843,7 @@
         mirror_units,  relayquar_units, routeshare_units, relaystate_units,
         observe_units, returns_units,   speed_units,      spread_units,
         health_units,  reach_units,     forward_units,    build_units,
-        vmpath_units,  brittle_units };
+        vmpath_units,  brittle_units,   partquar_units };
 
 int
 main (int argc, char **argv)
--- a/regress/units.h
+++ b/regress/units.h
@@ -44,5 +44,6 @@
 extern const struct unit build_units[];
 extern const struct unit vmpath_units[];
 extern const struct unit brittle_units[];
+extern const struct unit partquar_units[];
 
 #endif
--- a/relayattempt.c
+++ b/relayattempt.c
@@ -24,6 +24,7 @@
   r->is_head_observed = false;
   r->streaming = false;
   r->has_body = false;
+  r->has_cleared_parts = false;
   r->paused = false;
   g_string_truncate (r->answer, 0);
   sse_restart (&r->events);
@@ -192,7 +193,10 @@
 
   if (!relay_apply_event (r, RELAY_CHUNK))
     return RELAY_STOP;
+  if (!r->has_body)
+    r->body_us = loop_now_us ();
   r->has_body = true;
+  relay_record_flow (r, loop_now_us ());
   if (r->streaming)
     return forward_stream (r, data, len);
   if (r->answer->len + len > r->rs->opts.answer_max)
--- a/relaycrash.c
+++ b/relaycrash.c
@@ -24,8 +24,8 @@
 /* A request whose connection broke. */
 struct broken
 {
-  struct reqid id; /* digest of the request */
-  int64_t ran_ms;  /* time at the endpoint */
+  struct quar_subject subject; /* digests of the request and its parts */
+  int64_t ran_ms;              /* time at the endpoint */
 };
 
 /* An endpoint at which connections broke. */
@@ -72,16 +72,23 @@
   const struct relaycrash_opts *o = &s->owner->opts;
   int64_t now_ms = o->clock_ms (o->arg, now_us);
   struct quar_fact f = { .completed = false };
+  const struct quar_subject *subject;
   bool is_new = false;
-  int i;
+  int i, k;
 
   f.crash.endpoint = s->endpoint->key;
   f.crash.at_ms = now_ms - (now_us - s->broke_us) / CQ_US_PER_MS;
   for (i = 0; i < s->n && now_ms > 0; i++)
     {
-      f.id = s->requests[i].id;
+      subject = &s->requests[i].subject;
       f.crash.ran_ms = s->requests[i].ran_ms;
+      f.id = subject->request;
       is_new |= quar_add_fact (o->quar, &f, true);
+      for (k = 0; k < subject->nparts; k++)
+        {
+          f.id = subject->parts[k];
+          is_new |= quar_add_fact (o->quar, &f, true);
+        }
     }
   if (is_new)
     o->on_evidence (o->arg, now_us);
@@ -244,7 +251,8 @@
  */
 void
 relaycrash_report (struct relaycrash *owner, struct fleet_endpoint *e,
-                   const struct reqid *id, int64_t ran_us, int64_t now_us)
+                   const struct quar_subject *subject, int64_t ran_us,
+                   int64_t now_us)
 {
   int64_t ran_ms = ran_us / CQ_US_PER_MS;
   struct broken *b;
@@ -259,7 +267,7 @@
     s->broke_us = now_us;
   b = broken_entry_for (s, ran_ms);
   if (b != NULL)
-    *b = (struct broken){ *id, ran_ms };
+    *b = (struct broken){ *subject, ran_ms };
   if (!s->probing && !s->timer.armed)
     send_probe (s, now_us);
 }
--- a/relaycrash.h
+++ b/relaycrash.h
@@ -33,10 +33,10 @@
 
 /* Copies OPTS; what it points to must outlive the result. */
 struct relaycrash *relaycrash_new (const struct relaycrash_opts *opts);
-/* E or the network closed the connection of request ID, which had been at E
-   for RAN_US. */
+/* E or the network closed the connection of request S, which had been at E for
+   RAN_US; without parts if they are no cause. */
 void relaycrash_report (struct relaycrash *s, struct fleet_endpoint *e,
-                        const struct reqid *id, int64_t ran_us,
+                        const struct quar_subject *subject, int64_t ran_us,
                         int64_t now_us);
 /* Memory is released once the last probe under way has returned. */
 void relaycrash_free (struct relaycrash *s);
--- a/reqid.c
+++ b/reqid.c
@@ -6,6 +6,9 @@
 #include <sodium.h>
 #include <string.h>
 
+/* A bit of the last byte tells parts from requests. */
+#define PART_BIT 1
+
 /* The length comes first, so that bytes cannot move from the end of one field
    to the start of the next without a change of the digest. */
 static void
@@ -34,6 +37,25 @@
   add_field (&s, d->target, strlen (d->target));
   add_field (&s, d->body, d->body_len);
   crypto_generichash_final (&s, id->bytes, sizeof id->bytes);
+  id->bytes[REQID_BYTES - 1] &= (uint8_t)~PART_BIT;
+}
+
+void
+reqid_of_part (const char *service, const char *part, struct reqid *id)
+{
+  crypto_generichash_state s;
+
+  crypto_generichash_init (&s, NULL, 0, sizeof id->bytes);
+  add_field (&s, service, strlen (service));
+  add_field (&s, part, strlen (part));
+  crypto_generichash_final (&s, id->bytes, sizeof id->bytes);
+  id->bytes[REQID_BYTES - 1] |= PART_BIT;
+}
+
+bool
+reqid_is_part (const struct reqid *id)
+{
+  return id->bytes[REQID_BYTES - 1] & PART_BIT;
 }
 
 const char *
--- a/reqid.h
+++ b/reqid.h
@@ -2,6 +2,7 @@
 #ifndef CQ_REQID_H
 #define CQ_REQID_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #define REQID_BYTES 16
@@ -20,6 +21,11 @@
    VM. */
 void reqid_of (const struct relay_desc *d, const char *workspace,
                struct reqid *id);
+/* Compute the digest of the part with this id of prompts for SERVICE, the same
+   for all workspaces. */
+void reqid_of_part (const char *service, const char *part, struct reqid *id);
+/* Whether ID is the digest of a part. */
+bool reqid_is_part (const struct reqid *id);
 /* Write ID to TEXT in hex, for the log; returns TEXT. */
 const char *reqid_text (const struct reqid *id, char text[REQID_TEXT_SIZE]);
 
