--- a/fleet.h
+++ b/fleet.h
@@ -477,6 +477,11 @@
 /* Recomputes this VM's share of the rate of each endpoint that is cold or
    reported a limit, where the share is stale. */
 void fleet_refresh_rate_shares (struct fleet *f, int64_t now_us);
+/* Whether this VM's share of E is to be computed, and that of all brittle
+   endpoints. */
+bool fleet_is_brittle_share_due (const struct fleet_endpoint *e,
+                                 int64_t now_us);
+void fleet_refresh_brittle_shares (struct fleet *f, int64_t now_us);
 /* A brittle endpoint of SERVICE of which this VM is no owner, chosen by
    RANDOM; NULL if there is none. */
 struct fleet_endpoint *fleet_choose_not_owned (const struct fleet *f,
--- a/regress/fakesrv.c
+++ b/regress/fakesrv.c
@@ -377,10 +377,11 @@
 stream (const struct in *in)
 {
   g_autofree char *m = marks (in);
+  bool framed = !fk_number ("unframed", 0);
+  void (*put_piece) (int fd, const char *text) = framed ? put_chunk : put_text;
   g_autofree char *head = g_strdup_printf (
-      "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-      "Transfer-Encoding: chunked\r\n%s\r\n",
-      m);
+      "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n%s%s\r\n",
+      framed ? "Transfer-Encoding: chunked\r\n" : "", m);
   g_autofree char *last = header (in, "Last-Event-Id");
   int64_t i = last != NULL ? g_ascii_strtoll (last, NULL, 10) + 1 : 1;
   int64_t n = fk_number ("events", 0);
@@ -401,13 +402,14 @@
         }
       if (breaks && told++ == 2)
         {
-          put_chunk (in->fd, "id: ");
+          put_piece (in->fd, "id: ");
           return false;
         }
-      put_chunk (in->fd, e);
+      put_piece (in->fd, e);
     }
-  put_text (in->fd, "0\r\n\r\n");
-  return true;
+  if (framed)
+    put_text (in->fd, "0\r\n\r\n");
+  return framed;
 }
 
 /* --- requests -------------------------------------------------------- */
--- a/relayforward.c
+++ b/relayforward.c
@@ -15,6 +15,9 @@
 #include "log.h"
 #include "met.h"
 
+/* Other VMs are asked for their paths this long after the last request that
+   needs one. */
+#define NO_PATH_ASK_US (3000 * CQ_US_PER_MS)
 /* Draws of an owner of a brittle endpoint before the request is refused. */
 #define OWNER_DRAWS 8
 
@@ -177,7 +180,7 @@
 
   if (!may_forward (r) || !relayreach_is_isolated (r->rs->reach, r->service))
     return false;
-  relayvms_want (r->rs->vms, r->service, now_us);
+  relayvms_want (r->rs->vms, r->service, NO_PATH_ASK_US, now_us);
   vm = choose (r, &address, &confirmed, now_us);
   return vm != NULL
          && start_forward (r, vm, address,
--- a/relayreach.c
+++ b/relayreach.c
@@ -7,6 +7,8 @@
 #include "log.h"
 #include "met.h"
 
+/* Endpoints whose connections failed before the path is doubted. */
+#define DOUBTFUL_MIN 2
 /* Interval of looks for probes that are due. */
 #define CHECK_INTERVAL_US (50 * CQ_US_PER_MS)
 
@@ -278,7 +280,7 @@
 {
   const struct service_reach *s = g_hash_table_lookup (t->services, service);
 
-  return s != NULL && s->reach.nfailed > 0;
+  return s != NULL && s->reach.nfailed >= DOUBTFUL_MIN;
 }
 
 void
--- a/relayreach.h
+++ b/relayreach.h
@@ -30,7 +30,8 @@
 /* An attempt to connect to E, started at STARTED_US, failed. */
 void relayreach_failed (struct relayreach *t, const struct fleet_endpoint *e,
                         int64_t started_us, int64_t now_us);
-/* Whether a connection to SERVICE failed since one was established. */
+/* Whether connections to two endpoints of SERVICE failed since one was
+   established. */
 bool relayreach_is_doubtful (const struct relayreach *t, const char *service);
 /* Fill in the services that are not reached. */
 void relayreach_describe (const struct relayreach *t, struct vmpath_answer *a);
--- a/relaytry.c
+++ b/relaytry.c
@@ -9,6 +9,8 @@
 /* Attempts of which no byte left do not count against the route's limit.
    More than this many mean that further attempts are of no use. */
 #define UNSENT_ATTEMPTS_MAX 4
+/* Other VMs are asked for their paths this long after connections failed. */
+#define DOUBT_ASK_US (300 * CQ_US_PER_MS)
 /* Reasons to stop an attempt that concern only its endpoint: another endpoint
    may take the request. */
 #define STOP_ENDPOINT_LEFT "endpoint_left"
@@ -369,7 +371,7 @@
       relayreach_failed (r->rs->reach, r->endpoint, r->sent_us, now);
       if (relayreach_is_doubtful (r->rs->reach, r->service)
           && !r->desc.forwarded)
-        relayvms_want (r->rs->vms, r->service, now);
+        relayvms_want (r->rs->vms, r->service, DOUBT_ASK_US, now);
     }
   r->call = NULL;
   r->connection_refused = end->connection_refused;
--- a/relayvms.c
+++ b/relayvms.c
@@ -9,8 +9,6 @@
 
 /* Interval of looks for VMs that are to be asked. */
 #define CHECK_INTERVAL_US (50 * CQ_US_PER_MS)
-/* VMs are asked for this long after the last request that needed one. */
-#define WANTED_US (3000 * CQ_US_PER_MS)
 /* The list of VMs is read again after this time. */
 #define LIST_INTERVAL_US (500 * CQ_US_PER_MS)
 
@@ -18,7 +16,7 @@
 {
   struct relayvms_opts opts; /* copy of the options */
   struct vmpath *paths;      /* what the VMs said */
-  GHashTable *wanted;        /* service to int64_t, when it was wanted last */
+  GHashTable *wanted;        /* service to int64_t, until when VMs are asked */
   struct loop_timer check;   /* asks VMs that are due */
   int64_t listed_us;         /* when the list of VMs was read */
   int nasking;               /* questions under way */
@@ -137,14 +135,14 @@
   struct relayvms *t = arg;
   GHashTableIter it;
   const char *service;
-  int64_t *wanted_us;
+  int64_t *until_us;
 
   refresh_list (t, LIST_INTERVAL_US, now_us);
   g_hash_table_iter_init (&it, t->wanted);
   while (g_hash_table_iter_next (&it, (gpointer *)&service,
-                                 (gpointer *)&wanted_us))
+                                 (gpointer *)&until_us))
     {
-      if (now_us - *wanted_us < WANTED_US)
+      if (now_us < *until_us)
         ask_all (t, service, now_us);
       else
         g_hash_table_iter_remove (&it);
@@ -154,18 +152,19 @@
 }
 
 void
-relayvms_want (struct relayvms *t, const char *service, int64_t now_us)
+relayvms_want (struct relayvms *t, const char *service, int64_t for_us,
+               int64_t now_us)
 {
-  int64_t *wanted_us = g_hash_table_lookup (t->wanted, service);
+  int64_t *until_us = g_hash_table_lookup (t->wanted, service);
 
   if (t->opts.ask == NULL || t->opts.list_vms == NULL)
     return;
-  if (wanted_us == NULL)
+  if (until_us == NULL)
     {
-      wanted_us = g_new (int64_t, 1);
-      g_hash_table_insert (t->wanted, g_strdup (service), wanted_us);
+      until_us = g_new0 (int64_t, 1);
+      g_hash_table_insert (t->wanted, g_strdup (service), until_us);
     }
-  *wanted_us = now_us;
+  *until_us = MAX (*until_us, now_us + for_us);
   if (!t->check.armed)
     on_check (t, now_us);
 }
--- a/relayvms.h
+++ b/relayvms.h
@@ -32,8 +32,10 @@
 struct relayvms *relayvms_new (const struct relayvms_opts *opts);
 /* Memory is released once the last question under way has ended. */
 void relayvms_free (struct relayvms *t);
-/* Requests for SERVICE need another VM now, or will soon. */
-void relayvms_want (struct relayvms *t, const char *service, int64_t now_us);
+/* Requests for SERVICE need another VM now, or may need one soon: for FOR_US,
+   VMs are asked. */
+void relayvms_want (struct relayvms *t, const char *service, int64_t for_us,
+                    int64_t now_us);
 /* Choose the VM that Q asks for; NULL if there is none.  CONFIRMED is set to
    whether it said a short time ago that it reaches the service. */
 const char *relayvms_choose (struct relayvms *t, const struct vmpath_query *q,
