--- a/librelay.h
+++ b/librelay.h
@@ -25,6 +25,9 @@
  */
 #define RETRY_JITTER_US (500 * CQ_US_PER_MS)
 
+/* Interval of attempts to place the requests that wait for room. */
+#define RELAY_ROOM_INTERVAL_US (10 * CQ_US_PER_MS)
+
 /* VMs to which one request is forwarded, one after another. */
 #define RELAY_VMS_MAX 4
 
@@ -309,8 +312,8 @@
 /* Let R wait until an endpoint has room, and place it again then; false if it
    is not to wait any longer. */
 bool relay_wait_for_room (struct relay *r, int64_t now_us);
-/* A request left an endpoint, which may have room for a waiting one. */
-void relay_room_freed (struct relays *rs, int64_t now_us);
+/* Whether R must not wait any longer. */
+bool relay_has_waited_enough (const struct relay *r, int64_t now_us);
 /* R's state is about to change by an event from outside. */
 void relay_stop_waiting (struct relay *r);
 /* Choose an endpoint and send the next attempt, or give up. */
--- a/relay.c
+++ b/relay.c
@@ -53,6 +53,38 @@
     loop_arm (rs->opts.loop, &rs->sweep, now_us + SWEEP_INTERVAL_US);
 }
 
+/* --- requests that wait for room --------------------------------------- */
+
+/* The oldest waiting request of each service goes first, and the others of the
+   service wait on if it finds no room. */
+static void
+on_room (void *arg, int64_t now_us)
+{
+  struct relays *rs = arg;
+  g_autoptr (GHashTable) full = g_hash_table_new (g_direct_hash, NULL);
+  struct relay *r, *next;
+  struct relay_service *s;
+  int before;
+
+  for (r = APR_RING_FIRST (&rs->all);
+       r != APR_RING_SENTINEL (&rs->all, relay, link); r = next)
+    {
+      next = APR_RING_NEXT (r, link);
+      s = r->service_state;
+      if (r->state != RELAY_WAITING
+          || (g_hash_table_contains (full, s)
+              && !relay_has_waited_enough (r, now_us)))
+        continue;
+      before = --rs->nwaiting;
+      relay_apply_event (r, RELAY_READY);
+      relay_place (r, now_us);
+      if (rs->nwaiting > before)
+        g_hash_table_add (full, s);
+    }
+  if (rs->nwaiting > 0)
+    loop_arm (rs->opts.loop, &rs->room, now_us + RELAY_ROOM_INTERVAL_US);
+}
+
 /* --- start ----------------------------------------------------------- */
 
 static void
@@ -335,6 +367,8 @@
   rs->health = new_health (rs);
   rs->sweep.fire = on_sweep;
   rs->sweep.arg = rs;
+  rs->room.fire = on_room;
+  rs->room.arg = rs;
   rs->services
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   rs->usual_timeouts
--- a/relayend.c
+++ b/relayend.c
@@ -108,7 +108,8 @@
   brittle_left (&r->endpoint->brittle, r->endpoint->running, now_us);
   fleet_endpoint_unref (r->endpoint);
   r->endpoint = NULL;
-  relay_room_freed (r->rs, now_us);
+  if (r->rs->nwaiting > 0)
+    loop_arm (r->rs->opts.loop, &r->rs->room, now_us);
   relay_notify_work (r, now_us);
 }
 
