Forward requests when this VM's share of limits or cold endpoints is used

With most new connections at one of six VMs and limits on all endpoints, 21 of 96 requests were served where all were before, and the rest refused while the other VMs' shares were unused.

Cause: a limit over all VMs is divided in equal parts, whatever the callers of each VM ask for. Evidence: finish reason=endpoints_limited at that VM, no send at the others. The parts stay as they are, so the bound on the limit is unchanged; a request that finds none left goes to one other VM, near first, and to a second one if that has none left either.

regress/onevmlimit failed before and passes, twice of twice; onevm, limit and cold pass.

--- a/librelay.h
+++ b/librelay.h
@@ -153,6 +153,9 @@
                              events arrived */
   bool has_waited;        /* it waited for room */
   bool forwarding;        /* the attempt is at another VM */
+  bool seeks_share;       /* it is forwarded since this VM's shares are used */
+  bool no_share;          /* another VM forwarded it, and this one's shares are
+                             used, too */
   bool vm_no_path;        /* the other VM reaches no endpoint either */
   bool unpause_posted;    /* unpause is queued in the loop */
   bool event_rejected;    /* an event was not allowed: no attempt follows */
@@ -253,6 +256,10 @@
 bool relay_forward_to_owner (struct relay *r,
                              const struct relay_events *events,
                              int64_t now_us);
+/* Likewise to any VM, since this one's share of what endpoints take is used. */
+bool relay_forward_for_share (struct relay *r,
+                              const struct relay_events *events,
+                              int64_t now_us);
 /* Callbacks of such an attempt; ARG is its request. */
 bool relay_forward_before_send (void *arg);
 bool relay_forward_head (void *arg, const struct relay_head *head);
--- a/relay.h
+++ b/relay.h
@@ -36,7 +36,8 @@
   RELAY_MALFORMED, /* a header or its body cannot be parsed */
   RELAY_NOT_RUN,   /* it did not run, and may be sent again */
   RELAY_NO_PATH,   /* the same, of a request that another VM forwarded: this VM
-                      reaches no endpoint for it either */
+                      reaches no endpoint for it either, or has no share of what
+                      they take */
   RELAY_NO_BUILD,  /* it did not run: its stream can go on at no endpoint, and
                       is to begin anew */
   RELAY_UNKNOWN,   /* it may have run, or it failed */
--- a/relayend.c
+++ b/relayend.c
@@ -211,7 +211,7 @@
   if (outcome == OUT_NOT_RUN && r->no_build)
     why = RELAY_NO_BUILD;
   else if (outcome == OUT_NOT_RUN)
-    why = relay_has_no_path (r) ? RELAY_NO_PATH : RELAY_NOT_RUN;
+    why = relay_has_no_path (r) || r->no_share ? RELAY_NO_PATH : RELAY_NOT_RUN;
   else if (now_us >= r->deadline_us)
     why = RELAY_TIMED_OUT;
   if (r->stream_begun)
--- a/relayforward.c
+++ b/relayforward.c
@@ -18,6 +18,8 @@
 /* Other VMs are asked for their paths this long after the last request that
    needs one. */
 #define NO_PATH_ASK_US (3000 * CQ_US_PER_MS)
+/* VMs to which one request is forwarded for their share. */
+#define SHARE_VMS_MAX 2
 /* Draws of an owner of a brittle endpoint before the request is refused. */
 #define OWNER_DRAWS 8
 
@@ -89,8 +91,9 @@
     r->may_have_run = true;
   if (unreached || r->vm_no_path)
     {
-      relayvms_refused (r->rs->vms, r->vms_tried[r->nvms_tried - 1],
-                        r->service, now_us);
+      if (unreached || !r->seeks_share)
+        relayvms_refused (r->rs->vms, r->vms_tried[r->nvms_tried - 1],
+                          r->service, now_us);
       if (now_us < r->deadline_us)
         return true;
     }
@@ -233,3 +236,17 @@
          && choose_owner (r, &vm, now_us)
          && start_forward (r, vm.vm, vm.address, "brittle", events, now_us);
 }
+
+bool
+relay_forward_for_share (struct relay *r, const struct relay_events *events,
+                         int64_t now_us)
+{
+  const char *vm, *address;
+  bool confirmed;
+
+  if (!may_forward (r) || r->nvms_tried >= SHARE_VMS_MAX)
+    return false;
+  vm = choose (r, &address, &confirmed, now_us);
+  r->seeks_share = vm != NULL;
+  return vm != NULL && start_forward (r, vm, address, "share", events, now_us);
+}
--- a/relaytry.c
+++ b/relaytry.c
@@ -620,6 +620,13 @@
     met_add (MET_REFUSED_REGION, 1);
 }
 
+/* Shares are the same for all VMs, whatever their callers ask for. */
+static bool
+is_share_used (enum pick_code code)
+{
+  return code == PICK_LIMITED || code == PICK_COLD;
+}
+
 /* A VM that owns none of the brittle endpoints has nothing to wait for. */
 static bool
 wait_or_forward (struct relay *r, int64_t now_us)
@@ -695,11 +702,15 @@
     }
   else if (c.code == PICK_BRITTLE && wait_or_forward (r, now_us))
     return;
+  else if (is_share_used (c.code)
+           && relay_forward_for_share (r, &vm_events, now_us))
+    return;
   else if (c.code == PICK_NO_BUILD)
     relay_give_up_no_build (r, now_us);
   else
     {
       count_unplaced_reason (c.code);
+      r->no_share = r->desc.forwarded && is_share_used (c.code);
       give_up_unplaced (r, pick_code_name (c.code),
                         MAX (c.backoff_us, RETRY_AFTER_FAILURE_US), now_us);
     }
