--- a/regress/relayharness.c
+++ b/regress/relayharness.c
@@ -114,6 +114,28 @@
   return true;
 }
 
+static int
+brittle_rank (void *arg, uint64_t endpoint, int *vms)
+{
+  const struct harness *p = arg;
+
+  (void)endpoint;
+  *vms = 9;
+  return p->rank;
+}
+
+static bool
+choose_owner (void *arg, uint64_t endpoint, int owners, bool near,
+              uint64_t random, struct mirror_peer *vm)
+{
+  (void)arg;
+  (void)endpoint;
+  (void)near;
+  g_snprintf (vm->vm, sizeof vm->vm, "v%d", (int)(random % (unsigned)owners));
+  g_snprintf (vm->address, sizeof vm->address, "a-%s", vm->vm);
+  return true;
+}
+
 static char *
 seal_forward (void *arg, const struct relay_desc *desc, int64_t now_us)
 {
@@ -309,6 +331,10 @@
   o.engine.probe = engine_probe;
   o.engine.forward = engine_forward;
   o.list_vms = list_vms;
+  o.choose_owner = choose_owner;
+  p->fleet.brittle_rank = brittle_rank;
+  p->fleet.share_arg = p;
+  p->fleet.can_forward = true;
   o.seal_forward = seal_forward;
   o.forward_arg = p;
   o.engine.ctx = p;
--- a/regress/relayharness.h
+++ b/regress/relayharness.h
@@ -48,10 +48,11 @@
   void *probe_arg;              /* for it */
   int probes;                   /* probes so far */
   char probed[FLEET_NAME_SIZE]; /* endpoint that was probed last */
-  bool turn;                    /* this VM may send suspect requests */
-  struct originfeed *origins;   /* where streams began */
-  int told;                     /* VMs that messages on them go to */
-  int origin_messages;          /* such messages */
+  int rank;                   /* of this VM, of nine, for brittle endpoints */
+  bool turn;                  /* this VM may send suspect requests */
+  struct originfeed *origins; /* where streams began */
+  int told;                   /* VMs that messages on them go to */
+  int origin_messages;        /* such messages */
 };
 
 /* Header lines of a genuine answer, NULL-terminated. */
--- a/regress/test-forward.c
+++ b/regress/test-forward.c
@@ -334,6 +334,85 @@
   g_assert_false (forwardseal_check (&e, seal, 100000, key));
 }
 
+/* A VM with this rank whose endpoints have said that they are brittle. */
+static struct harness *
+brittle (int rank)
+{
+  struct harness *p = harness_new (FLEET_IDEMPOTENT);
+  struct relay_head h = { .status = 200, .genuine = true, .running = -1 };
+
+  p->rank = rank;
+  h.lines = harness_seal;
+  h.notice.is_brittle = true;
+  h.notice.refusals_s = 4;
+  harness_start (p);
+  harness_answer_head (p, &h);
+  g_assert_cmpint (p->status, ==, 200);
+  p->status = 0;
+  return p;
+}
+
+/* Guards against a VM that is no owner and sends to brittle endpoints, and
+   against a refusal there when the owner that was asked is gone. */
+static void
+test_brittle_not_owner (void)
+{
+  struct harness *p = brittle (8);
+
+  harness_start (p);
+  g_assert_cmpint (p->sends, ==, 1);
+  g_assert_cmpint (p->forwards, ==, 1);
+  harness_end (p, false, false);
+  g_assert_cmpint (p->forwards, ==, 2);
+  g_assert_cmpstr (p->vm[1], !=, p->vm[0]);
+  harness_answer (p, "mine");
+  g_assert_cmpint (p->status, ==, 200);
+  harness_free (p);
+}
+
+/* Guards against an owner that sends more than it has tokens for, and against
+   requests that wait for room after their callers have left. */
+static void
+test_brittle_waits (void)
+{
+  struct harness *p = brittle (0);
+  const struct relay_events *event;
+  struct relay *waiting;
+  void *arg[2];
+  int i;
+
+  for (i = 0; i < 2; i++)
+    {
+      harness_start (p);
+      g_assert_true (p->event->before_send (p->arg));
+      arg[i] = p->arg;
+    }
+  event = p->event;
+  g_assert_cmpint (p->sends, ==, 3);
+  harness_start (p);
+  waiting = p->relay;
+  g_assert_cmpint (p->sends, ==, 3);
+  g_assert_cmpint (waiting->state, ==, RELAY_WAITING);
+  g_assert_cmpint (p->relays->nwaiting, ==, 1);
+  relay_caller_disconnected (waiting);
+  g_assert_cmpint (p->relays->nwaiting, ==, 0);
+  harness_start (p);
+  g_assert_cmpint (p->relays->nwaiting, ==, 1);
+  harness_run (p, 100 * MS);
+  /* A token is free again. */
+  g_assert_cmpint (p->sends, ==, 4);
+  g_assert_cmpint (p->relays->nwaiting, ==, 0);
+  harness_answer (p, "");
+  for (i = 0; i < 2; i++)
+    {
+      struct relay_end e = { .handed_over = true, .error = "" };
+
+      event->end (arg[i], &e);
+    }
+  relays_stop (p->relays, loop_now_us ());
+  harness_free (p);
+}
+
 const struct unit forward_units[] = {
   { "/forward/answered", test_answered },
   { "/forward/no-path", test_no_path },
@@ -349,5 +428,7 @@
   { "/forward/deadline", test_deadline },
   { "/forward/hang-up", test_hang_up },
   { "/forward/seal", test_seal },
+  { "/forward/brittle-not-owner", test_brittle_not_owner },
+  { "/forward/brittle-waits", test_brittle_waits },
   { NULL, NULL },
 };
