--- a/brittle.h
+++ b/brittle.h
@@ -3,7 +3,7 @@
  * second, from all VMs together, for want of room crashes.
  *
  * Responds to refusals, of which each VM sees its own only, late.  Only a few
- * VMs send to such an endpoint, fewer than half of the refusals that it bears:
+ * VMs send to such an endpoint, at most half of the refusals that it bears:
  * its owners, chosen among the VMs that the platform lists by rendezvous
  * hashing.  The others forward their requests to one of these.
  *
