Unit tests of safeguards that no test found when they were off

With each safeguard of the three fixes switched off in a scratch copy, four were not found: answers of other VMs that never lapse, an owner that is not stopped by a second refusal, places at brittle endpoints that never lapse, parts that tie. Each has a test now and is found.

--- a/regress/test-brittle.c
+++ b/regress/test-brittle.c
@@ -454,6 +454,50 @@
       }
 }
 
+/* An endpoint that bears four refusals, of which this VM has one token and
+   three requests there. */
+static struct brittle
+owned (int64_t now_us)
+{
+  struct brittle b = { .active = false };
+
+  brittle_set_share (&b, 4, 1, true, 3, now_us);
+  return b;
+}
+
+/* Guards against refusals without end of requests that need no token. */
+static void
+test_second_refusal_stops (void)
+{
+  int64_t now_us = CQ_US_PER_S;
+  struct brittle b = owned (now_us);
+  struct brittle_guest guest = { .free_us = 0 };
+
+  brittle_left (&b, 2, now_us);
+  brittle_refused (&b, &guest, 3, now_us);
+  g_assert_true (brittle_may_place (&b, &guest, 2, now_us + 5 * MS));
+  g_assert_false (brittle_may_place (&b, &guest, 3, now_us + 5 * MS));
+  brittle_refused (&b, &guest, 2, now_us + 10 * MS);
+  g_assert_false (brittle_may_place (&b, &guest, 1, now_us + 20 * MS));
+  g_assert_false (brittle_may_place (&b, &guest, 0, now_us + CQ_US_PER_S));
+  g_assert_true (brittle_may_place (&b, &guest, 0, now_us + 1100 * MS));
+}
+
+/* Guards against places that a VM keeps at an endpoint and does not use, while
+   the others fill it. */
+static void
+test_places_lapse (void)
+{
+  int64_t now_us = CQ_US_PER_S;
+  struct brittle b = owned (now_us);
+  struct brittle_guest guest = { .free_us = 0 };
+
+  brittle_refused (&b, &guest, 3, now_us);
+  brittle_left (&b, 2, now_us);
+  g_assert_true (brittle_may_place (&b, &guest, 2, now_us + 90 * MS));
+  g_assert_false (brittle_may_place (&b, &guest, 2, now_us + 110 * MS));
+}
+
 /* Guards against notices that are spoiled and taken for none. */
 static void
 test_notice (void)
@@ -508,8 +552,14 @@
 }
 
 const struct unit brittle_units[] = {
-  { "/brittle/one-vm", test_one_vm }, { "/brittle/nine-vms", test_nine_vms },
-  { "/brittle/63-vms", test_63_vms }, { "/brittle/195-vms", test_195_vms },
-  { "/brittle/shares", test_shares }, { "/brittle/notice", test_notice },
-  { "/brittle/order", test_order },   { NULL, NULL },
+  { "/brittle/one-vm", test_one_vm },
+  { "/brittle/nine-vms", test_nine_vms },
+  { "/brittle/63-vms", test_63_vms },
+  { "/brittle/195-vms", test_195_vms },
+  { "/brittle/shares", test_shares },
+  { "/brittle/notice", test_notice },
+  { "/brittle/order", test_order },
+  { "/brittle/second-refusal-stops", test_second_refusal_stops },
+  { "/brittle/places-lapse", test_places_lapse },
+  { NULL, NULL },
 };
--- a/regress/test-partquar.c
+++ b/regress/test-partquar.c
@@ -426,6 +426,44 @@
     }
 }
 
+/* Guards against a hold of sound requests with a part that always came with
+   the one that crashes endpoints. */
+static void
+test_tie (void)
+{
+  struct quar *q = quar_new (60000);
+  struct quar_subject sound = { .nparts = 0 }, bad = { .nparts = 0 };
+  struct quar_fact f = { .completed = false };
+  struct reqid id;
+  int i, k;
+
+  add_part (&sound, part ("shared", 1));
+  add_part (&bad, part ("shared", 1));
+  add_part (&bad, part ("bad", 1));
+  for (i = 1; i <= 5; i++)
+    for (k = 0; k < bad.nparts; k++)
+      {
+        f.id = bad.parts[k];
+        f.crash = (struct quar_crash){ .endpoint = (uint64_t)i };
+        f.crash.at_ms = 100000 + i * INT64_C (1000);
+        f.crash.ran_ms = 100;
+        quar_add_fact (q, &f, true);
+      }
+  g_assert_true (
+      quar_evaluate_subject (q, &bad, ENDPOINTS, 106000, &id).is_quarantined);
+  g_assert_true (reqid_is_part (&id));
+  g_assert_false (quar_evaluate_subject (q, &sound, ENDPOINTS, 106000, &id)
+                      .is_quarantined);
+  /* An endpoint answers on the shared part. */
+  f = (struct quar_fact){ .id = bad.parts[0], .completed = true };
+  f.crash.at_ms = 106000;
+  g_assert_true (quar_add_fact (q, &f, true));
+  g_assert_true (
+      quar_evaluate_subject (q, &bad, ENDPOINTS, 106000, &id).is_quarantined);
+  g_assert_cmpmem (&id, sizeof id, &bad.parts[1], sizeof id);
+  quar_free (q);
+}
+
 /* Guards against a part of another service, or a request, that is taken for a
    part. */
 static void
@@ -448,6 +486,7 @@
   { "/partquar/several-parts", test_several_parts },
   { "/partquar/lost-messages", test_lost_messages },
   { "/partquar/random-crashes", test_random_crashes },
+  { "/partquar/tie", test_tie },
   { "/partquar/digests", test_digests },
   { NULL, NULL },
 };
--- a/regress/test-vmpath.c
+++ b/regress/test-vmpath.c
@@ -262,6 +262,25 @@
   vmpath_free (t);
 }
 
+/* Guards against requests to a VM that said long ago that it has a path. */
+static void
+test_answer_lapses (void)
+{
+  struct world w = { .vms = 2, .is = { CUT, SOUND } };
+  struct vmpath *t = vmpath_new (1);
+  struct vmpath_query q = { .service = "s" };
+  const char *vm, *address;
+  int64_t now_us = CQ_US_PER_S;
+
+  list_for (&w, 0, t);
+  vm = vmpath_next (t, "s", &address, now_us);
+  answer (&w, t, vm, now_us);
+  g_assert_nonnull (vmpath_pick (t, &q, &address, now_us + 440 * MS));
+  g_assert_null (vmpath_pick (t, &q, &address, now_us + 460 * MS));
+  g_assert_nonnull (vmpath_draw (t, &q, &address, now_us + 460 * MS));
+  vmpath_free (t);
+}
+
 /* Guards against a VM that lost its path to one service and gets no requests
    for another. */
 static void
@@ -320,6 +339,7 @@
   { "/vmpath/most-cut", test_most_cut },
   { "/vmpath/some-frozen", test_some_frozen },
   { "/vmpath/freezes", test_freezes },
+  { "/vmpath/answer-lapses", test_answer_lapses },
   { "/vmpath/one-service", test_one_service },
   { "/vmpath/wire", test_wire },
   { NULL, NULL },
