Soak: count a request for the VM that sent it to the endpoint

Since requests whose VM has no share left go to another VM, the caller's VM need not be the one that sends, and the other VM was not asked for rest. The check took the VM from the id.

The bounds are unchanged; arrivals by way of another VM count for that one, also for limits and leaving.

--- a/regress/site.sh
+++ b/regress/site.sh
@@ -66,6 +66,7 @@
 		-e "s/{{Bounds.VersionMs}}/${version_ms:-12000}/" "$top/platform/vm.ini.tmpl" >"$tmp/$1.site.ini"
 	if grep -q '{{' "$tmp/$1.site.ini"; then fail "template: $(grep '{{' "$tmp/$1.site.ini")"; fi
 	sed "s/^drain_notice_ms.*/drain_notice_ms = 300/" "$top/deploy/base.ini" >"$tmp/$1.base.ini"
+	[ -z "${log_lines_s:-}" ] || sed -i "s/^log_lines_s = .*/log_lines_s = $log_lines_s/" "$tmp/$1.base.ini"
 	[ -z "${share_vms:-}" ] || printf '\n[entry]\nshare_vms = %s\n' "$share_vms" >>"$tmp/$1.base.ini"
 	[ -z "${share_reports:-}" ] || printf '\n[entry]\nshare_reports = %s\n' "$share_reports" >>"$tmp/$1.base.ini"
 	: >"$tmp/$1.log"
--- a/regress/soak.awk
+++ b/regress/soak.awk
@@ -1,5 +1,5 @@
 # Checks what endpoints saw, in the order of time, against what they had told
-# VMs: lines of soak.sh.  A VM that was restarted or suspended since it was told
+# VMs: lines of soak.sh.  A request counts for the VM that sent it there.  A VM that was restarted or suspended since it was told
 # is excused.
 function at(text,  p) {
 	split(substr(text, 6), p, /[-T:Z]/)
@@ -31,8 +31,12 @@
 	else if (event == "lift") { delete limit[name]; forget(limited, name) }
 	next
 }
+$2 == "sends" { sender[value($3), value($5)] = value($4); next }
 {
 	e = value($3); vm = value($4); names[e] = 1; arrivals++
+	# The last part of the key numbers the requests with one id.
+	req = value($6); sub(/\.[0-9]*$/, "", req)
+	if ((e, req) in sender) vm = sender[e, req]
 	if ((e, vm) in rest && now > rest[e, vm] + 0.5 && now < rest[e, vm] + 3 && ++spent[e, vm] == 3)
 		print $1, e, "had asked", vm, "for rest"
 	if ($2 == "refused") { rest[e, vm] = now; spent[e, vm] = 0; next }
--- a/regress/soak.sh
+++ b/regress/soak.sh
@@ -19,6 +19,9 @@
 	echo "$1"
 }
 
+# Each request that a VM sends is to be in its log.
+log_lines_s=0
+
 # Requests of VM $1 over a kept connection, a new one each time it is gone.
 caller() {
 	_k=0
@@ -150,8 +153,10 @@
 for e in $endpoints; do
 	sed -n "s/^\(time=[^ ]*\) event=\(ran\|refused\) .*target=\/\([a-z]*\)\/\([a-z]\)\.\([^ ]*\).*/\1 \2 name=$e vm=\4 kind=\3 key=\4.\5/p" "$tmp/$e.err"
 done >"$tmp/seen"
+# Which VM sent a request there: not the caller's, if that one forwarded it.
+cat "$tmp"/[abc].log* | sed -n 's/^\(time=[^ ]*\) .* vm=\([^ ]*\) .*event=send req=\([^ ]*\) .*endpoint=i-\([^ ]*\) .*/\1 sends name=\4 vm=\2 req=\3/p' >"$tmp/sends"
 cat "$tmp"/got.* | sed 's/ .*\// /' >"$tmp/got"
-sort "$tmp/seen" "$tmp/notes" | awk -f soak.awk
+sort "$tmp/seen" "$tmp/notes" "$tmp/sends" | awk -f soak.awk
 awk 'FNR == NR { if ($2 == "ran") { sub(/key=/, "", $6); n[$6]++; if ($5 == "kind=once" && n[$6] == 2) print "ran twice: " $6 }; next }
 	($1 == 503 || $1 == 429) && n[$2] { print "refused and ran: " $2 }' "$tmp/seen" "$tmp/got"
 served=$(grep -c '^200' "$tmp/got")
