Wait for the first answers of other VMs before one is drawn; fuzzer links reqid

Cause: before the first answer, and while the sound VM's answer was late, a request was drawn at random, to the frozen one half of the time. Requests wait for the first answers now, 0.3 s from their arrival at most, and a draw prefers a VM that is late to one that failed the last time.

--- a/Makefile
+++ b/Makefile
@@ -138,7 +138,7 @@
 FUZZED = prompt.c strm.c peer_xdr.c platform/replyhead.c platform/reqhead.c \
 	platform/decode.c platform/json.c platform/kvstore.c platform/notice.c platform/jsonread.c \
 	platform/rows.c platform/roster.c \
-	platform/quarrows.c followraw.c mirrorwire.c quar.c sealbox.c quarwire.c originwire.c pathwire.c loadgossipwire.c fleet.c fleetbrittle.c pace.c limit.c brittle.c cold.c health.c sse.c lease.c fetch.c xfer.c stall.c loop.c
+	platform/quarrows.c followraw.c mirrorwire.c quar.c reqid.c sealbox.c quarwire.c originwire.c pathwire.c loadgossipwire.c fleet.c fleetbrittle.c pace.c limit.c brittle.c cold.c health.c sse.c lease.c fetch.c xfer.c stall.c loop.c
 regress/fuzz-input: regress/fuzz-input.c $(FUZZED) wire.h
 	clang -std=gnu11 -D_GNU_SOURCE -g -O1 $(LIB_CFLAGS) -I. \
 		-fsanitize=fuzzer,address,undefined -o $@ \
--- a/librelay.h
+++ b/librelay.h
@@ -320,6 +320,9 @@
 /* Let R wait until an endpoint has room, and place it again then; false if it
    is not to wait any longer. */
 bool relay_wait_for_room (struct relay *r, int64_t now_us);
+/* Let R wait until other VMs have said whether they reach its service, and
+   place it again then; false if it is not to wait any longer. */
+bool relay_wait_for_path (struct relay *r, int64_t now_us);
 /* Whether R must not wait any longer. */
 bool relay_has_waited_enough (const struct relay *r, int64_t now_us);
 /* R's state is about to change by an event from outside. */
--- a/met.c
+++ b/met.c
@@ -105,8 +105,9 @@
   = { "camphorquay_refused_brittle_total", "counter",
       "Requests refused since this VM's share of what brittle endpoints bear "
       "is used." },
-  [MET_WAITED] = { "camphorquay_waited_total", "counter",
-                   "Requests that waited for room at brittle endpoints." },
+  [MET_WAITED]
+  = { "camphorquay_waited_total", "counter",
+      "Requests that waited for room at brittle endpoints or for a path." },
   [MET_REFUSED_LIMITED]
   = { "camphorquay_refused_limited_total", "counter",
       "Requests refused since the limits of the endpoints left "
--- a/relayforward.c
+++ b/relayforward.c
@@ -185,6 +185,9 @@
     return false;
   relayvms_want (r->rs->vms, r->service, NO_PATH_ASK_US, now_us);
   vm = choose (r, &address, &confirmed, now_us);
+  if (!confirmed && relayvms_expects_answer (r->rs->vms, now_us)
+      && relay_wait_for_path (r, now_us))
+    return true;
   return vm != NULL
          && start_forward (r, vm, address,
                            confirmed ? "no_path" : "no_path_drawn", events,
--- a/relayvms.c
+++ b/relayvms.c
@@ -208,6 +208,12 @@
   return vmpath_is_avoided (t->paths, vm, now_us);
 }
 
+bool
+relayvms_expects_answer (const struct relayvms *t, int64_t now_us)
+{
+  return vmpath_expects_answer (t->paths, now_us);
+}
+
 void
 relayvms_refused (struct relayvms *t, const char *vm, const char *service,
                   int64_t now_us)
--- a/relayvms.h
+++ b/relayvms.h
@@ -44,6 +44,8 @@
 /* Whether VM did not take one a short time ago, or was silent. */
 bool relayvms_is_avoided (const struct relayvms *t, const char *vm,
                           int64_t now_us);
+/* Whether a VM may still answer within a short time. */
+bool relayvms_expects_answer (const struct relayvms *t, int64_t now_us);
 /* VM did not take a request for SERVICE. */
 void relayvms_refused (struct relayvms *t, const char *vm, const char *service,
                        int64_t now_us);
--- a/relaywait.c
+++ b/relaywait.c
@@ -1,4 +1,5 @@
-/* The relay: requests that wait for room at brittle endpoints. */
+/* The relay: requests that wait for room at brittle endpoints, or for what
+   other VMs say of their paths. */
 #include "librelay.h"
 
 #include "log.h"
@@ -7,6 +8,8 @@
 /* Requests of one worker that wait; more of them would not be placed in
    time. */
 #define WAITING_MAX 64
+/* Longest wait, from the arrival of a request, for answers of other VMs. */
+#define PATH_WAIT_MAX_US (300 * CQ_US_PER_MS)
 /* A request waits for 1 / this of the target latency of its route, or of the
    time that its caller gives where there is no target: the endpoint needs the
    rest. */
@@ -27,13 +30,13 @@
   return now_us - r->arrived_us >= wait_max_us (r);
 }
 
-bool
-relay_wait_for_room (struct relay *r, int64_t now_us)
+static bool
+start_waiting (struct relay *r, int64_t now_us)
 {
   struct relays *rs = r->rs;
 
-  if (r->stream_begun || relay_has_waited_enough (r, now_us)
-      || rs->nwaiting >= WAITING_MAX || !relay_apply_event (r, RELAY_WAIT))
+  if (r->stream_begun || rs->nwaiting >= WAITING_MAX
+      || !relay_apply_event (r, RELAY_WAIT))
     return false;
   rs->nwaiting++;
   if (!r->has_waited)
@@ -44,6 +47,21 @@
   return true;
 }
 
+bool
+relay_wait_for_room (struct relay *r, int64_t now_us)
+{
+  return !relay_has_waited_enough (r, now_us) && start_waiting (r, now_us);
+}
+
+/* A VM that has a path answers within some ms; one that is drawn before may
+   stand still. */
+bool
+relay_wait_for_path (struct relay *r, int64_t now_us)
+{
+  return r->nvms_tried == 0 && now_us - r->arrived_us < PATH_WAIT_MAX_US
+         && start_waiting (r, now_us);
+}
+
 void
 relay_stop_waiting (struct relay *r)
 {
--- a/vmpath.c
+++ b/vmpath.c
@@ -350,28 +350,67 @@
   return e->peer.vm;
 }
 
+bool
+vmpath_expects_answer (const struct vmpath *t, int64_t now_us)
+{
+  const struct entry *e;
+  guint i;
+
+  for (i = 0; i < t->vms->len; i++)
+    {
+      e = t->vms->pdata[i];
+      if (e->asking && now_us - e->asked_us <= LATE_US)
+        return true;
+    }
+  return false;
+}
+
+/* How little E is trusted; the lower, the better. */
+enum doubt
+{
+  DOUBT_NONE,
+  DOUBT_LATE,   /* it does not answer in time now */
+  DOUBT_FAILED, /* it could not help the last time */
+  DOUBT_AVOIDED
+};
+
+static enum doubt
+doubt_of (const struct entry *e, uint64_t service, int64_t now_us)
+{
+  if (now_us < e->avoid_until_us
+      || (e->answered_us != 0 && now_us - e->answered_us < ANSWER_VALID_US
+          && says_unreached (e, service)))
+    return DOUBT_AVOIDED;
+  if (e->failures > 0)
+    return DOUBT_FAILED;
+  return e->asking && now_us - e->asked_us > LATE_US ? DOUBT_LATE : DOUBT_NONE;
+}
+
 const char *
 vmpath_draw (struct vmpath *t, const struct vmpath_query *q,
              const char **address, int64_t now_us)
 {
-  g_autoptr (GPtrArray) found = g_ptr_array_new ();
   uint64_t key = vmpath_key (q->service);
-  struct entry *e;
+  uint64_t random = q->random, n = 0;
+  enum doubt doubt, least = DOUBT_AVOIDED;
+  struct entry *e, *chosen = NULL;
   guint i;
 
   for (i = 0; i < t->vms->len; i++)
     {
       e = t->vms->pdata[i];
-      if (!is_allowed (e, q) || now_us < e->avoid_until_us
-          || (e->asking && now_us - e->asked_us > LATE_US)
-          || (e->answered_us != 0 && now_us - e->answered_us < ANSWER_VALID_US
-              && says_unreached (e, key)))
+      doubt = doubt_of (e, key, now_us);
+      if (!is_allowed (e, q) || doubt > least || doubt == DOUBT_AVOIDED)
         continue;
-      g_ptr_array_add (found, e);
+      if (doubt < least)
+        n = 0;
+      least = doubt;
+      random = random * UINT64_C (6364136223846793005) + 1;
+      if ((random >> 33) % ++n == 0)
+        chosen = e;
     }
-  if (found->len == 0)
+  if (chosen == NULL)
     return NULL;
-  e = found->pdata[q->random % found->len];
-  *address = e->peer.address;
-  return e->peer.vm;
+  *address = chosen->peer.address;
+  return chosen->peer.vm;
 }
--- a/vmpath.h
+++ b/vmpath.h
@@ -68,7 +68,10 @@
    two drawn that has less to do for others; NULL if there is none. */
 const char *vmpath_pick (struct vmpath *t, const struct vmpath_query *q,
                          const char **address, int64_t now_us);
-/* Likewise a VM of which nothing is known that speaks against it. */
+/* Returns whether a VM was asked a short time ago and may still answer. */
+bool vmpath_expects_answer (const struct vmpath *t, int64_t now_us);
+/* Likewise a VM of which nothing is known that speaks against it; if there is
+   none, one that answers late, then one that failed before. */
 const char *vmpath_draw (struct vmpath *t, const struct vmpath_query *q,
                          const char **address, int64_t now_us);
 
