--- a/review/lib.sh
+++ b/review/lib.sh
@@ -8,6 +8,7 @@
 fake=$top/regress/fake
 client=$top/review/client
 tmp=$(mktemp -d)
+ulimit -c 0 # a crash leaves no file
 record=$case/record.txt
 started=()
 
