--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -63,6 +63,7 @@
 	front=front_$v
 	for kind in safe:20 once:35 tell:10; do
 		"$client" load "${!front}" "$v-${kind%:*}" "${kind#*:}" $length_s "/${kind%:*}/" \
+			'X-Attempt-Id: @' 'X-Deadline-Ms: 6000' \
 			'X-Model: m' 'X-Token-Count: 120,20' 'X-Prompt-Prefix: 5c1e07a2:80,91bd3f06:40' \
 			>"$tmp/load.$v.${kind%:*}" &
 		loads+=($!)
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -33,6 +33,7 @@
 	front=front_$v
 	for key in first:jnbanfqasnmgkcuyj8pj second:bvk9m68k7b2ex5wa5xwy unknown:2b7xq0c9d4m6r8t1w3ys; do
 		"$client" load "${!front}" "$v-${key%:*}" 10 $length_s /once/ \
+			'X-Attempt-Id: @' 'X-Deadline-Ms: 6000' \
 			"Authorization: Token ${key#*:}" >"$tmp/load.$v.${key%:*}" &
 		loads+=($!)
 		started+=($!)
--- a/review/client.c
+++ b/review/client.c
@@ -3,9 +3,10 @@
  *
  *   client put HOST:PORT METHOD PATH <BODY
  *       one request; prints the status, exits with 0 if it is 2xx
- *   client load HOST:PORT NAME RATE SECONDS PATH [HEADER...]
+ *   client load HOST:PORT NAME RATE SECONDS PATH HEADER...
  *       RATE POST requests a second to PATH/ID for SECONDS, in clumps, each on
- *       its own connection; prints a line for each
+ *       its own connection; prints a line for each.  A "@" that ends a header
+ *       stands for the request's id.
  *   client raw HOST:PORT SECONDS <BYTES
  *       sends the bytes as they are; prints what came back in SECONDS
  */
@@ -26,7 +27,7 @@
 #define ANSWER_MAX 262144
 #define HEAD_MAX 4096
 #define BODY_MAX 1048576
-#define DEADLINE_MS 6000
+#define WAIT_MS 6000 /* for an answer */
 #define CLUMP 3 /* requests that come at once, as the site's traffic says */
 
 /* An answer as far as it was read. */
@@ -40,10 +41,10 @@
 /* The requests that `load' sends. */
 struct load
 {
-  struct sockaddr_in to;  /* the VM */
-  const char *name;       /* prefix of the ids */
-  const char *path;       /* path of the route */
-  char headers[HEAD_MAX]; /* further header lines */
+  struct sockaddr_in to; /* the VM */
+  const char *name;      /* prefix of the ids */
+  const char *path;      /* path of the route */
+  char **headers;        /* further header lines, ends with NULL */
 };
 
 struct request
@@ -183,7 +184,7 @@
   size_t len = read_stdin (body, sizeof body);
   char head[HEAD_MAX];
   int fd = open_connection (&to);
-  int64_t until = now_ms () + DEADLINE_MS;
+  int64_t until = now_ms () + WAIT_MS;
 
   snprintf (head, sizeof head,
             "%s %s HTTP/1.1\r\nHost: x\r\nContent-Length: %zu\r\n\r\n",
@@ -218,41 +219,58 @@
   return 0;
 }
 
+/* The head of a request with the id. */
+static void
+write_head (char *to, size_t size, const struct load *l, const char *id)
+{
+  size_t n = (size_t)snprintf (
+      to, size, "POST %s%s HTTP/1.1\r\nHost: h.example\r\n", l->path, id);
+  char **h;
+
+  for (h = l->headers; *h != NULL && n < size; h++)
+    {
+      size_t len = strlen (*h);
+      bool named = len > 0 && (*h)[len - 1] == '@';
+
+      n += (size_t)snprintf (to + n, size - n, "%.*s%s\r\n",
+                             (int)(named ? len - 1 : len), *h,
+                             named ? id : "");
+    }
+  if (n < size)
+    snprintf (to + n, size - n, "Content-Length: 5\r\n\r\nhello");
+}
+
 static void *
 run_request (void *arg)
 {
   struct request *q = arg;
   const struct load *l = q->load;
   struct answer *a = calloc (1, sizeof *a);
-  char head[2 * HEAD_MAX];
+  char head[HEAD_MAX], id[64];
   int64_t sent = now_ms ();
   int fd = open_connection (&l->to);
   const char *outcome = "no_connection";
 
-  snprintf (head, sizeof head,
-            "POST %s%s-%d HTTP/1.1\r\nHost: h.example\r\n"
-            "X-Attempt-Id: %s-%d\r\nX-Deadline-Ms: %d\r\n%s"
-            "Content-Length: 5\r\n\r\nhello",
-            l->path, l->name, q->number, l->name, q->number, DEADLINE_MS,
-            l->headers);
+  snprintf (id, sizeof id, "%s-%d", l->name, q->number);
+  write_head (head, sizeof head, l, id);
   if (a != NULL && fd >= 0 && send_all (fd, head, strlen (head)))
     {
-      while (!is_complete (a) && read_more (fd, a, sent + DEADLINE_MS))
+      while (!is_complete (a) && read_more (fd, a, sent + WAIT_MS))
         continue;
       outcome = is_complete (a) ? "complete" : a->closed ? "cut" : "no_answer";
     }
   if (fd >= 0)
     close (fd);
-  printf ("id=%s-%d sent_ms=%lld end_ms=%lld status=%d outcome=%s\n", l->name,
-          q->number, (long long)sent, (long long)now_ms (),
-          a != NULL ? status_of (a) : 0, outcome);
+  printf ("id=%s sent_ms=%lld end_ms=%lld status=%d outcome=%s\n", id,
+          (long long)sent, (long long)now_ms (), a != NULL ? status_of (a) : 0,
+          outcome);
   free (a);
   free (q);
   return NULL;
 }
 
 static int
-run_load (int argc, char **argv)
+run_load (char **argv)
 {
   static struct load l;
   int64_t rate = strtol (argv[4], NULL, 10);
@@ -267,9 +285,7 @@
   l.to = address_of (argv[2]);
   l.name = argv[3];
   l.path = argv[6];
-  for (i = 7; i < argc; i++)
-    snprintf (l.headers + strlen (l.headers),
-              sizeof l.headers - strlen (l.headers), "%s\r\n", argv[i]);
+  l.headers = argv + 7;
   pthread_attr_init (&attr);
   pthread_attr_setdetachstate (&attr, PTHREAD_CREATE_DETACHED);
   pthread_attr_setstacksize (&attr, 65536);
@@ -287,7 +303,7 @@
       if (pthread_create (&thread, &attr, run_request, q) != 0)
         free (q);
     }
-  sleep_us ((DEADLINE_MS + 200) * INT64_C (1000));
+  sleep_us ((WAIT_MS + 200) * INT64_C (1000));
   fflush (stdout);
   return 0;
 }
@@ -301,7 +317,7 @@
   if (argc == 4 && strcmp (argv[1], "raw") == 0)
     return run_raw (argv);
   if (argc >= 7 && strcmp (argv[1], "load") == 0)
-    return run_load (argc, argv);
+    return run_load (argv);
   fputs ("usage: client put|load|raw HOST:PORT ...\n", stderr);
   return 2;
 }
