Log and count the age of the list of endpoints, and missing entries, at each send

The log of the incident cannot tell a VM that sends on an old list from one whose list is new and that takes the endpoint's missing entry for a lapsed one. The send line now has list_age_us and missing_us; camphorquay_list_age_seconds and camphorquay_sent_missing_total count both.

--- a/fleet.c
+++ b/fleet.c
@@ -919,3 +919,15 @@
 {
   return f->conf_current_us == 0 ? INT64_MAX : now_us - f->conf_current_us;
 }
+
+int64_t
+fleet_list_age_us (const struct fleet *f, int64_t now_us)
+{
+  return f->list_current_us == 0 ? INT64_MAX : now_us - f->list_current_us;
+}
+
+int64_t
+fleet_missing_us (const struct fleet_endpoint *e, int64_t now_us)
+{
+  return e->missing_since_us != 0 ? now_us - e->missing_since_us : 0;
+}
--- a/fleet.h
+++ b/fleet.h
@@ -330,6 +330,8 @@
   GHashTable *regions;       /* failure domain to its region */
   int64_t conf_current_us;   /* when the configuration was last known to be the
                                 newest; 0 for never */
+  int64_t list_current_us;   /* when the list of endpoints was last known to be
+                                current; 0 for never */
   int64_t list_recovered_us; /* when the list became readable again; 0 if it
                                 was never lost */
   struct pick_factors factors; /* scale of the cost terms */
@@ -512,6 +514,11 @@
 /* Returns the time since the configuration was known to be the newest;
    INT64_MAX if there is none. */
 int64_t fleet_conf_age_us (const struct fleet *f, int64_t now_us);
+/* Returns the time since the list of endpoints was known to be current;
+   INT64_MAX if it was never read. */
+int64_t fleet_list_age_us (const struct fleet *f, int64_t now_us);
+/* Returns for how long E's entry has been missing; 0 if it is listed. */
+int64_t fleet_missing_us (const struct fleet_endpoint *e, int64_t now_us);
 
 /* --- choice of an endpoint (pick.c) ---------------------------------- */
 
--- a/follow.c
+++ b/follow.c
@@ -496,6 +496,8 @@
   s->era = s->follow->era;
   s->synced = true;
   s->current_us = MAX (s->current_us, at);
+  if (s->source == FOLLOW_ENDPOINTS)
+    f->list_current_us = s->current_us;
   s->depth = n->depth;
   note_newest_row (s, n);
 }
--- a/met.c
+++ b/met.c
@@ -162,6 +162,9 @@
       "Reads and polls of these lists on the platform itself." },
   [MET_LIST_SERVED] = { "camphorquay_list_served_total", "counter",
                         "Replies about these lists to other VMs." },
+  [MET_SENT_MISSING]
+  = { "camphorquay_sent_missing_total", "counter",
+      "Requests that left for endpoints whose entries were missing." },
   [MET_RUNNING]
   = { "camphorquay_running", "gauge", "Requests at an endpoint." },
   [MET_QUEUED] = { "camphorquay_queued", "gauge", "Requests that wait." },
@@ -182,6 +185,9 @@
   [MET_HANDOVER_TIME]
   = { "camphorquay_handover_seconds", "histogram",
       "Time from a request's last byte until it left for an endpoint." },
+  [MET_LIST_AGE]
+  = { "camphorquay_list_age_seconds", "histogram",
+      "Age of the list of endpoints when a request left for one of them." },
   [MET_EVENT_GAP] = { "camphorquay_event_gap_seconds", "histogram",
                       "Longest pause between events of a stream." },
 };
--- a/relaytry.c
+++ b/relaytry.c
@@ -117,6 +117,10 @@
   if (cold_is (&r->endpoint->cold, now))
     pace_sent (&r->endpoint->cold.pace, now);
   pace_sent (&r->endpoint->limit.pace, now);
+  if (r->endpoint->missing_since_us != 0)
+    met_add (MET_SENT_MISSING, 1);
+  if (r->rs->opts.fleet->list_current_us != 0)
+    met_observe (MET_LIST_AGE, fleet_list_age_us (r->rs->opts.fleet, now));
   relay_handed_over (r, now);
   return true;
 }
@@ -566,7 +570,8 @@
       " newer_us=%" G_GINT64_FORMAT " limit_milli=%" G_GINT64_FORMAT
       " brittle=%" G_GINT64_FORMAT " tokens=%d"
       " left_us=%" G_GINT64_FORMAT " conf=%" G_GINT64_FORMAT
-      " conf_age_us=%" G_GINT64_FORMAT
+      " conf_age_us=%" G_GINT64_FORMAT " list_age_us=%" G_GINT64_FORMAT
+      " missing_us=%" G_GINT64_FORMAT
       " slow=%d speed=%d speed_age_us=%" G_GINT64_FORMAT,
       r->desc.id, r->route->name, c->endpoint->listing.id,
       c->endpoint->listing.build, (gint64)s.resume_after,
@@ -581,7 +586,9 @@
                                             : -1),
       r->endpoint->brittle.share, (gint64)s.timeout_us,
       (gint64)r->conf->version, (gint64)fleet_conf_age_us (o->fleet, now_us),
-      c->slow, c->speed_percent,
+      (gint64)fleet_list_age_us (o->fleet, now_us),
+      (gint64)fleet_missing_us (r->endpoint, now_us), c->slow,
+      c->speed_percent,
       (gint64)(r->endpoint->speed.percent > 0
                    ? now_us - r->endpoint->speed.seen_us
                    : -1));
