Fleet: count the doubt of missing entries from the last failed call

What callers saw: nothing. Requests reached an endpoint seconds after its entry was gone from the store, from VMs that had been cut off from the store and were in touch again.

Cause: entries lapse while the store is away, so a missing one is only doubted at first. A VM that is cut off alone also doubts what the store has reported all the time.

The list returned after the last failed call was sent, so the doubt counts from there; 2.8 s leave a live endpoint the two seconds in which its entry is back. The removal is logged.

--- a/entry.c
+++ b/entry.c
@@ -138,6 +138,8 @@
 on_sweep (void *arg, int64_t now_us)
 {
   struct entry *e = arg;
+  int64_t settles_us = e->fleet.list_settles_us;
+  int64_t due_us = now_us + SWEEP_INTERVAL_US;
   bool frees;
 
   fleet_remove_missing (&e->fleet, now_us);
@@ -149,7 +151,9 @@
   partfeed_follow_all (e->partfeed, frees, now_us);
   if (frees)
     partfeed_free_outdated (e->partfeed, &e->fleet, now_us);
-  loop_arm (e->worker->loop, &e->sweep_timer, now_us + SWEEP_INTERVAL_US);
+  if (settles_us > now_us)
+    due_us = MIN (due_us, settles_us);
+  loop_arm (e->worker->loop, &e->sweep_timer, due_us);
 }
 
 static uint64_t
--- a/fleet.c
+++ b/fleet.c
@@ -4,13 +4,17 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "log.h"
+
 /*
  * Entries can lapse while the platform's list cannot be read; if the endpoint
  * is alive, its entry returns within two seconds after the list does.
  * Removing a missing entry at once would take a live endpoint out of service;
- * one that is still missing after this time is removed.
+ * one that is still missing after this time is removed.  The time counts from
+ * the last failed call, since when the list returned is not known, and three
+ * seconds after that nothing may be sent to an endpoint that has left.
  */
-#define RETURN_WAIT_US INT64_C (2200000)
+#define RETURN_WAIT_US INT64_C (2800000)
 
 /* Endpoints that are kept after their entries were removed. */
 #define FORMER_MAX 512
@@ -763,16 +767,15 @@
 }
 
 void
-fleet_list_recovered (struct fleet *f, int64_t now_us)
+fleet_list_recovered (struct fleet *f, int64_t since_us)
 {
-  f->list_recovered_us = now_us;
+  f->list_settles_us = since_us + RETURN_WAIT_US;
 }
 
 bool
 fleet_is_list_settled (const struct fleet *f, int64_t now_us)
 {
-  return f->list_recovered_us == 0
-         || now_us - f->list_recovered_us >= RETURN_WAIT_US;
+  return now_us >= f->list_settles_us;
 }
 
 void
@@ -789,15 +792,20 @@
 {
   struct fleet_endpoint *e, *next;
 
-  if (f->list_recovered_us == 0
-      || now_us - f->list_recovered_us < RETURN_WAIT_US)
+  if (!fleet_is_list_settled (f, now_us))
     return;
   for (e = APR_RING_FIRST (&f->endpoints);
        e != APR_RING_SENTINEL (&f->endpoints, fleet_endpoint, link); e = next)
     {
       next = APR_RING_NEXT (e, link);
-      if (e->missing_since_us != 0)
-        remove_endpoint (f, e);
+      if (e->missing_since_us == 0)
+        continue;
+      log_event (LOG_LEVEL_INFO, "endpoint",
+                 "endpoint=%s outcome=removed reason=not_returned service=%s "
+                 "running=%d missing_us=%" G_GINT64_FORMAT,
+                 e->listing.id, e->listing.service, e->running,
+                 (gint64)fleet_missing_us (e, now_us));
+      remove_endpoint (f, e);
     }
 }
 
--- a/fleet.h
+++ b/fleet.h
@@ -332,8 +332,8 @@
                                 newest; 0 for never */
   int64_t list_current_us;   /* when the list of endpoints was last known to be
                                 current; 0 for never */
-  int64_t list_recovered_us; /* when the list became readable again; 0 if it
-                                was never lost */
+  int64_t list_settles_us;   /* entries that are missing from then on are
+                                removed; 0 if the list was never lost */
   struct pick_factors factors; /* scale of the cost terms */
   int64_t outdated_accept_us;  /* outdated weights take requests until so long
                                   after a newer version was announced; 0 for no
@@ -452,8 +452,8 @@
 /* Removes the missing entries that did not return in time. */
 void fleet_remove_missing (struct fleet *f, int64_t now_us);
 
-/* The list of endpoints is readable again at NOW_US. */
-void fleet_list_recovered (struct fleet *f, int64_t now_us);
+/* The list of endpoints is readable again, and was not at SINCE_US. */
+void fleet_list_recovered (struct fleet *f, int64_t since_us);
 
 /* Returns the build that a stream has which began at E: its build_key, or 0 if
    another incarnation has taken E's id meanwhile. */
--- a/follow.c
+++ b/follow.c
@@ -74,6 +74,9 @@
    moment, and must not all return at the same moment. */
 #define PAUSE_FIRST_US (60 * CQ_US_PER_MS)
 #define PAUSE_MAX_US (500 * CQ_US_PER_MS)
+/* While calls fail, the next one is sent this long after the last, or when
+   that has ended: missing entries are doubted until it succeeds. */
+#define RETRY_INTERVAL_US (500 * CQ_US_PER_MS)
 /* Pause after a call that found only replies that are too old, with a random
    addition of up to the same length: other VMs may be about to have newer
    ones, and asking them costs the platform nothing. */
@@ -110,6 +113,7 @@
                          sent; 0 for never */
   bool full_read;     /* that call reads the whole state */
   int64_t failing_us; /* calls have failed since then; 0 if they succeed */
+  int64_t failed_us;  /* when the last call that failed was sent */
   enum follow_status failure; /* status of the last failure that was logged */
   int64_t pause_us;           /* backoff after the next failure */
   struct loop_timer timer;    /* starts the next call */
@@ -647,7 +651,7 @@
              "source=%s outcome=regained lost_us=%" G_GINT64_FORMAT,
              source_names[s->source], (gint64)(now_us - s->failing_us));
   if (s->source == FOLLOW_ENDPOINTS && now_us - s->failing_us > OUTAGE_US)
-    fleet_list_recovered (s->follow->opts.fleet, now_us);
+    fleet_list_recovered (s->follow->opts.fleet, s->failed_us);
   s->failing_us = 0;
   s->pause_us = PAUSE_FIRST_US;
 }
@@ -689,8 +693,11 @@
   /* The outage may have begun when the call was sent. */
   if (s->failing_us == 0)
     s->failing_us = s->sent_us;
+  s->failed_us = s->sent_us;
   s->synced = s->synced && may_poll_again (s, n->status);
   pause = n->status == FOLLOW_STALE ? STALE_PAUSE_US : s->pause_us;
+  pause
+      = CLAMP (s->sent_us + RETRY_INTERVAL_US - now_us, PAUSE_FIRST_US, pause);
   loop_arm (
       s->follow->opts.loop, &s->timer,
       now_us + pause
--- a/regress/fakerows.c
+++ b/regress/fakerows.c
@@ -13,6 +13,7 @@
  *
  *   turn_away    HTTP status for all calls
  *   silent       no call is answered
+ *   lost_NAME    calls of this view are lost: no answer, also not later
  *   slow_ms      time each call takes
  *   lose         so many transactions are done and not answered
  *   compact      so many polls are told that the history is gone
@@ -736,6 +737,19 @@
   return fk_reply_json (r, done ? 200 : 500, json_object ());
 }
 
+/* Time after which a lost call's connection is closed; its caller has given up
+   by then. */
+#define LOST_US (4 * G_USEC_PER_SEC)
+
+static bool
+is_lost (struct fk_req *r)
+{
+  g_autofree char *view = view_of (r);
+  g_autofree char *key = g_strconcat ("lost_", view, NULL);
+
+  return view[0] != '\0' && fk_number (key, 0) != 0;
+}
+
 static enum MHD_Result
 handle (struct fk_req *r)
 {
@@ -756,6 +770,11 @@
   g_usleep ((gulong)fk_number ("slow_ms", 0) * 1000);
   while (fk_number ("silent", 0))
     g_usleep (20000);
+  if (is_lost (r))
+    {
+      g_usleep (LOST_US);
+      return MHD_NO;
+    }
   if (fk_number ("turn_away", 0))
     return fk_reply_json (r, (int)fk_number ("turn_away", 0), json_object ());
   if (strcmp (r->path, "/rows-get") == 0)
--- a/regress/test-fleet.c
+++ b/regress/test-fleet.c
@@ -148,7 +148,7 @@
   fleet_init (&f);
   a = add (&f, "a", 1);
   b = add (&f, "b", 1);
-  fleet_list_recovered (&f, 10 * S);
+  fleet_list_recovered (&f, 9 * S);
   fleet_apply_missing (&f, a, 10 * S + 1);
   fleet_apply_missing (&f, b, 10 * S + 1);
   fleet_remove_missing (&f, 11 * S);
