Fleet: an endpoint drains as long as its entry says so, whoever wrote it

What callers saw: nothing. An endpoint that restarted under its id with its clock behind, or whose entry gave no start time any more, got requests for as long as it drained.

Such an entry now counts while it stands. It is not final: if it was a delayed write of an earlier incarnation, the next heartbeat ends it. Entries of the incarnation that the known one is known to have replaced stay without effect. late-entry expected such an entry to change nothing at all; it now expects the endpoint back with its next heartbeat, and unordered-draining checks the rest.

--- a/fleet.c
+++ b/fleet.c
@@ -684,10 +684,13 @@
 {
   struct limit limit = old->limit;
   int64_t backoff_until_us = old->requested_backoff_until_us;
+  int64_t before_ms = old->listing.started_ms;
   struct fleet_endpoint *e;
 
   remove_endpoint (f, old);
   e = add_incarnation (f, l, now_us);
+  if (e->listing.started_ms > before_ms)
+    e->previous_ms = before_ms;
   e->limit = limit;
   e->requested_backoff_until_us = backoff_until_us;
   return e;
@@ -725,13 +728,36 @@
 change_build (struct fleet *f, struct fleet_endpoint *old,
               const struct fleet_listing *l, int64_t now_us)
 {
-  bool draining = old->draining;
+  bool draining = old->draining && !old->draining_unordered;
   struct fleet_endpoint *e = replace_incarnation (f, old, l, now_us);
 
   e->draining |= draining;
   return e;
 }
 
+/*
+ * Which incarnation wrote the entry is not known: its endpoint may have
+ * restarted with its clock behind, or a delayed write may have overwritten the
+ * entry.  In the first case requests must not reach it while it drains; in the
+ * second its next entry, a heartbeat later, ends this.  The incarnation before
+ * the known one has ended.
+ */
+static void
+apply_unordered (struct fleet_endpoint *e, const struct fleet_listing *l)
+{
+  if (l->started_ms != 0 && l->started_ms == e->previous_ms)
+    return;
+  if (!e->draining || e->draining_unordered)
+    e->draining = e->draining_unordered = l->draining;
+}
+
+void
+fleet_apply_draining (struct fleet_endpoint *e)
+{
+  e->draining = true;
+  e->draining_unordered = false;
+}
+
 struct fleet_endpoint *
 fleet_apply_listing (struct fleet *f, const struct fleet_listing *l,
                      int64_t now_us)
@@ -743,6 +769,7 @@
     {
     case FLEET_INCARNATION_OLDER:
     case FLEET_INCARNATION_UNKNOWN:
+      apply_unordered (e, l);
       return e;
     case FLEET_INCARNATION_NEWER:
       e = e != NULL ? replace_incarnation (f, e, l, now_us)
@@ -761,7 +788,10 @@
   e->listing = *l;
   g_strlcpy (e->listing.build, build, sizeof build);
   /* Draining is final for an incarnation; the next one may be ready. */
-  e->draining |= l->draining;
+  if (l->draining)
+    fleet_apply_draining (e);
+  else if (e->draining_unordered)
+    e->draining = e->draining_unordered = false;
   e->missing_since_us = 0;
   return e;
 }
--- a/fleet.h
+++ b/fleet.h
@@ -209,9 +209,14 @@
 {
   APR_RING_ENTRY (fleet_endpoint) link; /* in the fleet's list */
   struct fleet_listing listing;         /* last listing */
-  int refs;                             /* references: the list, and the
-                                           requests at it */
-  bool draining;            /* sticky: some source reported that it drains */
+  int64_t previous_ms; /* start of the incarnation before it, Unix time; 0 if
+                          unknown */
+  int refs;            /* references: the list, and the
+                          requests at it */
+  bool draining;       /* some source reported that it drains; sticky,
+                          unless this holds: */
+  bool draining_unordered;  /* only an entry that may be of another incarnation
+                               says so */
   bool removed;             /* it is no longer listed */
   int64_t missing_since_us; /* missing from the list since, while its removal
                                is unconfirmed; or 0 */
@@ -317,23 +322,23 @@
   struct fleet_conf *conf; /* current configuration; NULL until one is known */
   int64_t conf_row;        /* change number of this configuration */
   APR_RING_HEAD (fleet_ring, fleet_endpoint) endpoints; /* listed endpoints */
-  struct fleet_ring former;  /* no longer listed, oldest first; what they
-                                reported of themselves applies again if they
-                                are listed again */
-  int nformer;               /* entries in former */
-  GHashTable *by_id;         /* id to struct fleet_endpoint */
-  GHashTable *by_key;        /* key to struct fleet_endpoint */
-  bool listed;               /* a list of endpoints was received */
-  GArray *wanted;            /* struct fleet_wanted */
-  GArray *service_stats;     /* struct fleet_service_stats */
-  GArray *evacuated;         /* struct fleet_evacuation */
-  GHashTable *regions;       /* failure domain to its region */
-  int64_t conf_current_us;   /* when the configuration was last known to be the
-                                newest; 0 for never */
-  int64_t list_current_us;   /* when the list of endpoints was last known to be
-                                current; 0 for never */
-  int64_t list_settles_us;   /* entries that are missing from then on are
-                                removed; 0 if the list was never lost */
+  struct fleet_ring former; /* no longer listed, oldest first; what they
+                               reported of themselves applies again if they
+                               are listed again */
+  int nformer;              /* entries in former */
+  GHashTable *by_id;        /* id to struct fleet_endpoint */
+  GHashTable *by_key;       /* key to struct fleet_endpoint */
+  bool listed;              /* a list of endpoints was received */
+  GArray *wanted;           /* struct fleet_wanted */
+  GArray *service_stats;    /* struct fleet_service_stats */
+  GArray *evacuated;        /* struct fleet_evacuation */
+  GHashTable *regions;      /* failure domain to its region */
+  int64_t conf_current_us;  /* when the configuration was last known to be the
+                               newest; 0 for never */
+  int64_t list_current_us;  /* when the list of endpoints was last known to be
+                               current; 0 for never */
+  int64_t list_settles_us;  /* entries that are missing from then on are
+                               removed; 0 if the list was never lost */
   struct pick_factors factors; /* scale of the cost terms */
   int64_t outdated_accept_us;  /* outdated weights take requests until so long
                                   after a newer version was announced; 0 for no
@@ -428,11 +433,14 @@
 const char *fleet_incarnation_name (enum fleet_incarnation incarnation);
 
 /* Adds or updates a listed endpoint.  An entry of an older incarnation, or
-   without a start time where one is known, changes nothing.  Returns the
+   without a start time where one is known, changes nothing, except that the
+   endpoint counts as draining as long as such an entry says so.  Returns the
    newest incarnation, which the fleet owns. */
 struct fleet_endpoint *fleet_apply_listing (struct fleet *f,
                                             const struct fleet_listing *l,
                                             int64_t now_us);
+/* E itself reported that it drains, which is final. */
+void fleet_apply_draining (struct fleet_endpoint *e);
 /* Returns the listed endpoint with this key, or NULL. */
 struct fleet_endpoint *fleet_find_key (const struct fleet *f, uint64_t key);
 /* E itself reported that it started at STARTED_MS, later than was known.
--- a/follow.c
+++ b/follow.c
@@ -219,10 +219,10 @@
   log_event (LOG_LEVEL_INFO, "endpoint",
              "endpoint=%s outcome=passed_over reason=life_%s source=list "
              "born_ms=%" G_GINT64_FORMAT " known_ms=%" G_GINT64_FORMAT
-             " row=%" G_GINT64_FORMAT,
+             " draining=%s row=%" G_GINT64_FORMAT,
              e->listing.id, fleet_incarnation_name (incarnation),
              (gint64)it->listing.started_ms, (gint64)e->listing.started_ms,
-             (gint64)it->row);
+             e->draining ? "yes" : "no", (gint64)it->row);
 }
 
 static void
@@ -244,6 +244,7 @@
       && (incarnation == FLEET_INCARNATION_OLDER
           || incarnation == FLEET_INCARNATION_UNKNOWN))
     {
+      fleet_apply_listing (f, &it->listing, now_us);
       log_stale_listing (old, it, incarnation);
       return;
     }
--- a/notice.c
+++ b/notice.c
@@ -35,9 +35,9 @@
 apply_draining (struct fleet_endpoint *e, const struct notice *n,
                 const struct notice_origin *from, int64_t now_us)
 {
-  if (!n->leaving || e->draining)
+  if (!n->leaving || (e->draining && !e->draining_unordered))
     return;
-  e->draining = true;
+  fleet_apply_draining (e);
   log_event (LOG_LEVEL_INFO, "endpoint",
              "endpoint=%s outcome=said_leaving source=%s running=%d "
              "sent_before_us=%" G_GINT64_FORMAT,
--- a/regress/test-incarnations.c
+++ b/regress/test-incarnations.c
@@ -81,8 +81,9 @@
 /*
  * A delayed heartbeat of the first incarnation overwrites the second one's
  * entry and says that the endpoint leaves, with old weights.  Callers would
- * lose a working endpoint.  An equal start time means the same incarnation; an
- * entry without one cannot be ordered and is ignored.
+ * lose a working endpoint for good: it is lost to them until its next
+ * heartbeat.  An equal start time means the same incarnation; an entry without
+ * one cannot be ordered.
  */
 static void
 test_late_entry (void)
@@ -94,8 +95,9 @@
   e = apply_entry (&f, 2000, 3, false);
   g_assert_true (apply_entry (&f, 1000, 9, true) == e);
   g_assert_true (apply_entry (&f, 0, 9, true) == e);
-  g_assert_false (e->draining);
   g_assert_cmpint (e->version, ==, 3);
+  g_assert_true (apply_entry (&f, 2000, 3, false) == e);
+  g_assert_false (e->draining);
   g_assert_true (apply_entry (&f, 2000, 3, true) == e);
   g_assert_true (e->draining);
   g_assert_true (apply_entry (&f, 2000, 3, false) == e);
@@ -103,6 +105,33 @@
   fleet_clear (&f);
 }
 
+/* Guards against requests to an endpoint whose entry says that it drains and
+   cannot be ordered: it restarted with its clock behind, or gives no start
+   time any more.  What it says itself is not taken back by an entry. */
+static void
+test_unordered_draining (void)
+{
+  struct fleet f;
+  struct fleet_endpoint *e;
+
+  fleet_init (&f);
+  e = apply_entry (&f, 2000, 3, false);
+  apply_entry (&f, 1000, 3, false);
+  g_assert_false (e->draining);
+  apply_entry (&f, 1000, 3, true);
+  g_assert_true (e->draining);
+  apply_entry (&f, 0, 3, false);
+  g_assert_false (e->draining);
+  apply_entry (&f, 0, 3, true);
+  g_assert_true (e->draining);
+  fleet_apply_draining (e);
+  apply_entry (&f, 0, 3, false);
+  g_assert_true (e->draining);
+  apply_entry (&f, 2000, 3, false);
+  g_assert_true (e->draining);
+  fleet_clear (&f);
+}
+
 /* Endpoints without a start time have one incarnation by their id, as far as
    can be told; when one begins to give a start time, that is a newer
    incarnation. */
@@ -263,6 +292,7 @@
 const struct unit incarnation_units[] = {
   { "/incarnations/started-again", test_started_again },
   { "/incarnations/late-entry", test_late_entry },
+  { "/incarnations/unordered-draining", test_unordered_draining },
   { "/incarnations/no-start-time", test_no_start_time },
   { "/incarnations/restart-by-report", test_restart_by_report },
   { "/incarnations/older-weights", test_older_weights },
--- a/relaytry.c
+++ b/relaytry.c
@@ -194,7 +194,7 @@
      service and is not counted. */
   if (head->other_incarnation)
     {
-      r->endpoint->draining = true;
+      fleet_apply_draining (r->endpoint);
       r->attempts--;
     }
   /* An answer without the endpoint's seal, or to another request, must not
