Relay: send nothing on a list of endpoints that may hide a leaving

What callers saw: nothing.

Cause: the age of the list that a send rests on was not asked; a poll between two reads, or one whose reply lay in the socket, left it as old as the suspension.

A request is now placed, and its first byte leaves, only while the list was known to be current, or known not to be readable, less than the time ago for which endpoints drain. Otherwise it waits, as for room, and the list is asked for without a wait. While the platform is lost, VMs serve as before, since each failed call renews that knowledge. Polls end early enough that a VM that runs never gets there.

--- a/entry.c
+++ b/entry.c
@@ -822,6 +822,7 @@
   e->fleet.brittle_rank = brittle_rank_of;
   e->fleet.share_arg = e;
   e->fleet.can_forward = e->cfg->forward;
+  e->fleet.list_age_max_us = e->cfg->drain_ms * CQ_US_PER_MS;
   e->fleet.outdated_accept_us
       = e->cfg->version_ms * CQ_US_PER_MS - OUTDATED_ACCEPT_MARGIN_US;
   e->fleet.factors.pending_prefill = (int)e->cfg->weigh_unread;
--- a/fleet.c
+++ b/fleet.c
@@ -964,6 +964,14 @@
   return f->list_current_us == 0 ? INT64_MAX : now_us - f->list_current_us;
 }
 
+bool
+fleet_is_list_known (const struct fleet *f, int64_t now_us)
+{
+  return f->list_age_max_us == 0
+         || now_us - MAX (f->list_current_us, f->list_failed_us)
+                < f->list_age_max_us;
+}
+
 int64_t
 fleet_missing_us (const struct fleet_endpoint *e, int64_t now_us)
 {
--- a/fleet.h
+++ b/fleet.h
@@ -337,6 +337,9 @@
                                newest; 0 for never */
   int64_t list_current_us;  /* when the list of endpoints was last known to be
                                current; 0 for never */
+  int64_t list_failed_us;   /* when the last call for the list that failed was
+                               sent; 0 for never */
+  int64_t list_age_max_us;  /* how long endpoints drain; 0 for no limit */
   int64_t list_settles_us;  /* entries that are missing from then on are
                                removed; 0 if the list was never lost */
   struct pick_factors factors; /* scale of the cost terms */
@@ -525,6 +528,10 @@
 /* Returns the time since the list of endpoints was known to be current;
    INT64_MAX if it was never read. */
 int64_t fleet_list_age_us (const struct fleet *f, int64_t now_us);
+/* Returns whether the list was current, or was not readable, less than
+   list_age_max_us ago.  Otherwise this VM was suspended, and may not have read
+   yet that an endpoint left. */
+bool fleet_is_list_known (const struct fleet *f, int64_t now_us);
 /* Returns for how long E's entry has been missing; 0 if it is listed. */
 int64_t fleet_missing_us (const struct fleet_endpoint *e, int64_t now_us);
 
--- a/follow.c
+++ b/follow.c
@@ -19,7 +19,10 @@
    content was old when it arrived.  A poll without a wait would report nothing
    more, and might be repeated immediately. */
 #define OPERATOR_WAIT_MIN_US (100 * CQ_US_PER_MS)
-#define ENDPOINTS_WAIT_US (2000 * CQ_US_PER_MS)
+#define ENDPOINTS_WAIT_MAX_US (2000 * CQ_US_PER_MS)
+#define ENDPOINTS_WAIT_MIN_US (100 * CQ_US_PER_MS)
+/* Time for the steps of a poll for endpoints that nothing else covers. */
+#define ENDPOINTS_MARGIN_US (100 * CQ_US_PER_MS)
 /* Minimum interval between the starts of two full reads of a source whose
    history is lost again and again: of the endpoints, and at most, of the
    operators' rows, as a divisor of the age that they may have. */
@@ -695,6 +698,8 @@
   if (s->failing_us == 0)
     s->failing_us = s->sent_us;
   s->failed_us = s->sent_us;
+  if (s->source == FOLLOW_ENDPOINTS)
+    s->follow->opts.fleet->list_failed_us = s->sent_us;
   s->synced = s->synced && may_poll_again (s, n->status);
   pause = n->status == FOLLOW_STALE ? STALE_PAUSE_US : s->pause_us;
   pause
@@ -823,11 +828,25 @@
                 OPERATOR_WAIT_US);
 }
 
+/* A poll that gets no reply is to end before the list is as old as endpoints
+   drain. */
+static int64_t
+endpoints_wait_us (const struct fleet *f, int64_t now_us)
+{
+  if (f->list_age_max_us == 0)
+    return ENDPOINTS_WAIT_MAX_US;
+  if (!fleet_is_list_known (f, now_us))
+    return 0;
+  return CLAMP (f->list_age_max_us - ENDPOINTS_INTERVAL_US - REPLY_BEGIN_US
+                    - ENDPOINTS_MARGIN_US,
+                ENDPOINTS_WAIT_MIN_US, ENDPOINTS_WAIT_MAX_US);
+}
+
 static int64_t
 poll_wait_us (const struct stream *s, int64_t now_us)
 {
   const struct follow_opts *o = &s->follow->opts;
-  int64_t wait = ENDPOINTS_WAIT_US;
+  int64_t wait = endpoints_wait_us (o->fleet, now_us);
 
   if (s->source == FOLLOW_OPERATOR)
     wait = follow_poll_wait_us (o->max_age_us,
--- a/relaytry.c
+++ b/relaytry.c
@@ -15,6 +15,7 @@
    may take the request. */
 #define STOP_NOT_GENUINE "not_genuine"
 #define STOP_ENDPOINT_LEFT "endpoint_left"
+#define STOP_LIST_STALE "list_stale"
 #define STOP_DOMAIN_EVACUATED "domain_evacuated"
 #define STOP_WEIGHTS_OUTDATED "weights_outdated"
 #define STOP_ENDPOINT_COLD "endpoint_cold"
@@ -96,6 +97,8 @@
     return false;
   if (r->endpoint->draining || r->endpoint->removed)
     r->stop_reason = STOP_ENDPOINT_LEFT;
+  else if (!r->stream_begun && !fleet_is_list_known (r->rs->opts.fleet, now))
+    r->stop_reason = STOP_LIST_STALE;
   else if (fleet_is_evacuated (r->rs->opts.fleet, r->endpoint->listing.domain))
     r->stop_reason = STOP_DOMAIN_EVACUATED;
   else if (is_outdated (r, r->rs->opts.fleet->outdated_accept_us, now))
@@ -223,9 +226,9 @@
 is_endpoint_reason (const char *reason)
 {
   static const char *const reasons[]
-      = { STOP_ENDPOINT_LEFT,   STOP_DOMAIN_EVACUATED, STOP_WEIGHTS_OUTDATED,
-          STOP_ENDPOINT_COLD,   STOP_ENDPOINT_LIMITED, STOP_ENDPOINT_BRITTLE,
-          STOP_ENDPOINT_BACKOFF };
+      = { STOP_LIST_STALE,       STOP_ENDPOINT_LEFT,   STOP_DOMAIN_EVACUATED,
+          STOP_WEIGHTS_OUTDATED, STOP_ENDPOINT_COLD,   STOP_ENDPOINT_LIMITED,
+          STOP_ENDPOINT_BRITTLE, STOP_ENDPOINT_BACKOFF };
   size_t i;
 
   for (i = 0; i < G_N_ELEMENTS (reasons); i++)
@@ -676,6 +679,13 @@
       give_up_unplaced (r, "settings_stale", RETRY_AFTER_STALE_US, now_us);
       return;
     }
+  /* The caller of a stream has a part of it already. */
+  if (!r->stream_begun && !fleet_is_list_known (o->fleet, now_us))
+    {
+      if (!relay_wait_for_room (r, now_us))
+        give_up_unplaced (r, STOP_LIST_STALE, RETRY_AFTER_STALE_US, now_us);
+      return;
+    }
   switch (relay_check_quarantine (r, now_us))
     {
     case RELAY_QUAR_PASS:
