Streams: discard what the caller has read while more is pending

What operators saw: a VM whose memory grew with all that a stream had carried, 177 MB more after 4 s, when the stream was faster than its caller.

Cause: the bytes that a caller has read were given back only when none was pending, and under a steady stream there is always some. The endpoint was held back as meant. Events and comments, the platform's callers and the product's own interface use the same buffer.

What was read is now discarded once it is as long as what is pending, so the buffer stays within twice the setting and each byte is moved at most once.

--- a/httpserver.c
+++ b/httpserver.c
@@ -120,6 +120,18 @@
   return r->out->len - r->out_used;
 }
 
+/* Discard the bytes that the caller has read.  A stream that is faster than
+   its caller always has some pending, so this does not wait for their end;
+   each byte is moved at most once. */
+static void
+discard_read (struct req *r)
+{
+  if (r->out_used < req_stream_pending (r))
+    return;
+  g_string_erase (r->out, 0, (gssize)r->out_used);
+  r->out_used = 0;
+}
+
 static ssize_t
 read_pending (struct req *r, char *to, size_t max)
 {
@@ -130,11 +142,7 @@
   memcpy (to, r->out->str + r->out_used, n);
   r->out_used += n;
   met_add (MET_STREAM_BYTES, -(int64_t)n);
-  if (r->out_used == r->out->len)
-    {
-      g_string_truncate (r->out, 0);
-      r->out_used = 0;
-    }
+  discard_read (r);
   return (ssize_t)n;
 }
 
