Follow: use no endpoint that only a restored copy of the store lists

What callers saw: nothing. When the store came back from a copy that was made before an endpoint left, VMs that had seen its entry go sent to it again, for as long as the entry stood.

An entry that a VM did not list when the store came back is that of an endpoint that had left, or of one that started since; the latter writes it again within a heartbeat. Until then it gets nothing, also after a second full read. A VM that starts then has nothing to compare with: open.

--- a/fleet.h
+++ b/fleet.h
@@ -209,12 +209,15 @@
 {
   APR_RING_ENTRY (fleet_endpoint) link; /* in the fleet's list */
   struct fleet_listing listing;         /* last listing */
-  int64_t previous_ms; /* start of the incarnation before it, Unix time; 0 if
-                          unknown */
-  int refs;            /* references: the list, and the
-                          requests at it */
-  bool draining;       /* some source reported that it drains; sticky,
-                          unless this holds: */
+  int64_t previous_ms;  /* start of the incarnation before it, Unix time; 0 if
+                           unknown */
+  int refs;             /* references: the list, and the
+                           requests at it */
+  int64_t restored_row; /* change that wrote its entry, which came back
+                           with a copy of the store and was not written
+                           since; or 0 */
+  bool draining;        /* some source reported that it drains; sticky,
+                           unless this holds: */
   bool draining_unordered;  /* only an entry that may be of another incarnation
                                says so */
   bool removed;             /* it is no longer listed */
--- a/follow.c
+++ b/follow.c
@@ -122,6 +122,8 @@
   struct loop_timer timer;    /* starts the next call */
   bool busy;                  /* a call is in progress */
   bool expects_change; /* the next poll need not wait: there is a change */
+  bool restored; /* the store came back from an older copy, and was not read as
+                    a whole since */
 };
 
 /* Some ten seconds of replies from both sources. */
@@ -228,6 +230,24 @@
              e->draining ? "yes" : "no", (gint64)it->row);
 }
 
+/*
+ * An entry that was not listed when the store came back from an older copy is
+ * that of an endpoint that had left, or of one that has started since.  It is
+ * not used until it is written again, a heartbeat later.
+ */
+static void
+doubt_restored (struct fleet_endpoint *e, const struct follow_item *it)
+{
+  if (e->draining)
+    return;
+  e->restored_row = it->row;
+  e->draining = e->draining_unordered = true;
+  log_event (LOG_LEVEL_INFO, "endpoint",
+             "endpoint=%s outcome=doubted reason=restored service=%s "
+             "row=%" G_GINT64_FORMAT,
+             e->listing.id, e->listing.service, (gint64)it->row);
+}
+
 static void
 apply_endpoint (struct fleet *f, const struct follow_item *it, int64_t now_us)
 {
@@ -243,6 +263,10 @@
       = old != NULL && strcmp (old->listing.build, it->listing.build) == 0;
   struct fleet_endpoint *e;
 
+  if (old != NULL && it->row != 0 && old->restored_row == it->row)
+    return;
+  if (old != NULL)
+    old->restored_row = 0;
   if (old != NULL
       && (incarnation == FLEET_INCARNATION_OLDER
           || incarnation == FLEET_INCARNATION_UNKNOWN))
@@ -308,6 +332,7 @@
 {
   struct fleet *f = s->follow->opts.fleet;
   struct fleet_endpoint *e;
+  bool was_known;
 
   switch (it->kind)
     {
@@ -319,7 +344,10 @@
       apply_weights (s->follow, it, now_us);
       break;
     case FOLLOW_ITEM_ENDPOINT:
+      was_known = g_hash_table_contains (f->by_id, it->listing.id);
       apply_endpoint (f, it, now_us);
+      if (s->restored && f->listed && !was_known)
+        doubt_restored (g_hash_table_lookup (f->by_id, it->listing.id), it);
       break;
     case FOLLOW_ITEM_ENDPOINT_REMOVED:
       e = g_hash_table_lookup (f->by_id, it->listing.id);
@@ -502,6 +530,7 @@
   if (n->version > s->version || s->era != s->follow->era)
     s->version = n->version;
   s->era = s->follow->era;
+  s->restored = false;
   s->synced = true;
   s->current_us = MAX (s->current_us, at);
   if (s->source == FOLLOW_ENDPOINTS)
@@ -617,6 +646,7 @@
           f->streams[i].current_us = 0;
           f->streams[i].newest_row = 0;
           f->streams[i].reread_us = 0;
+          f->streams[i].restored = true;
         }
     }
   f->era = era;
