Fleet: an entry that is missing does not wait anew at each return of the list

What callers saw: nothing.

Cause: the end of the doubt was one time for all missing entries, set at each return. Each entry now has its own, put off only by the time for which the list could not be read.

missing-again fails with one time for all.

--- a/fleet.c
+++ b/fleet.c
@@ -797,9 +797,17 @@
 }
 
 void
-fleet_list_recovered (struct fleet *f, int64_t since_us)
+fleet_list_recovered (struct fleet *f, int64_t lost_us, int64_t since_us)
 {
+  struct fleet_endpoint *e;
+
   f->list_settles_us = since_us + RETURN_WAIT_US;
+  APR_RING_FOREACH (e, &f->endpoints, fleet_endpoint, link)
+  {
+    if (e->missing_since_us != 0)
+      e->missing_until_us
+          = MIN (e->missing_until_us + since_us - lost_us, f->list_settles_us);
+  }
 }
 
 bool
@@ -814,7 +822,10 @@
   if (fleet_is_list_settled (f, now_us))
     remove_endpoint (f, e);
   else if (e->missing_since_us == 0)
-    e->missing_since_us = now_us;
+    {
+      e->missing_since_us = now_us;
+      e->missing_until_us = f->list_settles_us;
+    }
 }
 
 void
@@ -822,13 +833,11 @@
 {
   struct fleet_endpoint *e, *next;
 
-  if (!fleet_is_list_settled (f, now_us))
-    return;
   for (e = APR_RING_FIRST (&f->endpoints);
        e != APR_RING_SENTINEL (&f->endpoints, fleet_endpoint, link); e = next)
     {
       next = APR_RING_NEXT (e, link);
-      if (e->missing_since_us == 0)
+      if (e->missing_since_us == 0 || now_us < e->missing_until_us)
         continue;
       log_event (LOG_LEVEL_INFO, "endpoint",
                  "endpoint=%s outcome=removed reason=not_returned service=%s "
--- a/fleet.h
+++ b/fleet.h
@@ -223,6 +223,7 @@
   bool removed;             /* it is no longer listed */
   int64_t missing_since_us; /* missing from the list since, while its removal
                                is unconfirmed; or 0 */
+  int64_t missing_until_us; /* and it is removed then */
   int64_t version;          /* weight version by its latest report on any
                                channel */
   int64_t version_us;       /* when that report arrived */
@@ -466,8 +467,9 @@
 /* Removes the missing entries that did not return in time. */
 void fleet_remove_missing (struct fleet *f, int64_t now_us);
 
-/* The list of endpoints is readable again, and was not at SINCE_US. */
-void fleet_list_recovered (struct fleet *f, int64_t since_us);
+/* The list of endpoints is readable again, and was not from LOST_US to
+   SINCE_US.  Entries that were missing before do not begin to wait anew. */
+void fleet_list_recovered (struct fleet *f, int64_t lost_us, int64_t since_us);
 
 /* Returns the build that a stream has which began at E: its build_key, or 0 if
    another incarnation has taken E's id meanwhile. */
--- a/follow.c
+++ b/follow.c
@@ -639,7 +639,7 @@
       met_add (MET_STORE_RESTORES, 1);
       f->ntimes = 0;
       f->opts.fleet->conf_row = 0;
-      fleet_list_recovered (f->opts.fleet, now_us);
+      fleet_list_recovered (f->opts.fleet, 0, now_us);
       for (i = 0; i < FOLLOW_SOURCES; i++)
         {
           f->streams[i].synced = false;
@@ -685,7 +685,7 @@
              "source=%s outcome=regained lost_us=%" G_GINT64_FORMAT,
              source_names[s->source], (gint64)(now_us - s->failing_us));
   if (s->source == FOLLOW_ENDPOINTS && now_us - s->failing_us > OUTAGE_US)
-    fleet_list_recovered (s->follow->opts.fleet, s->failed_us);
+    fleet_list_recovered (s->follow->opts.fleet, s->failing_us, s->failed_us);
   s->failing_us = 0;
   s->pause_us = PAUSE_FIRST_US;
 }
--- a/regress/test-evac.c
+++ b/regress/test-evac.c
@@ -81,7 +81,7 @@
   fleet_init (&f);
   evac_begin (&f, "east", 2);
   evac_begin (&f, "west", 3);
-  fleet_list_recovered (&f, SETTLED_US);
+  fleet_list_recovered (&f, 0, SETTLED_US);
   evac_not_listed (&f, "east", SETTLED_US + 1);
   evac_not_listed (&f, "west", SETTLED_US + 1);
   evac_sweep (&f, SETTLED_US + 2);
--- a/regress/test-fleet.c
+++ b/regress/test-fleet.c
@@ -148,7 +148,7 @@
   fleet_init (&f);
   a = add (&f, "a", 1);
   b = add (&f, "b", 1);
-  fleet_list_recovered (&f, 9 * S);
+  fleet_list_recovered (&f, 5 * S, 9 * S);
   fleet_apply_missing (&f, a, 10 * S + 1);
   fleet_apply_missing (&f, b, 10 * S + 1);
   fleet_remove_missing (&f, 11 * S);
@@ -162,6 +162,33 @@
   fleet_clear (&f);
 }
 
+/* Guards against a missing entry that is doubted anew at each return of a list
+   that is lost again and again: requests reached an endpoint that had left for
+   as long as that lasted. */
+static void
+test_missing_again (void)
+{
+  struct fleet f;
+  int64_t at;
+
+  fleet_init (&f);
+  add (&f, "a", 1);
+  fleet_list_recovered (&f, 5 * S, 10 * S);
+  fleet_apply_missing (&f, g_hash_table_lookup (f.by_id, "a"), 10 * S);
+  /* It is lost for a second in each two. */
+  for (at = 11 * S; at <= 13 * S; at += 2 * S)
+    {
+      fleet_list_recovered (&f, at, at + S);
+      fleet_remove_missing (&f, at + S);
+      g_assert_nonnull (g_hash_table_lookup (f.by_id, "a"));
+    }
+  fleet_remove_missing (&f, 14 * S + 700 * CQ_US_PER_MS);
+  g_assert_nonnull (g_hash_table_lookup (f.by_id, "a"));
+  fleet_remove_missing (&f, 14 * S + 800 * CQ_US_PER_MS);
+  g_assert_null (g_hash_table_lookup (f.by_id, "a"));
+  fleet_clear (&f);
+}
+
 /* An endpoint reported that it drains; an entry that is read late says
    "ready".  Requests sent there again could arrive after it has ended. */
 static void
@@ -515,6 +542,7 @@
   { "/fleet/conf-never-reverts", test_conf_never_reverts },
   { "/fleet/route-naive", test_route_naive },
   { "/fleet/missing", test_missing },
+  { "/fleet/missing-again", test_missing_again },
   { "/fleet/draining-sticky", test_draining_sticky },
   { "/fleet/outdated", test_outdated },
   { "/pick/sticky-bounded", test_sticky_bounded },
