Follow: a failed call shows at its end that the list is not readable

Cause: a call that failed counted from when it was sent, up to 2.5 s before; and a poll that followed a list of some seconds' age, from another VM, waited two seconds for a change. A failure now counts from its end, unless the call ended later than its limit, as when the VM was suspended; a poll waits for what the age of the list leaves.

--- a/entry.c
+++ b/entry.c
@@ -134,6 +134,17 @@
 
 /* --- parts ----------------------------------------------------------- */
 
+static void
+log_removed (void *arg, const struct fleet_endpoint *e, int64_t now_us)
+{
+  (void)arg;
+  log_event (LOG_LEVEL_INFO, "endpoint",
+             "endpoint=%s outcome=removed reason=not_returned service=%s "
+             "running=%d missing_us=%" G_GINT64_FORMAT,
+             e->listing.id, e->listing.service, e->running,
+             (gint64)fleet_missing_us (e, now_us));
+}
+
 static void
 on_sweep (void *arg, int64_t now_us)
 {
@@ -142,7 +153,7 @@
   int64_t due_us = now_us + SWEEP_INTERVAL_US;
   bool frees;
 
-  fleet_remove_missing (&e->fleet, now_us);
+  fleet_remove_missing (&e->fleet, log_removed, NULL, now_us);
   evac_sweep (&e->fleet, now_us);
   if (orders_has_lease (e->orders))
     e->orders_held_us = now_us;
--- a/fleet.c
+++ b/fleet.c
@@ -4,8 +4,6 @@
 #include <string.h>
 #include <xxhash.h>
 
-#include "log.h"
-
 /*
  * Entries can lapse while the platform's list cannot be read; if the endpoint
  * is alive, its entry returns within two seconds after the list does.
@@ -829,7 +827,8 @@
 }
 
 void
-fleet_remove_missing (struct fleet *f, int64_t now_us)
+fleet_remove_missing (struct fleet *f, fleet_removed removed, void *arg,
+                      int64_t now_us)
 {
   struct fleet_endpoint *e, *next;
 
@@ -839,11 +838,8 @@
       next = APR_RING_NEXT (e, link);
       if (e->missing_since_us == 0 || now_us < e->missing_until_us)
         continue;
-      log_event (LOG_LEVEL_INFO, "endpoint",
-                 "endpoint=%s outcome=removed reason=not_returned service=%s "
-                 "running=%d missing_us=%" G_GINT64_FORMAT,
-                 e->listing.id, e->listing.service, e->running,
-                 (gint64)fleet_missing_us (e, now_us));
+      if (removed != NULL)
+        removed (arg, e, now_us);
       remove_endpoint (f, e);
     }
 }
--- a/fleet.h
+++ b/fleet.h
@@ -341,8 +341,8 @@
                                newest; 0 for never */
   int64_t list_current_us;  /* when the list of endpoints was last known to be
                                current; 0 for never */
-  int64_t list_failed_us;   /* when the last call for the list that failed was
-                               sent; 0 for never */
+  int64_t list_failed_us;   /* when the list was last known not to be
+                               readable; 0 for never */
   int64_t list_age_max_us;  /* how long endpoints drain; 0 for no limit */
   int64_t list_settles_us;  /* entries that are missing from then on are
                                removed; 0 if the list was never lost */
@@ -464,8 +464,12 @@
 /* Returns whether a missing entry counts as removed at once, without waiting
    for it to return. */
 bool fleet_is_list_settled (const struct fleet *f, int64_t now_us);
-/* Removes the missing entries that did not return in time. */
-void fleet_remove_missing (struct fleet *f, int64_t now_us);
+typedef void (*fleet_removed) (void *arg, const struct fleet_endpoint *e,
+                               int64_t now_us);
+/* Removes the missing entries that did not return in time, and calls REMOVED,
+   which may be NULL, before each. */
+void fleet_remove_missing (struct fleet *f, fleet_removed removed, void *arg,
+                           int64_t now_us);
 
 /* The list of endpoints is readable again, and was not from LOST_US to
    SINCE_US.  Entries that were missing before do not begin to wait anew. */
--- a/follow.c
+++ b/follow.c
@@ -77,8 +77,9 @@
    moment, and must not all return at the same moment. */
 #define PAUSE_FIRST_US (60 * CQ_US_PER_MS)
 #define PAUSE_MAX_US (500 * CQ_US_PER_MS)
-/* While calls fail, the next one is sent this long after the last, or when
-   that has ended: missing entries are doubted until it succeeds. */
+/* While calls for endpoints fail, the next one is sent this long after the
+   last, or when that has ended: missing entries are doubted until it succeeds.
+ */
 #define RETRY_INTERVAL_US (500 * CQ_US_PER_MS)
 /* Pause after a call that found only replies that are too old, with a random
    addition of up to the same length: other VMs may be about to have newer
@@ -116,6 +117,7 @@
                          sent; 0 for never */
   bool full_read;     /* that call reads the whole state */
   int64_t failing_us; /* calls have failed since then; 0 if they succeed */
+  int64_t limit_us;   /* time until the first byte of its reply */
   int64_t failed_us;  /* when the last call that failed was sent */
   enum follow_status failure; /* status of the last failure that was logged */
   int64_t pause_us;           /* backoff after the next failure */
@@ -709,6 +711,15 @@
                  || code == FOLLOW_REFUSED));
 }
 
+/* When the source was known not to be readable.  A call that ended later than
+   its limit did so because this VM was suspended. */
+static int64_t
+unreadable_at (const struct stream *s, int64_t now_us)
+{
+  return now_us - s->sent_us <= s->limit_us + REPLY_BEGIN_US ? now_us
+                                                             : s->sent_us;
+}
+
 static void
 handle_failure (struct stream *s, const struct follow_reply *n, int64_t now_us)
 {
@@ -729,11 +740,12 @@
     s->failing_us = s->sent_us;
   s->failed_us = s->sent_us;
   if (s->source == FOLLOW_ENDPOINTS)
-    s->follow->opts.fleet->list_failed_us = s->sent_us;
+    s->follow->opts.fleet->list_failed_us = unreadable_at (s, now_us);
   s->synced = s->synced && may_poll_again (s, n->status);
   pause = n->status == FOLLOW_STALE ? STALE_PAUSE_US : s->pause_us;
-  pause
-      = CLAMP (s->sent_us + RETRY_INTERVAL_US - now_us, PAUSE_FIRST_US, pause);
+  if (s->source == FOLLOW_ENDPOINTS)
+    pause = CLAMP (s->sent_us + RETRY_INTERVAL_US - now_us, PAUSE_FIRST_US,
+                   pause);
   loop_arm (
       s->follow->opts.loop, &s->timer,
       now_us + pause
@@ -859,15 +871,17 @@
 }
 
 /* A poll that gets no reply is to end before the list is as old as endpoints
-   drain. */
+   drain; it is older from the start if another VM sent it. */
 static int64_t
 endpoints_wait_us (const struct fleet *f, int64_t now_us)
 {
+  int64_t age_us = fleet_list_age_us (f, now_us);
+
   if (f->list_age_max_us == 0)
     return ENDPOINTS_WAIT_MAX_US;
   if (!fleet_is_list_known (f, now_us))
     return 0;
-  return CLAMP (f->list_age_max_us - ENDPOINTS_INTERVAL_US - REPLY_BEGIN_US
+  return CLAMP (f->list_age_max_us - age_us - REPLY_BEGIN_US
                     - ENDPOINTS_MARGIN_US,
                 ENDPOINTS_WAIT_MIN_US, ENDPOINTS_WAIT_MAX_US);
 }
@@ -901,6 +915,7 @@
   s->full_read = !s->synced;
   l.first_byte_us = s->full_read ? READ_BEGIN_US : wait + REPLY_BEGIN_US;
   l.total_us = l.first_byte_us + REPLY_TOTAL_US;
+  s->limit_us = l.first_byte_us;
   l.bytes_max = REPLY_MAX_BYTES;
   l.pieces_per_turn = PIECES_PER_TURN;
   if (s->full_read)
--- a/regress/fakerows.c
+++ b/regress/fakerows.c
@@ -739,7 +739,7 @@
 
 /* Time after which a lost call's connection is closed; its caller has given up
    by then. */
-#define LOST_US (4 * G_USEC_PER_SEC)
+#define LOST_US 4000000UL
 
 static bool
 is_lost (struct fk_req *r)
--- a/regress/test-fleet.c
+++ b/regress/test-fleet.c
@@ -151,10 +151,10 @@
   fleet_list_recovered (&f, 5 * S, 9 * S);
   fleet_apply_missing (&f, a, 10 * S + 1);
   fleet_apply_missing (&f, b, 10 * S + 1);
-  fleet_remove_missing (&f, 11 * S);
+  fleet_remove_missing (&f, NULL, NULL, 11 * S);
   g_assert_nonnull (g_hash_table_lookup (f.by_id, "a"));
   fleet_apply_listing (&f, &l, 1);
-  fleet_remove_missing (&f, 13 * S);
+  fleet_remove_missing (&f, NULL, NULL, 13 * S);
   g_assert_nonnull (g_hash_table_lookup (f.by_id, "a"));
   g_assert_null (g_hash_table_lookup (f.by_id, "b"));
   fleet_apply_missing (&f, a, 20 * S);
@@ -179,12 +179,12 @@
   for (at = 11 * S; at <= 13 * S; at += 2 * S)
     {
       fleet_list_recovered (&f, at, at + S);
-      fleet_remove_missing (&f, at + S);
+      fleet_remove_missing (&f, NULL, NULL, at + S);
       g_assert_nonnull (g_hash_table_lookup (f.by_id, "a"));
     }
-  fleet_remove_missing (&f, 14 * S + 700 * CQ_US_PER_MS);
+  fleet_remove_missing (&f, NULL, NULL, 14 * S + 700 * CQ_US_PER_MS);
   g_assert_nonnull (g_hash_table_lookup (f.by_id, "a"));
-  fleet_remove_missing (&f, 14 * S + 800 * CQ_US_PER_MS);
+  fleet_remove_missing (&f, NULL, NULL, 14 * S + 800 * CQ_US_PER_MS);
   g_assert_null (g_hash_table_lookup (f.by_id, "a"));
   fleet_clear (&f);
 }
