soak: keep the log of each process of a VM

A log was kept under the number of files in the folder, which also falls; b's was overwritten by a later one, and what b sent counted for the caller's VM.

Logs are numbered by the ends of processes. The entry in KNOWN-RED.txt stays, since the log of the first occurrence was not kept.

--- a/regress/soak.sh
+++ b/regress/soak.sh
@@ -38,6 +38,7 @@
 	eval "echo \$front_$1" >"$tmp/front.$1.new"
 	mv "$tmp/front.$1.new" "$tmp/front.$1"
 }
+ends=0
 # end VM SIGNAL: the process, and start another one.
 end() {
 	eval "_pid=\$pid_$1"
@@ -45,7 +46,8 @@
 	note restart "$1"
 	kill "-$2" "$_pid"
 	eval "wait \$pid_$1" 2>/dev/null
-	cp "$tmp/$1.log" "$tmp/$1.log.$(ls "$tmp" | grep -c .)"
+	ends=$((ends + 1))
+	cp "$tmp/$1.log" "$tmp/$1.log.$ends"
 	begin "$1"
 	note restart "$1"
 }
