review: isolation between tenants lost by an entry without Models

An entry of the list of servers that lacks its field Models, written by another writer, makes the VMs send prompts to the model server without a cache scope and without an expected version. Requests of an isolated tenant and of another one then use each other's KV cache.

--- /dev/null
+++ b/review/peer-2.c
@@ -0,0 +1,439 @@
+/*
+ * Stand-ins of the second review: a caller, and a model engine that keeps a
+ * prefix cache, both as the platform's protocol describes them.
+ *
+ *   peer-2 call ADDRESS METHOD TARGET TIMEOUT_MS BODY [HEADER-LINE...]
+ *     sends one request on a new connection; prints the status and the body
+ *     (as received, chunks decoded), or "none" if the connection ends without
+ *     a whole head.  "whole=0" stands behind the status if the answer broke
+ *     off.
+ *
+ *   peer-2 engine ID MODEL
+ *     listens on a free port of 127.0.0.1 and prints "port=N".  Each run is
+ *     printed as one line, with the parts of its prompt that it found in the
+ *     cache and the tenants that made them.
+ */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+#define HEAD_MAX 65536
+
+static long long
+now_ms (void)
+{
+  struct timespec t;
+
+  clock_gettime (CLOCK_MONOTONIC, &t);
+  return t.tv_sec * 1000LL + t.tv_nsec / 1000000;
+}
+
+/* --- bytes ------------------------------------------------------------ */
+
+struct buffer
+{
+  char *data; /* always ends with a NUL that is not counted */
+  size_t len;
+};
+
+static void
+append (struct buffer *b, const char *data, size_t len)
+{
+  b->data = realloc (b->data, b->len + len + 1);
+  memcpy (b->data + b->len, data, len);
+  b->len += len;
+  b->data[b->len] = '\0';
+}
+
+static void
+drop (struct buffer *b, size_t n)
+{
+  memmove (b->data, b->data + n, b->len - n + 1);
+  b->len -= n;
+}
+
+/* Reads more bytes until UNTIL_MS; 1 for some, 0 for the end, -1 otherwise. */
+static int
+more (int fd, struct buffer *b, long long until_ms)
+{
+  struct pollfd p = { .fd = fd, .events = POLLIN };
+  char block[16384];
+  long long left = until_ms - now_ms ();
+  ssize_t n;
+
+  if (left <= 0 || poll (&p, 1, (int)left) <= 0)
+    return -1;
+  n = recv (fd, block, sizeof block, 0);
+  if (n > 0)
+    append (b, block, (size_t)n);
+  return n > 0 ? 1 : (int)n;
+}
+
+static bool
+put (int fd, const char *data, size_t len)
+{
+  ssize_t n;
+
+  for (; len > 0; data += n, len -= (size_t)n)
+    if ((n = send (fd, data, len, MSG_NOSIGNAL)) <= 0)
+      return false;
+  return true;
+}
+
+static bool
+put_text (int fd, const char *text)
+{
+  return put (fd, text, strlen (text));
+}
+
+/* Value of a header in HEAD, copied to TO; "" and false if there is none. */
+static bool
+header (const char *head, const char *name, char *to, size_t size)
+{
+  size_t n = strlen (name), len;
+  const char *line = strstr (head, "\r\n");
+
+  to[0] = '\0';
+  for (; line != NULL; line = strstr (line + 2, "\r\n"))
+    if (strncasecmp (line + 2, name, n) == 0 && line[2 + n] == ':')
+      {
+        const char *value = line + 2 + n + 1;
+
+        value += strspn (value, " \t");
+        len = strcspn (value, "\r");
+        if (len >= size)
+          len = size - 1;
+        memcpy (to, value, len);
+        to[len] = '\0';
+        return true;
+      }
+  return false;
+}
+
+/* --- the caller -------------------------------------------------------- */
+
+static int
+connect_to (const char *address)
+{
+  struct sockaddr_in to = { .sin_family = AF_INET };
+  char host[64];
+  const char *colon = strchr (address, ':');
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  if (colon == NULL || (size_t)(colon - address) >= sizeof host)
+    return -1;
+  memcpy (host, address, (size_t)(colon - address));
+  host[colon - address] = '\0';
+  to.sin_port = htons ((unsigned short)atoi (colon + 1));
+  inet_pton (AF_INET, host, &to.sin_addr);
+  if (connect (fd, (struct sockaddr *)&to, sizeof to) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+/* Reads a chunked body; true if its last chunk arrived. */
+static bool
+read_chunks (int fd, struct buffer *raw, struct buffer *body, long long until)
+{
+  char *eol;
+  size_t size;
+
+  for (;;)
+    {
+      while ((eol = strstr (raw->data, "\r\n")) == NULL)
+        if (more (fd, raw, until) <= 0)
+          return false;
+      size = strtoul (raw->data, NULL, 16);
+      drop (raw, (size_t)(eol + 2 - raw->data));
+      while (raw->len < size + 2)
+        if (more (fd, raw, until) <= 0)
+          return false;
+      append (body, raw->data, size);
+      drop (raw, size + 2);
+      if (size == 0)
+        return true;
+    }
+}
+
+static int
+call (int argc, char **argv)
+{
+  struct buffer request = { 0 }, raw = { 0 }, body = { 0 };
+  long long until = now_ms () + atoi (argv[5]);
+  char line[512], value[64];
+  bool whole = true;
+  char *end;
+  int fd, i;
+  size_t n;
+
+  fd = connect_to (argv[2]);
+  if (fd < 0)
+    {
+      puts ("none");
+      return 1;
+    }
+  snprintf (line, sizeof line, "%s %s HTTP/1.1\r\n", argv[3], argv[4]);
+  append (&request, line, strlen (line));
+  for (i = 7; i < argc; i++)
+    {
+      append (&request, argv[i], strlen (argv[i]));
+      append (&request, "\r\n", 2);
+    }
+  snprintf (line, sizeof line, "Content-Length: %zu\r\n\r\n",
+            strlen (argv[6]));
+  append (&request, line, strlen (line));
+  append (&request, argv[6], strlen (argv[6]));
+  put (fd, request.data, request.len);
+  append (&raw, "", 0);
+  append (&body, "", 0);
+  while ((end = strstr (raw.data, "\r\n\r\n")) == NULL)
+    if (more (fd, &raw, until) <= 0)
+      {
+        puts ("none");
+        return 1;
+      }
+  snprintf (line, sizeof line, "%.3s", raw.data + 9);
+  *end = '\0';
+  if (header (raw.data, "Transfer-Encoding", value, sizeof value))
+    {
+      drop (&raw, (size_t)(end + 4 - raw.data));
+      whole = read_chunks (fd, &raw, &body, until);
+    }
+  else
+    {
+      n = header (raw.data, "Content-Length", value, sizeof value)
+              ? strtoul (value, NULL, 10)
+              : 0;
+      drop (&raw, (size_t)(end + 4 - raw.data));
+      while (raw.len < n && whole)
+        whole = more (fd, &raw, until) > 0;
+      append (&body, raw.data, raw.len < n ? raw.len : n);
+    }
+  printf ("%s%s %s\n", line, whole ? "" : " whole=0", body.data);
+  close (fd);
+  return 0;
+}
+
+/* --- the engine --------------------------------------------------------- */
+
+#define ENTRIES_MAX 65536
+
+/* A part in the cache. */
+struct entry
+{
+  char salt[160];  /* text it lies under */
+  char id[64];     /* of the part */
+  char tenant[64]; /* whose request made it */
+  int version;     /* weights it was made under */
+};
+
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static struct entry *entries;
+static int nentries;
+static const char *engine_id, *engine_model;
+static int version = 1, seq;
+
+/* Looks up the parts of a prompt and adds those that are missing. */
+static void
+use_cache (const char *salt, const char *tenant, const char *prefix,
+           char *found, size_t size)
+{
+  char list[4096], *part, *save = NULL;
+  bool all = true;
+  int i;
+
+  found[0] = '\0';
+  snprintf (list, sizeof list, "%s", prefix);
+  for (part = strtok_r (list, ",", &save); part != NULL;
+       part = strtok_r (NULL, ",", &save))
+    {
+      part[strcspn (part, ":")] = '\0';
+      for (i = 0; i < nentries; i++)
+        if (strcmp (entries[i].salt, salt) == 0
+            && strcmp (entries[i].id, part) == 0)
+          break;
+      all &= i < nentries;
+      if (all)
+        snprintf (found + strlen (found), size - strlen (found),
+                  " found=%s made_by=%s made_under=%d", part,
+                  entries[i].tenant, entries[i].version);
+      else if (i == nentries && nentries < ENTRIES_MAX)
+        {
+          struct entry *e = &entries[nentries++];
+
+          snprintf (e->salt, sizeof e->salt, "%s", salt);
+          snprintf (e->id, sizeof e->id, "%.60s", part);
+          snprintf (e->tenant, sizeof e->tenant, "%s", tenant);
+          e->version = version;
+        }
+    }
+}
+
+static void
+refuse (int fd, int status)
+{
+  char text[256];
+
+  snprintf (text, sizeof text,
+            "HTTP/1.1 %d X\r\nX-Not-Executed: 1\r\nX-Instance-Id: %s\r\n"
+            "X-Weight-Versions: %d\r\nContent-Length: 0\r\n\r\n",
+            status, engine_id, version);
+  put_text (fd, text);
+}
+
+static void
+run (int fd, const char *head)
+{
+  char id[128], tenant[64], salt[160], prefix[4096], expect[128], text[1024],
+      found[4096];
+  int under, i;
+
+  if (header (head, "X-Expect-Instance", expect, sizeof expect)
+      && strcmp (expect, engine_id) != 0)
+    {
+      refuse (fd, 421);
+      return;
+    }
+  header (head, "X-Attempt-Id", id, sizeof id);
+  header (head, "X-Tenant", tenant, sizeof tenant);
+  header (head, "X-Prompt-Prefix", prefix, sizeof prefix);
+  pthread_mutex_lock (&lock);
+  under = version;
+  if (header (head, "X-Expect-Version", expect, sizeof expect)
+      && atoi (expect) != under)
+    {
+      pthread_mutex_unlock (&lock);
+      refuse (fd, 421);
+      return;
+    }
+  if (!header (head, "X-Cache-Salt", salt, sizeof salt))
+    snprintf (salt, sizeof salt, "(absent)");
+  use_cache (salt, tenant, prefix, found, sizeof found);
+  printf ("run id=%s tenant=%s salt=%s version=%d expect_version=%s%s\n", id,
+          tenant, salt, under, expect[0] != '\0' ? expect : "(absent)", found);
+  fflush (stdout);
+  pthread_mutex_unlock (&lock);
+  snprintf (text, sizeof text,
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            "Transfer-Encoding: chunked\r\nX-Attempt-Id: %s\r\n"
+            "X-Server-Seal: 3e1b.07\r\nX-Server-Load: 1,0,8\r\n"
+            "X-Weight-Versions: %d\r\n\r\n",
+            id, under);
+  put_text (fd, text);
+  for (i = 1; i <= 3; i++)
+    {
+      char event[64];
+
+      snprintf (event, sizeof event, "id: %d\ndata: t%d\n\n", i, i);
+      snprintf (text, sizeof text, "%zx\r\n%s\r\n", strlen (event), event);
+      usleep (5000);
+      put_text (fd, text);
+    }
+  put_text (fd, "0\r\n\r\n");
+}
+
+static void
+report (int fd)
+{
+  char doc[256], text[512];
+
+  pthread_mutex_lock (&lock);
+  snprintf (doc, sizeof doc,
+            "{\"Stage\":\"colocated\",\"Models\":[{\"Name\":\"%s\","
+            "\"Version\":%d,\"Adapters\":[]}],\"Busy\":false,\"Seq\":%d,"
+            "\"Queued\":0,\"Active\":0,\"KvUsed\":0,\"KvTotal\":90000,"
+            "\"Handles\":0}",
+            engine_model, version, seq);
+  pthread_mutex_unlock (&lock);
+  snprintf (text, sizeof text,
+            "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+            "Content-Length: %zu\r\n\r\n%s",
+            strlen (doc), doc);
+  put_text (fd, text);
+}
+
+static void *
+serve (void *arg)
+{
+  int fd = (int)(long)arg;
+  struct buffer raw = { 0 };
+  char value[64], *end;
+  size_t n;
+
+  append (&raw, "", 0);
+  for (;;)
+    {
+      while ((end = strstr (raw.data, "\r\n\r\n")) == NULL)
+        if (raw.len > HEAD_MAX || more (fd, &raw, now_ms () + 60000) <= 0)
+          goto out;
+      end[2] = '\0';
+      n = header (raw.data, "Content-Length", value, sizeof value)
+              ? strtoul (value, NULL, 10)
+              : 0;
+      while (raw.len < (size_t)(end + 4 - raw.data) + n)
+        {
+          size_t at = (size_t)(end - raw.data);
+
+          if (more (fd, &raw, now_ms () + 60000) <= 0)
+            goto out;
+          end = raw.data + at;
+        }
+      if (strncmp (raw.data, "GET /report", 11) == 0)
+        report (fd);
+      else if (strncmp (raw.data, "GET /health", 11) == 0)
+        put_text (fd, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+      else
+        run (fd, raw.data);
+      drop (&raw, (size_t)(end + 4 - raw.data) + n);
+    }
+out:
+  free (raw.data);
+  close (fd);
+  return NULL;
+}
+
+static int
+engine (char **argv)
+{
+  struct sockaddr_in at = { .sin_family = AF_INET };
+  socklen_t len = sizeof at;
+  int fd = socket (AF_INET, SOCK_STREAM, 0), c;
+  pthread_t thread;
+
+  engine_id = argv[2];
+  engine_model = argv[3];
+  entries = calloc (ENTRIES_MAX, sizeof *entries);
+  at.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  if (bind (fd, (struct sockaddr *)&at, sizeof at) != 0 || listen (fd, 128) != 0
+      || getsockname (fd, (struct sockaddr *)&at, &len) != 0)
+    return 1;
+  printf ("port=%d\n", ntohs (at.sin_port));
+  fflush (stdout);
+  while ((c = accept (fd, NULL, NULL)) >= 0)
+    if (pthread_create (&thread, NULL, serve, (void *)(long)c) == 0)
+      pthread_detach (thread);
+  return 1;
+}
+
+int
+main (int argc, char **argv)
+{
+  if (argc >= 7 && strcmp (argv[1], "call") == 0)
+    return call (argc, argv);
+  if (argc == 4 && strcmp (argv[1], "engine") == 0)
+    return engine (argv);
+  fprintf (stderr, "usage: peer-2 call ADDRESS METHOD TARGET TIMEOUT_MS BODY "
+                   "[HEADER...]\n       peer-2 engine ID MODEL\n");
+  return 2;
+}
