review: a server's 503 after a run reaches the caller as "not run"

A server that fails a request of a non_idempotent route with 503, 429 or 408 after it has begun to work on it, and so without X-Not-Executed, has its answer passed on. To clients these statuses promise that the request has not run, so they send it again, and it runs twice.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,74 +1,58 @@
 #!/bin/bash
-# WALL: an entry of the list of servers comes from another writer and lacks
-# its field Models.
+# REFUSED: a server fails requests that it has run with status 503, and does
+# not say X-Not-Executed.
 . "$(dirname "$0")/../lib-2.sh" || exit 2
+status=${STATUS:-503}
 
 start_store
-"$peer" engine i-e1 m >"$tmp/e1.out" 2>&1 &
-wait_for has_line "$tmp/e1.out" '^port='
-port=$(sed -n 's/^port=//p' "$tmp/e1.out")
-
-# The server's own entry; $1 is its Seq.
-entry() {
-	echo "{\"Service\":\"llm\",\"Address\":\"127.0.0.1:$port\",\"Zone\":\"z1\",\"Version\":\"v1\",\"Slots\":8,\"State\":\"ready\",\"Stage\":\"colocated\",\"Models\":[{\"Name\":\"m\",\"Version\":1,\"Adapters\":[]}],\"ColdRemainingMs\":0,\"Seq\":$1}"
-}
-# The same from another writer: a field is missing.
-foreign_entry() {
-	echo "{\"Service\":\"llm\",\"Address\":\"127.0.0.1:$port\",\"Zone\":\"z1\",\"Version\":\"v1\",\"Slots\":8,\"State\":\"ready\",\"Stage\":\"colocated\",\"ColdRemainingMs\":0,\"Seq\":$1}"
-}
-
+# Four servers; the first one fails part of its requests.
+for s in 1 2 3 4; do
+	percent=0
+	[ "$TROUBLE" != 0 ] && [ $s = 1 ] && percent=40
+	"$peer" app "i-p$s" $percent "$status" >"$tmp/p$s.out" 2>&1 &
+	wait_for has_line "$tmp/p$s.out" '^port='
+	row servers "i-p$s" "{\"Service\":\"app\",\"Address\":\"127.0.0.1:$(sed -n 's/^port=//p' "$tmp/p$s.out")\",\"Zone\":\"z1\",\"Version\":\"v1\",\"Slots\":6,\"State\":\"ready\",\"ColdRemainingMs\":0,\"Seq\":1}"
+done
 row op config '{"Version":3,"Routes":[
-{"Name":"ask","Host":"h.example","Prefix":"/ask/","Kind":"streaming","TimeoutMs":8000,"TargetLatencyMs":800,"TargetGapMs":400,"Priority":1,"Service":"llm","MaxAttempts":2,"Sticky":true}],
-"Services":[{"Name":"llm","HealthPath":"/health","MaxConnections":370,"Engine":{"Slots":8,"KvCapacityTokens":139971,"KvTokenBytes":35136,"LinkMbps":550000,"Models":[{"Name":"m"}]}}],
+{"Name":"assign","Host":"h.example","Prefix":"/assign/","Kind":"non_idempotent","TimeoutMs":3000,"TargetLatencyMs":300,"Priority":2,"Service":"app","MaxAttempts":1}],
+"Services":[{"Name":"app","HealthPath":"/health","MaxConnections":110}],
 "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
-"Tenants":[{"Name":"weavers","ApiKeys":["k-weavers"],"Isolated":true},{"Name":"dyers","ApiKeys":["k-dyers"]}]}'
-row op version/m '{"Model":"m","Version":1}'
-row servers i-e1 "$(entry 1)"
+"Tenants":[{"Name":"weavers","ApiKeys":["k-weavers"]}]}'
 vm a z1
 vm b z1
 wait_for is_ready a
 wait_for is_ready b
 
-n=0
-# ask VM TENANT ROUND: a prompt whose first two parts all tenants share.
-ask() {
-	n=$((n + 1))
-	eval "_f=\$front_$1"
-	note "sent id=q$n vm=$1 tenant=$2 answer: $("$peer" call "$_f" POST /ask/1 8000 "a prompt" \
-		"Host: h.example" "Authorization: Token k-$2" "X-Attempt-Id: q$n" "X-Model: m" \
-		"X-Token-Count: 1460,80" "X-Prompt-Prefix: 5c1e07$3:800,91bd3f$3:410,e440$n:250" \
-		"X-Deadline-Ms: 8000" | tr '\n' ' ' | cut -c1-60)"
+# attempt ID VM ORDER: one client attempt.
+attempt() {
+	eval "_f=\$front_$2"
+	"$peer" call "$_f" POST /assign/1 3000 "truck-$3" "Host: h.example" \
+		"Authorization: Token k-weavers" "X-Attempt-Id: $1" "X-Deadline-Ms: 3000"
 }
-
-# Three rounds of 5 s.  The server writes its entry every 1.2 s; once a round,
-# another writer writes it in between.
-seq=1
-for round in 1 2 3; do
-	for beat in 1 2 3 4; do
-		seq=$((seq + 1))
-		row servers i-e1 "$(entry $seq)"
-		if [ "$TROUBLE" != 0 ] && [ $beat = 2 ]; then
-			sleep 0.1
-			note "another writer writes servers/i-e1 without Models"
-			row servers i-e1 "$(foreign_entry $seq)"
-		fi
-		until=$(($(date +%s%N) / 1000000 + 1100))
-		while [ $(($(date +%s%N) / 1000000)) -lt $until ]; do
-			for v in a b; do
-				ask $v weavers $round
-				ask $v dyers $round
-			done
-			sleep 0.05
-		done
-	done
+# A client retries a non_idempotent request once, after a promise that it has
+# not run and never will be: 408, 421, 429, 503.
+for order in $(seq 60); do
+	v=a w=b
+	[ $((order % 2)) = 0 ] && v=b w=a
+	answer=$(attempt "q$order" $v $order)
+	note "sent id=q$order vm=$v order=truck-$order answer: $answer"
+	case $answer in
+	408* | 421* | 429* | 503*)
+		answer=$(attempt "q$order-2" $w $order)
+		note "sent id=q$order-2 vm=$w order=truck-$order answer: $answer"
+		;;
+	esac
 done
 
-grep '^run' "$tmp/e1.out" >>"$record"
-runs=$(grep -c '^run' "$tmp/e1.out")
-[ "$runs" -gt 50 ] || cannot_run "only $runs runs"
-# A run of either tenant that used a part which the other one's request made.
-broken=$(grep '^run' "$tmp/e1.out" | grep -c -e 'tenant=weavers .*made_by=dyers' -e 'tenant=dyers .*made_by=weavers')
-bare=$(grep '^run' "$tmp/e1.out" | grep -c 'salt=(absent)')
-note "runs=$runs without_salt=$bare used_memory_of_the_other_tenant=$broken"
-echo "runs=$runs without_salt=$bare used_memory_of_the_other_tenant=$broken"
-[ "$broken" = 0 ]
+cat "$tmp"/p?.out | grep '^run' >>"$record"
+cat "$tmp"/p?.out | grep '^run' >"$tmp/runs"
+broken=0
+for id in $(sed -n 's/.*sent id=\([^ ]*\) .*answer: \(408\|421\|429\|503\) .*/\1/p' "$record"); do
+	if grep -q "^run id=$id " "$tmp/runs"; then broken=$((broken + 1)); fi
+done
+twice=$(sed 's/.* body=\([^ ]*\) .*/\1/' "$tmp/runs" | sort | uniq -d | wc -l)
+runs=$(wc -l <"$tmp/runs")
+[ "$runs" -ge 60 ] || cannot_run "$runs runs"
+note "runs=$runs answered_as_not_run_but_ran=$broken orders_run_twice=$twice"
+echo "runs=$runs answered_as_not_run_but_ran=$broken orders_run_twice=$twice"
+[ $broken = 0 ]
--- a/review/peer-2.c
+++ b/review/peer-2.c
@@ -8,6 +8,12 @@
  *     a whole head.  "whole=0" stands behind the status if the answer broke
  *     off.
  *
+ *   peer-2 app ID FAIL_PERCENT STATUS
+ *     a plain service at a free port of 127.0.0.1, with GET /report for
+ *     probes.  It runs each request and prints that as one line; this share
+ *     of its runs fails with STATUS, after it has begun to work, so without
+ *     X-Not-Executed.
+ *
  *   peer-2 engine ID MODEL
  *     listens on a free port of 127.0.0.1 and prints "port=N".  Each run is
  *     printed as one line, with the parts of its prompt that it found in the
@@ -343,6 +349,45 @@
   put_text (fd, "0\r\n\r\n");
 }
 
+/* --- the plain service -------------------------------------------------- */
+
+static int fail_percent = -1, fail_status;
+
+static void
+run_plain (int fd, const char *head, const char *body, size_t n)
+{
+  static unsigned turn;
+  char id[128], tenant[64], expect[128], answer[512], text[1024];
+  int status = 200;
+
+  if (header (head, "X-Expect-Instance", expect, sizeof expect)
+      && strcmp (expect, engine_id) != 0)
+    {
+      refuse (fd, 421);
+      return;
+    }
+  header (head, "X-Attempt-Id", id, sizeof id);
+  header (head, "X-Tenant", tenant, sizeof tenant);
+  pthread_mutex_lock (&lock);
+  /* Spread evenly: 45 of 100 are 9 of each 20. */
+  turn++;
+  if ((turn * (unsigned)fail_percent) / 100
+      != ((turn - 1) * (unsigned)fail_percent) / 100)
+    status = fail_status;
+  printf ("run id=%s server=%s tenant=%s body=%.*s status=%d\n", id, engine_id,
+          tenant, (int)n, body, status);
+  fflush (stdout);
+  pthread_mutex_unlock (&lock);
+  usleep (15000);
+  snprintf (answer, sizeof answer, "%s %.*s",
+            status == 200 ? "done" : "failed", (int)n, body);
+  snprintf (text, sizeof text,
+            "HTTP/1.1 %d X\r\nX-Attempt-Id: %s\r\nX-Server-Seal: 3e1b.07\r\n"
+            "X-Server-Load: 1,0,6\r\nContent-Length: %zu\r\n\r\n%s",
+            status, id, strlen (answer), answer);
+  put_text (fd, text);
+}
+
 static void
 report (int fd)
 {
@@ -393,6 +438,8 @@
         report (fd);
       else if (strncmp (raw.data, "GET /health", 11) == 0)
         put_text (fd, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+      else if (fail_percent >= 0)
+        run_plain (fd, raw.data, end + 4, n);
       else
         run (fd, raw.data);
       drop (&raw, (size_t)(end + 4 - raw.data) + n);
@@ -404,7 +451,7 @@
 }
 
 static int
-engine (char **argv)
+listen_as (char **argv)
 {
   struct sockaddr_in at = { .sin_family = AF_INET };
   socklen_t len = sizeof at;
@@ -432,8 +479,16 @@
   if (argc >= 7 && strcmp (argv[1], "call") == 0)
     return call (argc, argv);
   if (argc == 4 && strcmp (argv[1], "engine") == 0)
-    return engine (argv);
+    return listen_as (argv);
+  if (argc == 5 && strcmp (argv[1], "app") == 0)
+    {
+      fail_percent = atoi (argv[3]);
+      fail_status = atoi (argv[4]);
+      argv[3] = "";
+      return listen_as (argv);
+    }
   fprintf (stderr, "usage: peer-2 call ADDRESS METHOD TARGET TIMEOUT_MS BODY "
-                   "[HEADER...]\n       peer-2 engine ID MODEL\n");
+                   "[HEADER...]\n       peer-2 app ID FAIL_PERCENT "
+                   "STATUS\n       peer-2 engine ID MODEL\n");
   return 2;
 }
