--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -10,6 +10,12 @@
 tmp=$(mktemp -d)
 peer=$top/target/peer-2
 TROUBLE=${TROUBLE:-1}
+# Names of the platform's headers, for peer-2.
+export NAME_ID=X-Attempt-Id NAME_DEADLINE=X-Deadline-Ms NAME_SEAL=X-Server-Seal \
+	NAME_LOAD=X-Server-Load NAME_VERSIONS=X-Weight-Versions \
+	NAME_INSTANCE=X-Instance-Id NAME_NOT_RUN=X-Not-Executed \
+	NAME_EXPECT=X-Expect-Instance NAME_EXPECT_VERSION=X-Expect-Version \
+	NAME_TENANT=X-Tenant NAME_SALT=X-Cache-Salt NAME_PROMPT=X-Prompt-Prefix
 : >"$record"
 
 cleanup() {
--- a/review/peer-2.c
+++ b/review/peer-2.c
@@ -1,6 +1,6 @@
 /*
- * Stand-ins of the second review: a caller, and a model engine that keeps a
- * prefix cache, both as the platform's protocol describes them.
+ * Stand-ins of the second review: a caller, a plain service, and a model
+ * engine that keeps a prefix cache, as the platform's protocol describes them.
  *
  *   peer-2 call ADDRESS METHOD TARGET TIMEOUT_MS BODY [HEADER-LINE...]
  *     sends one request on a new connection; prints the status and the body
@@ -8,16 +8,23 @@
  *     a whole head.  "whole=0" stands behind the status if the answer broke
  *     off.
  *
- *   peer-2 app ID FAIL_PERCENT STATUS
+ *   peer-2 kept ADDRESS ID HEAD_BYTES LINES
+ *     sends two requests, ID-1 and ID-2, on one connection; the head of the
+ *     second has HEAD_BYTES bytes, in LINES lines beside the usual ones.
+ *
+ *   peer-2 app ID FAIL_PERCENT STATUS [ANSWER_HEAD_BYTES]
  *     a plain service at a free port of 127.0.0.1, with GET /report for
  *     probes.  It runs each request and prints that as one line; this share
  *     of its runs fails with STATUS, after it has begun to work, so without
- *     X-Not-Executed.
+ *     saying that it has not run it.  The heads of its answers have that
+ *     many bytes, if it is given.
  *
  *   peer-2 engine ID MODEL
  *     listens on a free port of 127.0.0.1 and prints "port=N".  Each run is
  *     printed as one line, with the parts of its prompt that it found in the
  *     cache and the tenants that made them.
+ *
+ * The names of the platform's headers come from the environment.
  */
 #include <arpa/inet.h>
 #include <errno.h>
@@ -35,6 +42,58 @@
 
 #define HEAD_MAX 65536
 
+/* Headers of the platform. */
+enum name
+{
+  ID,             /* the request's id */
+  DEADLINE,       /* ms that the caller waits */
+  SEAL,           /* the server's seal */
+  LOAD,           /* its load */
+  VERSIONS,       /* version of its weights */
+  INSTANCE,       /* its id */
+  NOT_RUN,        /* it has not run the request */
+  EXPECT,         /* id of the server that may run it */
+  EXPECT_VERSION, /* version of the weights that it may run on */
+  TENANT,         /* tenant of the request */
+  SALT,           /* text that cached parts lie under */
+  PROMPT,         /* parts of the prompt */
+  NAMES
+};
+
+static const char *const variables[NAMES] = {
+  [ID] = "NAME_ID",
+  [DEADLINE] = "NAME_DEADLINE",
+  [SEAL] = "NAME_SEAL",
+  [LOAD] = "NAME_LOAD",
+  [VERSIONS] = "NAME_VERSIONS",
+  [INSTANCE] = "NAME_INSTANCE",
+  [NOT_RUN] = "NAME_NOT_RUN",
+  [EXPECT] = "NAME_EXPECT",
+  [EXPECT_VERSION] = "NAME_EXPECT_VERSION",
+  [TENANT] = "NAME_TENANT",
+  [SALT] = "NAME_SALT",
+  [PROMPT] = "NAME_PROMPT",
+};
+
+static const char *names[NAMES];
+
+static bool
+read_names (void)
+{
+  int i;
+
+  for (i = 0; i < NAMES; i++)
+    {
+      names[i] = getenv (variables[i]);
+      if (names[i] == NULL)
+        {
+          fprintf (stderr, "%s is not set\n", variables[i]);
+          return false;
+        }
+    }
+  return true;
+}
+
 static long long
 now_ms (void)
 {
@@ -172,16 +231,54 @@
     }
 }
 
+/* Reads an answer; false if the connection ends before its head is whole.
+   WHOLE tells whether its body is. */
+static bool
+read_answer (int fd, long long until, char *status, struct buffer *body,
+             bool *whole)
+{
+  struct buffer raw = { 0 };
+  char value[64], *end;
+  size_t n;
+
+  append (&raw, "", 0);
+  append (body, "", 0);
+  *whole = true;
+  while ((end = strstr (raw.data, "\r\n\r\n")) == NULL)
+    if (more (fd, &raw, until) <= 0)
+      {
+        free (raw.data);
+        return false;
+      }
+  snprintf (status, 4, "%.3s", raw.data + 9);
+  end[2] = '\0';
+  if (header (raw.data, "Transfer-Encoding", value, sizeof value))
+    {
+      drop (&raw, (size_t)(end + 4 - raw.data));
+      *whole = read_chunks (fd, &raw, body, until);
+    }
+  else
+    {
+      n = header (raw.data, "Content-Length", value, sizeof value)
+              ? strtoul (value, NULL, 10)
+              : 0;
+      drop (&raw, (size_t)(end + 4 - raw.data));
+      while (raw.len < n && *whole)
+        *whole = more (fd, &raw, until) > 0;
+      append (body, raw.data, raw.len < n ? raw.len : n);
+    }
+  free (raw.data);
+  return true;
+}
+
 static int
 call (int argc, char **argv)
 {
-  struct buffer request = { 0 }, raw = { 0 }, body = { 0 };
+  struct buffer request = { 0 }, body = { 0 };
   long long until = now_ms () + atoi (argv[5]);
-  char line[512], value[64];
-  bool whole = true;
-  char *end;
+  char line[512], status[4];
+  bool whole;
   int fd, i;
-  size_t n;
 
   fd = connect_to (argv[2]);
   if (fd < 0)
@@ -201,32 +298,66 @@
   append (&request, line, strlen (line));
   append (&request, argv[6], strlen (argv[6]));
   put (fd, request.data, request.len);
-  append (&raw, "", 0);
-  append (&body, "", 0);
-  while ((end = strstr (raw.data, "\r\n\r\n")) == NULL)
-    if (more (fd, &raw, until) <= 0)
-      {
-        puts ("none");
-        return 1;
-      }
-  snprintf (line, sizeof line, "%.3s", raw.data + 9);
-  *end = '\0';
-  if (header (raw.data, "Transfer-Encoding", value, sizeof value))
+  if (!read_answer (fd, until, status, &body, &whole))
     {
-      drop (&raw, (size_t)(end + 4 - raw.data));
-      whole = read_chunks (fd, &raw, &body, until);
+      puts ("none");
+      return 1;
     }
-  else
+  printf ("%s%s %s\n", status, whole ? "" : " whole=0", body.data);
+  close (fd);
+  return 0;
+}
+
+/* A request whose head has SIZE bytes, with LINES lines of the same length
+   beside the usual ones, or as many bytes as it needs without them. */
+static void
+append_request (struct buffer *to, const char *id, size_t size, int lines)
+{
+  char line[512];
+  size_t start = to->len, pad;
+  int i;
+
+  snprintf (line, sizeof line,
+            "POST /assign/1 HTTP/1.1\r\nHost: h.example\r\n"
+            "Authorization: Token k-weavers\r\n%s: %s\r\n"
+            "%s: 3000\r\nContent-Length: %zu\r\n",
+            names[ID], id, names[DEADLINE], strlen (id));
+  append (to, line, strlen (line));
+  for (i = 0; i < lines; i++)
     {
-      n = header (raw.data, "Content-Length", value, sizeof value)
-              ? strtoul (value, NULL, 10)
-              : 0;
-      drop (&raw, (size_t)(end + 4 - raw.data));
-      while (raw.len < n && whole)
-        whole = more (fd, &raw, until) > 0;
-      append (&body, raw.data, raw.len < n ? raw.len : n);
+      snprintf (line, sizeof line, "X-Note-%d: ", i);
+      pad = (size - 2 - (to->len - start)) / (size_t)(lines - i);
+      append (to, line, strlen (line));
+      for (pad -= strlen (line) + 2; pad > 0; pad--)
+        append (to, "n", 1);
+      append (to, "\r\n", 2);
+    }
+  append (to, "\r\n", 2);
+  append (to, id, strlen (id));
+}
+
+/* Sends two requests on one connection, the second one with a long head. */
+static int
+kept (char **argv)
+{
+  struct buffer request = { 0 }, body = { 0 };
+  long long until = now_ms () + 5000;
+  char id[64], status[4];
+  size_t size = strtoul (argv[4], NULL, 10);
+  int i, lines = atoi (argv[5]), fd = connect_to (argv[2]);
+  bool whole;
+
+  for (i = 1; i <= 2; i++)
+    {
+      request.len = body.len = 0;
+      snprintf (id, sizeof id, "%s-%d", argv[3], i);
+      append_request (&request, id, size, i == 2 ? lines : 0);
+      put (fd, request.data, request.len);
+      if (read_answer (fd, until, status, &body, &whole))
+        printf ("%s %s%s\n", id, status, whole ? "" : " whole=0");
+      else
+        printf ("%s none after_ms=%lld\n", id, now_ms () + 5000 - until);
     }
-  printf ("%s%s %s\n", line, whole ? "" : " whole=0", body.data);
   close (fd);
   return 0;
 }
@@ -292,9 +423,10 @@
   char text[256];
 
   snprintf (text, sizeof text,
-            "HTTP/1.1 %d X\r\nX-Not-Executed: 1\r\nX-Instance-Id: %s\r\n"
-            "X-Weight-Versions: %d\r\nContent-Length: 0\r\n\r\n",
-            status, engine_id, version);
+            "HTTP/1.1 %d X\r\n%s: 1\r\n%s: %s\r\n%s: %d\r\n"
+            "Content-Length: 0\r\n\r\n",
+            status, names[NOT_RUN], names[INSTANCE], engine_id,
+            names[VERSIONS], version);
   put_text (fd, text);
 }
 
@@ -305,25 +437,25 @@
       found[4096];
   int under, i;
 
-  if (header (head, "X-Expect-Instance", expect, sizeof expect)
+  if (header (head, names[EXPECT], expect, sizeof expect)
       && strcmp (expect, engine_id) != 0)
     {
       refuse (fd, 421);
       return;
     }
-  header (head, "X-Attempt-Id", id, sizeof id);
-  header (head, "X-Tenant", tenant, sizeof tenant);
-  header (head, "X-Prompt-Prefix", prefix, sizeof prefix);
+  header (head, names[ID], id, sizeof id);
+  header (head, names[TENANT], tenant, sizeof tenant);
+  header (head, names[PROMPT], prefix, sizeof prefix);
   pthread_mutex_lock (&lock);
   under = version;
-  if (header (head, "X-Expect-Version", expect, sizeof expect)
+  if (header (head, names[EXPECT_VERSION], expect, sizeof expect)
       && atoi (expect) != under)
     {
       pthread_mutex_unlock (&lock);
       refuse (fd, 421);
       return;
     }
-  if (!header (head, "X-Cache-Salt", salt, sizeof salt))
+  if (!header (head, names[SALT], salt, sizeof salt))
     snprintf (salt, sizeof salt, "(absent)");
   use_cache (salt, tenant, prefix, found, sizeof found);
   printf ("run id=%s tenant=%s salt=%s version=%d expect_version=%s%s\n", id,
@@ -332,10 +464,9 @@
   pthread_mutex_unlock (&lock);
   snprintf (text, sizeof text,
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-            "Transfer-Encoding: chunked\r\nX-Attempt-Id: %s\r\n"
-            "X-Server-Seal: 3e1b.07\r\nX-Server-Load: 1,0,8\r\n"
-            "X-Weight-Versions: %d\r\n\r\n",
-            id, under);
+            "Transfer-Encoding: chunked\r\n%s: %s\r\n%s: 3e1b.07\r\n"
+            "%s: 1,0,8\r\n%s: %d\r\n\r\n",
+            names[ID], id, names[SEAL], names[LOAD], names[VERSIONS], under);
   put_text (fd, text);
   for (i = 1; i <= 3; i++)
     {
@@ -351,23 +482,24 @@
 
 /* --- the plain service -------------------------------------------------- */
 
-static int fail_percent = -1, fail_status;
+static int fail_percent = -1, fail_status, answer_head_bytes;
 
 static void
 run_plain (int fd, const char *head, const char *body, size_t n)
 {
   static unsigned turn;
   char id[128], tenant[64], expect[128], answer[512], text[1024];
-  int status = 200;
+  struct buffer padding = { 0 };
+  int status = 200, left;
 
-  if (header (head, "X-Expect-Instance", expect, sizeof expect)
+  if (header (head, names[EXPECT], expect, sizeof expect)
       && strcmp (expect, engine_id) != 0)
     {
       refuse (fd, 421);
       return;
     }
-  header (head, "X-Attempt-Id", id, sizeof id);
-  header (head, "X-Tenant", tenant, sizeof tenant);
+  header (head, names[ID], id, sizeof id);
+  header (head, names[TENANT], tenant, sizeof tenant);
   pthread_mutex_lock (&lock);
   /* Spread evenly: 45 of 100 are 9 of each 20. */
   turn++;
@@ -382,10 +514,22 @@
   snprintf (answer, sizeof answer, "%s %.*s",
             status == 200 ? "done" : "failed", (int)n, body);
   snprintf (text, sizeof text,
-            "HTTP/1.1 %d X\r\nX-Attempt-Id: %s\r\nX-Server-Seal: 3e1b.07\r\n"
-            "X-Server-Load: 1,0,6\r\nContent-Length: %zu\r\n\r\n%s",
-            status, id, strlen (answer), answer);
-  put_text (fd, text);
+            "HTTP/1.1 %d X\r\n%s: %s\r\n%s: 3e1b.07\r\n%s: 1,0,6\r\n"
+            "Content-Length: %zu\r\n",
+            status, names[ID], id, names[SEAL], names[LOAD], strlen (answer));
+  append (&padding, text, strlen (text));
+  for (left = answer_head_bytes - (int)padding.len - 2; left > 100;
+       left = answer_head_bytes - (int)padding.len - 2)
+    {
+      snprintf (text, sizeof text, "Set-Cookie: c%d=%0*d\r\n", left,
+                left < 220 ? left - 20 - snprintf (NULL, 0, "%d", left) : 120,
+                0);
+      append (&padding, text, strlen (text));
+    }
+  append (&padding, "\r\n", 2);
+  append (&padding, answer, strlen (answer));
+  put (fd, padding.data, padding.len);
+  free (padding.data);
 }
 
 static void
@@ -462,7 +606,8 @@
   engine_model = argv[3];
   entries = calloc (ENTRIES_MAX, sizeof *entries);
   at.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  if (bind (fd, (struct sockaddr *)&at, sizeof at) != 0 || listen (fd, 128) != 0
+  if (bind (fd, (struct sockaddr *)&at, sizeof at) != 0
+      || listen (fd, 128) != 0
       || getsockname (fd, (struct sockaddr *)&at, &len) != 0)
     return 1;
   printf ("port=%d\n", ntohs (at.sin_port));
@@ -476,19 +621,26 @@
 int
 main (int argc, char **argv)
 {
+  if (!read_names ())
+    return 2;
   if (argc >= 7 && strcmp (argv[1], "call") == 0)
     return call (argc, argv);
   if (argc == 4 && strcmp (argv[1], "engine") == 0)
     return listen_as (argv);
-  if (argc == 5 && strcmp (argv[1], "app") == 0)
+  if (argc == 6 && strcmp (argv[1], "kept") == 0)
+    return kept (argv);
+  if ((argc == 5 || argc == 6) && strcmp (argv[1], "app") == 0)
     {
       fail_percent = atoi (argv[3]);
       fail_status = atoi (argv[4]);
+      answer_head_bytes = argc == 6 ? atoi (argv[5]) : 0;
       argv[3] = "";
       return listen_as (argv);
     }
   fprintf (stderr, "usage: peer-2 call ADDRESS METHOD TARGET TIMEOUT_MS BODY "
-                   "[HEADER...]\n       peer-2 app ID FAIL_PERCENT "
-                   "STATUS\n       peer-2 engine ID MODEL\n");
+                   "[HEADER...]\n       peer-2 kept ADDRESS ID "
+                   "HEAD_BYTES LINES\n       peer-2 app ID FAIL_PERCENT "
+                   "STATUS [ANSWER_HEAD_BYTES]\n       peer-2 engine ID "
+                   "MODEL\n");
   return 2;
 }
