An endpoint's 408, 429 or 503 after a run no longer reaches the caller

What callers saw: an endpoint that failed a non-idempotent request after it had begun to run it answered 503 (or 429, 408) without its word that it did not run.

Cause: out_evaluate passed on each complete answer of an endpoint. The statuses that callers take for a promise were known only where a VM writes a refusal of its own, so nothing compared an endpoint's status with them.

Evidence: the finish line of such a request has outcome=failed (408 and 429: answered) reason=endpoint_error attempts=1, and the answer bears the endpoint's seal, so neither did the VM refuse by itself nor did it send the request twice. Without X-Not-Executed the relay rightly held it for a run.

Change: out_status_means_not_run has the four statuses for both interfaces. A complete answer with one of them is a failure of the endpoint: tried again if the request may be repeated, and else replied to with 502. The same cause on other paths: a forwarding VM took each status without a seal but 502 and 504 for "not run"; the product's own interface passed such answers on, also from a claim's record, and used the status of a reason such as endpoint_refused (503) for a request of which an earlier attempt had run.

Why it works: there is one function between the end of an attempt and the answer to the caller, and /outcome/no-false-refusal walks through all of its inputs with these statuses.

--- a/decide.h
+++ b/decide.h
@@ -80,6 +80,10 @@
 /* Name of an outcome, as in the Camphorquay-Outcome header. */
 const char *out_name (enum outcome outcome);
 
+/* Whether an answer with this HTTP status tells the caller that the request
+   did not run and never will, so that it may send the request again. */
+bool out_status_means_not_run (int status);
+
 const char *out_send_name (enum send_state sent);
 const char *out_next_name (enum out_next next);
 
--- a/jobclaim.c
+++ b/jobclaim.c
@@ -308,6 +308,11 @@
   if (j->outcome == OUT_ANSWERED)
     j->reason = "replayed";
   j->status = (int)json_integer_value (json_object_get (row, "status"));
+  if (j->outcome == OUT_ANSWERED && out_status_means_not_run (j->status))
+    {
+      j->outcome = OUT_FAILED;
+      j->reason = "endpoint_error";
+    }
   g_strlcpy (j->answer_type, text_field (row, "type"), sizeof j->answer_type);
   if (j->answer == NULL)
     j->answer = g_string_new (NULL);
--- a/jobreply.c
+++ b/jobreply.c
@@ -51,7 +51,7 @@
   if (outcome == OUT_ANSWERED)
     return true;
   return outcome == OUT_FAILED && j->answer_whole && j->status >= 500
-         && j->stop_reason == NULL;
+         && !out_status_means_not_run (j->status) && j->stop_reason == NULL;
 }
 
 static void
@@ -74,6 +74,9 @@
   g_autofree char *text = error_json (outcome, reason);
   struct reply reply = { .status = refusal_find (reason)->status };
 
+  /* The reason is that of the last attempt; an earlier one may have run. */
+  if (outcome != OUT_NOT_RUN && out_status_means_not_run (reply.status))
+    reply.status = 502;
   reply.content_type = "application/json";
   reply.body = text;
   reply.len = strlen (text);
--- a/out.c
+++ b/out.c
@@ -35,6 +35,12 @@
   return names[next];
 }
 
+bool
+out_status_means_not_run (int status)
+{
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 /*
  * A request may be given up between two attempts, in a queue or at a limit.
  * Its outcome is not-run only if no earlier attempt can have run.
@@ -104,17 +110,25 @@
  * Once the caller has part of a stream, only the rest of that stream completes
  * its reply.  Any other answer, such as an error of the endpoint that was to
  * resume the stream, leaves it broken.
+ *
+ * An endpoint that ran the request may fail with a status by which callers
+ * recognize a request that did not run.  Passed on, it would make them send a
+ * non-idempotent request again.
  */
 static struct out_verdict
 after_reply (const struct out_facts *f)
 {
+  bool means_not_run = out_status_means_not_run (f->status);
+
   if (f->caller_has_bytes && !f->ends_stream)
     return after_break (f);
-  if (f->status < 500)
+  if (f->status < 500 && !means_not_run)
     return finish_with_answer (OUT_ANSWERED, "answered");
   if (f->idempotent && f->attempts_left && !f->deadline_passed
       && !f->caller_has_bytes)
     return continue_with (NEXT_RETRY, "endpoint_error");
+  if (means_not_run)
+    return finish (OUT_FAILED, "endpoint_error");
   return finish_with_answer (OUT_FAILED, "endpoint_error");
 }
 
--- a/regress/test-units.c
+++ b/regress/test-units.c
@@ -108,6 +108,36 @@
   g_assert_cmpint (not_run, >, 0);
 }
 
+/* Guards against an endpoint's answer that makes the caller send a request
+   again which that endpoint has run. */
+static void
+test_no_false_refusal (void)
+{
+  static const int statuses[] = { 408, 421, 429, 503 };
+  struct out_facts f;
+  struct out_verdict v;
+  size_t i;
+  int bits;
+
+  for (i = 0; i < G_N_ELEMENTS (statuses); i++)
+    for (bits = 0; bits < 64; bits++)
+      {
+        f = (struct out_facts){ .sent = SEND_COMPLETE };
+        f.status = statuses[i];
+        f.idempotent = bits & 1;
+        f.ran_before = bits & 2;
+        f.caller_has_bytes = bits & 4;
+        f.resumable = bits & 8;
+        f.attempts_left = bits & 16;
+        f.deadline_passed = bits & 32;
+        v = out_evaluate (&f);
+        g_assert_false (v.passes_answer);
+        g_assert_true (v.next != NEXT_FINISH || v.outcome == OUT_FAILED
+                       || v.outcome == OUT_UNKNOWN);
+        g_assert_true (f.idempotent || v.next == NEXT_FINISH);
+      }
+}
+
 /* A non-idempotent call that may have run is never retried. */
 static void
 test_no_second_run (void)
@@ -812,6 +842,7 @@
 
 static const struct unit units[] = {
   { "/outcome/not-run-is-true", test_not_run_is_true },
+  { "/outcome/no-false-refusal", test_no_false_refusal },
   { "/outcome/no-second-run", test_no_second_run },
   { "/outcome/no-false-end", test_no_false_end },
   { "/outcome/no-doubled-stream", test_no_stream_restart },
--- a/relayforward.c
+++ b/relayforward.c
@@ -39,12 +39,14 @@
   return true;
 }
 
-/* The other VM's own answers bear no seal.  All but two of its statuses say
-   that the request did not run. */
+/* The other VM's own answers bear no seal.  It refuses a request that did not
+   run with a status of the caller's error, or with one that means so. */
 static bool
 says_not_run (const struct relay_head *head)
 {
-  return !head->genuine && head->status != 502 && head->status != 504;
+  return !head->genuine
+         && ((head->status >= 400 && head->status < 500)
+             || out_status_means_not_run (head->status));
 }
 
 bool
