A reply whose head does not fit its connection's memory is written past the library

Short requests were lost too where the head of the answer was long: 24,000 bytes beside a request of 200, 3,000 beside one of 100 lines.

Cause: libmicrohttpd keeps the head of a request and builds that of the reply in one block of each connection, 20,480 bytes, and closes the connection if the reply does not fit. Heads of up to 65,536 bytes are taken from endpoints, and nothing compared the two.

Evidence: the VM's log said outcome=answered for each of the lost answers.

Change: before a reply goes to the library, its head is compared with the bytes that are left at least: without the request's buffer, which may hold the next request too, its headers, arguments, cookies and trailers. One that may not fit is written to the socket by longreply.c while the library's connection is suspended, and the connection is closed after it. The memory of a connection stays as it was; 65,536 bytes more on each of 3,000 would take 258 MB in place of 61.

Why it works: each reply either fits by the estimate, which is on the safe side, or does not need the block at all. All listeners use it: callers, other VMs (forwarded requests), the product's own interface, whose requests of 10,800 bytes were lost before, and the load balancer's port.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 WIRE = prompt.o strm.o
 SETTINGS = cfg.o cfgval.o settings_gen.o
 SERVER = log.o met.o loop.o xfer.o fetch.o endpointclient.o tableclient.o objectclient.o auth.o refusal.o \
-	httpserver.o reply.o api.o job.o joblog.o jobsched.o attempt.o jobclaim.o jobreply.o claims.o \
+	httpserver.o longreply.o reply.o api.o job.o joblog.o jobsched.o attempt.o jobclaim.o jobreply.o claims.o \
 	history.o poll.o storeclient.o kvcache.o kvexport.o applycfg.o conf.o confpost.o member.o \
 	peerrpc.o peerbody.o peerseal.o peer_xdr.o adm.o mirrorhttp.o entry.o state.o listen.o srv.o
 # Requests that are passed on: beliefs of the fleet, and each request's life.
--- a/httpserver.c
+++ b/httpserver.c
@@ -28,6 +28,12 @@
   MHD_resume_connection (r->conn);
 }
 
+static bool
+has_reply (const struct req *r)
+{
+  return r->response != NULL || r->long_reply != NULL;
+}
+
 /* Add "Name: value" lines to the reply.  LINES ends with NULL, and may be
    NULL. */
 static void
@@ -58,61 +64,7 @@
     MHD_add_response_header (r->response, "Connection", "close");
 }
 
-/* Reply with a complete body, which is copied. */
-void
-req_respond (struct req *r, int status, const char *const *lines,
-             const char *body, size_t len)
-{
-  r->response = MHD_create_response_from_buffer (len, (void *)body,
-                                                 MHD_RESPMEM_MUST_COPY);
-  r->status = status;
-  add_lines (r->response, lines);
-  close_when_stopping (r);
-  resume (r);
-}
-
-/* A reply of two parts. */
-struct parts_reply
-{
-  struct MHD_IoVec parts[2]; /* what is sent */
-  GByteArray *head;          /* memory of the first part */
-  void (*sent) (void *arg);  /* called once nothing is used any more */
-  void *arg;                 /* passed to sent */
-};
-
-static void
-free_parts (void *cls)
-{
-  struct parts_reply *p = cls;
-
-  p->sent (p->arg);
-  g_byte_array_unref (p->head);
-  g_free (p);
-}
-
-void
-req_respond_parts (struct req *r, int status, const GByteArray *head,
-                   GBytes *rows, void (*sent) (void *arg), void *arg)
-{
-  struct parts_reply *p = g_new0 (struct parts_reply, 1);
-  gsize len;
-
-  p->head = g_byte_array_sized_new (head->len);
-  g_byte_array_append (p->head, head->data, head->len);
-  p->sent = sent;
-  p->arg = arg;
-  p->parts[0].iov_base = p->head->data;
-  p->parts[0].iov_len = p->head->len;
-  p->parts[1].iov_base = g_bytes_get_data (rows, &len);
-  p->parts[1].iov_len = len;
-  r->response = MHD_create_response_from_iovec (p->parts, len > 0 ? 2 : 1,
-                                                free_parts, p);
-  r->status = status;
-  close_when_stopping (r);
-  resume (r);
-}
-
-/* --- streams --------------------------------------------------------- */
+/* --- reading streams --------------------------------------------------- */
 
 size_t
 req_stream_pending (const struct req *r)
@@ -163,13 +115,12 @@
                r->id, errno);
 }
 
+/* The next bytes of the stream; or LONGREPLY_NOTHING and so on. */
 static ssize_t
-read_stream (void *arg, uint64_t pos, char *to, size_t max)
+take_stream (struct req *r, char *to, size_t max)
 {
-  struct req *r = arg;
   ssize_t n;
 
-  (void)pos;
   if (req_stream_pending (r) > 0)
     {
       n = read_pending (r, to, max);
@@ -183,22 +134,227 @@
       met_add (MET_STREAMS_BROKEN, r->is_disconnected ? 0 : 1);
       if (!r->out_chunked)
         reset_connection (r);
-      return MHD_CONTENT_READER_END_WITH_ERROR;
+      return LONGREPLY_BROKEN;
     }
   if (r->out_ended)
     {
       met_add (MET_STREAMS_ENDED, 1);
-      return MHD_CONTENT_READER_END_OF_STREAM;
+      return LONGREPLY_ENDED;
     }
-  r->suspended = true;
-  MHD_suspend_connection (r->conn);
-  return 0;
+  return LONGREPLY_NOTHING;
+}
+
+static ssize_t
+read_stream (void *arg, uint64_t pos, char *to, size_t max)
+{
+  struct req *r = arg;
+  ssize_t n = take_stream (r, to, max);
+
+  (void)pos;
+  if (n == LONGREPLY_BROKEN)
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+  if (n == LONGREPLY_ENDED)
+    return MHD_CONTENT_READER_END_OF_STREAM;
+  if (n == LONGREPLY_NOTHING)
+    {
+      r->suspended = true;
+      MHD_suspend_connection (r->conn);
+    }
+  return n;
+}
+
+/* --- replies that may not fit their connection's memory -------------- */
+
+/* What libmicrohttpd takes of a connection's memory for each header, cookie
+   and argument of the query beside its text, and for other structures. */
+#define VALUE_BYTES 64
+#define OTHER_BYTES 256
+/* Its buffer for the request starts as this fraction (1/2) of the memory, and
+   grows in steps of at most that one (1/8) when it is nearly full. */
+#define BUFFER_DIVISOR 2
+#define STEP_DIVISOR 8
+
+static enum MHD_Result
+add_length (void *arg, enum MHD_ValueKind kind, const char *name,
+            const char *value)
+{
+  size_t *len = arg;
+
+  (void)kind;
+  *len += strlen (name) + (value != NULL ? strlen (value) : 0);
+  return MHD_YES;
+}
+
+/* Bytes that the buffer for the request takes.  Behind the request, it may
+   hold the next one. */
+static size_t
+request_buffer_size (const struct req *r)
+{
+  const union MHD_ConnectionInfo *head = MHD_get_connection_info (
+      r->conn, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+  size_t memory = r->listener->connection_memory;
+  size_t step = memory / STEP_DIVISOR;
+  size_t used = head != NULL ? head->header_size : memory;
+
+  MHD_get_connection_values (r->conn, MHD_FOOTER_KIND, add_length, &used);
+  if (used + step / 2 <= memory / BUFFER_DIVISOR)
+    return memory / BUFFER_DIVISOR;
+  return used + step;
+}
+
+/* Bytes of the connection's memory that are left for the head of the reply, at
+   least. */
+static size_t
+reply_room (const struct req *r)
+{
+  size_t memory = r->listener->connection_memory;
+  size_t used = request_buffer_size (r) + OTHER_BYTES;
+  int values = MHD_get_connection_values (r->conn,
+                                          MHD_HEADER_KIND | MHD_COOKIE_KIND
+                                              | MHD_GET_ARGUMENT_KIND
+                                              | MHD_FOOTER_KIND,
+                                          NULL, NULL);
+
+  /* Cookies are read from a copy of their header. */
+  MHD_get_connection_values (r->conn, MHD_COOKIE_KIND, add_length, &used);
+  used += (size_t)MAX (values, 0) * VALUE_BYTES;
+  return used < memory ? memory - used : 0;
+}
+
+static ssize_t
+read_long_stream (void *arg, char *to, size_t max)
+{
+  return take_stream (arg, to, max);
+}
+
+/* The connection is closed when the daemon next asks for the reply. */
+static void
+on_long_reply_done (void *arg)
+{
+  struct req *r = arg;
+
+  r->is_disconnected = true;
+  resume (r);
+}
+
+static bool
+has_no_body (const struct req *r, int status)
+{
+  return r->is_head || status == MHD_HTTP_NO_CONTENT
+         || status == MHD_HTTP_NOT_MODIFIED;
+}
+
+/* Write the reply without the daemon if the daemon may not be able to. */
+static bool
+start_long_reply (struct req *r, struct longreply_opts *o)
+{
+  const union MHD_ConnectionInfo *info
+      = MHD_get_connection_info (r->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+  size_t size = longreply_head_size (o->lines);
+  size_t room = reply_room (r);
+
+  if (size <= room || info == NULL)
+    return false;
+  log_event (LOG_LEVEL_INFO, "long_reply",
+             "req=%s status=%d head=%zu room=%zu", r->id, o->status, size,
+             room);
+  met_add (MET_LONG_REPLIES, 1);
+  if (has_no_body (r, o->status))
+    o->framing = LONGREPLY_NO_BODY;
+  o->loop = r->worker->loop;
+  o->fd = info->connect_fd;
+  o->idle_us = r->idle_us;
+  o->date_s = g_get_real_time () / CQ_US_PER_S;
+  o->read = read_long_stream;
+  o->done = on_long_reply_done;
+  o->arg = r;
+  r->long_reply = longreply_new (o, &r->listener->long_replies);
+  return true;
+}
+
+/* --- replies by the daemon ------------------------------------------- */
+
+/* Reply with a complete body, which is copied. */
+void
+req_respond (struct req *r, int status, const char *const *lines,
+             const char *body, size_t len)
+{
+  struct longreply_opts o = { .status = status, .lines = lines };
+
+  o.framing = LONGREPLY_WHOLE;
+  o.body = body;
+  o.len = len;
+  if (start_long_reply (r, &o))
+    return;
+  r->response = MHD_create_response_from_buffer (len, (void *)body,
+                                                 MHD_RESPMEM_MUST_COPY);
+  r->status = status;
+  add_lines (r->response, lines);
+  close_when_stopping (r);
+  resume (r);
+}
+
+/* A reply of two parts. */
+struct parts_reply
+{
+  struct MHD_IoVec parts[2]; /* what is sent */
+  GByteArray *head;          /* memory of the first part */
+  void (*sent) (void *arg);  /* called once nothing is used any more */
+  void *arg;                 /* passed to sent */
+};
+
+static void
+free_parts (void *cls)
+{
+  struct parts_reply *p = cls;
+
+  p->sent (p->arg);
+  g_byte_array_unref (p->head);
+  g_free (p);
+}
+
+void
+req_respond_parts (struct req *r, int status, const GByteArray *head,
+                   GBytes *rows, void (*sent) (void *arg), void *arg)
+{
+  struct parts_reply *p = g_new0 (struct parts_reply, 1);
+  gsize len;
+
+  p->head = g_byte_array_sized_new (head->len);
+  g_byte_array_append (p->head, head->data, head->len);
+  p->sent = sent;
+  p->arg = arg;
+  p->parts[0].iov_base = p->head->data;
+  p->parts[0].iov_len = p->head->len;
+  p->parts[1].iov_base = g_bytes_get_data (rows, &len);
+  p->parts[1].iov_len = len;
+  r->response = MHD_create_response_from_iovec (p->parts, len > 0 ? 2 : 1,
+                                                free_parts, p);
+  r->status = status;
+  close_when_stopping (r);
+  resume (r);
+}
+
+/* --- streams --------------------------------------------------------- */
+
+static void
+continue_stream (struct req *r)
+{
+  if (r->long_reply != NULL)
+    longreply_wake (r->long_reply);
+  else
+    resume (r);
 }
 
 /* Start a reply whose body is streamed with req_stream_write. */
 void
 req_stream_open (struct req *r, int status, const char *const *lines)
 {
+  struct longreply_opts o = { .status = status, .lines = lines };
+
+  o.framing = r->out_chunked ? LONGREPLY_CHUNKED : LONGREPLY_TO_CLOSE;
+  if (start_long_reply (r, &o))
+    return;
   r->response = MHD_create_response_from_callback (
       MHD_SIZE_UNKNOWN, STREAM_BLOCK, read_stream, r, NULL);
   r->status = status;
@@ -212,7 +368,7 @@
 {
   g_string_append_len (r->out, data, (gssize)len);
   met_add (MET_STREAM_BYTES, (int64_t)len);
-  resume (r);
+  continue_stream (r);
 }
 
 /* End the stream.  If COMPLETE, with the trailer NAME: VALUE unless NAME is
@@ -221,11 +377,13 @@
 req_stream_close (struct req *r, bool complete, const char *name,
                   const char *value)
 {
-  if (complete && name != NULL)
+  if (complete && name != NULL && r->long_reply != NULL)
+    longreply_set_trailer (r->long_reply, name, value);
+  else if (complete && name != NULL)
     MHD_add_response_footer (r->response, name, value);
   r->out_ended = complete;
   r->out_aborted = !complete;
-  resume (r);
+  continue_stream (r);
 }
 
 /* --- disconnected callers -------------------------------------------- */
@@ -291,6 +449,7 @@
   r->target = g_strdup (target);
   r->workspace = -1;
   r->operator_index = -1;
+  r->idle_us = l->idle_us;
   r->body = g_string_new (NULL);
   r->out = g_string_new (NULL);
   generate_id (r->id);
@@ -328,6 +487,7 @@
     r->ops->closed (r);
   if (r->response != NULL)
     MHD_destroy_response (r->response);
+  longreply_free (r->long_reply);
   free_body (r);
   met_add (MET_STREAM_BYTES, -(int64_t)req_stream_pending (r));
   g_string_free (r->out, TRUE);
@@ -351,7 +511,7 @@
   size_t n = *len;
 
   *len = 0;
-  if (r->response != NULL)
+  if (has_reply (r))
     return MHD_YES;
   if (r->body->len + n > r->body_max)
     {
@@ -379,12 +539,24 @@
   free_body (r);
 }
 
+static void
+suspend (struct req *r)
+{
+  r->suspended = true;
+  MHD_suspend_connection (r->conn);
+}
+
+/* Give the reply to the daemon, or keep the daemon from the connection until
+   the reply was written without it. */
 static enum MHD_Result
-queue_response (struct req *r)
+send_reply (struct req *r)
 {
-  enum MHD_Result done
-      = MHD_queue_response (r->conn, (unsigned)r->status, r->response);
+  enum MHD_Result done = MHD_YES;
 
+  if (r->response != NULL)
+    done = MHD_queue_response (r->conn, (unsigned)r->status, r->response);
+  else
+    suspend (r);
   r->queued = true;
   return done;
 }
@@ -466,7 +638,7 @@
   log_event (LOG_LEVEL_INFO, "refuse",
              "req=%s outcome=not-run reason=ambiguous_length", r->id);
   req_respond (r, MHD_HTTP_BAD_REQUEST, close_line, "", 0);
-  return queue_response (r);
+  return send_reply (r);
 }
 
 static enum MHD_Result
@@ -477,7 +649,7 @@
   if (!is_framing_unambiguous (r))
     return refuse_ambiguous_length (r);
   r->ops->head (r, method);
-  return r->response != NULL ? queue_response (r) : MHD_YES;
+  return has_reply (r) ? send_reply (r) : MHD_YES;
 }
 
 static enum MHD_Result
@@ -488,19 +660,20 @@
   struct req *r = *con_cls;
 
   (void)arg;
+  (void)conn;
   r->out_chunked = strcmp (version, MHD_HTTP_VERSION_1_0) != 0;
+  r->is_head = strcmp (method, MHD_HTTP_METHOD_HEAD) == 0;
+  if (r->is_disconnected)
+    return MHD_NO;
   if (!r->head_seen)
     return on_head (r, url, method);
   if (*len > 0)
     return append_body (r, data, len);
-  if (r->is_disconnected)
-    return MHD_NO;
-  if (!r->started && r->response == NULL)
+  if (!r->started && !has_reply (r))
     start_request (r);
-  if (r->response != NULL)
-    return queue_response (r);
-  r->suspended = true;
-  MHD_suspend_connection (conn);
+  if (has_reply (r))
+    return send_reply (r);
+  suspend (r);
   return MHD_YES;
 }
 
@@ -516,11 +689,17 @@
 on_completed (void *arg, struct MHD_Connection *conn, void **con_cls,
               enum MHD_RequestTerminationCode code)
 {
+  struct req *r = *con_cls;
+
   (void)arg;
   (void)conn;
-  (void)code;
-  if (*con_cls != NULL)
-    req_free (*con_cls);
+  if (r == NULL)
+    return;
+  if (code == MHD_REQUEST_TERMINATED_WITH_ERROR && r->response != NULL
+      && !r->out_aborted && !r->is_disconnected)
+    log_event (LOG_LEVEL_WARNING, "reply_unsent", "req=%s status=%d", r->id,
+               r->status);
+  req_free (r);
   *con_cls = NULL;
 }
 
@@ -539,6 +718,7 @@
 req_set_idle_timeout (struct req *r, unsigned idle_s)
 {
   MHD_set_connection_option (r->conn, MHD_CONNECTION_OPTION_TIMEOUT, idle_s);
+  r->idle_us = idle_s * CQ_US_PER_S;
 }
 
 /* A callback for each header line. */
@@ -611,6 +791,9 @@
   l->ops = o->ops;
   l->owner = o->owner;
   l->close_from = o->close_from;
+  l->connection_memory = o->connection_memory;
+  l->idle_us = o->idle_timeout_s * CQ_US_PER_S;
+  longreply_ring_init (&l->long_replies);
   l->daemon = MHD_start_daemon (
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_request, l,
       MHD_OPTION_LISTEN_SOCKET, dup (listen_fd), MHD_OPTION_NOTIFY_COMPLETED,
@@ -654,6 +837,7 @@
 {
   if (l == NULL)
     return;
+  longreply_end_all (&l->long_replies);
   loop_remove_hook (&l->hook);
   loop_remove_fd (l->worker->loop, l->fd);
   MHD_stop_daemon (l->daemon);
--- a/libserver.h
+++ b/libserver.h
@@ -14,6 +14,7 @@
 #include "adapter.h"
 #include "decide.h"
 #include "log.h"
+#include "longreply.h"
 #include "loop.h"
 #include "met.h"
 #include "server.h"
@@ -204,8 +205,11 @@
   int close_from; /* enum phase from which replies close the connection */
   struct MHD_Daemon *daemon; /* HTTP server */
   struct loop_fd *fd;        /* epoll descriptor of the daemon */
-  struct loop_hook hook; /* runs the daemon in each iteration of the loop */
-  bool quiesced;         /* accepts no more connections */
+  struct loop_hook hook;    /* runs the daemon in each iteration of the loop */
+  bool quiesced;            /* accepts no more connections */
+  size_t connection_memory; /* bytes per connection */
+  int64_t idle_us;          /* idle timeout, unless a request sets its own */
+  struct longreply_ring long_replies; /* being written without the daemon */
 };
 
 /* Why a body was rejected. */
@@ -259,6 +263,10 @@
   int64_t arrived_us;            /* when the body was complete */
   struct MHD_Response *response; /* reply to queue */
   int status;                    /* its HTTP status */
+  struct longreply *long_reply;  /* the reply, if it is written without the
+                                    daemon */
+  int64_t idle_us;               /* idle timeout of the connection */
+  bool is_head;                  /* the method is HEAD */
   bool queued;                   /* the reply was queued */
   GString *out;                  /* stream bytes to write */
   size_t out_used;               /* bytes of out already written */
--- a/regress/fakesrv.c
+++ b/regress/fakesrv.c
@@ -34,6 +34,7 @@
  *   check_fences orders with a lower fencing token than an earlier one are
  *                refused
  *   leaving      all its answers to requests say that it leaves
+ *   head_bytes   bytes added to the heads of its answers to requests
  *   limit        the limit that all answers to requests name, as text
  *   slots        requests that run at once, 0 for any number; others wait
  *   queue        requests that may wait; one more is refused
@@ -208,12 +209,29 @@
   return g_string_free (s, FALSE);
 }
 
+/* Lines that make a head longer by as many bytes as a control says. */
+static char *
+padding (void)
+{
+  GString *s = g_string_new (NULL);
+  gsize left = (gsize)fk_number ("head_bytes", 0);
+  gsize n;
+
+  for (; left > 0; left -= MIN (left, n))
+    {
+      n = MIN (left, 128);
+      g_string_append_printf (s, "X-Pad: %0*d\r\n", (int)MAX (n, 10) - 9, 0);
+    }
+  return g_string_free (s, FALSE);
+}
+
 /* Headers that a server puts on its answers. */
 static char *
 marks (const struct in *in)
 {
   g_autofree char *id = header (in, "X-Attempt-Id");
   g_autofree char *n = notices ();
+  g_autofree char *pad = padding ();
   bool other = fk_take ("other_id");
   bool bare = fk_take ("no_seal");
   int64_t v;
@@ -225,11 +243,11 @@
   now_waiting = waiting;
   g_mutex_unlock (&lock);
   return g_strdup_printf ("X-Attempt-Id: %s\r\nX-Server-Load: %d,%d,%d\r\n"
-                          "X-Weight-Versions: %" G_GINT64_FORMAT "\r\n%s%s",
+                          "X-Weight-Versions: %" G_GINT64_FORMAT "\r\n%s%s%s",
                           other ? "another" : (id != NULL ? id : ""),
                           now_running, now_waiting, slots > 0 ? slots : 8,
                           (gint64)v, bare ? "" : "X-Server-Seal: 3e1b.07\r\n",
-                          n);
+                          n, pad);
 }
 
 static void
