Access to tables of the platform's store has a header of its own

Cause: quarfeed.h defined how rows are read and written, and the adapter knew one table. Other modules are to keep rows there too.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 # The users' platform; translates only.
 PLATFORM = platform/replyhead.o platform/reqhead.o platform/decode.o platform/orders.o \
 	platform/engine.o platform/ingress.o platform/json.o platform/kvstore.o platform/notice.o \
-	platform/jsonread.o platform/platform.o platform/quarrows.o platform/roster.o platform/rows.o \
+	platform/jsonread.o platform/platform.o platform/rowstore.o platform/roster.o platform/rows.o \
 	platform/store.o
 COMMANDS = main.o ctl.o ctlcall.o ctlconf.o
 
@@ -139,7 +139,7 @@
 FUZZED = prompt.c strm.c peer_xdr.c platform/replyhead.c platform/reqhead.c \
 	platform/decode.c platform/json.c platform/kvstore.c platform/notice.c platform/jsonread.c \
 	platform/rows.c platform/roster.c \
-	platform/quarrows.c followraw.c mirrorwire.c quar.c reqid.c sealbox.c quarwire.c originwire.c pathwire.c loadgossipwire.c fleet.c fleetbrittle.c pace.c limit.c brittle.c cold.c health.c sse.c lease.c fetch.c xfer.c stall.c loop.c
+	platform/rowstore.c followraw.c mirrorwire.c quar.c reqid.c sealbox.c quarwire.c originwire.c pathwire.c loadgossipwire.c fleet.c fleetbrittle.c pace.c limit.c brittle.c cold.c health.c sse.c lease.c fetch.c xfer.c stall.c loop.c
 regress/fuzz-input: regress/fuzz-input.c $(FUZZED) wire.h
 	clang -std=gnu11 -D_GNU_SOURCE -g -O1 $(LIB_CFLAGS) -I. \
 		-fsanitize=fuzzer,address,undefined -o $@ \
--- a/entry.c
+++ b/entry.c
@@ -458,7 +458,7 @@
 {
   struct quarfeed_opts o = { .loop = e->worker->loop, .quar = e->quar };
 
-  entry_adapter.quar_ops (e->store, &o.ops);
+  entry_adapter.rowstore_ops (e->store, ROWSTORE_CRASHES, &o.ops);
   o.vm = cfg_vm (e->settings)->name;
   o.clock_ms = platform_ms;
   o.send = send_evidence;
--- a/entry.h
+++ b/entry.h
@@ -37,7 +37,8 @@
   void (*follow_ops) (void *store, struct follow_ops *ops);
   void (*orders_ops) (void *store, struct orders_ops *ops);
   void (*roster_ops) (void *store, struct roster_ops *ops);
-  void (*quar_ops) (void *store, struct quar_ops *ops);
+  void (*rowstore_ops) (void *store, enum rowstore_table table,
+                        struct rowstore_ops *ops);
   void (*partfeed_ops) (struct partfeed_ops *ops, struct xfer_pool *pool);
   void (*engine_ops) (struct relay_engine *ops, struct xfer_pool *pool);
   /* Open the listener for callers; returns NULL on failure. */
--- a/quarfeed.c
+++ b/quarfeed.c
@@ -173,19 +173,19 @@
 }
 
 static void
-on_written (void *arg, const struct quar_rows_reply *rows)
+on_written (void *arg, const struct rowstore_reply *rows)
 {
   struct quarfeed *f = arg;
   int64_t now = loop_now_us ();
 
   f->writing = false;
-  f->is_dirty |= rows->status != QUAR_ROWS_OK;
+  f->is_dirty |= rows->status != ROWSTORE_OK;
   log_event (LOG_LEVEL_INFO, "evidence",
              "source=table outcome=%s facts=%u took_us=%" G_GINT64_FORMAT,
-             rows->status == QUAR_ROWS_OK ? "written" : "not_written",
+             rows->status == ROWSTORE_OK ? "written" : "not_written",
              f->written_facts, (gint64)(now - f->wrote_us));
   if (f->is_dirty)
-    schedule_write (f, rows->status == QUAR_ROWS_OK
+    schedule_write (f, rows->status == ROWSTORE_OK
                            ? f->wrote_us + WRITE_INTERVAL_US
                            : now + add_jitter (f, WRITE_INTERVAL_US));
 }
@@ -211,7 +211,7 @@
   f->writing = true;
   f->wrote_us = now_us;
   f->written_facts = facts->len;
-  f->opts.ops.write (f->opts.ops.ctx, f->row, value, QUAR_ANY_VERSION,
+  f->opts.ops.write (f->opts.ops.ctx, f->row, value, ROWSTORE_ANY_VERSION,
                      on_written, f);
 }
 
@@ -238,7 +238,7 @@
 /* --- the key --------------------------------------------------------- */
 
 static void
-apply_key (struct quarfeed *f, const struct quar_row *row)
+apply_key (struct quarfeed *f, const struct rowstore_row *row)
 {
   if (row->value == NULL || row->value->len != sizeof f->key)
     return;
@@ -248,7 +248,7 @@
 }
 
 static void
-on_key_written (void *arg, const struct quar_rows_reply *rows)
+on_key_written (void *arg, const struct rowstore_reply *rows)
 {
   struct quarfeed *f = arg;
   guint i;
@@ -256,11 +256,12 @@
   f->writing_key = false;
   /* The first VM to write the row determines the key.  If the call got no
      reply, the next poll returns the row. */
-  for (i = 0; rows->status == QUAR_ROWS_CONFLICT && i < rows->rows->len; i++)
-    if (strcmp (g_array_index (rows->rows, struct quar_row, i).key, KEY_ROW)
+  for (i = 0; rows->status == ROWSTORE_CONFLICT && i < rows->rows->len; i++)
+    if (strcmp (g_array_index (rows->rows, struct rowstore_row, i).key,
+                KEY_ROW)
         == 0)
-      apply_key (f, &g_array_index (rows->rows, struct quar_row, i));
-  if (rows->status == QUAR_ROWS_OK)
+      apply_key (f, &g_array_index (rows->rows, struct rowstore_row, i));
+  if (rows->status == ROWSTORE_OK)
     f->has_key = f->is_key_stored = true;
 }
 
@@ -283,7 +284,7 @@
 /* --- rows ------------------------------------------------------------ */
 
 static void
-on_row_removed (void *arg, const struct quar_rows_reply *rows)
+on_row_removed (void *arg, const struct rowstore_reply *rows)
 {
   struct quarfeed *f = arg;
 
@@ -297,7 +298,7 @@
    nothing else removes such rows.  Only a VM that reads all rows, as at its
    start, does so, one row at a time. */
 static void
-remove_row (struct quarfeed *f, const struct quar_row *row)
+remove_row (struct quarfeed *f, const struct rowstore_row *row)
 {
   if (!f->is_full_read || f->writing || strcmp (row->key, f->row) == 0)
     return;
@@ -307,7 +308,7 @@
 }
 
 static void
-apply_row (struct quarfeed *f, const struct quar_row *row, int64_t now_us)
+apply_row (struct quarfeed *f, const struct rowstore_row *row, int64_t now_us)
 {
   g_autoptr (GArray) facts
       = g_array_new (FALSE, FALSE, sizeof (struct quar_fact));
@@ -339,7 +340,7 @@
 static void start_poll (struct quarfeed *f, int64_t now_us);
 
 static void
-on_rows (void *arg, const struct quar_rows_reply *rows)
+on_rows (void *arg, const struct rowstore_reply *rows)
 {
   struct quarfeed *f = arg;
   int64_t now = loop_now_us ();
@@ -349,12 +350,12 @@
   if (f->stopped)
     return;
   /* This VM's own row may have been lost with the history. */
-  if (rows->status == QUAR_ROWS_HISTORY_LOST)
+  if (rows->status == ROWSTORE_HISTORY_LOST)
     {
       f->needs_full_read = true;
       f->is_dirty = true;
     }
-  if (rows->status != QUAR_ROWS_OK)
+  if (rows->status != ROWSTORE_OK)
     {
       f->needs_full_read |= !f->is_key_stored;
       loop_arm (f->opts.loop, &f->poll_timer,
@@ -364,7 +365,7 @@
     }
   f->backoff_us = BACKOFF_FIRST_US;
   for (i = 0; i < rows->rows->len; i++)
-    apply_row (f, &g_array_index (rows->rows, struct quar_row, i), now);
+    apply_row (f, &g_array_index (rows->rows, struct rowstore_row, i), now);
   f->version = MAX (rows->version, 1);
   /* Without the platform's clock, expired rows could not be recognized. */
   f->needs_full_read
@@ -394,7 +395,7 @@
 static void
 start_poll (struct quarfeed *f, int64_t now_us)
 {
-  const struct quar_ops *o = &f->opts.ops;
+  const struct rowstore_ops *o = &f->opts.ops;
 
   if (f->polling || f->stopped)
     return;
--- a/quarfeed.h
+++ b/quarfeed.h
@@ -12,60 +12,14 @@
 
 #include "loop.h"
 #include "quarwire.h"
-
-/* A row of the table. */
-struct quar_row
-{
-  char *key;         /* name of the row */
-  int64_t version;   /* version of its last change */
-  GByteArray *value; /* NULL if the row was removed */
-};
-
-/* Result of a call to the table. */
-enum quar_rows_status
-{
-  QUAR_ROWS_OK,
-  QUAR_ROWS_HISTORY_LOST, /* the table no longer has the changes since
-                                that version; read all rows */
-  QUAR_ROWS_CONFLICT,     /* a row does not have the expected version */
-  QUAR_ROWS_FAILED        /* refused, or no reply */
-};
-
-/* Reply of the table; valid during the callback only. */
-struct quar_rows_reply
-{
-  enum quar_rows_status status; /* result of the call */
-  int64_t version;              /* version after which to ask for changes */
-  GArray *rows; /* struct quar_row: rows read, changed or in conflict */
-};
-
-typedef void (*quar_rows_done) (void *arg, const struct quar_rows_reply *rows);
-
-/* Passed as EXPECTED, writes a row whatever its version. */
-#define QUAR_ANY_VERSION INT64_C (-1)
-
-/* Access to the table, implemented by an adapter.  Each call invokes DONE
-   exactly once. */
-struct quar_ops
-{
-  /* Read all rows. */
-  void (*read) (void *ctx, quar_rows_done done, void *arg);
-  /* Read changes after VERSION; waits for one for up to WAIT_US. */
-  void (*changes) (void *ctx, int64_t version, int64_t wait_us,
-                   quar_rows_done done, void *arg);
-  /* Write VALUE, or remove the row if VALUE is NULL, provided that its version
-     is EXPECTED; 0 if the row must not exist. */
-  void (*write) (void *ctx, const char *key, const GByteArray *value,
-                 int64_t expected, quar_rows_done done, void *arg);
-  void *ctx; /* passed to each call */
-};
+#include "rowstore.h"
 
 struct quarfeed_opts
 {
-  struct loop *loop;   /* loop of the thread that runs it */
-  struct quar *quar;   /* evidence to share */
-  struct quar_ops ops; /* access to the table */
-  const char *vm;      /* this VM's name */
+  struct loop *loop;       /* loop of the thread that runs it */
+  struct quar *quar;       /* evidence to share */
+  struct rowstore_ops ops; /* access to the table */
+  const char *vm;          /* this VM's name */
   /* The platform's clock in ms, 0 while it is not known. */
   int64_t (*clock_ms) (void *arg, int64_t now_us);
   /* Send a datagram to other VMs; NULL without datagrams. */
--- a/regress/fuzz-input.c
+++ b/regress/fuzz-input.c
@@ -431,8 +431,8 @@
   static const uint8_t key[QUARWIRE_KEY_BYTES] = { 1 };
   g_autoptr (GArray) facts
       = g_array_new (FALSE, FALSE, sizeof (struct quar_fact));
-  struct quar_rows_reply rows
-      = { .rows = g_array_new (FALSE, TRUE, sizeof (struct quar_row)) };
+  struct rowstore_reply rows
+      = { .rows = g_array_new (FALSE, TRUE, sizeof (struct rowstore_row)) };
   struct quar *q = quar_new (60000);
   bool more;
   guint i;
@@ -449,10 +449,10 @@
     }
   for (i = 0; i < facts->len; i++)
     quar_evaluate (q, &g_array_index (facts, struct quar_fact, i).id, 3, 1000);
-  pdecode_quar_rows (data, size, &rows, &more);
+  pdecode_rowstore (data, size, &rows, &more);
   for (i = 0; i < rows.rows->len; i++)
     {
-      struct quar_row *r = &g_array_index (rows.rows, struct quar_row, i);
+      struct rowstore_row *r = &g_array_index (rows.rows, struct rowstore_row, i);
 
       g_free (r->key);
       if (r->value != NULL)
--- a/regress/test-quar.c
+++ b/regress/test-quar.c
@@ -400,16 +400,16 @@
 /* A fake table of evidence. */
 struct fake_table
 {
-  quar_rows_done done; /* callback of the read under way */
-  void *arg;           /* passed to it */
-  int reads;           /* reads so far */
-  char *removed;       /* name of the row that was removed, or NULL */
-  struct loop *loop;   /* stopped by the next read */
-  int64_t clock_ms;    /* platform's clock, 0 while it is not known */
+  rowstore_done done; /* callback of the read under way */
+  void *arg;          /* passed to it */
+  int reads;          /* reads so far */
+  char *removed;      /* name of the row that was removed, or NULL */
+  struct loop *loop;  /* stopped by the next read */
+  int64_t clock_ms;   /* platform's clock, 0 while it is not known */
 };
 
 static void
-table_read (void *ctx, quar_rows_done done, void *arg)
+table_read (void *ctx, rowstore_done done, void *arg)
 {
   struct fake_table *t = ctx;
 
@@ -420,8 +420,8 @@
 }
 
 static void
-table_changes (void *ctx, int64_t version, int64_t wait_us,
-               quar_rows_done done, void *arg)
+table_changes (void *ctx, int64_t version, int64_t wait_us, rowstore_done done,
+               void *arg)
 {
   struct fake_table *t = ctx;
 
@@ -434,7 +434,7 @@
 
 static void
 table_write (void *ctx, const char *key, const GByteArray *value,
-             int64_t expected, quar_rows_done done, void *arg)
+             int64_t expected, rowstore_done done, void *arg)
 {
   struct fake_table *t = ctx;
 
@@ -459,11 +459,11 @@
 static void
 complete_read (struct fake_table *t)
 {
-  struct quar_rows_reply rows = { .status = QUAR_ROWS_OK, .version = 9 };
+  struct rowstore_reply rows = { .status = ROWSTORE_OK, .version = 9 };
   g_autoptr (GArray) facts
       = g_array_new (FALSE, FALSE, sizeof (struct quar_fact));
   struct quar_fact f = { .id = request_id (1) };
-  struct quar_row row = { .key = (char *)"vm/gone", .version = 7 };
+  struct rowstore_row row = { .key = (char *)"vm/gone", .version = 7 };
 
   f.crash = (struct quar_crash){ 5, 1000, 100 };
   g_array_append_val (facts, f);
@@ -490,7 +490,7 @@
   struct quarfeed *f;
 
   o.quar = q;
-  o.ops = (struct quar_ops){ table_read, table_changes, table_write, &t };
+  o.ops = (struct rowstore_ops){ table_read, table_changes, table_write, &t };
   o.clock_ms = table_clock;
   o.arg = &t;
   f = quarfeed_new (&o);
