A control character in a request's head closes its connection

Cause: the check that closes the connection of a head with uncertain framing looked at the names of headers, not at their values nor at the request line. Values were checked later, by code that keeps the connection.

Evidence: no event=refuse reason=ambiguous_length for such a request, and event=send for the one in its body.

Change: a control character but a tab in a value, any in the path, or a method that is no token make the framing uncertain.

Why it works: nothing is read from the connection after the 400, so however a reader splits the line, no byte behind it is a request.

Shown: regress/smuggled with ten more forms: on the code before, 4 bodies ran, 4 requests ran whose path or method held such bytes, and the product's own interface answered the request in the body.

--- a/httpserver.c
+++ b/httpserver.c
@@ -573,6 +573,19 @@
   bool malformed;   /* a line whose name is none, or may hide one of these */
 };
 
+/* A reader may take a carriage return or a NUL for the end of a line, and what
+   follows for a header. */
+static bool
+has_control (const char *text, size_t len)
+{
+  size_t i;
+
+  for (i = 0; i < len; i++)
+    if (g_ascii_iscntrl (text[i]) && text[i] != '\t')
+      return true;
+  return false;
+}
+
 static bool
 is_token (const char *name)
 {
@@ -597,12 +610,14 @@
 
 static enum MHD_Result
 count_framing_headers (void *arg, enum MHD_ValueKind kind, const char *name,
-                       const char *value)
+                       size_t name_len, const char *value, size_t value_len)
 {
   struct framing *f = arg;
 
   (void)kind;
-  f->malformed |= !is_token (name) || is_continued (name, LENGTH_HEADER)
+  f->malformed |= !is_token (name) || strlen (name) != name_len
+                  || has_control (value, value_len)
+                  || is_continued (name, LENGTH_HEADER)
                   || is_continued (name, ENCODING_HEADER);
   if (g_ascii_strcasecmp (name, LENGTH_HEADER) == 0)
     f->lengths++;
@@ -621,12 +636,14 @@
  * status 400 and its connection is closed, so nothing after it is read.
  */
 static bool
-is_framing_unambiguous (struct req *r)
+is_framing_unambiguous (struct req *r, const char *method)
 {
   struct framing f = { 0 };
 
-  MHD_get_connection_values (r->conn, MHD_HEADER_KIND, count_framing_headers,
-                             &f);
+  MHD_get_connection_values_n (r->conn, MHD_HEADER_KIND, count_framing_headers,
+                               &f);
+  f.malformed |= has_control (r->target, strlen (r->target))
+                 || strchr (r->target, '\t') != NULL || !is_token (method);
   return f.lengths + f.encodings <= 1 && !f.unsupported && !f.malformed;
 }
 
@@ -646,7 +663,7 @@
 {
   r->head_seen = true;
   r->path = g_strdup (url);
-  if (!is_framing_unambiguous (r))
+  if (!is_framing_unambiguous (r, method))
     return refuse_ambiguous_length (r);
   r->ops->head (r, method);
   return has_reply (r) ? send_reply (r) : MHD_YES;
--- a/regress/smuggled.sh
+++ b/regress/smuggled.sh
@@ -18,9 +18,20 @@
 for h in "Content-Length:\r\n $size" "Content-Length:\r\n\t$size" "Content-Length : $size" "Content-Length\t: $size" \
 	"content-length: 0\r\n $size" " Content-Length: $size" \
 	"Transfer-Encoding : chunked" "Transfer-Encoding:\r\n chunked" "Transfer-Encoding: chunked\r\n ,identity" \
-	"X-A b: c\r\nContent-Length: $size" "X-\x01: c\r\nContent-Length: $size"; do
+	"X-A b: c\r\nContent-Length: $size" "X-\x01: c\r\nContent-Length: $size" \
+	"X-A: b\rContent-Length: $size" "X-A: b\r Content-Length: $size" "X-A:\rContent-Length: $size" \
+	"\rContent-Length: $size" "X-A: b\r\r\nContent-Length: $size" "X-A: b\x01Content-Length: $size"; do
 	echo "$h: $(outer "$h")" | sed "s/$size/N/g"
 done
+echo "== request lines"
+for l in "POST /once/outer\rX HTTP/1.1" "POST /once/outer\x01 HTTP/1.1" "POST /once/outer\tX HTTP/1.1" "PO\rST /once/outer HTTP/1.1"; do
+	echo "$l: $(raw a "$l\r\nHost: h.example\r\nX-Attempt-Id: outer\r\nAuthorization: Token k1\r\nContent-Length: $size\r\n\r\n$inner" |
+		grep -a -o -e 'HTTP/1.1 [0-9]*' | tr '\n' ' ')"
+done
+echo "== the product's own interface"
+front_own=$vm_a
+echo "$(raw own "GET /healthz HTTP/1.1\r\nHost: h\r\nX-A: b\rContent-Length: 40\r\n\r\nGET /healthz HTTP/1.1\r\nHost: h.example\r\n\r\n" |
+	grep -a -o -e 'HTTP/1.1 [0-9]*' | tr '\n' ' ')"
 echo "== plain"
 echo "Content-Length: $(outer "Content-Length: $size")"
 echo "outer ran $(runs 'target=/once/outer'), inner ran $(runs 'target=/once/inner')"
