--- a/regress/test-builds.c
+++ b/regress/test-builds.c
@@ -257,11 +257,7 @@
 static void
 remove_endpoint (struct harness *p, const char *id, int64_t now_us)
 {
-  struct fleet_endpoint *e = harness_endpoint (p, id);
-
-  fleet_apply_missing (&p->fleet, e, now_us);
-  e->missing_until_us = now_us;
-  fleet_remove_missing (&p->fleet, NULL, NULL, now_us);
+  fleet_apply_missing (&p->fleet, harness_endpoint (p, id), now_us);
   g_assert_null (harness_endpoint (p, id));
 }
 
