regress/failures: draw random numbers in an order that C defines

The test failed on arm64: each figure of its simulated runs differed from the expected output, which was made on x86-64.

Cause: two random numbers were drawn in the arguments of one call, and two in the operands of one expression. C leaves their order to the compiler, and gcc evaluates them differently on the two architectures.

Evidence: with the order of x86-64 written out, the unchanged expected output is met on arm64.

--- a/regress/failures.c
+++ b/regress/failures.c
@@ -619,7 +619,8 @@
   g_snprintf (prompt, sizeof prompt, "%d", random_below (PROMPTS));
   q.affinity = prompt;
   q.domain = vm % DOMAINS == 0 ? "0" : vm % DOMAINS == 1 ? "1" : "2";
-  q.random = ((uint64_t)g_rand_int (w.rand) << 32) | g_rand_int (w.rand);
+  q.random = (uint64_t)g_rand_int (w.rand) << 32;
+  q.random |= g_rand_int (w.rand);
   for (i = 0; i < ntried; i++)
     q.exclude[i] = v->endpoints[tried[i]];
   q.nexclude = ntried;
@@ -643,11 +644,14 @@
   place (e->vm, none, 0);
 }
 
+/* The random numbers are drawn in an order that C does not leave to the
+   compiler, so that a seed gives the same run on all machines. */
 static void
 arrive (struct event *e)
 {
-  push (w.now_us + random_below (2 * ARRIVAL_US) + 1,
-        random_below (w.setup->vms), arrive);
+  int vm = random_below (w.setup->vms);
+
+  push (w.now_us + random_below (2 * ARRIVAL_US) + 1, vm, arrive);
   push (w.now_us, e->vm, receive);
 }
 
