A reply to a request whose body was not read is written past the library

Cause: libmicrohttpd closes the connection as soon as such a reply is written. Bytes that arrive behind the request's head then make the kernel reset it.

Change: such replies go through longreply.c, which reads on for a while after the reply, as it does for long heads.

Why it works: nothing that the caller sends before its own close, or for a second, is left unread at the close.

--- a/httpserver.c
+++ b/httpserver.c
@@ -16,6 +16,8 @@
 
 #define OVERSIZE_FACTOR 4 /* disconnect at this multiple of the limit */
 #define STREAM_BLOCK 4096 /* bytes read from a stream at once */
+#define LENGTH_HEADER "Content-Length"
+#define ENCODING_HEADER "Transfer-Encoding"
 
 /* --- replies --------------------------------------------------------- */
 
@@ -244,7 +246,19 @@
          || status == MHD_HTTP_NOT_MODIFIED;
 }
 
-/* Write the reply without the daemon if the daemon may not be able to. */
+/* Whether the caller may still be sending the body. */
+static bool
+is_body_unread (struct req *r)
+{
+  const char *length = req_header (r, LENGTH_HEADER);
+
+  return !r->body_read
+         && (req_header (r, ENCODING_HEADER) != NULL
+             || (length != NULL && strcmp (length, "0") != 0));
+}
+
+/* Write the reply without the daemon if the daemon may not be able to, or
+   would reset a connection on which the caller is still sending. */
 static bool
 start_long_reply (struct req *r, struct longreply_opts *o)
 {
@@ -252,12 +266,13 @@
       = MHD_get_connection_info (r->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
   size_t size = longreply_head_size (o->lines);
   size_t room = reply_room (r);
+  bool unread = is_body_unread (r);
 
-  if (size <= room || info == NULL)
+  if (info == NULL || (size <= room && !unread))
     return false;
   log_event (LOG_LEVEL_INFO, "long_reply",
-             "req=%s status=%d head=%zu room=%zu", r->id, o->status, size,
-             room);
+             "req=%s status=%d head=%zu room=%zu body=%s", r->id, o->status,
+             size, room, unread ? "unread" : "read");
   met_add (MET_LONG_REPLIES, 1);
   if (has_no_body (r, o->status))
     o->framing = LONGREPLY_NO_BODY;
@@ -561,9 +576,6 @@
   return done;
 }
 
-#define LENGTH_HEADER "Content-Length"
-#define ENCODING_HEADER "Transfer-Encoding"
-
 /* Headers that determine the length of the body. */
 struct framing
 {
@@ -686,6 +698,7 @@
     return on_head (r, url, method);
   if (*len > 0)
     return append_body (r, data, len);
+  r->body_read = true;
   if (!r->started && !has_reply (r))
     start_request (r);
   if (has_reply (r))
--- a/libserver.h
+++ b/libserver.h
@@ -257,6 +257,8 @@
   size_t body_max;               /* bytes allowed in the body */
   enum req_excess excess;        /* why the body was rejected */
   size_t dropped;                /* bytes of the body discarded after that */
+  bool body_read;                /* the whole body was read, or there is
+                                    none */
   bool started;                  /* ops->start was called */
   bool suspended;                /* its connection is suspended */
   bool is_disconnected;          /* the caller disconnected */
--- a/longreply.h
+++ b/longreply.h
@@ -5,7 +5,10 @@
  * one block of fixed size for each connection, and closes the connection
  * without a reply if both do not fit.  Blocks for the largest heads would take
  * their memory on every connection.  Instead, the few replies that may not fit
- * are written here, and their connection is closed after them.
+ * are written here, and their connection is closed after them.  So are replies
+ * to requests whose body was not read: the library would close the connection
+ * at once, and a caller that still sends would get a reset in place of the
+ * reply.
  */
 #ifndef CQ_LONGREPLY_H
 #define CQ_LONGREPLY_H
--- a/met.c
+++ b/met.c
@@ -67,9 +67,8 @@
                           "Streams to callers that were ended as complete." },
   [MET_STREAMS_BROKEN] = { "camphorquay_streams_broken_total", "counter",
                            "Streams to callers that were broken off." },
-  [MET_LONG_REPLIES]
-  = { "camphorquay_long_replies_total", "counter",
-      "Replies whose head may not fit the memory of their connection." },
+  [MET_LONG_REPLIES] = { "camphorquay_long_replies_total", "counter",
+                         "Replies written past the HTTP library." },
   [MET_CANCELS] = { "camphorquay_cancels_total", "counter",
                     "Requests whose caller went away." },
   [MET_TOKENS]
