Scopes of cached prompts name isolated workspaces by a digest

Cause: the name of a workspace was written into the scope, which is cut off at PARTS_SCOPE_SIZE.

Change: a configuration gives each isolated workspace a cache group, a digest of its name, and the scope holds that. The group is looked up in the newest configuration when the request is sent, not in the one that it arrived under.

Why it works: the longest model and version and a group fit the scope, and the digest depends on the whole name. /fleet/long-workspace-names needs different scopes for names that differ in byte 200 only.

--- a/fleet.c
+++ b/fleet.c
@@ -120,6 +120,7 @@
   g_hash_table_iter_init (&it, c->hosts);
   while (g_hash_table_iter_next (&it, NULL, &list))
     g_ptr_array_sort (list, compare_prefix_length);
+  fleet_conf_build_groups (c);
 }
 
 struct fleet_conf *
--- a/fleet.h
+++ b/fleet.h
@@ -81,12 +81,17 @@
   int cold_requests_s;   /* request rate that a cold endpoint can take */
 };
 
+/* Digest of names in hexadecimal, with its NUL. */
+#define FLEET_GROUP_SIZE 33
+
 struct fleet_workspace
 {
   char *name;             /* name, sent to endpoints */
   int priority;           /* overrides the route's priority; -1 if none */
   bool isolated;          /* shares no cached prompts with other workspaces */
   char **allowed_regions; /* regions its requests may use; NULL for all */
+  char cache_group[FLEET_GROUP_SIZE]; /* shares cached prompts only within it;
+                                         set with the index */
 };
 
 /* Bounds on what a caller may send. */
@@ -108,13 +113,18 @@
   bool requires_keys;    /* requests need a key, except on anonymous routes;
                             also while there is no workspace or key */
   GHashTable *hosts;     /* host to GPtrArray of routes, longest first */
+  char shared_group[FLEET_GROUP_SIZE]; /* cache group of all requests that no
+                                          isolated workspace makes */
   struct fleet_limits limits;
 };
 
 struct fleet_conf *fleet_conf_new (void);
-/* Builds the index by host, and what services take from their routes; call it
-   after all routes and services were added. */
+/* Builds the index by host, what services take from their routes, and the
+   cache groups; call it after all routes, services and workspaces were
+   added. */
 void fleet_conf_build_index (struct fleet_conf *c);
+/* Part of the above. */
+void fleet_conf_build_groups (struct fleet_conf *c);
 struct fleet_conf *fleet_conf_ref (struct fleet_conf *c);
 void fleet_conf_unref (struct fleet_conf *c);
 void fleet_route_free (struct fleet_route *r);
@@ -129,6 +139,9 @@
    none. */
 const struct fleet_workspace *fleet_workspace_find (const struct fleet_conf *c,
                                                     const char *key);
+/* Requests may share cached prompts if their groups are equal, whichever
+   configurations these are of; KEY is NULL if the request has none. */
+const char *fleet_cache_group (const struct fleet_conf *c, const char *key);
 /* Returns the service that the traffic split selects for DIGEST. */
 const char *fleet_split_select (const struct fleet_route *r, uint64_t digest);
 
--- a/librelay.h
+++ b/librelay.h
@@ -197,6 +197,9 @@
                                  int64_t now_us);
 /* Name of the caller's workspace, "" if there is none. */
 const char *relay_workspace (const struct relay *r);
+/* The cache group of R under the configuration C. */
+const char *relay_cache_group (const struct relay *r,
+                               const struct fleet_conf *c);
 /* Priority of the request, from 0, the most urgent, to 9. */
 int relay_priority (const struct relay *r);
 /* Id of the last part of the prompt that other requests may share, or NULL
--- a/parts.c
+++ b/parts.c
@@ -66,11 +66,10 @@
 
 void
 parts_scope_name (char *to, const char *model, int64_t version,
-                  const char *owner)
+                  const char *group)
 {
   g_snprintf (to, PARTS_SCOPE_SIZE, "%s.v%" G_GINT64_FORMAT "%s%s", model,
-              (gint64)version, owner != NULL ? "." : "",
-              owner != NULL ? owner : "");
+              (gint64)version, group[0] != '\0' ? "." : "", group);
 }
 
 /* Weight version of a scope of MODEL, or -1 if the scope is of another
--- a/parts.h
+++ b/parts.h
@@ -22,10 +22,10 @@
 
 #include "fleet.h"
 
-#define PARTS_MAX 16        /* parts of one prompt that are considered */
-#define PARTS_ID_SIZE 40    /* size of a part's id, including its NUL */
-#define PARTS_SCOPE_SIZE 96 /* size of a scope's name, including its NUL */
-#define PARTS_FREE_MAX 200  /* parts freed in one call */
+#define PARTS_MAX 16         /* parts of one prompt that are considered */
+#define PARTS_ID_SIZE 40     /* size of a part's id, including its NUL */
+#define PARTS_SCOPE_SIZE 120 /* size of a scope's name, including its NUL */
+#define PARTS_FREE_MAX 200   /* parts freed in one call */
 /* A part is fetched only if the store's contents were synchronized at most
    this long ago. */
 #define PARTS_FETCH_SYNC_AGE_US INT64_C (5000000)
@@ -149,8 +149,8 @@
                     int64_t version, const struct part_stored **list, int max);
 
 /* Write the name of the scope of a model's weights to TO, of PARTS_SCOPE_SIZE
-   bytes; with OWNER NULL all workspaces share it. */
+   bytes.  Requests of one GROUP share it. */
 void parts_scope_name (char *to, const char *model, int64_t version,
-                       const char *owner);
+                       const char *group);
 
 #endif
--- a/regress/relayharness.c
+++ b/regress/relayharness.c
@@ -274,16 +274,17 @@
   r->splits = g_new0 (struct fleet_split, 1);
   r->splits[0].service = g_strdup ("s");
   g_ptr_array_add (c->routes, r);
+  if (key != NULL)
+    {
+      c->requires_keys = true;
+      w = g_new0 (struct fleet_workspace, 1);
+      w->name = g_strdup ("ws");
+      w->priority = -1;
+      w->isolated = true;
+      g_ptr_array_add (c->workspaces, w);
+      g_hash_table_insert (c->keys, g_strdup (key), w);
+    }
   fleet_conf_build_index (c);
-  if (key == NULL)
-    return c;
-  c->requires_keys = true;
-  w = g_new0 (struct fleet_workspace, 1);
-  w->name = g_strdup ("ws");
-  w->priority = -1;
-  w->isolated = true;
-  g_ptr_array_add (c->workspaces, w);
-  g_hash_table_insert (c->keys, g_strdup (key), w);
   return c;
 }
 
--- a/regress/test-fleet.c
+++ b/regress/test-fleet.c
@@ -8,6 +8,7 @@
 #include "decide.h"
 #include "sse.h"
 #include "fleet.h"
+#include "parts.h"
 #include "units.h"
 
 #define S CQ_US_PER_S
@@ -538,6 +539,53 @@
   fleet_clear (&f);
 }
 
+/* --- cache groups ---------------------------------------------------- */
+
+/* A configuration with a workspace for each of NAMES, whose key is its name;
+   those whose bit is set in ISOLATED share nothing. */
+static struct fleet_conf *
+conf_of (int64_t version, const char *const *names, unsigned isolated)
+{
+  struct fleet_conf *c = fleet_conf_new ();
+  struct fleet_workspace *w;
+  int i;
+
+  c->version = version;
+  for (i = 0; names[i] != NULL; i++)
+    {
+      w = g_new0 (struct fleet_workspace, 1);
+      w->name = g_strdup (names[i]);
+      w->isolated = (isolated >> i & 1) != 0;
+      g_ptr_array_add (c->workspaces, w);
+      g_hash_table_insert (c->keys, g_strdup (names[i]), w);
+    }
+  fleet_conf_build_index (c);
+  return c;
+}
+
+/* Guards against isolated workspaces that share a scope, since the beginnings
+   of their long names are equal. */
+static void
+test_long_workspace_names (void)
+{
+  g_autofree char *a = g_strnfill (200, 'x');
+  g_autofree char *b = g_strdup (a);
+  g_autofree char *model = g_strnfill (FLEET_NAME_SIZE - 1, 'm');
+  const char *names[] = { a, b, NULL };
+  char scopes[2][PARTS_SCOPE_SIZE];
+  struct fleet_conf *c;
+  int i;
+
+  b[199] = 'y';
+  c = conf_of (1, names, 3);
+  for (i = 0; i < 2; i++)
+    parts_scope_name (scopes[i], model, G_MAXINT64,
+                      fleet_cache_group (c, names[i]));
+  g_assert_cmpstr (scopes[0], !=, scopes[1]);
+  g_assert_true (g_str_has_suffix (scopes[0], fleet_cache_group (c, a)));
+  fleet_conf_unref (c);
+}
+
 const struct unit fleet_units[] = {
   { "/fleet/conf-never-reverts", test_conf_never_reverts },
   { "/fleet/route-naive", test_route_naive },
@@ -555,5 +603,6 @@
   { "/pick/all-in-backoff", test_all_in_backoff },
   { "/evt/cuts", test_events },
   { "/fleet/named-before-boot", test_named_before_boot },
+  { "/fleet/long-workspace-names", test_long_workspace_names },
   { NULL, NULL },
 };
--- a/regress/test-parts.c
+++ b/regress/test-parts.c
@@ -167,7 +167,7 @@
   q.scope = scope;
   parts_plan (&p, &q, 10 * S, &plan);
   g_assert_cmpint (plan.nfetch, ==, 0);
-  parts_scope_name (scope, "m", 2, NULL);
+  parts_scope_name (scope, "m", 2, "");
   parts_plan (&p, &q, 10 * S, &plan);
   g_assert_cmpint (plan.nfetch, ==, 0);
   parts_clear (&p);
--- a/regress/test-relay.c
+++ b/regress/test-relay.c
@@ -501,15 +501,18 @@
   harness_free (p);
 }
 
-/* The cache scope names the weights and, for an isolated workspace, the
-   workspace, so that no other request can use its cache. */
+/* The cache scope names the weights and, for an isolated workspace, its own
+   group, so that no other request can use its cache. */
 static void
 test_scope (void)
 {
   struct harness *p = harness_new (FLEET_STREAM);
+  const struct fleet_workspace *w = p->fleet.conf->workspaces->pdata[0];
+  g_autofree char *expected = g_strconcat ("m.v3.", w->cache_group, NULL);
 
   harness_start (p);
-  g_assert_cmpstr (p->scope, ==, "m.v3.ws");
+  g_assert_cmpuint (strlen (w->cache_group), ==, FLEET_GROUP_SIZE - 1);
+  g_assert_cmpstr (p->scope, ==, expected);
   relay_caller_disconnected (p->relay);
   g_assert_cmpint (p->cancels, ==, 1);
   harness_free (p);
--- a/relayadmit.c
+++ b/relayadmit.c
@@ -74,6 +74,12 @@
   return r->workspace != NULL ? r->workspace->name : "";
 }
 
+const char *
+relay_cache_group (const struct relay *r, const struct fleet_conf *c)
+{
+  return fleet_cache_group (c, r->workspace != NULL ? r->desc.key : NULL);
+}
+
 int
 relay_priority (const struct relay *r)
 {
--- a/relaytry.c
+++ b/relaytry.c
@@ -431,17 +431,16 @@
 };
 
 /*
- * Cached KV may be reused only under the weights that computed it and, for an
- * isolated workspace, only by that workspace.  Both are part of the scope's
- * name, so no other request can find it, whatever an endpoint still holds.
+ * Cached KV may be reused only under the weights that computed it and within
+ * its cache group.  Both are part of the scope's name, so no other request can
+ * find it, whatever an endpoint still holds.  The request may have waited
+ * while a newer configuration isolated a workspace.
  */
 static void
 set_cache_scope (struct relay *r, const struct pick_choice *c)
 {
-  bool isolated = r->workspace != NULL && r->workspace->isolated;
-
   parts_scope_name (r->cache_scope, c->endpoint->listing.model, c->version,
-                    isolated ? r->workspace->name : NULL);
+                    relay_cache_group (r, r->rs->opts.fleet->conf));
 }
 
 static struct fleet_region_limits
--- a/relaywork.c
+++ b/relaywork.c
@@ -58,7 +58,7 @@
     return;
   w = fleet_wanted_of (o->fleet, sv->model);
   parts_scope_name (scope, sv->model, w != NULL ? w->version : 1,
-                    isolated ? r->workspace->name : NULL);
+                    relay_cache_group (r, r->conf));
   r->work.stored_tokens = parts_stored_tokens (
       o->parts, scope, r->desc.parts, r->desc.nparts - 1, o->domain, now_us);
 }
