The cache group of open workspaces changes when one is isolated

Cause: the scope that open workspaces share did not depend on which ones are open, so what an isolated workspace had left there was still found.

Change: the shared group is named after the isolated workspaces, sorted. All VMs derive it from the operators' configuration alone.

Why it works: what was cached while the workspace was open lies under another group than what is used afterwards.

Other open workspaces prefill their shared prompts once more after such a change; what a store holds under the former group stays until it is freed with its weights.

--- a/fleetgroups.c
+++ b/fleetgroups.c
@@ -1,7 +1,9 @@
 /*
  * Cache groups: which requests may share cached prompts.
  *
- * An isolated workspace is a group of its own.  All others share one.
+ * An isolated workspace is a group of its own.  All others share one, which is
+ * named after the isolated workspaces: what a workspace has cached before it
+ * was isolated is not found by others afterwards.
  */
 #include "fleet.h"
 
@@ -18,9 +20,17 @@
               (guint64)d.high64, (guint64)d.low64);
 }
 
+static gint
+compare_names (gconstpointer a, gconstpointer b)
+{
+  return strcmp (*(char *const *)a, *(char *const *)b);
+}
+
 void
 fleet_conf_build_groups (struct fleet_conf *c)
 {
+  g_autoptr (GPtrArray) names = g_ptr_array_new ();
+  g_autoptr (GByteArray) all = g_byte_array_new ();
   struct fleet_workspace *w;
   guint i;
 
@@ -28,8 +38,17 @@
     {
       w = c->workspaces->pdata[i];
       write_digest (w->cache_group, w->name, strlen (w->name));
+      if (w->isolated)
+        g_ptr_array_add (names, w->name);
     }
+  g_ptr_array_sort (names, compare_names);
+  /* With their NULs, so that no two lists have the same bytes. */
+  for (i = 0; i < names->len; i++)
+    g_byte_array_append (all, names->pdata[i],
+                         (guint)strlen (names->pdata[i]) + 1);
   c->shared_group[0] = '\0';
+  if (names->len > 0)
+    write_digest (c->shared_group, all->data, all->len);
 }
 
 const char *
--- a/regress/test-fleet.c
+++ b/regress/test-fleet.c
@@ -563,6 +563,35 @@
   return c;
 }
 
+/* Guards against a workspace that is isolated by a newer configuration, while
+   others go on to use what it has cached before. */
+static void
+test_isolated_later (void)
+{
+  static const char *const names[] = { "weavers", "dyers", NULL };
+  static const char *const reversed[] = { "dyers", "weavers", NULL };
+  struct fleet_conf *open = conf_of (1, names, 0);
+  struct fleet_conf *later = conf_of (2, names, 1);
+  struct fleet_conf *same = conf_of (3, reversed, 2);
+
+  g_assert_cmpstr (fleet_cache_group (open, "weavers"), ==,
+                   fleet_cache_group (open, "dyers"));
+  g_assert_cmpstr (fleet_cache_group (later, "dyers"), !=,
+                   fleet_cache_group (open, "weavers"));
+  g_assert_cmpstr (fleet_cache_group (later, "weavers"), !=,
+                   fleet_cache_group (open, "weavers"));
+  g_assert_cmpstr (fleet_cache_group (later, NULL), ==,
+                   fleet_cache_group (later, "dyers"));
+  /* All VMs derive the same from what the operator wrote. */
+  g_assert_cmpstr (fleet_cache_group (same, "dyers"), ==,
+                   fleet_cache_group (later, "dyers"));
+  g_assert_cmpstr (fleet_cache_group (same, "weavers"), ==,
+                   fleet_cache_group (later, "weavers"));
+  fleet_conf_unref (open);
+  fleet_conf_unref (later);
+  fleet_conf_unref (same);
+}
+
 /* Guards against isolated workspaces that share a scope, since the beginnings
    of their long names are equal. */
 static void
@@ -603,6 +632,7 @@
   { "/pick/all-in-backoff", test_all_in_backoff },
   { "/evt/cuts", test_events },
   { "/fleet/named-before-boot", test_named_before_boot },
+  { "/fleet/isolated-later", test_isolated_later },
   { "/fleet/long-workspace-names", test_long_workspace_names },
   { NULL, NULL },
 };
--- a/regress/test-relay.c
+++ b/regress/test-relay.c
@@ -518,6 +518,29 @@
   harness_free (p);
 }
 
+/* Guards against a request that waited while its workspace was isolated, and
+   then uses the cache that it shared before. */
+static void
+test_scope_isolated_while_waiting (void)
+{
+  struct harness *p = harness_new (FLEET_IDEMPOTENT);
+  struct fleet_conf *c = harness_conf (2, FLEET_IDEMPOTENT, "key");
+  struct fleet_workspace *w = p->fleet.conf->workspaces->pdata[0];
+  g_autofree char *before = NULL;
+
+  w->isolated = false;
+  fleet_conf_build_groups (p->fleet.conf);
+  harness_start (p);
+  before = g_strdup (p->scope);
+  g_assert_cmpstr (before, ==, "m.v3");
+  fleet_apply_conf (&p->fleet, c, 2);
+  harness_end (p, false, false);
+  g_assert_cmpint (p->sends, ==, 2);
+  g_assert_cmpstr (p->scope, !=, before);
+  relay_caller_disconnected (p->relay);
+  harness_free (p);
+}
+
 /* --- repeats and time ------------------------------------------------ */
 
 /* Guards against retries that double the load of an outage: beyond the burst
@@ -1056,6 +1079,7 @@
   { "/relay/no-resume", test_no_resume },
   { "/relay/slow-reader", test_slow_reader },
   { "/relay/scope", test_scope },
+  { "/relay/scope-isolated-while-waiting", test_scope_isolated_while_waiting },
   { "/relay/budget", test_budget },
   { "/relay/timeout", test_timeout },
   { "/relay/disconnected-before-send", test_disconnected_before_send },
