An engine that another writer lists without a model is not used

Cause: an entry without a model was taken for that of a plain endpoint, whatever its service is, and a request to a plain endpoint gets neither a cache scope nor an expected version.

Change: an endpoint without a model in a service whose configuration declares one is not chosen, and an attempt that was placed before the entry came is not handed over. The check is made when a request is placed, since the list may be read before the configuration.

--- a/fleet.c
+++ b/fleet.c
@@ -499,6 +499,17 @@
          || g_hash_table_contains (f->conf->services, e->listing.service);
 }
 
+bool
+fleet_lacks_model (const struct fleet *f, const struct fleet_endpoint *e)
+{
+  const struct fleet_service *sv;
+
+  if (e->listing.model[0] != '\0' || f->conf == NULL)
+    return false;
+  sv = g_hash_table_lookup (f->conf->services, e->listing.service);
+  return sv != NULL && sv->model != NULL;
+}
+
 bool
 fleet_needs_weights (const struct fleet *f, const struct fleet_endpoint *e)
 {
--- a/fleet.h
+++ b/fleet.h
@@ -442,6 +442,10 @@
 fleet_outdated_by (const struct fleet *f, const struct fleet_endpoint *e);
 /* Returns whether the operator configured the service of E. */
 bool fleet_is_declared (const struct fleet *f, const struct fleet_endpoint *e);
+/* Whether E is listed in a service of engines without a model, by another
+   writer: it is not used, since nothing would tell whose cached prompts it may
+   use. */
+bool fleet_lacks_model (const struct fleet *f, const struct fleet_endpoint *e);
 /* Returns whether E needs a reload: it is not draining, its service is
    configured, and a newer version was announced than it has, or its version is
    uncertain. */
--- a/pick.c
+++ b/pick.c
@@ -409,9 +409,9 @@
 tier_of (const struct fleet *f, const struct pick_query *q,
          const struct fleet_endpoint *e, int64_t now_us)
 {
-  if (e->draining || is_excluded (q, e) || !is_build_allowed (q, e)
-      || is_too_old (f, e, now_us) || is_cold_rate_used (e, now_us)
-      || !limit_may_place (&e->limit, now_us)
+  if (e->draining || fleet_lacks_model (f, e) || is_excluded (q, e)
+      || !is_build_allowed (q, e) || is_too_old (f, e, now_us)
+      || is_cold_rate_used (e, now_us) || !limit_may_place (&e->limit, now_us)
       || !fleet_may_place_brittle (f, e, now_us)
       || pick_is_backoff_requested (e, now_us)
       || fleet_is_evacuated (f, e->listing.domain)
--- a/regress/test-relay.c
+++ b/regress/test-relay.c
@@ -541,6 +541,34 @@
   harness_free (p);
 }
 
+/* Guards against prompts that are sent without a cache scope, since another
+   writer's entry of their endpoint names no model. */
+static void
+test_entry_without_model (void)
+{
+  struct harness *p = harness_new (FLEET_IDEMPOTENT);
+  struct fleet_service *sv = g_new0 (struct fleet_service, 1);
+  struct fleet_listing l;
+  struct fleet_endpoint *e;
+
+  sv->name = g_strdup ("s");
+  sv->model = g_strdup ("m");
+  g_hash_table_insert (p->fleet.conf->services, sv->name, sv);
+  harness_start (p);
+  APR_RING_FOREACH (e, &p->fleet.endpoints, fleet_endpoint, link)
+  {
+    l = e->listing;
+    l.model[0] = '\0';
+    fleet_apply_listing (&p->fleet, &l, loop_now_us ());
+  }
+  g_assert_false (p->event->before_send (p->arg));
+  harness_end (p, false, false);
+  g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
+  harness_start (p);
+  g_assert_cmpint (p->sends, ==, 1);
+  harness_free (p);
+}
+
 /* --- repeats and time ------------------------------------------------ */
 
 /* Guards against retries that double the load of an outage: beyond the burst
@@ -1079,6 +1107,7 @@
   { "/relay/no-resume", test_no_resume },
   { "/relay/slow-reader", test_slow_reader },
   { "/relay/scope", test_scope },
+  { "/relay/entry-without-model", test_entry_without_model },
   { "/relay/scope-isolated-while-waiting", test_scope_isolated_while_waiting },
   { "/relay/budget", test_budget },
   { "/relay/timeout", test_timeout },
--- a/relaytry.c
+++ b/relaytry.c
@@ -95,7 +95,8 @@
     r->stop_reason = relay_send_obstacle (r, now);
   if (r->stop_reason != NULL)
     return false;
-  if (r->endpoint->draining || r->endpoint->removed)
+  if (r->endpoint->draining || r->endpoint->removed
+      || fleet_lacks_model (r->rs->opts.fleet, r->endpoint))
     r->stop_reason = STOP_ENDPOINT_LEFT;
   else if (!r->stream_begun && !fleet_is_list_known (r->rs->opts.fleet, now))
     r->stop_reason = STOP_LIST_STALE;
