--- a/regress/fakerows.c
+++ b/regress/fakerows.c
@@ -13,7 +13,8 @@
  *
  *   turn_away    HTTP status for all calls
  *   silent       no call is answered
- *   lost_NAME    calls of this view are lost: no answer, also not later
+ *   lost_NAME    calls of this view are lost, also polls under way: no answer,
+ *                also not later
  *   slow_ms      time each call takes
  *   lose         so many transactions are done and not answered
  *   compact      so many polls are told that the history is gone
@@ -585,6 +586,26 @@
   return list;
 }
 
+/* Time after which a lost call's connection is closed; its caller has given up
+   by then. */
+#define LOST_US 4000000UL
+
+static bool
+is_lost (struct fk_req *r)
+{
+  g_autofree char *view = view_of (r);
+  g_autofree char *key = g_strconcat ("lost_", view, NULL);
+
+  return view[0] != '\0' && fk_number (key, 0) != 0;
+}
+
+static enum MHD_Result
+lose (void)
+{
+  g_usleep (LOST_US);
+  return MHD_NO;
+}
+
 static enum MHD_Result
 wait_rows (struct fk_req *r)
 {
@@ -615,6 +636,12 @@
       list = fk_number ("deaf", 0) ? json_array ()
                                    : changes (table, after, view);
     }
+  if (is_lost (r))
+    {
+      json_decref (list);
+      g_mutex_unlock (&lock);
+      return lose ();
+    }
   if (after > newest)
     {
       json_decref (list);
@@ -737,19 +764,6 @@
   return fk_reply_json (r, done ? 200 : 500, json_object ());
 }
 
-/* Time after which a lost call's connection is closed; its caller has given up
-   by then. */
-#define LOST_US 4000000UL
-
-static bool
-is_lost (struct fk_req *r)
-{
-  g_autofree char *view = view_of (r);
-  g_autofree char *key = g_strconcat ("lost_", view, NULL);
-
-  return view[0] != '\0' && fk_number (key, 0) != 0;
-}
-
 static enum MHD_Result
 handle (struct fk_req *r)
 {
@@ -771,10 +785,7 @@
   while (fk_number ("silent", 0))
     g_usleep (20000);
   if (is_lost (r))
-    {
-      g_usleep (LOST_US);
-      return MHD_NO;
-    }
+    return lose ();
   if (fk_number ("turn_away", 0))
     return fk_reply_json (r, (int)fk_number ("turn_away", 0), json_object ());
   if (strcmp (r->path, "/rows-get") == 0)
