Streams of one build: a check with the platform that no other one served

Callers' streams held events of two builds: a VM that was cut off from the store, or suspended, while endpoints of a new build joined took up streams that these had begun through other VMs, and sent them to the old build.

The cause: "the only build that this VM knows" was taken for the only one that served. Unnamed streams did not ask how old the list is; named ones that no VM knows took a list for good that was current, or not readable, some seconds ago. That rule was made for new requests, which may use what is left while the store is away.

Now such a stream waits for a check that was sent after it arrived: the changes in the list since the version known here, those in the settings, and the table of builds, since an entry may have come and gone between two reads. It fails if an unknown entry is gone, if there are new settings, or after a restore of the store; then the stream is refused as not run, with a Retry-After. What it rests on is read from the platform after the stream began, so the endpoints of all builds that can have begun it are in it. The calls are apart from the long polls, and take only builds.

--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	loadgossipwire.o sse.o relay.o relaytry.o relaystate.o relayend.o \
 	relayadmit.o relaywait.o relaywork.o relayquar.o relaycrash.o reqid.o quar.o \
 	quarwire.o quarfeed.o follow.o followraw.o observe.o relayobserve.o \
-	sealbox.o lease.o announce.o orders.o parts.o partfeed.o buildfeed.o originstore.o evac.o mirror.o \
+	sealbox.o lease.o announce.o orders.o parts.o partfeed.o buildfeed.o buildcheck.o originstore.o evac.o mirror.o \
 	mirrorpick.o mirrorwire.o mirrorserve.o mirrorfeed.o speed.o spread.o \
 	health.o conntime.o relayhealth.o reach.o relayreach.o relayattempt.o relayforward.o relayresume.o relayorigin.o \
 	forwardseal.o vmpath.o pathwire.o relayvms.o origin.o originwire.o originfeed.o
--- a/buildfeed.c
+++ b/buildfeed.c
@@ -38,6 +38,7 @@
   struct loop_timer timer;    /* checks again after a call */
   bool is_read;               /* the table was read */
   bool calling;               /* a call is under way */
+  int reading;                /* calls of buildfeed_read under way */
   uint64_t writing;           /* key that it writes */
   enum row_state written;     /* what it writes */
   int64_t backoff_us;         /* after the next failure */
@@ -121,7 +122,8 @@
   return us;
 }
 
-/* A build that served at the last write may have left at any time since. */
+/* A build that served at the last write may have left at any time since; when
+   one that this VM knew left, it knows from the list of endpoints. */
 static void
 apply_left (struct fleet_build *b, int64_t left_ms, int64_t now_ms,
             int64_t now_us)
@@ -129,8 +131,8 @@
   int64_t ago_us
       = left_ms > 0 && now_ms > left_ms ? (now_ms - left_ms) * 1000 : 0;
 
-  if (!b->listed)
-    b->left_us = MAX (now_us - ago_us, 1);
+  if (!b->listed && (left_ms > 0 || b->left_us == 0))
+    b->left_us = MAX (b->left_us, MAX (now_us - ago_us, 1));
 }
 
 static void
@@ -172,12 +174,25 @@
     loop_arm (f->opts.loop, &f->timer, due_us);
 }
 
+static void
+apply_rows (struct buildfeed *f, const struct rowstore_reply *reply,
+            int64_t now_us)
+{
+  guint i;
+
+  fleet_update_builds (f->opts.fleet, now_us);
+  for (i = 0; i < reply->rows->len; i++)
+    apply_row (f, &g_array_index (reply->rows, struct rowstore_row, i),
+               now_us);
+  f->is_read = true;
+  f->opts.fleet->builds_unread = false;
+}
+
 static void
 on_read (void *arg, const struct rowstore_reply *reply)
 {
   struct buildfeed *f = arg;
   int64_t now = loop_now_us ();
-  guint i;
 
   f->calling = false;
   if (reply->status != ROWSTORE_OK)
@@ -186,16 +201,48 @@
       return;
     }
   f->backoff_us = BACKOFF_FIRST_US;
-  fleet_update_builds (f->opts.fleet, now);
-  for (i = 0; i < reply->rows->len; i++)
-    apply_row (f, &g_array_index (reply->rows, struct rowstore_row, i), now);
-  f->is_read = true;
-  f->opts.fleet->builds_unread = false;
+  apply_rows (f, reply, now);
   log_event (LOG_LEVEL_INFO, "builds", "outcome=read rows=%u known=%d",
              reply->rows->len, f->opts.fleet->nbuilds);
   check_later (f, now);
 }
 
+/* A read on demand. */
+struct reading
+{
+  struct buildfeed *feed; /* owner */
+  void (*done) (void *arg, bool ok,
+                int64_t now_us); /* called with the result */
+  void *arg;                     /* passed to done */
+};
+
+static void
+on_read_again (void *arg, const struct rowstore_reply *reply)
+{
+  struct reading *r = arg;
+  int64_t now = loop_now_us ();
+  bool ok = reply->status == ROWSTORE_OK;
+
+  r->feed->reading--;
+  if (ok)
+    apply_rows (r->feed, reply, now);
+  r->done (r->arg, ok, now);
+  g_free (r);
+}
+
+void
+buildfeed_read (struct buildfeed *f,
+                void (*done) (void *arg, bool ok, int64_t now_us), void *arg)
+{
+  struct reading *r = g_new0 (struct reading, 1);
+
+  r->feed = f;
+  r->done = done;
+  r->arg = arg;
+  f->reading++;
+  f->opts.ops.read (f->opts.ops.ctx, on_read_again, r);
+}
+
 /* --- writing --------------------------------------------------------- */
 
 static void
@@ -355,5 +402,5 @@
 int
 buildfeed_pending_calls (const struct buildfeed *f)
 {
-  return f->calling;
+  return f->calling + f->reading;
 }
--- a/buildfeed.h
+++ b/buildfeed.h
@@ -5,8 +5,8 @@
  * have begun it.  After all VMs were killed, none of them has seen which
  * builds served before.  So VMs record each build there when they first list
  * an endpoint of it, and when the last one has left, and a VM reads the table
- * once after its start.  A build is a row, so VMs that write the same do not
- * conflict.
+ * after its start, and whenever it must be sure (buildcheck.h).  A build is a
+ * row, so VMs that write the same do not conflict.
  */
 #ifndef CQ_BUILDFEED_H
 #define CQ_BUILDFEED_H
@@ -33,6 +33,10 @@
 
 /* Until the table was read, fleet_only_build returns 0. */
 struct buildfeed *buildfeed_new (const struct buildfeed_opts *opts);
+/* Reads the table again; DONE is called once, OK if it was read. */
+void buildfeed_read (struct buildfeed *f,
+                     void (*done) (void *arg, bool ok, int64_t now_us),
+                     void *arg);
 /* The list of endpoints may have changed, or time has passed. */
 void buildfeed_check (struct buildfeed *f, int64_t now_us);
 /* The platform's store was restored from an older copy, so recent writes may
--- a/entry.c
+++ b/entry.c
@@ -68,6 +68,7 @@
   struct originfeed *origins;       /* where streams began */
   struct originstore *origin_store; /* records where streams began */
   struct buildfeed *builds;         /* records the builds that serve */
+  struct buildcheck *build_check;   /* whether all that served are known */
   struct quar *quar;         /* evidence about requests that crash endpoints */
   struct quarfeed *quarfeed; /* shares quar with other VMs */
   struct relays *relays;     /* requests under way */
@@ -554,6 +555,44 @@
   e->builds = buildfeed_new (&o);
 }
 
+static int64_t
+known_version (void *arg, enum follow_source source)
+{
+  const struct entry *e = arg;
+
+  return follow_version (e->follow, source);
+}
+
+static int64_t
+known_era (void *arg)
+{
+  const struct entry *e = arg;
+
+  return follow_era (e->follow);
+}
+
+static void
+read_builds (void *arg, buildcheck_read done, void *done_arg)
+{
+  struct entry *e = arg;
+
+  buildfeed_read (e->builds, done, done_arg);
+}
+
+static void
+make_build_check (struct entry *e)
+{
+  struct buildcheck_opts o
+      = { .loop = e->worker->loop, .fleet = &e->fleet, .arg = e };
+
+  entry_adapter.follow_ops (e->store, &o.platform);
+  o.version = known_version;
+  o.era = known_era;
+  o.read_builds = read_builds;
+  o.count_vms = count_vms;
+  e->build_check = buildcheck_new (&o);
+}
+
 /* --- shares of rates -------------------------------------------------- */
 
 static int
@@ -708,6 +747,7 @@
   entry_adapter.engine_ops (&o.engine, e->worker->pool);
   o.parts = &e->parts;
   o.origins = e->origins;
+  o.builds = e->build_check;
   o.loads = e->loads;
   o.on_work_changed = on_work_changed;
   o.work_arg = e;
@@ -901,6 +941,7 @@
   e->store = entry_adapter.open (w->pool, e->cfg->store);
   make_origin_store (e);
   make_origins (e);
+  make_build_check (e);
   make_relays (e);
   if (!open_listeners (e))
     return NULL;
@@ -934,6 +975,7 @@
     mirrorfeed_stop (e->mirror);
   partfeed_stop (e->partfeed);
   quarfeed_stop (e->quarfeed);
+  buildcheck_stop (e->build_check);
   buildfeed_stop (e->builds);
   originstore_stop (e->origin_store);
   if (e->load_gossip != NULL)
@@ -964,6 +1006,7 @@
          + partfeed_pending_calls (e->partfeed)
          + quarfeed_pending_calls (e->quarfeed)
          + buildfeed_pending_calls (e->builds)
+         + buildcheck_pending_calls (e->build_check)
          + originstore_pending_calls (e->origin_store)
          + (e->load_gossip != NULL ? loadgossip_pending_calls (e->load_gossip)
                                    : 0);
@@ -983,6 +1026,7 @@
   orders_free (e->orders);
   partfeed_free (e->partfeed);
   relays_free (e->relays);
+  buildcheck_free (e->build_check);
   originfeed_free (e->origins);
   originstore_free (e->origin_store);
   if (e->load_gossip != NULL)
--- a/entry.h
+++ b/entry.h
@@ -5,6 +5,7 @@
 #ifndef CQ_ENTRY_H
 #define CQ_ENTRY_H
 
+#include "buildcheck.h"
 #include "buildfeed.h"
 #include "follow.h"
 #include "libserver.h"
--- a/fleet.h
+++ b/fleet.h
@@ -506,10 +506,14 @@
 /* Returns the build_key of L: hash of its service and build or, without a
    build, of this incarnation. */
 uint64_t fleet_build_key (const struct fleet_listing *l);
-/* Returns the build_key if no other build of SERVICE can have begun a stream
-   that a caller may still take up; otherwise 0. */
+/* Returns the build_key if this VM knows of no other build of SERVICE that can
+   have begun a stream which a caller may still take up; otherwise 0. */
 uint64_t fleet_only_build (struct fleet *f, const char *service,
                            int64_t now_us);
+/* Whether several builds of SERVICE can have begun such a stream, whatever
+   this VM has yet to learn. */
+bool fleet_has_several_builds (struct fleet *f, const char *service,
+                               int64_t now_us);
 /* Whether another build of SERVICE than KEY serves, or did so within
    WITHIN_US, or may have. */
 bool fleet_has_other_build (const struct fleet *f, const char *service,
@@ -517,6 +521,9 @@
 /* Returns the build KEY, which is added if it is not known. */
 struct fleet_build *fleet_add_build (struct fleet *f, uint64_t key,
                                      const char *service, const char *name);
+/* The platform lists, or listed lately, an endpoint as in L. */
+void fleet_note_build (struct fleet *f, const struct fleet_listing *l,
+                       int64_t now_us);
 /* Updates which builds are listed, and drops those that left long ago. */
 void fleet_update_builds (struct fleet *f, int64_t now_us);
 void fleet_builds_init (struct fleet *f);
--- a/fleetbuilds.c
+++ b/fleetbuilds.c
@@ -107,26 +107,59 @@
     }
 }
 
-uint64_t
-fleet_only_build (struct fleet *f, const char *service, int64_t now_us)
+void
+fleet_note_build (struct fleet *f, const struct fleet_listing *l,
+                  int64_t now_us)
+{
+  struct fleet_build *b
+      = fleet_add_build (f, fleet_build_key (l), l->service, l->build);
+
+  if (!b->listed)
+    b->left_us = now_us;
+}
+
+/* Counts the builds of SERVICE; KEY is set to that of the last one. */
+static int
+count_builds (const struct fleet *f, const char *service, uint64_t *key)
 {
   const struct fleet_build *b;
-  uint64_t only = 0;
+  int n = 0;
 
-  fleet_update_builds (f, now_us);
-  if (f->builds_unread
-      || (f->builds_dropped_us != 0
-          && now_us - f->builds_dropped_us <= FLEET_BUILD_KEEP_US))
-    return 0;
   APR_RING_FOREACH (b, &f->builds, fleet_build, link)
   {
     if (strcmp (b->service, service) != 0)
       continue;
-    if (only != 0)
-      return 0;
-    only = b->key;
+    *key = b->key;
+    n++;
   }
-  return only;
+  return n;
+}
+
+static bool
+dropped_lately (const struct fleet *f, int64_t now_us)
+{
+  return f->builds_dropped_us != 0
+         && now_us - f->builds_dropped_us <= FLEET_BUILD_KEEP_US;
+}
+
+uint64_t
+fleet_only_build (struct fleet *f, const char *service, int64_t now_us)
+{
+  uint64_t key = 0;
+
+  fleet_update_builds (f, now_us);
+  if (f->builds_unread || dropped_lately (f, now_us))
+    return 0;
+  return count_builds (f, service, &key) == 1 ? key : 0;
+}
+
+bool
+fleet_has_several_builds (struct fleet *f, const char *service, int64_t now_us)
+{
+  uint64_t key;
+
+  fleet_update_builds (f, now_us);
+  return dropped_lately (f, now_us) || count_builds (f, service, &key) > 1;
 }
 
 bool
--- a/follow.c
+++ b/follow.c
@@ -851,6 +851,14 @@
   schedule_next_call (s, now);
 }
 
+int64_t
+follow_version (const struct follow *f, enum follow_source source)
+{
+  const struct stream *s = &f->streams[source];
+
+  return s->era == f->era ? s->version : 0;
+}
+
 int64_t
 follow_era (const struct follow *f)
 {
--- a/follow.h
+++ b/follow.h
@@ -181,6 +181,9 @@
 /* The platform's clock in milliseconds, never behind it; 0 until a reply has
    given it. */
 int64_t follow_clock_ms (const struct follow *f, int64_t now_us);
+/* Version up to which all changes of SOURCE are known; 0 if it was not read in
+   the present era. */
+int64_t follow_version (const struct follow *f, enum follow_source source);
 /* Newest era of the platform's store that was seen; 0 if it gives none. */
 int64_t follow_era (const struct follow *f);
 void follow_get_state (const struct follow *f, struct follow_state *state);
--- a/librelay.h
+++ b/librelay.h
@@ -148,6 +148,8 @@
   uint64_t build_key; /* of the endpoint that began the stream; 0 before that,
                          and if it is not known */
   struct originfeed_question question; /* where the stream began */
+  struct buildcheck_question check;    /* whether all builds are known */
+  enum originfeed_found found;         /* the answer to question */
   const char *origin_source; /* how this VM knows that, for the log */
   bool no_build;             /* no endpoint of the stream's build is left */
   bool stream_begun; /* the caller has got the head and part of a stream */
--- a/met.c
+++ b/met.c
@@ -50,6 +50,11 @@
   [MET_TAKEN_UP_UNKNOWN]
   = { "camphorquay_taken_up_unknown_total", "counter",
       "Streams that callers took up again and no VM knew the build of." },
+  [MET_BUILD_CHECKS]
+  = { "camphorquay_build_checks_total", "counter",
+      "Checks with the platform that all builds which served are known." },
+  [MET_BUILD_CHECKS_FAILED] = { "camphorquay_build_checks_failed_total",
+                                "counter", "Such checks that failed." },
   [MET_ORIGINS_SENT]
   = { "camphorquay_origins_sent_total", "counter",
       "Messages on where a stream began, counted once for each VM." },
--- a/regress/relayharness.c
+++ b/regress/relayharness.c
@@ -167,6 +167,92 @@
   return p->told;
 }
 
+/* --- the platform ----------------------------------------------------- */
+
+/* Replies with the change, if it is in SOURCE. */
+static void
+reply_changes (struct harness *p, enum follow_source source, bool full,
+               follow_done done, void *arg)
+{
+  struct follow_reply n = { .status = FOLLOW_OK, .era = p->platform_era };
+
+  if (p->is_platform_silent)
+    n.status = FOLLOW_NO_REPLY;
+  else if (p->has_no_history && source == FOLLOW_ENDPOINTS && !full)
+    n.status = FOLLOW_HISTORY_LOST;
+  n.items = g_array_new (FALSE, TRUE, sizeof (struct follow_item));
+  p->checks += source == FOLLOW_ENDPOINTS;
+  if (p->change != NULL
+      && (p->change->kind == FOLLOW_ITEM_CONF) == (source == FOLLOW_OPERATOR))
+    g_array_append_val (n.items, *p->change);
+  done (arg, &n);
+  g_array_free (n.items, TRUE);
+}
+
+static void
+read_all (void *ctx, enum follow_source source,
+          const struct follow_limits *limits, follow_done done, void *arg)
+{
+  (void)limits;
+  reply_changes (ctx, source, true, done, arg);
+}
+
+static void
+changes (void *ctx, enum follow_source source, int64_t version,
+         int64_t wait_us, const struct follow_limits *limits, follow_done done,
+         void *arg)
+{
+  (void)version;
+  (void)wait_us;
+  (void)limits;
+  reply_changes (ctx, source, false, done, arg);
+}
+
+static int64_t
+known_version (void *arg, enum follow_source source)
+{
+  (void)arg;
+  (void)source;
+  return 1;
+}
+
+static int64_t
+known_era (void *arg)
+{
+  (void)arg;
+  return 0;
+}
+
+static void
+read_builds (void *arg, buildcheck_read done, void *done_arg)
+{
+  const struct harness *p = arg;
+
+  done (done_arg, !p->is_platform_silent, loop_now_us ());
+}
+
+static int
+count_vms (void *arg)
+{
+  (void)arg;
+  return 1;
+}
+
+static struct buildcheck *
+new_build_check (struct harness *p)
+{
+  struct buildcheck_opts o = { .loop = p->loop, .fleet = &p->fleet, .arg = p };
+
+  o.platform.read = read_all;
+  o.platform.changes = changes;
+  o.platform.ctx = p;
+  o.version = known_version;
+  o.era = known_era;
+  o.read_builds = read_builds;
+  o.count_vms = count_vms;
+  return buildcheck_new (&o);
+}
+
 static struct originfeed *
 new_origins (struct harness *p)
 {
@@ -351,6 +437,8 @@
   o.quar_arg = p;
   p->origins = new_origins (p);
   o.origins = p->origins;
+  p->builds = new_build_check (p);
+  o.builds = p->builds;
   o.retry_percent = 10;
   o.retry_burst = 4;
   o.stream_buffer = 4096;
@@ -398,6 +486,7 @@
 {
   g_assert_cmpint (relays_count (p->relays), ==, 0);
   relays_free (p->relays);
+  buildcheck_free (p->builds);
   originfeed_free (p->origins);
   quar_free (p->quar);
   fleet_clear (&p->fleet);
--- a/regress/relayharness.h
+++ b/regress/relayharness.h
@@ -51,6 +51,12 @@
   int rank;                   /* of this VM, of nine, for brittle endpoints */
   bool turn;                  /* this VM may send suspect requests */
   struct originfeed *origins; /* where streams began */
+  struct buildcheck *builds;  /* whether all builds are known */
+  bool is_platform_silent;    /* calls to the platform fail */
+  int checks;                 /* calls for changes in the list of endpoints */
+  struct follow_item *change; /* a change there, or NULL */
+  int64_t platform_era;       /* era of the store in its replies */
+  bool has_no_history;        /* the platform keeps no history of the list */
   int told;                   /* VMs that messages on them go to */
   int origin_messages;        /* such messages */
 };
--- a/regress/test-builds.c
+++ b/regress/test-builds.c
@@ -121,6 +121,7 @@
 /* --- callers that take streams up ------------------------------------ */
 
 #define ANSWER_US (400 * CQ_US_PER_MS) /* longer than a question waits */
+#define CHECK_US (600 * CQ_US_PER_MS)  /* longer than a check waits */
 
 /* A request that takes up stream RESUMES, and one other VM, which does not
    answer. */
@@ -305,7 +306,7 @@
 }
 
 /* Guards against refusing a stream that no VM knows although one build alone
-   can have begun it, and against running it on an old list of endpoints. */
+   can have begun it, and against running it while that cannot be known. */
 static void
 test_unknown_of_one_build (void)
 {
@@ -318,11 +319,130 @@
   harness_run (p, ANSWER_US);
   g_assert_cmpint (p->sends, ==, 1);
   harness_answer (p, "id: 2\ndata: b\n\n");
-  p->fleet.list_age_max_us = 1;
+  p->is_platform_silent = true;
   p->desc.resumes = "another";
   harness_start (p);
-  harness_run (p, ANSWER_US);
+  harness_run (p, ANSWER_US + CHECK_US);
+  g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
+  g_assert_cmpint (p->retry_after_us, >, 0);
+  g_assert_cmpint (p->sends, ==, 1);
+  harness_free (p);
+}
+
+/* A request that names no attempt, at a VM that lists one build. */
+static struct harness *
+unnamed (void)
+{
+  struct harness *p = harness_new (FLEET_STREAM);
+
+  p->desc.resume_after = 1;
+  return p;
+}
+
+/* Guards against a VM that is out of step and takes the only build that it
+   knows for the only one that served. */
+static void
+test_out_of_step (void)
+{
+  struct harness *p = unnamed ();
+  struct follow_item change = { .kind = FOLLOW_ITEM_ENDPOINT };
+
+  g_strlcpy (change.listing.id, "c", sizeof change.listing.id);
+  g_strlcpy (change.listing.service, "s", sizeof change.listing.service);
+  g_strlcpy (change.listing.build, "v2", sizeof change.listing.build);
+  p->change = &change;
+  harness_start (p);
+  g_assert_cmpint (p->refused, ==, RELAY_NO_BUILD);
+  g_assert_cmpint (p->sends, ==, 0);
+  g_assert_null (harness_endpoint (p, "c"));
+  harness_free (p);
+}
+
+/* Guards against a decision that rests on a check which was sent before the
+   request arrived. */
+static void
+test_check_before_arrival (void)
+{
+  struct harness *p = unnamed ();
+  struct follow_item change = { .kind = FOLLOW_ITEM_ENDPOINT };
+
+  harness_start (p);
+  harness_answer (p, "id: 2\ndata: b\n\n");
+  g_assert_cmpint (p->ended, ==, 1);
+  g_strlcpy (change.listing.service, "s", sizeof change.listing.service);
+  p->change = &change;
+  harness_start (p);
+  g_assert_cmpint (p->refused, ==, -1);
+  g_assert_cmpint (p->checks, ==, 1);
+  harness_run (p, CHECK_US);
+  g_assert_cmpint (p->refused, ==, RELAY_NO_BUILD);
+  g_assert_cmpint (p->checks, ==, 2);
+  g_assert_cmpint (p->sends, ==, 1);
+  harness_free (p);
+}
+
+/* Guards against a check that succeeds although something was missed: an entry
+   came and went, the settings are new, or the store is another one. */
+static void
+test_check_incomplete (void)
+{
+  static const enum follow_item_kind kinds[]
+      = { FOLLOW_ITEM_ENDPOINT_REMOVED, FOLLOW_ITEM_INVALID,
+          FOLLOW_ITEM_CONF };
+  struct follow_item change = { .row = 2 };
+  struct harness *p;
+  guint i;
+
+  g_strlcpy (change.listing.id, "c", sizeof change.listing.id);
+  for (i = 0; i <= G_N_ELEMENTS (kinds); i++)
+    {
+      p = unnamed ();
+      if (i < G_N_ELEMENTS (kinds))
+        {
+          change.kind = kinds[i];
+          p->change = &change;
+        }
+      else
+        p->platform_era = 1;
+      harness_start (p);
+      harness_run (p, CHECK_US);
+      g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
+      g_assert_cmpint (p->retry_after_us, >, 0);
+      g_assert_cmpint (p->sends, ==, 0);
+      harness_free (p);
+    }
+}
+
+/* Guards against requests that are all refused while the platform keeps no
+   history of its list. */
+static void
+test_check_without_history (void)
+{
+  struct harness *p = unnamed ();
+
+  p->has_no_history = true;
+  harness_start (p);
+  g_assert_cmpint (p->sends, ==, 1);
+  harness_answer (p, "id: 2\ndata: b\n\n");
+  g_assert_cmpint (p->checks, ==, 2);
+  harness_free (p);
+}
+
+/* Guards against an answer for a request that has ended meanwhile. */
+static void
+test_ends_while_checked (void)
+{
+  struct harness *p = unnamed ();
+
+  harness_start (p);
+  harness_answer (p, "id: 2\ndata: b\n\n");
+  harness_start (p);
+  relay_caller_disconnected (p->relay);
+  g_assert_cmpint (relays_count (p->relays), ==, 0);
+  harness_start (p);
+  relays_stop (p->relays, loop_now_us ());
   g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
+  harness_run (p, CHECK_US);
   g_assert_cmpint (p->sends, ==, 1);
   harness_free (p);
 }
@@ -716,6 +836,11 @@
   { "/builds/left-undrained", test_left_undrained },
   { "/builds/unread", test_unread },
   { "/builds/unknown-of-one-build", test_unknown_of_one_build },
+  { "/builds/out-of-step", test_out_of_step },
+  { "/builds/check-before-arrival", test_check_before_arrival },
+  { "/builds/check-incomplete", test_check_incomplete },
+  { "/builds/check-without-history", test_check_without_history },
+  { "/builds/ends-while-checked", test_ends_while_checked },
   { "/builds/row", test_build_row },
   { "/builds/many", test_many_builds },
   { "/builds/restarted-when-resumed", test_restarted_when_resumed },
--- a/relay.h
+++ b/relay.h
@@ -12,6 +12,7 @@
 #ifndef CQ_RELAY_H
 #define CQ_RELAY_H
 
+#include "buildcheck.h"
 #include "decide.h"
 #include "fleet.h"
 #include "load.h"
@@ -211,6 +212,8 @@
   struct relay_engine engine;     /* engine adapter */
   struct originfeed *origins;     /* where streams began; NULL: the streams
                                      that callers name are not known */
+  struct buildcheck *builds;      /* whether all builds that served are known;
+                                     NULL: they never are */
   const struct load_table *loads; /* load caused by other VMs, or NULL */
   /* A long prompt was sent to an endpoint, was processed, or its request
      ended; may be NULL. */
--- a/relayend.c
+++ b/relayend.c
@@ -174,6 +174,8 @@
   relay_release_endpoint (r, now_us);
   if (r->question.waiting)
     originfeed_cancel (r->rs->opts.origins, &r->question);
+  if (r->check.waiting)
+    buildcheck_cancel (r->rs->opts.builds, &r->check);
   APR_RING_REMOVE (r, link);
   r->rs->count--;
   if (!r->unpause_posted)
--- a/relayorigin.c
+++ b/relayorigin.c
@@ -63,13 +63,17 @@
 relay_log_take_up (const struct relay *r, const char *outcome,
                    const char *build, int64_t now_us)
 {
+  const struct buildcheck *builds = r->rs->opts.builds;
+  int64_t known_us = builds != NULL ? buildcheck_known_us (builds) : 0;
+  int64_t ago_us = known_us != 0 ? now_us - known_us : -1;
+
   log_event (LOG_LEVEL_INFO, "take_up",
              "req=%s resumes=%s after=%" G_GINT64_FORMAT
              " route=%s outcome=%s source=%s service=%s build=%s "
-             "wait_us=%" G_GINT64_FORMAT,
+             "checked_ago_us=%" G_GINT64_FORMAT " wait_us=%" G_GINT64_FORMAT,
              r->desc.id, r->desc.resumes != NULL ? r->desc.resumes : "-",
              (gint64)r->desc.resume_after, r->route->name, outcome,
-             r->origin_source, r->service, build,
+             r->origin_source, r->service, build, (gint64)ago_us,
              (gint64)(now_us - r->arrived_us));
 }
 
--- a/relayresume.c
+++ b/relayresume.c
@@ -50,36 +50,64 @@
   relay_place (r, now_us);
 }
 
-/* A stream that no VM knows, or whose caller does not name the request that
-   began it, goes on if only one build can have begun it. */
-static uint64_t
-only_build (struct relay *r, int64_t now_us)
+/* All builds that served until the request arrived are known if OK. */
+static void
+take_up_at_only (struct relay *r, bool ok, int64_t now_us)
 {
-  uint64_t build
-      = r->route->nsplits == 1
-            ? fleet_only_build (r->rs->opts.fleet, r->service, now_us)
-            : 0;
+  struct fleet *f = r->rs->opts.fleet;
+  uint64_t build = ok ? fleet_only_build (f, r->service, now_us) : 0;
 
+  ok &= !f->builds_unread;
   if (build != 0)
     r->origin_source = "only";
-  return build;
+  take_up (r, build, ok && r->found != ORIGINFEED_NO_ANSWER, now_us);
+}
+
+static void
+on_checked (void *arg, bool ok, int64_t now_us)
+{
+  struct relay *r = arg;
+
+  if (relay_apply_event (r, RELAY_FOUND))
+    take_up_at_only (r, ok, now_us);
+}
+
+/* A stream that no VM knows, or whose caller does not name the request that
+   began it, goes on if only one build can have begun it. */
+static void
+look_for_only (struct relay *r, int64_t now_us)
+{
+  const struct relays_opts *o = &r->rs->opts;
+
+  if (r->route->nsplits != 1
+      || fleet_has_several_builds (o->fleet, r->service, now_us))
+    {
+      take_up (r, 0, r->found != ORIGINFEED_NO_ANSWER, now_us);
+      return;
+    }
+  r->check.done = on_checked;
+  r->check.arg = r;
+  if (o->builds == NULL)
+    take_up_at_only (r, false, now_us);
+  else if (buildcheck_ask (o->builds, &r->check, r->arrived_us, now_us))
+    take_up_at_only (r, true, now_us);
+  else
+    relay_apply_event (r, RELAY_ASK);
 }
 
-/* VMs that did not answer may have begun the stream at a build that this VM
-   does not know yet, unless its list of endpoints is current. */
 static void
 on_answered (void *arg, uint64_t build, enum originfeed_found found,
              int64_t now_us)
 {
   struct relay *r = arg;
-  bool is_unknown
-      = found == ORIGINFEED_DENIED || found == ORIGINFEED_NO_ANSWER;
 
   if (!relay_apply_event (r, RELAY_FOUND))
     return;
-  if (is_unknown && fleet_is_list_known (r->rs->opts.fleet, now_us))
-    build = only_build (r, now_us);
-  take_up (r, build, found != ORIGINFEED_NO_ANSWER, now_us);
+  r->found = found;
+  if (found == ORIGINFEED_DENIED || found == ORIGINFEED_NO_ANSWER)
+    look_for_only (r, now_us);
+  else
+    take_up (r, build, true, now_us);
 }
 
 /* Asks where the stream began that the caller names. */
@@ -109,8 +137,9 @@
   const struct relays_opts *o = &r->rs->opts;
 
   r->origin_source = "unnamed";
+  r->found = ORIGINFEED_DENIED;
   if (r->desc.resumes == NULL)
-    take_up (r, only_build (r, now_us), !o->fleet->builds_unread, now_us);
+    look_for_only (r, now_us);
   else if (r->desc.resumes[0] != '\0' && o->origins != NULL)
     look_up (r, now_us);
   else
--- a/relaystate.h
+++ b/relaystate.h
@@ -15,7 +15,8 @@
 enum relay_state
 {
   RELAY_RECEIVED, /* read in full; no attempt is under way */
-  RELAY_ASKING,   /* other VMs are asked where its stream began */
+  RELAY_ASKING,   /* other VMs, or the platform, are asked where its stream
+                     began */
   RELAY_WAITING,  /* no endpoint has room for it now */
   RELAY_PLACED,   /* the adapter has an attempt; no byte has left */
   RELAY_SENT,     /* a byte of the attempt may have left */
@@ -26,7 +27,7 @@
 
 enum relay_event
 {
-  RELAY_ASK,           /* other VMs are to be asked */
+  RELAY_ASK,           /* they are to be asked */
   RELAY_FOUND,         /* they have answered, or not in time */
   RELAY_WAIT,          /* it is to wait for room */
   RELAY_READY,         /* an endpoint may have room */
