Streams of one build: not where the route led to another service

A stream that its caller does not name, or that no VM knows, went on at the one build of the service that its route leads to now, although it had begun at the service to which the route led before. The builds of a service were compared; that the service was the stream's was taken for granted.

Each route now carries when some of its requests last went to another service: when it changed, was new, or took over those of a route that is gone. For as long as a stream may be taken up after that, none is of one build. Routes are looked at in the settings that are in force when the platform has been asked, and the check fails if there are newer ones.

Evidence: /builds/moved and /builds/moves-while-checked fail without the new condition.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	history.o poll.o storeclient.o kvcache.o kvexport.o applycfg.o conf.o confpost.o member.o \
 	peerrpc.o peerbody.o peerseal.o peer_xdr.o adm.o mirrorhttp.o entry.o state.o listen.o srv.o
 # Requests that are passed on: beliefs of the fleet, and each request's life.
-RELAY = fleet.o fleetbuilds.o fleetbrittle.o pace.o limit.o brittle.o notice.o cold.o pick.o load.o loadgossip.o \
+RELAY = fleet.o fleetbuilds.o fleetroutes.o fleetbrittle.o pace.o limit.o brittle.o notice.o cold.o pick.o load.o loadgossip.o \
 	loadgossipwire.o sse.o relay.o relaytry.o relaystate.o relayend.o \
 	relayadmit.o relaywait.o relaywork.o relayquar.o relaycrash.o reqid.o quar.o \
 	quarwire.o quarfeed.o follow.o followraw.o observe.o relayobserve.o \
@@ -139,7 +139,7 @@
 FUZZED = prompt.c strm.c peer_xdr.c platform/replyhead.c platform/reqhead.c \
 	platform/decode.c platform/json.c platform/kvstore.c platform/notice.c platform/jsonread.c \
 	platform/rows.c platform/roster.c \
-	platform/rowstore.c followraw.c mirrorwire.c quar.c reqid.c sealbox.c quarwire.c originwire.c originstore.c origin.c buildfeed.c log.c met.c pathwire.c loadgossipwire.c fleet.c fleetbuilds.c fleetbrittle.c pace.c limit.c brittle.c cold.c health.c sse.c lease.c fetch.c xfer.c stall.c loop.c
+	platform/rowstore.c followraw.c mirrorwire.c quar.c reqid.c sealbox.c quarwire.c originwire.c originstore.c origin.c buildfeed.c log.c met.c pathwire.c loadgossipwire.c fleet.c fleetbuilds.c fleetroutes.c fleetbrittle.c pace.c limit.c brittle.c cold.c health.c sse.c lease.c fetch.c xfer.c stall.c loop.c
 regress/fuzz-input: regress/fuzz-input.c $(FUZZED) wire.h
 	clang -std=gnu11 -D_GNU_SOURCE -g -O1 $(LIB_CFLAGS) -I. \
 		-fsanitize=fuzzer,address,undefined -o $@ \
--- a/fleet.h
+++ b/fleet.h
@@ -59,6 +59,8 @@
   char **allowed_regions;     /* regions its requests may use; NULL for all */
   struct fleet_split *splits; /* where its requests go */
   int nsplits;                /* entries in splits, at least one */
+  int64_t moved_us;           /* until then, some of its requests may have gone
+                                 to another service, 0 if that is not known */
 };
 
 /* A service as the operator declared it. */
@@ -125,6 +127,9 @@
 const struct fleet_route *fleet_route_find (const struct fleet_conf *c,
                                             const char *host,
                                             const char *path);
+/* Sets moved_us of C's routes, which follow those of BEFORE; NULL for none. */
+void fleet_date_routes (struct fleet_conf *c, const struct fleet_conf *before,
+                        int64_t now_us);
 /* Returns the workspace of a request's KEY, or NULL; KEY is NULL if it has
    none. */
 const struct fleet_workspace *fleet_workspace_find (const struct fleet_conf *c,
@@ -521,6 +526,10 @@
 /* Returns the build KEY, which is added if it is not known. */
 struct fleet_build *fleet_add_build (struct fleet *f, uint64_t key,
                                      const char *service, const char *name);
+/* Whether a stream that a caller may still take up with this request can have
+   begun at another service than SERVICE, by the settings that were known. */
+bool fleet_has_moved (const struct fleet *f, const char *host,
+                      const char *target, const char *service, int64_t now_us);
 /* The platform lists, or listed lately, an endpoint as in L. */
 void fleet_note_build (struct fleet *f, const struct fleet_listing *l,
                        int64_t now_us);
--- a/follow.c
+++ b/follow.c
@@ -158,13 +158,15 @@
 
 static void
 apply_conf (struct fleet *f, const struct follow_reply *n,
-            struct follow_item *it, int64_t took_us)
+            struct follow_item *it, int64_t took_us, int64_t now_us)
 {
   int64_t old = f->conf != NULL ? f->conf->version : 0;
   int64_t new = it->conf->version;
   guint routes = it->conf->routes->len;
-  bool taken = fleet_apply_conf (f, it->conf, it->row);
+  bool taken;
 
+  fleet_date_routes (it->conf, f->conf, now_us);
+  taken = fleet_apply_conf (f, it->conf, it->row);
   log_event (LOG_LEVEL_INFO, "conf",
              "outcome=%s conf=%" G_GINT64_FORMAT " before=%" G_GINT64_FORMAT
              " row=%" G_GINT64_FORMAT " routes=%u bytes=%" G_GINT64_FORMAT
@@ -339,7 +341,7 @@
   switch (it->kind)
     {
     case FOLLOW_ITEM_CONF:
-      apply_conf (f, n, it, now_us - s->sent_us);
+      apply_conf (f, n, it, now_us - s->sent_us, now_us);
       it->conf = NULL;
       break;
     case FOLLOW_ITEM_WEIGHTS:
--- a/regress/outofstep.sh
+++ b/regress/outofstep.sh
@@ -115,6 +115,15 @@
 	for v in $vms; do for s in r s; do [ $v = b ] || wait_for knows $v $s; done; done
 }
 nothing() { :; }
+# The route leads to another service.
+moves() {
+	for s in r s; do service=llm2 list $s v2; done
+	row op config "$(site_conf 4 '"k1"' | sed '/"Name":"tell"/s/"llm"/"llm2"/; s/"Services":\[/&{"Name":"llm2","Engine":{"Slots":8,"Models":[{"Name":"m"}]}},/')"
+	for v in $vms; do
+		[ $v = b ] || wait_for has_line "$tmp/$v.log" 'event=conf outcome=in_force conf=4'
+		for s in r s; do [ $v = b ] || wait_for knows $v $s; done
+	done
+}
 
 _c=0 vms='a b c' tries=6 change=new_ones
 lost=1 still_s=0.3 after_s=0
@@ -131,3 +140,6 @@
 goes_on=named store=1 others=1 case_of 'old settings, both are back'
 revoke_ms=5000 still_s=0.3
 lost=1 change=nothing goes_on=unnamed store=1 others=1 case_of 'one version alone, both are back'
+change=moves goes_on='' store=0 others=1 case_of 'the route moved, the other VMs are back'
+change=moves goes_on='' store=1 others=1 case_of 'the route moved, both are back'
+change=moves lost=0 goes_on=named store=1 others=1 after_s=2 case_of 'the route moved, it stood still before'
--- a/regress/test-builds.c
+++ b/regress/test-builds.c
@@ -447,6 +447,106 @@
   harness_free (p);
 }
 
+/* Settings whose route leads to SERVICE. */
+static void
+move_route (struct harness *p, int64_t version, const char *service,
+            int64_t now_us)
+{
+  struct fleet_conf *c = harness_conf (version, FLEET_STREAM, "key");
+  struct fleet_route *r = c->routes->pdata[0];
+
+  g_free (r->splits[0].service);
+  r->splits[0].service = g_strdup (service);
+  fleet_date_routes (c, p->fleet.conf, now_us);
+  g_assert_true (fleet_apply_conf (&p->fleet, c, version));
+}
+
+/* Guards against a stream that goes on at the one build of a service although
+   its route led to another service when it began. */
+static void
+test_moved (void)
+{
+  struct harness *p = unnamed ();
+  int64_t now = loop_now_us ();
+  struct fleet_listing l = { .slots = 1 };
+
+  g_strlcpy (l.id, "t1", sizeof l.id);
+  g_strlcpy (l.service, "t", sizeof l.service);
+  g_strlcpy (l.build, "v9", sizeof l.build);
+  fleet_apply_listing (&p->fleet, &l, now);
+  move_route (p, 2, "t", now);
+  harness_start (p);
+  g_assert_cmpint (p->refused, ==, RELAY_NO_BUILD);
+  move_route (p, 3, "t", now + 1);
+  p->refused = -1;
+  harness_start (p);
+  g_assert_cmpint (p->refused, ==, RELAY_NO_BUILD);
+  g_assert_true (
+      fleet_has_moved (&p->fleet, "h", "/x", "t", now + FLEET_BUILD_KEEP_US));
+  g_assert_false (fleet_has_moved (&p->fleet, "h", "/x", "t",
+                                   now + FLEET_BUILD_KEEP_US + 1));
+  g_assert_cmpint (p->sends, ==, 0);
+  harness_free (p);
+}
+
+/* Guards against a stream that goes on by settings that were replaced while
+   the platform was asked. */
+static void
+test_moves_while_checked (void)
+{
+  struct harness *p = unnamed ();
+
+  harness_start (p);
+  harness_answer (p, "id: 2\ndata: b\n\n");
+  harness_start (p);
+  g_assert_cmpint (p->refused, ==, -1);
+  move_route (p, 2, "t", loop_now_us ());
+  harness_run (p, CHECK_US);
+  g_assert_cmpint (p->refused, ==, RELAY_NO_BUILD);
+  g_assert_cmpint (p->sends, ==, 1);
+  harness_free (p);
+}
+
+/* A route of service SERVICE for PREFIX. */
+static void
+add_route (struct fleet_conf *c, const char *prefix, const char *service)
+{
+  struct fleet_route *r = g_new0 (struct fleet_route, 1);
+
+  r->name = g_strdup (prefix);
+  r->host = g_strdup ("h");
+  r->prefix = g_strdup (prefix);
+  r->nsplits = 1;
+  r->splits = g_new0 (struct fleet_split, 1);
+  r->splits[0].service = g_strdup (service);
+  g_ptr_array_add (c->routes, r);
+}
+
+/* Guards against requests that went to another service by a longer route which
+   is gone, or by a shorter one, and are not taken for it. */
+static void
+test_covering_routes (void)
+{
+  struct fleet_conf *old = fleet_conf_new (), *c = fleet_conf_new ();
+
+  add_route (old, "/", "s");
+  add_route (old, "/a/", "s");
+  add_route (old, "/a/gone/", "t");
+  add_route (c, "/", "s");
+  add_route (c, "/a/", "s");
+  add_route (c, "/c/", "s");
+  add_route (c, "/d/e/", "t");
+  fleet_conf_build_index (old);
+  fleet_conf_build_index (c);
+  fleet_date_routes (c, old, 7);
+  g_assert_cmpint (fleet_route_find (c, "h", "/x")->moved_us, ==, 0);
+  g_assert_cmpint (fleet_route_find (c, "h", "/a/gone/x")->moved_us, ==, 7);
+  g_assert_cmpint (fleet_route_find (c, "h", "/c/x")->moved_us, ==, 0);
+  g_assert_cmpint (fleet_route_find (c, "h", "/d/e/x")->moved_us, ==, 7);
+  fleet_conf_unref (old);
+  fleet_conf_unref (c);
+}
+
 /* Guards against rows that no VM wrote. */
 static void
 test_build_row (void)
@@ -841,6 +941,9 @@
   { "/builds/check-incomplete", test_check_incomplete },
   { "/builds/check-without-history", test_check_without_history },
   { "/builds/ends-while-checked", test_ends_while_checked },
+  { "/builds/moved", test_moved },
+  { "/builds/moves-while-checked", test_moves_while_checked },
+  { "/builds/covering-routes", test_covering_routes },
   { "/builds/row", test_build_row },
   { "/builds/many", test_many_builds },
   { "/builds/restarted-when-resumed", test_restarted_when_resumed },
--- a/relayresume.c
+++ b/relayresume.c
@@ -50,13 +50,27 @@
   relay_place (r, now_us);
 }
 
-/* All builds that served until the request arrived are known if OK. */
+/* Whether several builds can have begun the stream, whatever this VM has yet
+   to learn. */
+static bool
+can_be_of_several (const struct relay *r, int64_t now_us)
+{
+  struct fleet *f = r->rs->opts.fleet;
+
+  return fleet_has_moved (f, r->desc.host, r->desc.target, r->service, now_us)
+         || fleet_has_several_builds (f, r->service, now_us);
+}
+
+/* All builds that served until the request arrived are known if OK, and the
+   settings since then. */
 static void
 take_up_at_only (struct relay *r, bool ok, int64_t now_us)
 {
   struct fleet *f = r->rs->opts.fleet;
-  uint64_t build = ok ? fleet_only_build (f, r->service, now_us) : 0;
+  uint64_t build = 0;
 
+  if (ok && !can_be_of_several (r, now_us))
+    build = fleet_only_build (f, r->service, now_us);
   ok &= !f->builds_unread;
   if (build != 0)
     r->origin_source = "only";
@@ -79,8 +93,7 @@
 {
   const struct relays_opts *o = &r->rs->opts;
 
-  if (r->route->nsplits != 1
-      || fleet_has_several_builds (o->fleet, r->service, now_us))
+  if (can_be_of_several (r, now_us))
     {
       take_up (r, 0, r->found != ORIGINFEED_NO_ANSWER, now_us);
       return;
