A reply that goes on with another one in its head is not whole

A server broke off in the head of its answer, and another answer followed on the connection. Callers got a 200 with the seal whose body was the other answer's head, whole by its length; also where the other answer was another request's.

libcurl takes any line that starts with CR for the end of a head, so a head that lacks its last byte ends at the other status line. Behind a whole line, half a header name or half a status line it takes that status line for a header or for a part of the reason.

Each line of a head is checked now: the status line comes first and once, others have a name, and only an empty line ends the head. /xfer/spliced-head failed on the code before, at its first case.

--- a/regress/test-xfer.c
+++ b/regress/test-xfer.c
@@ -423,6 +423,8 @@
     "HTTP/1.1 204 No Content\r\nX-A: b\r\n",
     "HTTP/1.1 100 Continue\r\n\r\n",
     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-A: b\r\n",
+    "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+    "HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n",
   };
   struct xfer_end end;
   size_t i;
@@ -435,6 +437,36 @@
     }
 }
 
+/* Guards against a reply whose head is broken off and that goes on with
+   another reply on the connection. */
+static void
+test_spliced_head (void)
+{
+  static const char *const cut[] = {
+    "HTTP/1.1 200 OK\r\nX-A: b\r\n",
+    "HTTP/1.1 200 OK\r\nX-A: b\r\n\r",
+    "HTTP/1.1 200 OK\r\nX-A: b\r\nX-",
+    "HTTP/1.1 200 OK\r\nContent-Length: 60\r\n\r",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-A: b\r\n\r",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP",
+    "HTTP/1.1 100 Continue\r\n\r",
+    "HTTP/1.1 100 Continue\r\n",
+    "HTTP/1.1 200 ",
+  };
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (cut); i++)
+    {
+      g_autofree char *both = g_strconcat (
+          cut[i], "HTTP/1.1 404 X\r\nX-A: c\r\nContent-Length: 4\r\n\r\nbody",
+          NULL);
+      struct xfer_end end = end_of_closed (both);
+
+      g_assert_false (end.no_error);
+      g_assert_false (end.complete);
+    }
+}
+
 /* A whole head, and how far the body is delimited. */
 static void
 test_closed (void)
@@ -473,6 +505,7 @@
   { "/xfer/connect-time", test_connect_time },
   { "/xfer/busy", test_busy },
   { "/xfer/cut-head", test_cut_head },
+  { "/xfer/spliced-head", test_spliced_head },
   { "/xfer/closed", test_closed },
   { "/xfer/many-kept", test_many_peers },
   { NULL, NULL },
--- a/xfer.c
+++ b/xfer.c
@@ -75,6 +75,8 @@
   bool handed_over;       /* before_send let the request go out */
   bool stopped;           /* a callback stopped it */
   bool has_head;          /* the reply's head arrived to its end */
+  bool in_head;           /* a status line came, and no blank line after it */
+  bool malformed;         /* a line of a head was none of HTTP's */
   bool is_interim;        /* the head is that of an interim reply */
   bool too_large;         /* a limit on the reply's bytes was passed */
   size_t body_max_bytes;  /* limit of the body, 0 for none */
@@ -334,7 +336,28 @@
 static bool
 is_blank_line (const char *line, size_t len)
 {
-  return len > 0 && (line[0] == '\r' || line[0] == '\n');
+  return (len == 1 && line[0] == '\n')
+         || (len == 2 && line[0] == '\r' && line[1] == '\n');
+}
+
+/*
+ * Whether LINE may come at this point of a reply.  Behind a reply that its
+ * sender broke off in the head, another one may follow on the connection.
+ * libcurl takes a status line there for a header or a reason phrase, and any
+ * line that starts with CR for the end of the head.
+ */
+static bool
+is_head_line (const struct xfer *x, const char *line, size_t len)
+{
+  static const char scheme[] = "HTTP/";
+  const size_t n = sizeof scheme - 1;
+
+  if (!x->in_head)
+    return starts_with (line, len, scheme)
+           && g_strstr_len (line + n, (gssize)(len - n), scheme) == NULL;
+  return is_blank_line (line, len) || line[0] == ' ' || line[0] == '\t'
+         || (line[0] != '\r' && memchr (line, ':', len) != NULL
+             && !starts_with (line, len, scheme));
 }
 
 /* Whether a status line is that of an interim (1xx) reply. */
@@ -358,15 +381,22 @@
   /* A line after the head is a trailer. */
   if (x->has_head && !x->is_interim)
     return len;
+  x->malformed |= !is_head_line (x, line, len);
+  if (x->malformed)
+    return 0;
   /* The head of an interim (1xx) reply may precede that of the reply. */
-  if (starts_with (line, len, "HTTP/"))
+  if (!x->in_head)
     {
+      x->in_head = true;
       x->has_head = false;
       x->is_interim = is_interim_status (line, len);
       x->is_delimited = false;
     }
   else if (is_blank_line (line, len))
-    x->has_head = true;
+    {
+      x->has_head = true;
+      x->in_head = false;
+    }
   if (starts_with (line, len, "content-length:")
       || starts_with (line, len, "transfer-encoding:"))
     x->is_delimited = true;
@@ -459,6 +489,7 @@
   end.no_error = code == CURLE_OK && x->has_head;
   end.complete = end.no_error && x->is_delimited;
   end.error = x->too_large       ? "reply too large"
+              : x->malformed     ? "malformed head"
               : end.no_error     ? ""
               : code == CURLE_OK ? "connection closed in the reply's head"
               : x->error[0] != 0 ? x->error
