A head that broke off does not say that a request was refused

A VM that reaches no endpoint forwards requests to another VM. When the answer of an endpoint that had run the request was a 404 or a 503 and broke off on the way between the two VMs, in its head, the caller got 503: "not run, and never will be".

A VM's own refusals bear no seal, and the seal comes late in the head. The part of the head that had arrived was used as if it were the whole, so the seal counted as missing, and the endpoint's answer as the VM's refusal.

--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 FAKES = regress/fake.o regress/fakeeng.o regress/fakeplain.o \
 	regress/faketab.o regress/fakehttp.o regress/fakekv.o \
 	regress/fakestore.o regress/fakerows.o regress/fakesrv.o \
-	regress/fakeendless.o
+	regress/fakeendless.o regress/fakecut.o
 
 all: camphorquay
 
--- a/regress/fakesrv.c
+++ b/regress/fakesrv.c
@@ -452,6 +452,19 @@
                              : "");
 }
 
+/* An answer that ends early, if the target asks for that. */
+static bool
+is_cut (const struct in *in)
+{
+  g_autofree char *id = fk_string ("id", "");
+  g_autofree char *asked = header (in, "X-Attempt-Id");
+  g_autofree char *last = header (in, "Last-Event-Id");
+  g_autofree char *m
+      = g_strdup_printf ("X-Attempt-Id: %s\r\n", asked != NULL ? asked : "");
+
+  return cut_answer (in->fd, in->target, id, last, m);
+}
+
 /* An answer without end to reports and orders, as a control says. */
 static bool
 is_duty_endless (const struct in *in)
@@ -568,7 +581,7 @@
   int status = 0;
 
   log_run (in);
-  if (is_endless (in, in->target))
+  if (is_endless (in, in->target) || is_cut (in))
     return false;
   if (fk_number ("silent", 0))
     {
--- a/regress/fakesrv.h
+++ b/regress/fakesrv.h
@@ -11,4 +11,10 @@
 bool endless_answer (int fd, const char *target, const char *marks,
                      const char *type);
 
+/* Answers on FD as TARGET says and ends early, see fakecut.c; false if TARGET
+   does not ask for that.  ID is the endpoint's, LAST the event after which the
+   request resumes, or NULL; MARKS are header lines.  The caller closes FD. */
+bool cut_answer (int fd, const char *target, const char *id, const char *last,
+                 const char *marks);
+
 #endif
--- a/xfer.c
+++ b/xfer.c
@@ -479,6 +479,7 @@
   end.stopped = x->stopped;
   end.stalled = x->stalled;
   end.too_large = x->too_large;
+  end.has_head = x->has_head && !x->is_interim;
   end.connection_refused = is_connection_refused (x, code);
   end.connect_us = connect_time_us (x);
   /*
--- a/xfer.h
+++ b/xfer.h
@@ -28,6 +28,7 @@
 struct xfer_end
 {
   bool handed_over; /* before_send let the request go out */
+  bool has_head;    /* the reply's head arrived to its end */
   bool complete;    /* the whole reply arrived, and its headers delimit it */
   bool no_error;    /* no error; a close may have delimited the reply's body */
   bool stopped;     /* by before_send or on_body */
@@ -35,7 +36,8 @@
   bool stalled;            /* part of the reply came, then none for too long */
   bool too_large;     /* too many bytes outside the body, or body_max_bytes
                          passed */
-  int status;         /* HTTP status, 0 if none arrived */
+  int status;         /* HTTP status, 0 if none arrived; also of a head that
+                         broke off */
   int64_t connect_us; /* time until the connection was established, 0 if
                          it was not, or a connection was reused */
   const char *error;  /* libcurl's message, "" if none */
