An empty stream without a length is broken off

An endpoint ended right behind the head of a stream that had neither a length nor chunks. Callers got a 200 with the seal and an empty body, framed as whole. Where the stream was to be resumed, the caller's one ended as complete before its last event.

The users' page lets an answer without a length end with its connection, and says that a stream which ends inside an event was broken off. By that an empty stream could be whole, but an endpoint that ends behind its head sends the same bytes, an empty stream is of no use to its caller, and an answer that ends early must not look complete. So it counts as broken: a request that may be repeated goes to another endpoint, others get 502. An empty stream that its headers delimit is passed on as before, and so are empty answers of other routes.

/relay/empty-stream and /relay/empty-rest failed on the code before.

--- a/librelay.h
+++ b/librelay.h
@@ -245,6 +245,8 @@
 bool relay_is_stream (const struct relay *r, const struct relay_head *head);
 /* Body bytes of an attempt's answer arrived; ARG is its request. */
 enum relay_body_result relay_on_body (void *arg, const char *data, size_t len);
+/* Whether the answer of an attempt that ends with END is complete. */
+bool relay_is_whole (const struct relay *r, const struct relay_end *end);
 /* How far an attempt got that ends now, its answer complete if WHOLE. */
 enum send_state relay_send_state (const struct relay *r, bool whole);
 /* What follows an attempt that got as far as SENT. */
--- a/regress/relayharness.c
+++ b/regress/relayharness.c
@@ -445,6 +445,7 @@
 {
   struct relay_end e = { .handed_over = handed_over, .whole = whole };
 
+  e.delimited = whole;
   e.error = "";
   p->event->end (p->arg, &e);
 }
--- a/regress/test-relay.c
+++ b/regress/test-relay.c
@@ -459,6 +459,78 @@
   harness_free (p);
 }
 
+/* The answer ends with its connection, and nothing is known to be wrong. */
+static void
+close_answer (struct harness *p)
+{
+  struct relay_end closed
+      = { .handed_over = true, .whole = true, .error = "" };
+
+  p->event->end (p->arg, &closed);
+}
+
+/* Guards against an endpoint that ends after the head of its stream, and a
+   caller who takes that for a complete stream without an event. */
+static void
+test_empty_stream (void)
+{
+  struct harness *p = harness_new (FLEET_STREAM);
+
+  harness_start (p);
+  g_assert_true (p->event->before_send (p->arg));
+  harness_head (p, 200);
+  close_answer (p);
+  g_assert_cmpint (p->sends, ==, 2);
+  g_assert_true (p->event->before_send (p->arg));
+  harness_head (p, 200);
+  close_answer (p);
+  g_assert_cmpint (p->sends, ==, 2);
+  g_assert_cmpint (p->refused, ==, RELAY_UNKNOWN);
+  harness_free (p);
+}
+
+/* Likewise of the endpoint that is to resume a stream. */
+static void
+test_empty_rest (void)
+{
+  struct harness *p = harness_new (FLEET_STREAM);
+
+  harness_start (p);
+  g_assert_true (p->event->before_send (p->arg));
+  harness_head (p, 200);
+  harness_body (p, "id: 1\ndata: a\n\nid: 2\nda");
+  harness_end (p, true, false);
+  g_assert_cmpint (p->sends, ==, 2);
+  g_assert_true (p->event->before_send (p->arg));
+  harness_head (p, 200);
+  close_answer (p);
+  g_assert_cmpint (p->ended, ==, 0);
+  harness_free (p);
+}
+
+/* A stream without a length ends with its connection, and one whose headers
+   say that it is empty is complete. */
+static void
+test_closed_stream (void)
+{
+  struct harness *p = harness_new (FLEET_STREAM);
+
+  harness_start (p);
+  g_assert_true (p->event->before_send (p->arg));
+  harness_head (p, 200);
+  harness_body (p, "id: 1\ndata: a\n\n");
+  close_answer (p);
+  g_assert_cmpint (p->sends, ==, 1);
+  g_assert_cmpint (p->ended, ==, 1);
+  harness_start (p);
+  g_assert_true (p->event->before_send (p->arg));
+  harness_head (p, 200);
+  harness_end (p, true, true);
+  g_assert_cmpint (p->sends, ==, 2);
+  g_assert_cmpint (p->status, ==, 200);
+  harness_free (p);
+}
+
 /* A stream that cannot be resumed breaks: it must not look complete. */
 static void
 test_no_resume (void)
@@ -1050,6 +1122,9 @@
   { "/relay/resume-not-found", test_resume_not_found },
   { "/relay/resume-other-success", test_resume_other_success },
   { "/relay/resume-after-error", test_resume_after_error },
+  { "/relay/empty-stream", test_empty_stream },
+  { "/relay/empty-rest", test_empty_rest },
+  { "/relay/closed-stream", test_closed_stream },
   { "/relay/no-resume", test_no_resume },
   { "/relay/slow-reader", test_slow_reader },
   { "/relay/scope", test_scope },
--- a/relay.h
+++ b/relay.h
@@ -139,6 +139,7 @@
 {
   bool handed_over;        /* a byte may have left */
   bool whole;              /* the answer is complete */
+  bool delimited;          /* likewise, and its headers say where it ends */
   bool connection_refused; /* nothing listens at the endpoint's address */
   int64_t connect_us;      /* time that the connection took, 0 if there was
                               none */
--- a/relayattempt.c
+++ b/relayattempt.c
@@ -230,6 +230,17 @@
 
 /* --- end ------------------------------------------------------------- */
 
+/*
+ * The close of its connection ends an answer without a length, also when the
+ * endpoint died.  Where nothing follows the head of a stream, it has not begun
+ * for the caller, or not gone on, and another endpoint may still take it.
+ */
+bool
+relay_is_whole (const struct relay *r, const struct relay_end *end)
+{
+  return end->whole && (end->delimited || !r->streaming || r->has_body);
+}
+
 enum send_state
 relay_send_state (const struct relay *r, bool whole)
 {
--- a/relaytry.c
+++ b/relaytry.c
@@ -372,12 +372,19 @@
     }
 }
 
+static const char *
+end_error (const struct relay_end *end, bool whole)
+{
+  return end->whole && !whole ? "empty stream without a length" : end->error;
+}
+
 static void
 on_end (void *arg, const struct relay_end *end)
 {
   struct relay *r = arg;
   int64_t now = loop_now_us ();
-  enum send_state sent = relay_send_state (r, end->whole);
+  bool whole = relay_is_whole (r, end);
+  enum send_state sent = relay_send_state (r, whole);
 
   if (!relay_apply_event (r, RELAY_ATTEMPT_ENDED))
     return;
@@ -393,7 +400,7 @@
   r->connection_refused = end->connection_refused;
   if (r->rs->health != NULL && end->connect_us > 0)
     relayhealth_connected (r->rs->health, r->endpoint, end->connect_us, now);
-  end_attempt (r, sent, end->error, now);
+  end_attempt (r, sent, end_error (end, whole), now);
 }
 
 static void
@@ -408,12 +415,13 @@
 on_vm_end (void *arg, const struct relay_end *end)
 {
   struct relay *r = arg;
-  enum send_state sent = relay_send_state (r, end->whole);
+  bool whole = relay_is_whole (r, end);
+  enum send_state sent = relay_send_state (r, whole);
 
   if (!relay_apply_event (r, RELAY_ATTEMPT_ENDED))
     return;
   r->call = NULL;
-  end_forward (r, sent, end->error, loop_now_us ());
+  end_forward (r, sent, end_error (end, whole), loop_now_us ());
 }
 
 static const struct relay_events vm_events = {
