--- a/regress/site.sh
+++ b/regress/site.sh
@@ -69,6 +69,7 @@
 	[ -z "${log_lines_s:-}" ] || sed -i "s/^log_lines_s = .*/log_lines_s = $log_lines_s/" "$tmp/$1.base.ini"
 	[ -z "${share_vms:-}" ] || printf '\n[entry]\nshare_vms = %s\n' "$share_vms" >>"$tmp/$1.base.ini"
 	[ -z "${share_reports:-}" ] || printf '\n[entry]\nshare_reports = %s\n' "$share_reports" >>"$tmp/$1.base.ini"
+	[ -z "${retry_percent:-}" ] || printf '\n[entry]\nretry_percent = %s\nretry_burst = 10000\n' "$retry_percent" >>"$tmp/$1.base.ini"
 	: >"$tmp/$1.log"
 	$bin serve --base "$tmp/$1.base.ini" --overlay "$tmp/$1.site.ini" >>"$tmp/$1.log" 2>&1 &
 	eval "pid_$1=$!"
