Store: a row that cannot be read hides no other

Callers saw nothing yet; found by a test of odd entries. One row whose key holds a NUL, a lone surrogate or no UTF-8, or a member that is nested too deeply or has a number out of range, made the whole page invalid: the VMs that read the list stopped following it for as long as the row stayed there, and a VM that started beside it never became ready. The same held for the product's own tables, for the list of VMs, and for the lists of KV cache stores, where one entry hid all others.

Cause: pages were parsed as one JSON text (the operators' and servers' rows member by member), and what the parser refuses ended the reply. Now such a member is skipped by its brackets and strings, whatever its depth, and its row is left out and counted; an endpoint whose key can be read is treated as removed, as with any invalid entry. A key with a NUL can be the one that the next page follows. A page that names no key to go on from, or the same one again, ends the read as failed instead of as complete, or never.

Test: /oddrows (six tests, 12 forms of rows, 9 of parts). On the code before, servers, named, last-key, own-tables and parts fail at their first form.

--- a/Makefile
+++ b/Makefile
@@ -81,7 +81,7 @@
 	regress/test-relayquar.o regress/test-mirror.o regress/test-routeshare.o \
 	regress/test-relaystate.o regress/test-observe.o regress/test-returns.o \
 	regress/test-speed.o regress/test-spread.o regress/test-health.o \
-	regress/test-reach.o regress/test-forward.o regress/test-builds.o regress/test-vmpath.o regress/test-brittle.o regress/test-partquar.o \
+	regress/test-reach.o regress/test-forward.o regress/test-builds.o regress/test-vmpath.o regress/test-brittle.o regress/test-partquar.o regress/test-oddrows.o \
 	regress/relayharness.o
 
 regress/test-units: $(UNITS) libplatform.a librelay.a libserver.a libwire.a libdecide.a
--- a/buildfeed.c
+++ b/buildfeed.c
@@ -187,6 +187,7 @@
     }
   f->backoff_us = BACKOFF_FIRST_US;
   fleet_update_builds (f->opts.fleet, now);
+  met_add (MET_ROWS_INVALID, reply->skipped);
   for (i = 0; i < reply->rows->len; i++)
     apply_row (f, &g_array_index (reply->rows, struct rowstore_row, i), now);
   f->is_read = true;
--- a/originstore.c
+++ b/originstore.c
@@ -298,6 +298,8 @@
   guint i;
 
   s->reading = false;
+  if (ok)
+    met_add (MET_ROWS_INVALID, reply->skipped);
   for (i = 0; ok && i < reply->rows->len; i++)
     apply_row (s, &g_array_index (reply->rows, struct rowstore_row, i), now);
   log_event (LOG_LEVEL_INFO, "streams_read",
--- a/quarfeed.c
+++ b/quarfeed.c
@@ -364,6 +364,7 @@
       return;
     }
   f->backoff_us = BACKOFF_FIRST_US;
+  met_add (MET_ROWS_INVALID, rows->skipped);
   for (i = 0; i < rows->rows->len; i++)
     apply_row (f, &g_array_index (rows->rows, struct rowstore_row, i), now);
   f->version = MAX (rows->version, 1);
--- a/regress/test-units.c
+++ b/regress/test-units.c
@@ -866,15 +866,15 @@
 
 /* Units of the other files; each table ends with an entry without a path. */
 static const struct unit *const tables[]
-    = { wire_units,    fleet_units,     relay_units,      orders_units,
-        follow_units,  parts_units,     xfer_units,       share_units,
-        header_units,  fresh_units,     steps_units,      incarnation_units,
-        load_units,    admit_units,     quar_units,       cold_units,
-        limit_units,   notice_units,    regions_units,    evac_units,
-        mirror_units,  relayquar_units, routeshare_units, relaystate_units,
-        observe_units, returns_units,   speed_units,      spread_units,
-        health_units,  reach_units,     forward_units,    build_units,
-        vmpath_units,  brittle_units,   partquar_units };
+    = { wire_units,        fleet_units,   relay_units,     orders_units,
+        follow_units,      parts_units,   xfer_units,      oddrow_units,
+        share_units,       header_units,  fresh_units,     steps_units,
+        incarnation_units, load_units,    admit_units,     quar_units,
+        cold_units,        limit_units,   notice_units,    regions_units,
+        evac_units,        mirror_units,  relayquar_units, routeshare_units,
+        relaystate_units,  observe_units, returns_units,   speed_units,
+        spread_units,      health_units,  reach_units,     forward_units,
+        build_units,       vmpath_units,  brittle_units,   partquar_units };
 
 int
 main (int argc, char **argv)
--- a/regress/units.h
+++ b/regress/units.h
@@ -19,6 +19,7 @@
 extern const struct unit share_units[];
 extern const struct unit fresh_units[];
 extern const struct unit xfer_units[];
+extern const struct unit oddrow_units[];
 extern const struct unit header_units[];
 extern const struct unit steps_units[];
 extern const struct unit incarnation_units[];
--- a/rowstore.h
+++ b/rowstore.h
@@ -41,6 +41,7 @@
   enum rowstore_status status; /* result of the call */
   int64_t version;             /* version after which to ask for changes */
   GArray *rows; /* struct rowstore_row: rows read, changed or in conflict */
+  int skipped;  /* rows that cannot be read and were left out */
 };
 
 typedef void (*rowstore_done) (void *arg, const struct rowstore_reply *rows);
