--- a/buildfeed.c
+++ b/buildfeed.c
@@ -181,6 +181,7 @@
   guint i;
 
   fleet_update_builds (f->opts.fleet, now_us);
+  met_add (MET_ROWS_INVALID, reply->skipped);
   for (i = 0; i < reply->rows->len; i++)
     apply_row (f, &g_array_index (reply->rows, struct rowstore_row, i),
                now_us);
