Quarantine: a part with shorter runs does not look more guilty than the one at all its crashes

Cause: of two parts with the same crashes, neither is held by itself, but only if both had as many incidents. The number of incidents depends on the runs (two crashes within 0.1 s are two if the second run began after the first crash), and a part that sound requests share keeps the shortest run of all of them. So it got more incidents than the part that crashes endpoints (six and five, five and four in the logs), explained the crashes better, and was held; no request that has only this part ran any more, so no answer cleared it.

A part that was at all crashes of another one explains them as well now, whatever the number of incidents.

/partquar/shorter-runs fails before, passes after; /partquar as before.

--- a/quar.c
+++ b/quar.c
@@ -361,7 +361,9 @@
 }
 
 /* Whether O explains the crashes of R better, or as well as R if they are
-   parts: either may be the cause then. */
+   parts: either may be the cause then.  A part that was at all of R's crashes
+   explains them as well, whatever the number of incidents: that depends on the
+   runs, and those of a part that sound requests share are shorter. */
 static bool
 is_better_explanation (const struct record *o, const struct record *r)
 {
@@ -370,7 +372,7 @@
   if (!reqid_is_part (&o->id) && !reqid_is_part (&r->id))
     return is_likelier_cause (o, r);
   return no > nr
-         || (no == nr && reqid_is_part (&o->id) && reqid_is_part (&r->id)
+         || (reqid_is_part (&o->id) && reqid_is_part (&r->id)
              && covers (o, r));
 }
 
--- a/regress/test-partquar.c
+++ b/regress/test-partquar.c
@@ -464,6 +464,38 @@
   quar_free (q);
 }
 
+/* Guards against a hold of a part because the runs of its sound requests were
+   shorter: crashes close together then look like more incidents of it. */
+static void
+test_shorter_runs (void)
+{
+  struct quar *q = quar_new (60000);
+  struct quar_subject sound = { .nparts = 0 }, bad = { .nparts = 0 };
+  struct quar_fact f = { .completed = false };
+  struct reqid id;
+  int i;
+
+  add_part (&sound, part ("shared", 1));
+  add_part (&bad, part ("shared", 1));
+  add_part (&bad, part ("bad", 1));
+  for (i = 0; i < 6; i++)
+    {
+      f.crash.endpoint = (uint64_t)i + 1;
+      f.crash.at_ms = 100000 + i / 2 * INT64_C (1000) + i % 2 * INT64_C (90);
+      f.id = bad.parts[1];
+      f.crash.ran_ms = 120;
+      quar_add_fact (q, &f, true);
+      f.id = bad.parts[0];
+      f.crash.ran_ms = 60;
+      quar_add_fact (q, &f, true);
+    }
+  g_assert_true (
+      quar_evaluate_subject (q, &bad, ENDPOINTS, 104000, &id).is_quarantined);
+  g_assert_false (quar_evaluate_subject (q, &sound, ENDPOINTS, 104000, &id)
+                      .is_quarantined);
+  quar_free (q);
+}
+
 /* Guards against a part of another service, or a request, that is taken for a
    part. */
 static void
@@ -487,6 +519,7 @@
   { "/partquar/lost-messages", test_lost_messages },
   { "/partquar/random-crashes", test_random_crashes },
   { "/partquar/tie", test_tie },
+  { "/partquar/shorter-runs", test_shorter_runs },
   { "/partquar/digests", test_digests },
   { NULL, NULL },
 };
