--- a/regress/promptpart.sh
+++ b/regress/promptpart.sh
@@ -14,6 +14,8 @@
 	_port=0
 	while [ ! -e "$tmp/stop" ]; do
 		_life=$((_life + 1))
+		# The one before said its port there, too.
+		rm -f "$tmp/$1.out"
 		$fake server $_port >"$tmp/$1.out" 2>>"$tmp/$1.err" &
 		_pid=$!
 		echo $_pid >"$tmp/$1.pid"
