Test promptpart: answers are counted after they have come

What was seen: "sound before: 16 of 18" and "17 of 18", in three of twelve runs on a machine with a load of 36 to 42 on eight processors; in their files all 18 got a 200.

Cause: the script counted a third of a second after the last request was sent, and an answer takes a quarter of a second and the start of a curl.

It waits for the answers, before the crashes begin and at the end. The checks are as they were.

--- a/regress/promptpart.sh
+++ b/regress/promptpart.sh
@@ -52,17 +52,24 @@
 }
 
 # play NAME SECONDS BAD-PROMPT: three bad requests a second and six sound ones,
-# that share the first part and another one with the bad ones.
+# that share the first part and another one with the bad ones.  Waits for their
+# answers.
 play() {
+	_tells=
 	_began=$(now_ms)
 	for _i in $(seq $(($2 * 3))); do
 		case $((_i % 3)) in 0) _v=a ;; 1) _v=b ;; 2) _v=c ;; esac
 		[ -z "$3" ] || tell $_v "bad-$1-$_i" "$3,e$_i:20" &
+		_tells="$_tells $!"
 		tell $_v "sound-$1-$_i-1" "f1f1f1f1:300,c2c2c2c2:200,5a$_i:20" &
+		_tells="$_tells $!"
 		tell $_v "sound-$1-$_i-2" "f1f1f1f1:300,5b$_i:20" &
+		_tells="$_tells $!"
 		_left=$((_began + _i * 1000 / 3 - $(now_ms)))
 		[ $_left -le 0 ] || sleep "$(printf '0.%03d' $((_left % 1000)))"
 	done
+	# shellcheck disable=SC2086
+	wait $_tells
 }
 
 # From this moment in ms, the times of arrivals at endpoints, or of crashes.
