Log after which event each attempt and stream ended, and by what

The lines of a stream that was broken off or joined did not tell where: the last event that the caller has, whether an incomplete one was dropped or a repeated one, or whether the end of the answer was that of its message or only of its connection. So a resume after the wrong event and an end too early looked like a normal stream.

attempt_end has last_id and cut_bytes, finish also repeated, unnumbered and delimiter; three counters say how often. A few numbers a line.

--- a/librelay.h
+++ b/librelay.h
@@ -135,15 +135,16 @@
   bool has_subject;            /* subject was computed */
   bool has_cleared_parts;      /* the attempt's answer cleared its parts */
   bool is_suspect;             /* by the last check of the quarantine */
-  bool not_run;            /* the endpoint reported that it did not run it */
-  bool connection_refused; /* nothing listens at the endpoint's address */
-  bool other_incarnation;  /* another incarnation answered the attempt */
-  bool is_head_observed;   /* the answer's head was passed to on_observed */
-  bool streaming;          /* the answer is passed on in chunks */
-  bool has_body;           /* part of the answer's body was received */
-  bool is_prefilling;      /* the endpoint still processes its prompt */
-  bool is_long_prompt;     /* its work is reported to other VMs */
-  bool may_have_run;       /* an earlier attempt may have run */
+  bool not_run;              /* the endpoint reported that it did not run it */
+  bool connection_refused;   /* nothing listens at the endpoint's address */
+  bool other_incarnation;    /* another incarnation answered the attempt */
+  bool is_head_observed;     /* the answer's head was passed to on_observed */
+  bool streaming;            /* the answer is passed on in chunks */
+  bool ends_with_connection; /* the answer has no length and no chunks */
+  bool has_body;             /* part of the answer's body was received */
+  bool is_prefilling;        /* the endpoint still processes its prompt */
+  bool is_long_prompt;       /* its work is reported to other VMs */
+  bool may_have_run;         /* an earlier attempt may have run */
   char *stream_type;  /* media type of the stream, NULL before it begins */
   uint64_t build_key; /* of the endpoint that began the stream; 0 before that,
                          and if it is not known */
--- a/met.c
+++ b/met.c
@@ -67,6 +67,16 @@
                           "Streams to callers that were ended as complete." },
   [MET_STREAMS_BROKEN] = { "camphorquay_streams_broken_total", "counter",
                            "Streams to callers that were broken off." },
+  [MET_STREAMS_UNDELIMITED]
+  = { "camphorquay_streams_undelimited_total", "counter",
+      "Streams that were ended as complete with their endpoint's "
+      "connection." },
+  [MET_EVENTS_CUT]
+  = { "camphorquay_events_cut_total", "counter",
+      "Incomplete events that were dropped at the end of an attempt." },
+  [MET_EVENTS_REPEATED]
+  = { "camphorquay_events_repeated_total", "counter",
+      "Events that were dropped since the caller has them." },
   [MET_LONG_REPLIES]
   = { "camphorquay_long_replies_total", "counter",
       "Replies whose head may not fit the memory of their connection." },
--- a/regress/test-headers.c
+++ b/regress/test-headers.c
@@ -399,6 +399,36 @@
     }
 }
 
+/* Guards against a reply that ends with its connection and looks delimited. */
+static void
+test_reply_delimited (void)
+{
+  static const struct
+  {
+    const char *line;
+    int status;
+    bool ends_with_connection;
+  } cases[] = {
+    { "Content-Length: 5", 200, false },
+    { "transfer-encoding: chunked", 200, false },
+    { "Connection: close", 200, true },
+    { "Content-Type: text/event-stream", 200, true },
+    { "X-A: 1", 204, false },
+  };
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const char *lines[] = { cases[i].line, NULL };
+      struct preplyhead a;
+
+      decode_reply (&a, lines, cases[i].status);
+      g_assert_cmpint (a.head.ends_with_connection, ==,
+                       cases[i].ends_with_connection);
+      preplyhead_clear (&a);
+    }
+}
+
 const struct unit header_units[] = {
   { "/headers/request", test_request },
   { "/headers/reserved", test_reserved },
@@ -407,6 +437,7 @@
   { "/headers/invalid-deadlines", test_invalid_deadlines },
   { "/headers/invalid-parts", test_invalid_parts },
   { "/headers/reply", test_reply },
+  { "/headers/reply-delimited", test_reply_delimited },
   { "/headers/reply-speed", test_reply_speed },
   { "/headers/reply-two-ids", test_reply_two_ids },
   { "/headers/reply-invalid-version", test_reply_invalid_version },
--- a/relay.h
+++ b/relay.h
@@ -128,10 +128,11 @@
   int speed_percent;  /* time that work takes there, 100 is normal; 0 if not
                          given */
   int64_t version;    /* weight version that ran, 0 if not given */
-  struct notice notice; /* the endpoint's notices on its own state */
-  bool no_path;         /* of another VM's answer: it reaches no endpoint */
-  bool no_build;        /* likewise: the stream can go on at no endpoint */
-  char **lines;         /* "Name: value" lines for the caller */
+  struct notice notice;      /* the endpoint's notices on its own state */
+  bool ends_with_connection; /* the answer has no length and no chunks */
+  bool no_path;  /* of another VM's answer: it reaches no endpoint */
+  bool no_build; /* likewise: the stream can go on at no endpoint */
+  char **lines;  /* "Name: value" lines for the caller */
 };
 
 /* How an attempt ended. */
--- a/relayattempt.c
+++ b/relayattempt.c
@@ -25,6 +25,7 @@
   r->other_incarnation = false;
   r->is_head_observed = false;
   r->streaming = false;
+  r->ends_with_connection = false;
   r->has_body = false;
   r->has_cleared_parts = false;
   r->paused = false;
--- a/relayend.c
+++ b/relayend.c
@@ -144,6 +144,15 @@
   return names[reply];
 }
 
+/* How the end of the last answer is found. */
+static const char *
+delimiter_name (const struct relay *r)
+{
+  if (r->status == 0)
+    return "-";
+  return r->ends_with_connection ? "connection" : "message";
+}
+
 static void
 end_request (struct relay *r, enum outcome outcome, const char *reason,
              int64_t now_us)
@@ -165,12 +174,19 @@
       LOG_LEVEL_INFO, "finish",
       "req=%s route=%s outcome=%s reason=%s reply=%s status=%d attempts=%d "
       "unsent=%d handed_us=%" G_GINT64_FORMAT " first_us=%" G_GINT64_FORMAT
-      " whole_us=%" G_GINT64_FORMAT " gap_us=%" G_GINT64_FORMAT,
+      " whole_us=%" G_GINT64_FORMAT " gap_us=%" G_GINT64_FORMAT
+      " last_id=%" G_GINT64_FORMAT
+      " cut_bytes=%zu repeated=%d unnumbered=%d delimiter=%s",
       r->desc.id, r->route->name, out_name (outcome), reason,
       reply_name (r->reply), r->status, r->attempts, r->unsent,
       (gint64)(r->handed_over_us ? r->handed_over_us - r->arrived_us : 0),
       (gint64)(r->first_chunk_us ? r->first_chunk_us - r->arrived_us : 0),
-      (gint64)(now_us - r->arrived_us), (gint64)r->gap_us);
+      (gint64)(now_us - r->arrived_us), (gint64)r->gap_us,
+      (gint64)r->events.last_id, r->events.partial->len, r->events.repeated,
+      r->events.unnumbered, delimiter_name (r));
+  met_add (MET_EVENTS_REPEATED, r->events.repeated);
+  if (r->reply == RELAY_REPLY_STREAM_ENDED && r->ends_with_connection)
+    met_add (MET_STREAMS_UNDELIMITED, 1);
   relay_release_endpoint (r, now_us);
   if (r->question.waiting)
     originfeed_cancel (r->rs->opts.origins, &r->question);
--- a/relayforward.c
+++ b/relayforward.c
@@ -67,6 +67,7 @@
       return false;
     }
   r->streaming = relay_is_stream (r, head);
+  r->ends_with_connection = head->ends_with_connection;
   g_strfreev (r->lines);
   r->lines = g_strdupv (head->lines);
   return true;
--- a/relaytry.c
+++ b/relaytry.c
@@ -215,6 +215,7 @@
       return false;
     }
   r->streaming = relay_is_stream (r, head);
+  r->ends_with_connection = head->ends_with_connection;
   g_strfreev (r->lines);
   r->lines = g_strdupv (head->lines);
   return true;
@@ -328,10 +329,14 @@
     reqid_text (relay_identity (r), text);
   log_event (LOG_LEVEL_INFO, "attempt_end",
              "req=%s endpoint=%s attempt=%d sent=%s status=%d next=%s "
-             "reason=%s took_us=%" G_GINT64_FORMAT " digest=%s error=\"%s\"",
+             "reason=%s took_us=%" G_GINT64_FORMAT " last_id=%" G_GINT64_FORMAT
+             " cut_bytes=%zu digest=%s error=\"%s\"",
              r->desc.id, r->endpoint->listing.id, r->attempts,
              out_send_name (sent), r->status, out_next_name (v->next), reason,
-             (gint64)(now_us - r->sent_us), text, error);
+             (gint64)(now_us - r->sent_us), (gint64)r->events.last_id,
+             r->events.partial->len, text, error);
+  if (r->events.partial->len > 0)
+    met_add (MET_EVENTS_CUT, 1);
 }
 
 static void
--- a/sse.c
+++ b/sse.c
@@ -8,6 +8,8 @@
 {
   e->partial = g_string_new (NULL);
   e->last_id = after;
+  e->repeated = 0;
+  e->unnumbered = 0;
 }
 
 void
@@ -80,6 +82,10 @@
       /* A resumed run may repeat events that the caller already has. */
       if (id < 0 || id > e->last_id)
         g_string_append_len (to, e->partial->str, (gssize)n);
+      else
+        e->repeated++;
+      if (id < 0)
+        e->unnumbered++;
       if (id > e->last_id)
         e->last_id = id;
       g_string_erase (e->partial, 0, (gssize)n);
--- a/sse.h
+++ b/sse.h
@@ -12,6 +12,8 @@
 {
   GString *partial; /* incomplete event received so far */
   int64_t last_id;  /* of the last event passed on, -1 before any */
+  int repeated;     /* events dropped since they had been passed on */
+  int unnumbered;   /* passed on without an id, comments among them */
 };
 
 void sse_init (struct sse *e, int64_t after);
