Resume no stream after an event without a number

Callers got events twice, in one answer with status 200: a stream broke off after an event that had no id, or one that is no number, and was resumed after the last number before it, or from its start if there was none, as Last-Event-Id can name no other place. A stream whose last id field was no number lost the events after it, since it was read as 0.

The parser of events keeps whether the place after the last event can be named. If it cannot, the stream ends as broken, and its caller decides. Comments are no events; of several id fields the last one counts.

/relay/resume-unnumbered failed before (two sends where one is right).

--- a/regress/test-relay.c
+++ b/regress/test-relay.c
@@ -394,6 +394,54 @@
   harness_free (p);
 }
 
+/* Guards against events that the caller gets twice since a stream was resumed
+   after an event without a number. */
+static void
+test_resume_unnumbered (void)
+{
+  static const struct
+  {
+    const char *events;
+    int64_t after; /* -2: not resumed */
+  } cases[] = {
+    { "data: a\n\n", -2 },
+    { "id: x1\ndata: a\n\n", -2 },
+    { "id: 1\ndata: a\n\ndata: b\n\n", -2 },
+    { "id: 1\ndata: a\n\nid: 99999999999999999999\ndata: b\n\n", -2 },
+    { "id: 1\ndata: a\n\nid\ndata: b\n\n", -2 },
+    { "data: a\n\nid: 2\ndata: b\n\n", 2 },
+    { "id: 1\ndata: a\n\n: keep\n\n", 1 },
+    { "id: 1\r\ndata: a\r\n\r\n:\r\n\r\n", 1 },
+    { "id:1\nid: 2\ndata: a\n\n", 2 },
+    { ": keep\n\n", -1 },
+  };
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct harness *p = harness_new (FLEET_STREAM);
+
+      harness_start (p);
+      g_assert_true (p->event->before_send (p->arg));
+      harness_head (p, 200);
+      harness_body (p, cases[i].events);
+      harness_end (p, true, false);
+      g_assert_cmpstr (p->got->str, ==, cases[i].events);
+      if (cases[i].after == -2)
+        {
+          g_assert_cmpint (p->sends, ==, 1);
+          g_assert_cmpint (p->ended, ==, 0);
+        }
+      else
+        {
+          g_assert_cmpint (p->sends, ==, 2);
+          g_assert_cmpint (p->resume_after, ==, cases[i].after);
+          harness_answer (p, "");
+        }
+      harness_free (p);
+    }
+}
+
 /* Guards against a broken stream that is ended as complete since the attempt
    that resumes it gets a complete answer which is no stream. */
 static void
@@ -1046,6 +1094,7 @@
   { "/relay/other-version", test_other_version },
   { "/relay/answer-to-other-request", test_answer_to_other_request },
   { "/relay/resume", test_resume },
+  { "/relay/resume-unnumbered", test_resume_unnumbered },
   { "/relay/resume-error", test_resume_error },
   { "/relay/resume-not-found", test_resume_not_found },
   { "/relay/resume-other-success", test_resume_other_success },
--- a/relayattempt.c
+++ b/relayattempt.c
@@ -256,7 +256,7 @@
   f.ran_before = r->may_have_run;
   f.caller_has_bytes = r->stream_begun;
   f.ends_stream = r->streaming;
-  f.resumable = r->route->resumable;
+  f.resumable = r->route->resumable && sse_is_place_known (&r->events);
   f.attempts_left = has_attempts_left;
   f.deadline_passed = now_us >= r->deadline_us;
   return out_evaluate (&f);
--- a/sse.c
+++ b/sse.c
@@ -8,6 +8,7 @@
 {
   e->partial = g_string_new (NULL);
   e->last_id = after;
+  e->place_known = true;
   e->repeated = 0;
   e->unnumbered = 0;
 }
@@ -26,6 +27,12 @@
   g_string_truncate (e->partial, 0);
 }
 
+bool
+sse_is_place_known (const struct sse *e)
+{
+  return e->place_known;
+}
+
 bool
 sse_has_partial (const struct sse *e)
 {
@@ -48,23 +55,46 @@
   return 0;
 }
 
-/* Value of the event's id field, or -1 if it has none. */
+/* Reads the value of an id field, which ends at END; -1 if it is no number. */
 static int64_t
-event_id (const char *event, size_t len)
+parse_id (const char *value, const char *end)
+{
+  g_autofree char *text = g_strndup (value, (gsize)(end - value));
+  guint64 id;
+
+  if (g_ascii_string_to_unsigned (g_strstrip (text), 10, 0, G_MAXINT64, &id,
+                                  NULL))
+    return (int64_t)id;
+  return -1;
+}
+
+/* Fields of an event. */
+struct fields
 {
+  int64_t id;      /* of the last id field; -1 if none is a number */
+  bool is_comment; /* it has no fields */
+};
+
+static struct fields
+read_fields (const char *event, size_t len)
+{
+  struct fields f = { .id = -1, .is_comment = true };
   const char *end = event + len;
   const char *line = event;
   const char *next;
 
-  while (line < end)
+  for (; line < end; line = next)
     {
       next = memchr (line, '\n', (size_t)(end - line));
       next = next == NULL ? end : next + 1;
-      if (next - line > 3 && memcmp (line, "id:", 3) == 0)
-        return g_ascii_strtoll (line + 3, NULL, 10);
-      line = next;
+      if (line[0] == ':' || line[0] == '\n' || line[0] == '\r')
+        continue;
+      f.is_comment = false;
+      if (next - line > 2 && memcmp (line, "id", 2) == 0
+          && strchr (":\r\n", line[2]) != NULL)
+        f.id = line[2] == ':' ? parse_id (line + 3, next) : -1;
     }
-  return -1;
+  return f;
 }
 
 bool
@@ -72,22 +102,28 @@
 {
   /* Two bytes back: the blank line may be split between two reads. */
   size_t from = e->partial->len > 2 ? e->partial->len - 2 : 0;
+  struct fields f;
   size_t n;
-  int64_t id;
 
   g_string_append_len (e->partial, data, (gssize)len);
   while ((n = first_event_length (e->partial, from)) > 0)
     {
-      id = event_id (e->partial->str, n);
+      f = read_fields (e->partial->str, n);
       /* A resumed run may repeat events that the caller already has. */
-      if (id < 0 || id > e->last_id)
+      if (f.id < 0 || f.id > e->last_id)
         g_string_append_len (to, e->partial->str, (gssize)n);
       else
         e->repeated++;
-      if (id < 0)
-        e->unnumbered++;
-      if (id > e->last_id)
-        e->last_id = id;
+      if (f.id > e->last_id)
+        {
+          e->last_id = f.id;
+          e->place_known = true;
+        }
+      else if (f.id < 0 && !f.is_comment)
+        {
+          e->unnumbered++;
+          e->place_known = false;
+        }
       g_string_erase (e->partial, 0, (gssize)n);
       from = 0;
     }
