Probe the endpoint before an answer counts as ended by its connection

Callers got streams that ended as complete before their last event, and plain answers with part of their body, status 200. An answer without a length and without chunks ends with its connection. If its process is killed, the kernel closes the connection in the same way, so that this end was taken for the answer's. (The library reports a reset, so where a process ends by a reset nothing was wrong.)

Such an answer now counts as complete only if a probe finds that incarnation running after the end. Otherwise the attempt is broken: a stream that may be resumed goes on elsewhere, others end as broken, plain answers are retried or their outcome is unknown. A process that ends right after it closed the connection in order is taken for killed; what it sent is sent again only where it may be.

The stand-in's report without a length kept its connection open, which no answer without a length may do.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 	quarwire.o quarfeed.o follow.o followraw.o observe.o relayobserve.o \
 	sealbox.o lease.o announce.o orders.o parts.o partfeed.o buildfeed.o originstore.o evac.o mirror.o \
 	mirrorpick.o mirrorwire.o mirrorserve.o mirrorfeed.o speed.o spread.o \
-	health.o conntime.o relayhealth.o reach.o relayreach.o relayattempt.o relayforward.o relayresume.o relayorigin.o \
+	health.o conntime.o relayhealth.o reach.o relayreach.o relayattempt.o relayconfirm.o relayforward.o relayresume.o relayorigin.o \
 	forwardseal.o vmpath.o pathwire.o relayvms.o origin.o originwire.o originfeed.o
 # The users' platform; translates only.
 PLATFORM = platform/replyhead.o platform/reqhead.o platform/decode.o platform/orders.o \
--- a/librelay.h
+++ b/librelay.h
@@ -152,20 +152,35 @@
   const char *origin_source; /* how this VM knows that, for the log */
   bool no_build;             /* no endpoint of the stream's build is left */
   bool stream_begun; /* the caller has got the head and part of a stream */
-  enum relay_reply reply; /* what the caller has got */
-  bool paused;            /* the attempt waits for a slow reader */
-  bool event_pending;     /* prompts were pending at the endpoint when the last
-                             events arrived */
-  bool has_waited;        /* it waited for room */
-  bool forwarding;        /* the attempt is at another VM */
-  bool seeks_share;       /* it is forwarded since this VM's shares are used */
-  bool no_share;          /* another VM forwarded it, and this one's shares are
-                             used, too */
-  bool vm_no_path;        /* the other VM reaches no endpoint either */
-  bool unpause_posted;    /* unpause is queued in the loop */
-  bool event_rejected;    /* an event was not allowed: no attempt follows */
+  enum relay_reply reply;      /* what the caller has got */
+  struct end_check *end_check; /* the attempt's answer has ended, and its
+                                  endpoint is probed; or NULL */
+  bool paused;                 /* the attempt waits for a slow reader */
+  bool event_pending;  /* prompts were pending at the endpoint when the last
+                          events arrived */
+  bool has_waited;     /* it waited for room */
+  bool forwarding;     /* the attempt is at another VM */
+  bool seeks_share;    /* it is forwarded since this VM's shares are used */
+  bool no_share;       /* another VM forwarded it, and this one's shares are
+                          used, too */
+  bool vm_no_path;     /* the other VM reaches no endpoint either */
+  bool unpause_posted; /* unpause is queued in the loop */
+  bool event_rejected; /* an event was not allowed: no attempt follows */
 };
 
+/* Takes how the present attempt of R ended. */
+typedef void (*relay_end_fn) (struct relay *r, const struct relay_end *end,
+                              int64_t now_us);
+
+/* Whether END may be that of R's endpoint rather than of its answer. */
+bool relay_is_end_doubtful (const struct relay *r,
+                            const struct relay_end *end);
+/* Probes R's endpoint, and calls DONE with END, as not whole unless the
+   endpoint still runs.  The attempt is under way until then. */
+void relay_confirm_end (struct relay *r, const struct relay_end *end,
+                        relay_end_fn done, int64_t now_us);
+/* R's attempt has ended otherwise: the result of the probe is of no use. */
+void relay_forget_end (struct relay *r);
 /* Whether the request may run twice: it is idempotent or a resumable stream.
  */
 bool relay_is_repeatable (const struct relay *r);
--- a/met.c
+++ b/met.c
@@ -71,6 +71,10 @@
   = { "camphorquay_streams_undelimited_total", "counter",
       "Streams that were ended as complete with their endpoint's "
       "connection." },
+  [MET_ENDS_DOUBTED]
+  = { "camphorquay_ends_doubted_total", "counter",
+      "Answers that ended with their connection, whose endpoint did not run "
+      "any more." },
   [MET_EVENTS_CUT]
   = { "camphorquay_events_cut_total", "counter",
       "Incomplete events that were dropped at the end of an attempt." },
--- a/regress/fakesrv.c
+++ b/regress/fakesrv.c
@@ -11,6 +11,8 @@
  *   close_after  close the connection after each answer without saying so
  *   other_id     so many answers bear another request's id
  *   no_seal      so many answers bear no seal
+ *   die_in_body  so many answers end with the process, in the middle of their
+ *                body
  *   extra        so many answers are followed by a second one
  *   unframed     answers have no length and end with their connection
  *   events       events of a stream; 0 answers with a whole body
@@ -260,6 +262,11 @@
 
   text = g_strdup_printf ("HTTP/1.1 %d X\r\n%s%s\r\n%s", status, m,
                           fk_number ("unframed", 0) ? "" : length, body);
+  if (fk_take ("die_in_body"))
+    {
+      put (in->fd, text, strlen (text) - strlen (body) / 2);
+      _exit (1);
+    }
   put_text (in->fd, text);
   if (fk_take ("extra"))
     put_text (in->fd, text);
@@ -716,7 +723,7 @@
       if (is_duty_endless (in))
         return false;
       report (in);
-      return true;
+      return !fk_number ("unframed", 0);
     }
   if (strcmp (in->target, "/order") == 0)
     return order (in);
--- a/regress/test-relay.c
+++ b/regress/test-relay.c
@@ -394,6 +394,79 @@
   harness_free (p);
 }
 
+/* A stream of one event whose end is only that of its connection; the endpoint
+   is being probed. */
+static struct harness *
+ended_with_connection (void)
+{
+  struct harness *p = harness_new (FLEET_STREAM);
+  struct relay_head h = { .status = 200, .genuine = true, .running = -1 };
+
+  h.lines = harness_seal;
+  h.ends_with_connection = true;
+  harness_start (p);
+  g_assert_true (p->event->before_send (p->arg));
+  g_assert_true (p->event->head (p->arg, &h));
+  harness_body (p, "id: 1\ndata: a\n\n");
+  harness_end (p, true, true);
+  g_assert_cmpint (p->probes, ==, 1);
+  g_assert_cmpstr (p->probed, ==, p->to[0]);
+  g_assert_cmpint (p->ended, ==, -1);
+  return p;
+}
+
+/* Guards against a stream that ends as complete since its endpoint was killed,
+   and against one that is broken off though its endpoint is well. */
+static void
+test_ended_with_connection (void)
+{
+  struct harness *p = ended_with_connection ();
+  enum relay_probe_result probe;
+
+  p->probe (p->probe_arg, RELAY_PROBE_ALIVE, NULL);
+  g_assert_cmpint (p->ended, ==, 1);
+  g_assert_cmpint (p->sends, ==, 1);
+  harness_free (p);
+
+  for (probe = RELAY_PROBE_CRASHED; probe <= RELAY_PROBE_SILENT; probe++)
+    {
+      p = ended_with_connection ();
+      p->probe (p->probe_arg, probe, NULL);
+      g_assert_cmpint (p->sends, ==, 2);
+      g_assert_cmpint (p->resume_after, ==, 1);
+      harness_answer (p, "id: 2\ndata: b\n\n");
+      g_assert_cmpint (p->ended, ==, 1);
+      harness_free (p);
+    }
+}
+
+/* Guards against a request that is freed while its endpoint is probed. */
+static void
+test_ended_and_caller_gone (void)
+{
+  struct harness *p = ended_with_connection ();
+
+  p->gone = true;
+  relay_caller_disconnected (p->relay);
+  g_assert_cmpint (p->cancels, ==, 0);
+  p->probe (p->probe_arg, RELAY_PROBE_REFUSED, NULL);
+  g_assert_cmpint (p->sends, ==, 1);
+  harness_free (p);
+
+  p = ended_with_connection ();
+  relay_time_out (p->relay, loop_now_us () + 60 * CQ_US_PER_S);
+  g_assert_cmpint (p->ended, ==, 0);
+  p->probe (p->probe_arg, RELAY_PROBE_ALIVE, NULL);
+  g_assert_cmpint (p->ended, ==, 0);
+  harness_free (p);
+
+  p = ended_with_connection ();
+  relays_stop (p->relays, loop_now_us ());
+  g_assert_cmpint (p->ended, ==, 0);
+  p->probe (p->probe_arg, RELAY_PROBE_REFUSED, NULL);
+  harness_free (p);
+}
+
 /* Guards against events that the caller gets twice since a stream was resumed
    after an event without a number. */
 static void
@@ -1094,6 +1167,8 @@
   { "/relay/other-version", test_other_version },
   { "/relay/answer-to-other-request", test_answer_to_other_request },
   { "/relay/resume", test_resume },
+  { "/relay/ended-with-connection", test_ended_with_connection },
+  { "/relay/ended-and-caller-gone", test_ended_and_caller_gone },
   { "/relay/resume-unnumbered", test_resume_unnumbered },
   { "/relay/resume-error", test_resume_error },
   { "/relay/resume-not-found", test_resume_not_found },
--- a/relayend.c
+++ b/relayend.c
@@ -188,6 +188,7 @@
   if (r->reply == RELAY_REPLY_STREAM_ENDED && r->ends_with_connection)
     met_add (MET_STREAMS_UNDELIMITED, 1);
   relay_release_endpoint (r, now_us);
+  relay_forget_end (r);
   if (r->question.waiting)
     originfeed_cancel (r->rs->opts.origins, &r->question);
   APR_RING_REMOVE (r, link);
--- a/relaytry.c
+++ b/relaytry.c
@@ -378,10 +378,8 @@
 }
 
 static void
-on_end (void *arg, const struct relay_end *end)
+attempt_ended (struct relay *r, const struct relay_end *end, int64_t now_us)
 {
-  struct relay *r = arg;
-  int64_t now = loop_now_us ();
   enum send_state sent = relay_send_state (r, end->whole);
 
   if (!relay_apply_event (r, RELAY_ATTEMPT_ENDED))
@@ -389,16 +387,32 @@
   /* Without a reason of this VM's, no connection was established. */
   if (sent == SEND_NONE && r->stop_reason == NULL)
     {
-      relayreach_failed (r->rs->reach, r->endpoint, r->sent_us, now);
+      relayreach_failed (r->rs->reach, r->endpoint, r->sent_us, now_us);
       if (relayreach_is_doubtful (r->rs->reach, r->service)
           && !r->desc.forwarded)
-        relayvms_want (r->rs->vms, r->service, DOUBT_ASK_US, now);
+        relayvms_want (r->rs->vms, r->service, DOUBT_ASK_US, now_us);
     }
   r->call = NULL;
   r->connection_refused = end->connection_refused;
   if (r->rs->health != NULL && end->connect_us > 0)
-    relayhealth_connected (r->rs->health, r->endpoint, end->connect_us, now);
-  end_attempt (r, sent, end->error, now);
+    relayhealth_connected (r->rs->health, r->endpoint, end->connect_us,
+                           now_us);
+  end_attempt (r, sent, end->error, now_us);
+}
+
+static void
+on_end (void *arg, const struct relay_end *end)
+{
+  struct relay *r = arg;
+  int64_t now = loop_now_us ();
+
+  if (!relay_is_end_doubtful (r, end))
+    {
+      attempt_ended (r, end, now);
+      return;
+    }
+  r->call = NULL;
+  relay_confirm_end (r, end, attempt_ended, now);
 }
 
 static void
@@ -765,6 +779,7 @@
   if (r->call != NULL)
     e->cancel (e->ctx, r->call);
   r->call = NULL;
+  relay_forget_end (r);
   r->stop_reason = reason;
   if (r->forwarding)
     end_forward (r, sent, "", now_us);
