--- a/relayattempt.c
+++ b/relayattempt.c
@@ -25,6 +25,7 @@
   r->other_incarnation = false;
   r->is_head_observed = false;
   r->streaming = false;
+  r->ends_with_connection = false;
   r->has_body = false;
   r->has_cleared_parts = false;
   r->paused = false;
@@ -266,7 +267,7 @@
   f.ran_before = r->may_have_run;
   f.caller_has_bytes = r->stream_begun;
   f.ends_stream = r->streaming;
-  f.resumable = r->route->resumable;
+  f.resumable = r->route->resumable && sse_is_place_known (&r->events);
   f.attempts_left = has_attempts_left;
   f.deadline_passed = now_us >= r->deadline_us;
   return out_evaluate (&f);
--- a/relaytry.c
+++ b/relaytry.c
@@ -216,6 +216,7 @@
       return false;
     }
   r->streaming = relay_is_stream (r, head);
+  r->ends_with_connection = head->ends_with_connection;
   g_strfreev (r->lines);
   r->lines = g_strdupv (head->lines);
   return true;
@@ -329,10 +330,14 @@
     reqid_text (relay_identity (r), text);
   log_event (LOG_LEVEL_INFO, "attempt_end",
              "req=%s endpoint=%s attempt=%d sent=%s status=%d next=%s "
-             "reason=%s took_us=%" G_GINT64_FORMAT " digest=%s error=\"%s\"",
+             "reason=%s took_us=%" G_GINT64_FORMAT " last_id=%" G_GINT64_FORMAT
+             " cut_bytes=%zu digest=%s error=\"%s\"",
              r->desc.id, r->endpoint->listing.id, r->attempts,
              out_send_name (sent), r->status, out_next_name (v->next), reason,
-             (gint64)(now_us - r->sent_us), text, error);
+             (gint64)(now_us - r->sent_us), (gint64)r->events.last_id,
+             r->events.partial->len, text, error);
+  if (r->events.partial->len > 0)
+    met_add (MET_EVENTS_CUT, 1);
 }
 
 static void
@@ -380,10 +385,8 @@
 }
 
 static void
-on_end (void *arg, const struct relay_end *end)
+attempt_ended (struct relay *r, const struct relay_end *end, int64_t now_us)
 {
-  struct relay *r = arg;
-  int64_t now = loop_now_us ();
   bool whole = relay_is_whole (r, end);
   enum send_state sent = relay_send_state (r, whole);
 
@@ -392,16 +395,32 @@
   /* Without a reason of this VM's, no connection was established. */
   if (sent == SEND_NONE && r->stop_reason == NULL)
     {
-      relayreach_failed (r->rs->reach, r->endpoint, r->sent_us, now);
+      relayreach_failed (r->rs->reach, r->endpoint, r->sent_us, now_us);
       if (relayreach_is_doubtful (r->rs->reach, r->service)
           && !r->desc.forwarded)
-        relayvms_want (r->rs->vms, r->service, DOUBT_ASK_US, now);
+        relayvms_want (r->rs->vms, r->service, DOUBT_ASK_US, now_us);
     }
   r->call = NULL;
   r->connection_refused = end->connection_refused;
   if (r->rs->health != NULL && end->connect_us > 0)
-    relayhealth_connected (r->rs->health, r->endpoint, end->connect_us, now);
-  end_attempt (r, sent, end_error (end, whole), now);
+    relayhealth_connected (r->rs->health, r->endpoint, end->connect_us,
+                           now_us);
+  end_attempt (r, sent, end_error (end, whole), now_us);
+}
+
+static void
+on_end (void *arg, const struct relay_end *end)
+{
+  struct relay *r = arg;
+  int64_t now = loop_now_us ();
+
+  if (!relay_is_end_doubtful (r, end))
+    {
+      attempt_ended (r, end, now);
+      return;
+    }
+  r->call = NULL;
+  relay_confirm_end (r, end, attempt_ended, now);
 }
 
 static void
@@ -768,6 +787,7 @@
   if (r->call != NULL)
     e->cancel (e->ctx, r->call);
   r->call = NULL;
+  relay_forget_end (r);
   r->stop_reason = reason;
   if (r->forwarding)
     end_forward (r, sent, "", now_us);
