--- a/fleet.h
+++ b/fleet.h
@@ -145,8 +145,9 @@
 const struct fleet_workspace *fleet_workspace_find (const struct fleet_conf *c,
                                                     const char *key);
 /* Requests may share cached prompts if their groups are equal, whichever
-   configurations these are of; KEY is NULL if the request has none. */
-const char *fleet_cache_group (const struct fleet_conf *c, const char *key);
+   configurations these are of; W, of C, is NULL if the request has none. */
+const char *fleet_cache_group (const struct fleet_conf *c,
+                               const struct fleet_workspace *w);
 /* Returns the service that the traffic split selects for DIGEST. */
 const char *fleet_split_select (const struct fleet_route *r, uint64_t digest);
 
--- a/fleetgroups.c
+++ b/fleetgroups.c
@@ -52,10 +52,7 @@
 }
 
 const char *
-fleet_cache_group (const struct fleet_conf *c, const char *key)
+fleet_cache_group (const struct fleet_conf *c, const struct fleet_workspace *w)
 {
-  const struct fleet_workspace *w
-      = key != NULL ? fleet_workspace_find (c, key) : NULL;
-
   return w != NULL && w->isolated ? w->cache_group : c->shared_group;
 }
--- a/regress/test-fleet.c
+++ b/regress/test-fleet.c
@@ -563,6 +563,13 @@
   return c;
 }
 
+static const char *
+group_of (const struct fleet_conf *c, const char *key)
+{
+  return fleet_cache_group (c, key != NULL ? fleet_workspace_find (c, key)
+                                           : NULL);
+}
+
 /* Guards against a workspace that is isolated by a newer configuration, while
    others go on to use what it has cached before. */
 static void
@@ -574,19 +581,15 @@
   struct fleet_conf *later = conf_of (2, names, 1);
   struct fleet_conf *same = conf_of (3, reversed, 2);
 
-  g_assert_cmpstr (fleet_cache_group (open, "weavers"), ==,
-                   fleet_cache_group (open, "dyers"));
-  g_assert_cmpstr (fleet_cache_group (later, "dyers"), !=,
-                   fleet_cache_group (open, "weavers"));
-  g_assert_cmpstr (fleet_cache_group (later, "weavers"), !=,
-                   fleet_cache_group (open, "weavers"));
-  g_assert_cmpstr (fleet_cache_group (later, NULL), ==,
-                   fleet_cache_group (later, "dyers"));
+  g_assert_cmpstr (group_of (open, "weavers"), ==, group_of (open, "dyers"));
+  g_assert_cmpstr (group_of (later, "dyers"), !=, group_of (open, "weavers"));
+  g_assert_cmpstr (group_of (later, "weavers"), !=,
+                   group_of (open, "weavers"));
+  g_assert_cmpstr (group_of (later, NULL), ==, group_of (later, "dyers"));
   /* All VMs derive the same from what the operator wrote. */
-  g_assert_cmpstr (fleet_cache_group (same, "dyers"), ==,
-                   fleet_cache_group (later, "dyers"));
-  g_assert_cmpstr (fleet_cache_group (same, "weavers"), ==,
-                   fleet_cache_group (later, "weavers"));
+  g_assert_cmpstr (group_of (same, "dyers"), ==, group_of (later, "dyers"));
+  g_assert_cmpstr (group_of (same, "weavers"), ==,
+                   group_of (later, "weavers"));
   fleet_conf_unref (open);
   fleet_conf_unref (later);
   fleet_conf_unref (same);
@@ -608,10 +611,9 @@
   b[199] = 'y';
   c = conf_of (1, names, 3);
   for (i = 0; i < 2; i++)
-    parts_scope_name (scopes[i], model, G_MAXINT64,
-                      fleet_cache_group (c, names[i]));
+    parts_scope_name (scopes[i], model, G_MAXINT64, group_of (c, names[i]));
   g_assert_cmpstr (scopes[0], !=, scopes[1]);
-  g_assert_true (g_str_has_suffix (scopes[0], fleet_cache_group (c, a)));
+  g_assert_true (g_str_has_suffix (scopes[0], group_of (c, a)));
   fleet_conf_unref (c);
 }
 
--- a/relayadmit.c
+++ b/relayadmit.c
@@ -77,7 +77,10 @@
 const char *
 relay_cache_group (const struct relay *r, const struct fleet_conf *c)
 {
-  return fleet_cache_group (c, r->workspace != NULL ? r->desc.key : NULL);
+  const struct fleet_workspace *w
+      = r->workspace != NULL ? fleet_workspace_find (c, r->desc.key) : NULL;
+
+  return fleet_cache_group (c, w);
 }
 
 int
