Streams whose build has just joined: come back soon, not begin anew

A VM that knew at which build a stream began, but was yet to list an endpoint of that build, told the caller to begin anew, though servers of it took requests.

"No endpoint of its build is left" rests on the list as it was read last, like "only one build served". It now waits for the same check: the refusal is final if the check shows that the platform lists none, else it has a Retry-After, counted in camphorquay_taken_up_unlisted_total.

Evidence: /builds/joining; regress/run outofstep builds resumeother ownbuilds pass.

--- a/fleet.h
+++ b/fleet.h
@@ -279,6 +279,8 @@
   char name[FLEET_NAME_SIZE];        /* version of the software, may be "" */
   bool listed;                       /* an endpoint of it is listed */
   int64_t left_us;                   /* none is listed since; 0 if one is */
+  int64_t joining_us; /* the platform had one then that takes requests, which
+                         this VM was yet to list; 0 for never */
 };
 
 /* --- fleet ----------------------------------------------------------- */
@@ -537,6 +539,9 @@
 void fleet_update_builds (struct fleet *f, int64_t now_us);
 void fleet_builds_init (struct fleet *f);
 void fleet_builds_clear (struct fleet *f);
+/* Whether this VM may soon list an endpoint of the build KEY. */
+bool fleet_is_build_joining (const struct fleet *f, uint64_t key,
+                             int64_t now_us);
 /* Returns a listed endpoint of SERVICE with this build_key that does not
    drain, or NULL. */
 const struct fleet_endpoint *fleet_find_build (const struct fleet *f,
--- a/fleetbuilds.c
+++ b/fleetbuilds.c
@@ -8,6 +8,9 @@
    only one. */
 #define BUILDS_MAX 1024
 
+/* A VM lists what the platform has within this time, if it is not cut off. */
+#define JOINING_US INT64_C (5000000)
+
 void
 fleet_builds_init (struct fleet *f)
 {
@@ -116,6 +119,17 @@
 
   if (!b->listed)
     b->left_us = now_us;
+  if (!l->draining)
+    b->joining_us = now_us;
+}
+
+bool
+fleet_is_build_joining (const struct fleet *f, uint64_t key, int64_t now_us)
+{
+  const struct fleet_build *b = find (f, key);
+
+  return b != NULL && b->joining_us != 0
+         && now_us - b->joining_us < JOINING_US;
 }
 
 /* Counts the builds of SERVICE; KEY is set to that of the last one. */
--- a/librelay.h
+++ b/librelay.h
@@ -150,6 +150,8 @@
   struct originfeed_question question; /* where the stream began */
   struct buildcheck_question check;    /* whether all builds are known */
   enum originfeed_found found;         /* the answer to question */
+  uint64_t origin_build;               /* build that began the stream, of which
+                                          no endpoint is listed here */
   const char *origin_source; /* how this VM knows that, for the log */
   bool no_build;             /* no endpoint of the stream's build is left */
   bool stream_begun; /* the caller has got the head and part of a stream */
@@ -312,6 +314,8 @@
 void relay_take_up (struct relay *r, int64_t now_us);
 /* The deadline passed meanwhile. */
 void relay_take_up_timed_out (struct relay *r, int64_t now_us);
+/* Endpoints of the stream's build may serve that this VM does not list. */
+void relay_refuse_unlisted (struct relay *r, int64_t now_us);
 /* R's stream begins, or goes on, with the first event of its endpoint. */
 void relay_stream_began (struct relay *r, int64_t now_us);
 /* Log what became of a stream that R's caller takes up, at endpoints of
--- a/met.c
+++ b/met.c
@@ -50,6 +50,10 @@
   [MET_TAKEN_UP_UNKNOWN]
   = { "camphorquay_taken_up_unknown_total", "counter",
       "Streams that callers took up again and no VM knew the build of." },
+  [MET_TAKEN_UP_UNLISTED]
+  = { "camphorquay_taken_up_unlisted_total", "counter",
+      "Streams that callers took up again and of whose build this VM was yet "
+      "to list an endpoint." },
   [MET_BUILD_CHECKS]
   = { "camphorquay_build_checks_total", "counter",
       "Checks with the platform that all builds which served are known." },
--- a/regress/outofstep.sh
+++ b/regress/outofstep.sh
@@ -141,5 +141,5 @@
 revoke_ms=5000 still_s=0.3
 lost=1 change=nothing goes_on=unnamed store=1 others=1 case_of 'one version alone, both are back'
 change=moves goes_on='' store=0 others=1 case_of 'the route moved, the other VMs are back'
-change=moves goes_on='' store=1 others=1 case_of 'the route moved, both are back'
+change=moves goes_on=named store=1 others=1 case_of 'the route moved, both are back'
 change=moves lost=0 goes_on=named store=1 others=1 after_s=2 case_of 'the route moved, it stood still before'
--- a/regress/test-builds.c
+++ b/regress/test-builds.c
@@ -381,6 +381,41 @@
   harness_free (p);
 }
 
+/* Guards against a stream that is refused for good although endpoints of its
+   build have just joined, or may have. */
+static void
+test_joining (void)
+{
+  struct harness *p = harness_new (FLEET_STREAM);
+  struct follow_item change = { .kind = FOLLOW_ITEM_ENDPOINT };
+  struct origin_key key;
+
+  g_strlcpy (change.listing.id, "c", sizeof change.listing.id);
+  g_strlcpy (change.listing.service, "s", sizeof change.listing.service);
+  g_strlcpy (change.listing.build, "v2", sizeof change.listing.build);
+  origin_key_init (&key, "ws", "first");
+  originfeed_began (p->origins, &key, fleet_build_key (&change.listing), false,
+                    60 * CQ_US_PER_S, loop_now_us ());
+  p->desc.resumes = "first";
+  p->desc.resume_after = 1;
+  p->change = &change;
+  harness_start (p);
+  g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
+  g_assert_cmpint (p->retry_after_us, >, 0);
+  p->is_platform_silent = true;
+  p->refused = -1;
+  harness_start (p);
+  harness_run (p, CHECK_US);
+  g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
+  p->is_platform_silent = false;
+  harness_add_build (p, "c", "v2");
+  harness_start (p);
+  g_assert_cmpint (p->sends, ==, 1);
+  harness_answer (p, "id: 2\ndata: b\n\n");
+  g_assert_cmpint (p->ended, ==, 1);
+  harness_free (p);
+}
+
 /* Guards against a check that succeeds although something was missed: an entry
    came and went, the settings are new, or the store is another one. */
 static void
@@ -938,6 +973,7 @@
   { "/builds/unknown-of-one-build", test_unknown_of_one_build },
   { "/builds/out-of-step", test_out_of_step },
   { "/builds/check-before-arrival", test_check_before_arrival },
+  { "/builds/joining", test_joining },
   { "/builds/check-incomplete", test_check_incomplete },
   { "/builds/check-without-history", test_check_without_history },
   { "/builds/ends-while-checked", test_ends_while_checked },
--- a/relayorigin.c
+++ b/relayorigin.c
@@ -77,6 +77,13 @@
              (gint64)(now_us - r->arrived_us));
 }
 
+static int64_t
+retry_after_us (struct relay *r)
+{
+  return RETRY_AFTER_FAILURE_US
+         + (int64_t)(relay_random (r->rs) % (uint64_t)RETRY_JITTER_US);
+}
+
 /* Unless FINAL, the caller's retry may reach a VM that knows. */
 void
 relay_refuse_unknown (struct relay *r, bool final, int64_t now_us)
@@ -89,11 +96,16 @@
       relay_give_up (r, OUT_NOT_RUN, "stream_unknown", 0, now_us);
       return;
     }
-  relay_give_up (
-      r, OUT_NOT_RUN, "stream_unknown",
-      RETRY_AFTER_FAILURE_US
-          + (int64_t)(relay_random (r->rs) % (uint64_t)RETRY_JITTER_US),
-      now_us);
+  relay_give_up (r, OUT_NOT_RUN, "stream_unknown", retry_after_us (r), now_us);
+}
+
+void
+relay_refuse_unlisted (struct relay *r, int64_t now_us)
+{
+  relay_log_take_up (r, "not_listed", "-", now_us);
+  met_add (MET_TAKEN_UP_UNLISTED, 1);
+  relay_give_up (r, OUT_NOT_RUN, "build_not_listed", retry_after_us (r),
+                 now_us);
 }
 
 void
--- a/relayresume.c
+++ b/relayresume.c
@@ -24,30 +24,81 @@
   return e;
 }
 
+static void
+go_on_at (struct relay *r, const struct fleet_endpoint *e, int64_t now_us)
+{
+  relay_set_service (r, e->listing.service);
+  r->build_key = e->build_key;
+  relay_log_take_up (r, "same_build", e->listing.build, now_us);
+  met_add (MET_TAKEN_UP, 1);
+  relay_place (r, now_us);
+}
+
+/* What this VM lists counts only if it is all that there was when the request
+   arrived, which is known if OK. */
+static void
+take_up_listed (struct relay *r, bool ok, int64_t now_us)
+{
+  const struct fleet_endpoint *e = find_build (r, r->origin_build);
+  struct fleet *f = r->rs->opts.fleet;
+
+  if (e != NULL)
+    go_on_at (r, e, now_us);
+  else if (ok && !fleet_is_build_joining (f, r->origin_build, now_us))
+    {
+      relay_log_take_up (r, "none_left", "-", now_us);
+      relay_give_up_no_build (r, now_us);
+    }
+  else
+    relay_refuse_unlisted (r, now_us);
+}
+
+static void
+on_listed (void *arg, bool ok, int64_t now_us)
+{
+  struct relay *r = arg;
+
+  if (relay_apply_event (r, RELAY_FOUND))
+    take_up_listed (r, ok, now_us);
+}
+
+/* Waits for a check with the platform before DONE; returns whether none is
+   needed, and then OK is its result. */
+static bool
+is_checked (struct relay *r, void (*done) (void *arg, bool ok, int64_t now_us),
+            bool *ok, int64_t now_us)
+{
+  struct buildcheck *builds = r->rs->opts.builds;
+
+  r->check.done = done;
+  r->check.arg = r;
+  *ok = builds != NULL
+        && buildcheck_ask (builds, &r->check, r->arrived_us, now_us);
+  if (!r->check.waiting)
+    return true;
+  relay_apply_event (r, RELAY_ASK);
+  return false;
+}
+
 /* BUILD is 0 if it is not known where the stream began; FINAL, if that will
    not be known later or at another VM either. */
 static void
 take_up (struct relay *r, uint64_t build, bool final, int64_t now_us)
 {
   const struct fleet_endpoint *e;
+  bool ok;
 
   if (build == 0)
     {
       relay_refuse_unknown (r, final, now_us);
       return;
     }
+  r->origin_build = build;
   e = find_build (r, build);
-  if (e == NULL)
-    {
-      relay_log_take_up (r, "none_left", "-", now_us);
-      relay_give_up_no_build (r, now_us);
-      return;
-    }
-  relay_set_service (r, e->listing.service);
-  r->build_key = build;
-  relay_log_take_up (r, "same_build", e->listing.build, now_us);
-  met_add (MET_TAKEN_UP, 1);
-  relay_place (r, now_us);
+  if (e != NULL)
+    go_on_at (r, e, now_us);
+  else if (is_checked (r, on_listed, &ok, now_us))
+    take_up_listed (r, ok, now_us);
 }
 
 /* Whether several builds can have begun the stream, whatever this VM has yet
@@ -91,21 +142,12 @@
 static void
 look_for_only (struct relay *r, int64_t now_us)
 {
-  const struct relays_opts *o = &r->rs->opts;
+  bool ok;
 
   if (can_be_of_several (r, now_us))
-    {
-      take_up (r, 0, r->found != ORIGINFEED_NO_ANSWER, now_us);
-      return;
-    }
-  r->check.done = on_checked;
-  r->check.arg = r;
-  if (o->builds == NULL)
-    take_up_at_only (r, false, now_us);
-  else if (buildcheck_ask (o->builds, &r->check, r->arrived_us, now_us))
-    take_up_at_only (r, true, now_us);
-  else
-    relay_apply_event (r, RELAY_ASK);
+    take_up (r, 0, r->found != ORIGINFEED_NO_ANSWER, now_us);
+  else if (is_checked (r, on_checked, &ok, now_us))
+    take_up_at_only (r, ok, now_us);
 }
 
 static void
