Platform: numbers out of range are clamped or refused

A number of an entry was read as a double and converted, so 2^63 and 1e300 became INT64_MIN on x86-64 and INT64_MAX on arm64, and times in ms overflowed when they were converted to us. The results went on as durations, weight versions, token counts, the lease's times and loads of endpoints. A start time of 2^63 - 1 ("born") made every later start of that endpoint count as an earlier incarnation, whose entries are not used.

How long a recorded stream is kept is bounded before it is converted.

--- a/originstore.c
+++ b/originstore.c
@@ -282,8 +282,11 @@
       e = &g_array_index (entries, struct originstore_entry, i);
       last_ms = MAX (last_ms, e->until_ms);
       if (e->until_ms > now_ms)
-        origin_put (s->table, &e->key, e->build,
-                    (e->until_ms - now_ms) * CQ_US_PER_MS, now_us);
+        origin_put (
+            s->table, &e->key, e->build,
+            MIN (e->until_ms - now_ms, ORIGIN_KEEP_MAX_US / CQ_US_PER_MS)
+                * CQ_US_PER_MS,
+            now_us);
     }
   if (last_ms + REMOVE_MARGIN_MS < now_ms)
     remove_expired (s, row);
