--- a/regress/fakerows.c
+++ b/regress/fakerows.c
@@ -26,6 +26,8 @@
  *   GET /stats   how many calls it had, and how many rows it sent
  *   kb_s         kilobytes of an answer that leave in a second, 0 for all
  *   halt_kb      kilobytes of such an answer after which no more leave
+ *   odd_row      JSON text that stands before the rows of each page and each
+ *                answer to a poll, as it is: jansson could not write it
  */
 #include "fake.h"
 
@@ -490,6 +492,20 @@
   return doc;
 }
 
+static enum MHD_Result
+reply_with_odd_row (struct fk_req *r, json_t *doc, const char *odd)
+{
+  char *text = json_dumps (doc, JSON_COMPACT | JSON_SORT_KEYS);
+  char *at = strstr (text, "\"Rows\":[") + strlen ("\"Rows\":[");
+  g_autofree char *head = g_strndup (text, (gsize)(at - text));
+  g_autofree char *all
+      = g_strconcat (head, odd, *at == ']' ? "" : ",", at, NULL);
+
+  free (text);
+  json_decref (doc);
+  return fk_reply (r, 200, "application/json", all, strlen (all));
+}
+
 static enum MHD_Result
 reply_page (struct fk_req *r, int status, json_t *list, bool more)
 {
@@ -497,7 +513,10 @@
                            "Ver", (json_int_t)newest, "NowMs",
                            (json_int_t)(g_get_monotonic_time () / 1000));
   int64_t kb_s = fk_number ("kb_s", 0);
+  g_autofree char *odd = fk_string ("odd_row", "");
 
+  if (status == 200 && odd[0] != '\0' && strcmp (r->path, "/rows-tx") != 0)
+    return reply_with_odd_row (r, doc, odd);
   sent += (int64_t)json_array_size (list);
   return kb_s > 0 ? fk_reply_paced (r, status, doc, kb_s)
                   : fk_reply_json (r, status, doc);
@@ -708,7 +727,9 @@
   newest++;
   find ("", "");
   set (parts[0], parts[1],
-       strcmp (r->method, "PUT") == 0 ? g_strdup (r->body->str) : NULL,
+       strcmp (r->method, "PUT") == 0
+           ? g_memdup2 (r->body->str, r->body->len + 1)
+           : NULL,
        r->body->len);
   g_cond_broadcast (&changed);
   g_mutex_unlock (&lock);
