Quarantine: a crash that another VM found makes this VM's broken requests evidence

What callers saw: requests with a part that crashes endpoints went on to reach servers for longer, and sound requests with another part were refused beside them.

Cause: a VM whose requests broke with an endpoint probes it, and where four probes show nothing (the connection is accepted and closed) it said nothing about these requests, even if another VM had told that this endpoint crashed.

A probe without a result that meets evidence of the endpoint's crash counts as one that found it; the endpoint_broke line says "by=evidence".

--- a/quar.c
+++ b/quar.c
@@ -335,6 +335,19 @@
   return find_crash ((struct record *)r, endpoint) != NULL;
 }
 
+bool
+quar_is_crashed (const struct quar *q, uint64_t endpoint)
+{
+  const struct record *r;
+  GHashTableIter it;
+
+  g_hash_table_iter_init (&it, q->records);
+  while (g_hash_table_iter_next (&it, NULL, (gpointer *)&r))
+    if (crashed_under (r, endpoint))
+      return true;
+  return false;
+}
+
 static bool
 is_of_subject (const struct quar_subject *s, const struct record *r)
 {
--- a/quar.h
+++ b/quar.h
@@ -89,6 +89,9 @@
 bool quar_has_crashes (const struct quar *q, const struct reqid *id);
 /* Whether that is so of the request or of one of its parts. */
 bool quar_has_crashes_of (const struct quar *q, const struct quar_subject *s);
+/* Whether the incarnation with the key ENDPOINT is known to have crashed,
+   whatever it ran. */
+bool quar_is_crashed (const struct quar *q, uint64_t endpoint);
 /* Compute the verdict; ENDPOINTS is the size of the request's service. */
 struct quar_verdict quar_evaluate (const struct quar *q,
                                    const struct reqid *id, int endpoints,
--- a/regress/test-relayquar.c
+++ b/regress/test-relayquar.c
@@ -269,6 +269,30 @@
   harness_free (p);
 }
 
+/* Guards against a VM whose probes show nothing and that says nothing about
+   its own requests, while another VM knows that the endpoint crashed. */
+static void
+test_crash_known_by_others (void)
+{
+  struct harness *p = harness_new (FLEET_AT_MOST_ONCE);
+  struct quar_fact f = { .completed = false };
+  struct fleet_endpoint *e;
+
+  g_assert_false (break_off (p, RELAY_PROBE_SILENT));
+  e = APR_RING_FIRST (&p->fleet.endpoints);
+  g_assert_cmpstr (p->probed, ==, e->listing.id);
+  memset (f.id.bytes, 7, sizeof f.id.bytes);
+  f.crash = (struct quar_crash){ .endpoint = e->key, .at_ms = 100 };
+  g_assert_true (quar_add_fact (p->quar, &f, false));
+  harness_run (p, 150 * CQ_US_PER_MS);
+  g_assert_cmpint (p->probes, ==, 2);
+  p->probe (p->probe_arg, RELAY_PROBE_SILENT, NULL);
+  g_assert_cmpint (p->observed, ==, 1);
+  harness_run (p, 1200 * CQ_US_PER_MS);
+  g_assert_cmpint (p->probes, ==, 2);
+  harness_free (p);
+}
+
 /* The connection of a request breaks, and its endpoint refuses the probe. */
 static void
 break_and_refuse (struct harness *p)
@@ -464,6 +488,7 @@
   { "/relay/evidence-unknown", test_evidence_unknown },
   { "/relay/broken-endpoint-probed", test_broken_endpoint_probed },
   { "/relay/probed-again", test_probed_again },
+  { "/relay/crash-known-by-others", test_crash_known_by_others },
   { "/relay/refused-without-path", test_refused_without_path },
   { "/relay/refused-with-path", test_refused_with_path },
   { "/relay/refused-beside-connection", test_refused_beside_connection },
--- a/relaycrash.c
+++ b/relaycrash.c
@@ -103,6 +103,22 @@
   speed_add (&s->endpoint->speed, notice->speed_percent, now_us);
 }
 
+static bool
+is_result (enum relay_probe_result probe)
+{
+  return probe == RELAY_PROBE_ALIVE || probe == RELAY_PROBE_CRASHED;
+}
+
+/* Whether PROBE shows nothing, but another VM found that the endpoint crashed:
+   this VM's requests are evidence then, too, or the parts of those that the
+   other VM had there would look like the cause. */
+static bool
+is_known_by_others (const struct suspect *s, enum relay_probe_result probe)
+{
+  return !is_result (probe) && !s->owner->closed
+         && quar_is_crashed (s->owner->opts.quar, s->endpoint->key);
+}
+
 static void
 end_probe (struct suspect *s, enum relay_probe_result probe,
            const struct notice *notice, int64_t now)
@@ -113,13 +129,16 @@
     [RELAY_PROBE_REFUSED] = "unconfirmed",
     [RELAY_PROBE_SILENT] = "silent",
   };
-  bool has_result = probe == RELAY_PROBE_ALIVE || probe == RELAY_PROBE_CRASHED;
+  bool known = is_known_by_others (s, probe);
 
+  if (known)
+    probe = RELAY_PROBE_CRASHED;
   s->probing = false;
   log_event (LOG_LEVEL_INFO, "endpoint_broke",
-             "endpoint=%s outcome=%s requests=%d since_us=%" G_GINT64_FORMAT,
+             "endpoint=%s outcome=%s requests=%d since_us=%" G_GINT64_FORMAT
+             " by=%s",
              s->endpoint->listing.id, names[probe], s->n,
-             (gint64)(now - s->broke_us));
+             (gint64)(now - s->broke_us), known ? "evidence" : "probe");
   if (s->owner->closed)
     {
       drop (s);
@@ -127,7 +146,7 @@
     }
   if (notice != NULL)
     apply_notice (s, notice, now);
-  if (!has_result && ++s->silent < PROBES_MAX)
+  if (!is_result (probe) && ++s->silent < PROBES_MAX)
     {
       loop_arm (s->owner->opts.loop, &s->timer, now + PROBE_RETRY_US);
       return;
