A seeded storm of streams on real processes

regress/streamstorm plays three VMs and five endpoints of up to three builds, as processes: VMs are killed, stopped and suspended, the store is silent or lost to one VM, links to endpoints are cut; endpoints are killed, drain, lapse and come back with another build, lose and falsify answers. Each stream draws its form (chunks or none, CRLF, comments, fields in another order, events in pieces or pairs, a second answer) and its fate (cut between events, in an event, in a chunk, by FIN or RST, after a silence; repeated events when resumed). Callers keep connections, leave, come back to the same or another VM, named or not, also while their first reply goes on, and check each stream as a whole. A clock that jumps can't be played.

--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 FAKES = regress/fake.o regress/fakeeng.o regress/fakeplain.o \
 	regress/faketab.o regress/fakehttp.o regress/fakekv.o \
 	regress/fakestore.o regress/fakerows.o regress/fakesrv.o \
-	regress/fakeendless.o
+	regress/fakeendless.o regress/fakestorm.o
 
 all: camphorquay
 
@@ -68,6 +68,10 @@
 regress/drive: regress/drive.o libwire.a libdecide.a
 	$(CC) $(CFLAGS) -o $@ regress/drive.o libwire.a libdecide.a $(LIBS)
 
+# Callers of streams that are broken off and taken up again.
+regress/streamcalls: regress/streamcalls.o
+	$(CC) $(CFLAGS) -o $@ regress/streamcalls.o $(LIBS)
+
 regress/check: regress/check.o
 	$(CC) $(CFLAGS) -o $@ regress/check.o $(LIBS)
 
@@ -120,7 +124,7 @@
 bench/slopes: bench/slopes.o libsettings.a libdecide.a
 	$(CC) $(CFLAGS) -o $@ bench/slopes.o libsettings.a libdecide.a $(LIBS)
 
-tests: camphorquay regress/fake regress/drive regress/check regress/test-units \
+tests: camphorquay regress/fake regress/drive regress/check regress/streamcalls regress/test-units \
 	regress/model regress/burst regress/failures bench/load
 
 # The same sources with the sanitizers, in a directory of their own.
@@ -165,7 +169,7 @@
 
 clean:
 	rm -f *.o *.d *.a platform/*.o platform/*.d regress/*.o regress/*.d bench/*.o bench/*.d \
-		camphorquay regress/fake regress/drive regress/check regress/test-units \
+		camphorquay regress/fake regress/drive regress/check regress/streamcalls regress/test-units \
 		regress/model regress/burst regress/failures bench/load bench/rows bench/slopes regress/fuzz-input
 	rm -rf build-asan
 
--- a/regress/fakesrv.c
+++ b/regress/fakesrv.c
@@ -18,6 +18,9 @@
  *   events       events of a stream; 0 answers with a whole body
  *   event_ms     pause between them
  *   build        version of its software, which its events name
+ *   storm        seed: streams draw their form and fate (see fakestorm.c)
+ *   storm_cuts   of 100 such streams so many end early
+ *   storm_undelimited  of 100 so many end with their connection
  *   break_after  so many streams break after two and a half events
  *   cut_head     so many answers end with their connection in the middle of
  *                their head, after the seal
@@ -420,6 +423,12 @@
   bool breaks = fk_take ("break_after");
   int told = 0;
 
+  if (fk_number ("storm", 0) > 0)
+    return storm_stream (&(struct storm_opts){ .fd = in->fd,
+                                               .target = in->target,
+                                               .marks = m,
+                                               .after = i - 1,
+                                               .work = work });
   put_text (in->fd, head);
   for (; i <= n; i++)
     {
@@ -605,7 +614,8 @@
     }
   if (resumed != NULL)
     status = (int)fk_number ("status_resumed", 0);
-  if (fk_number ("events", 0) > 0 && status == 0)
+  if ((fk_number ("events", 0) > 0 || fk_number ("storm", 0) > 0)
+      && status == 0)
     return stream (in);
   ran = g_strdup_printf ("%s ran %s %s", id, in->target, in->body->str);
   text = status != 0 ? fk_string ("text_resumed", ran) : g_strdup (ran);
--- a/regress/fakesrv.h
+++ b/regress/fakesrv.h
@@ -3,6 +3,7 @@
 #define CQ_FAKESRV_H
 
 #include <stdbool.h>
+#include <stdint.h>
 
 int fakesrv_main (int port);
 
@@ -11,4 +12,17 @@
 bool endless_answer (int fd, const char *target, const char *marks,
                      const char *type);
 
+/* A stream whose form and fate are drawn. */
+struct storm_opts
+{
+  int fd;                            /* connection */
+  const char *target;                /* as sent */
+  const char *marks;                 /* header lines of answers */
+  int64_t after;                     /* event to go on after, 0 for none */
+  bool (*work) (int fd, int64_t ms); /* waits; false if the peer left */
+};
+
+/* Returns false if the connection must end. */
+bool storm_stream (const struct storm_opts *o);
+
 #endif
