Streams of one build: none for 10 s after a restore of the store

A store that came back from an older copy may lack the newest build, and its row, until VMs and endpoints have written them again. A check with the platform finds one build meanwhile, so an unnamed stream of the newest build could go on at the old one.

--- a/buildfeed.c
+++ b/buildfeed.c
@@ -364,6 +364,7 @@
 void
 buildfeed_store_restored (struct buildfeed *f, int64_t now_us)
 {
+  fleet_builds_restored (f->opts.fleet, now_us);
   g_hash_table_remove_all (f->rows);
   f->is_read = false;
   buildfeed_check (f, now_us);
--- a/fleet.h
+++ b/fleet.h
@@ -358,25 +358,27 @@
   APR_RING_HEAD (fleet_build_ring, fleet_build) builds; /* oldest first */
   int nbuilds;                                          /* entries in builds */
   int64_t
-      builds_dropped_us;   /* one was dropped for want of room, 0 for never */
-  bool builds_unread;      /* builds that served before this VM's start are
-                              yet to be read */
-  GHashTable *by_id;       /* id to struct fleet_endpoint */
-  GHashTable *by_key;      /* key to struct fleet_endpoint */
-  bool listed;             /* a list of endpoints was received */
-  GArray *wanted;          /* struct fleet_wanted */
-  GArray *service_stats;   /* struct fleet_service_stats */
-  GArray *evacuated;       /* struct fleet_evacuation */
-  GHashTable *regions;     /* failure domain to its region */
-  int64_t conf_current_us; /* when the configuration was last known to be the
-                              newest; 0 for never */
-  int64_t list_current_us; /* when the list of endpoints was last known to be
-                              current; 0 for never */
-  int64_t list_failed_us;  /* when the list was last known not to be
-                              readable; 0 for never */
-  int64_t list_age_max_us; /* how long endpoints drain; 0 for no limit */
-  int64_t list_settles_us; /* entries that are missing from then on are
-                              removed; 0 if the list was never lost */
+      builds_dropped_us;    /* one was dropped for want of room, 0 for never */
+  bool builds_unread;       /* builds that served before this VM's start are
+                               yet to be read */
+  int64_t builds_settle_us; /* the platform may lack some until then; 0 if it
+                               never came back from an older copy */
+  GHashTable *by_id;        /* id to struct fleet_endpoint */
+  GHashTable *by_key;       /* key to struct fleet_endpoint */
+  bool listed;              /* a list of endpoints was received */
+  GArray *wanted;           /* struct fleet_wanted */
+  GArray *service_stats;    /* struct fleet_service_stats */
+  GArray *evacuated;        /* struct fleet_evacuation */
+  GHashTable *regions;      /* failure domain to its region */
+  int64_t conf_current_us;  /* when the configuration was last known to be the
+                               newest; 0 for never */
+  int64_t list_current_us;  /* when the list of endpoints was last known to be
+                               current; 0 for never */
+  int64_t list_failed_us;   /* when the list was last known not to be
+                               readable; 0 for never */
+  int64_t list_age_max_us;  /* how long endpoints drain; 0 for no limit */
+  int64_t list_settles_us;  /* entries that are missing from then on are
+                               removed; 0 if the list was never lost */
   struct pick_factors factors; /* scale of the cost terms */
   int64_t outdated_accept_us;  /* outdated weights take requests until so long
                                   after a newer version was announced; 0 for no
@@ -517,6 +519,10 @@
    have begun a stream which a caller may still take up; otherwise 0. */
 uint64_t fleet_only_build (struct fleet *f, const char *service,
                            int64_t now_us);
+/* The platform's store came back from an older copy. */
+void fleet_builds_restored (struct fleet *f, int64_t now_us);
+/* Whether other builds than this VM and the platform know may have served. */
+bool fleet_are_builds_unknown (const struct fleet *f, int64_t now_us);
 /* Whether several builds of SERVICE can have begun such a stream, whatever
    this VM has yet to learn. */
 bool fleet_has_several_builds (struct fleet *f, const char *service,
--- a/fleetbuilds.c
+++ b/fleetbuilds.c
@@ -11,6 +11,11 @@
 /* A VM lists what the platform has within this time, if it is not cut off. */
 #define JOINING_US INT64_C (5000000)
 
+/* Once the store came back from an older copy, endpoints write their entries
+   again a heartbeat later, and VMs the builds that they know when they notice,
+   some seconds apart. */
+#define RESTORED_US INT64_C (10000000)
+
 void
 fleet_builds_init (struct fleet *f)
 {
@@ -156,13 +161,25 @@
          && now_us - f->builds_dropped_us <= FLEET_BUILD_KEEP_US;
 }
 
+void
+fleet_builds_restored (struct fleet *f, int64_t now_us)
+{
+  f->builds_settle_us = now_us + RESTORED_US;
+}
+
+bool
+fleet_are_builds_unknown (const struct fleet *f, int64_t now_us)
+{
+  return f->builds_unread || now_us < f->builds_settle_us;
+}
+
 uint64_t
 fleet_only_build (struct fleet *f, const char *service, int64_t now_us)
 {
   uint64_t key = 0;
 
   fleet_update_builds (f, now_us);
-  if (f->builds_unread || dropped_lately (f, now_us))
+  if (fleet_are_builds_unknown (f, now_us) || dropped_lately (f, now_us))
     return 0;
   return count_builds (f, service, &key) == 1 ? key : 0;
 }
--- a/regress/test-builds.c
+++ b/regress/test-builds.c
@@ -416,6 +416,23 @@
   harness_free (p);
 }
 
+/* Guards against a stream of a build that a store from an older copy lacks. */
+static void
+test_restored (void)
+{
+  struct harness *p = unnamed ();
+  int64_t now = loop_now_us ();
+
+  fleet_builds_restored (&p->fleet, now);
+  harness_start (p);
+  g_assert_cmpint (p->refused, ==, RELAY_NOT_RUN);
+  g_assert_cmpint (p->retry_after_us, >, 0);
+  g_assert_cmpint (p->sends, ==, 0);
+  g_assert_cmpint (fleet_only_build (&p->fleet, "s", now + 20 * CQ_US_PER_S),
+                   ==, harness_endpoint (p, "a")->build_key);
+  harness_free (p);
+}
+
 /* Guards against a check that succeeds although something was missed: an entry
    came and went, the settings are new, or the store is another one. */
 static void
@@ -974,6 +991,7 @@
   { "/builds/out-of-step", test_out_of_step },
   { "/builds/check-before-arrival", test_check_before_arrival },
   { "/builds/joining", test_joining },
+  { "/builds/restored", test_restored },
   { "/builds/check-incomplete", test_check_incomplete },
   { "/builds/check-without-history", test_check_without_history },
   { "/builds/ends-while-checked", test_ends_while_checked },
--- a/relayresume.c
+++ b/relayresume.c
@@ -122,7 +122,7 @@
 
   if (ok && !can_be_of_several (r, now_us))
     build = fleet_only_build (f, r->service, now_us);
-  ok &= !f->builds_unread;
+  ok &= !fleet_are_builds_unknown (f, now_us);
   if (build != 0)
     r->origin_source = "only";
   take_up (r, build, ok && r->found != ORIGINFEED_NO_ANSWER, now_us);
