Tests: a stand-in that starts again under its name is waited for

The port was read from the output of the one before if the shell had not yet emptied it: "FAIL: row op/config" once in a run of the cases of regress/outofstep, beside a build. That this was the cause is by reading; the output is now emptied before the start.

--- a/regress/lib.sh
+++ b/regress/lib.sh
@@ -45,6 +45,7 @@
 
 # start_fake NAME ROLE: sets port_NAME and pid_NAME.
 start_fake() {
+	: >"$tmp/$1.out"
 	$fake "$2" 0 >"$tmp/$1.out" 2>"$tmp/$1.err" &
 	eval "pid_$1=$!"
 	wait_for has_line "$tmp/$1.out" '^port='
