--- a/regress/outofstep.sh
+++ b/regress/outofstep.sh
@@ -143,3 +143,9 @@
 change=moves goes_on='' store=0 others=1 case_of 'the route moved, the other VMs are back'
 change=moves goes_on=named store=1 others=1 case_of 'the route moved, both are back'
 change=moves lost=0 goes_on=named store=1 others=1 after_s=2 case_of 'the route moved, it stood still before'
+# The VM reads the list from others.
+share_vms=3 drain_ms=5000 apply_ms=5000 vms='a b c d e' settle_s=6
+lost=1 still_s=0.3 change=new_ones
+goes_on='' store=0 others=0 case_of 'others read for it, nothing is back'
+goes_on=named store=1 others=1 case_of 'others read for it, both are back'
+change=nothing goes_on=unnamed store=1 others=1 case_of 'others read for it, one version alone'
