--- a/regress/fakestorm.c
+++ b/regress/fakestorm.c
@@ -18,6 +18,7 @@
 
 #define PAUSE_MIN_MS 2
 #define PAUSE_DRAWN_MS 30
+#define LARGE_BYTES 20000
 #define HANG_MS 700 /* silence before an answer breaks off */
 
 enum fate
@@ -43,6 +44,7 @@
   bool pairs;        /* two events in one chunk */
   bool repeats;      /* a resumed run sends the event that it goes on after */
   bool without_ids;  /* no event has an id */
+  bool large;        /* events of many bytes */
   bool other_answer; /* a second answer follows */
 };
 
@@ -92,6 +94,7 @@
   f->in_pieces = one_in (s, 5);
   f->pairs = one_in (s, 5);
   f->repeats = one_in (s, 4);
+  f->large = one_in (s, 6);
   f->other_answer = one_in (s, 12);
   /* All runs of a stream are alike in this. */
   f->without_ids = strstr (s->name, "noid") != NULL;
@@ -156,6 +159,8 @@
   g_string_append_printf (
       s->out, "data: %s %s %" G_GINT64_FORMAT " %s %" G_GINT64_FORMAT "%s",
       s->build, s->run, (gint64)s->after, s->name, (gint64)i, end);
+  if (s->form.large)
+    g_string_append_printf (s->out, "pad: %0*d%s", LARGE_BYTES, 0, end);
   if (s->form.typed)
     g_string_append (s->out, id);
   g_string_append (s->out, end);
--- a/regress/streamcalls.c
+++ b/regress/streamcalls.c
@@ -22,6 +22,8 @@
 #include <unistd.h>
 
 #define READ_TIMEOUT_MS 4000
+#define SLOW_READ_US 5000UL
+#define SMALL_BUFFER 4096
 #define TRIES_MAX 10 /* requests for one stream */
 #define NAME_SIZE 64
 #define EVENTS_MAX 64
@@ -38,10 +40,12 @@
 /* A connection to a VM. */
 struct conn
 {
-  int fd;        /* -1 if there is none */
-  char vm;       /* its letter */
-  GString *in;   /* read and not parsed */
-  GString *body; /* of the reply, events that are not whole */
+  int fd;            /* -1 if there is none */
+  char vm;           /* its letter */
+  GString *in;       /* read and not parsed */
+  int receive_bytes; /* buffer of the socket, 0 for the usual one */
+  bool slow;         /* reads a little at a time */
+  GString *body;     /* of the reply, events that are not whole */
 };
 
 /* An event that reached the caller. */
@@ -153,6 +157,9 @@
   sa.sin_port = htons ((uint16_t)atoi (colon + 1));
   sa.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   k->fd = socket (AF_INET, SOCK_STREAM, 0);
+  if (k->receive_bytes > 0)
+    setsockopt (k->fd, SOL_SOCKET, SO_RCVBUF, &k->receive_bytes,
+                sizeof k->receive_bytes);
   if (connect (k->fd, (struct sockaddr *)&sa, sizeof sa) == 0)
     return true;
   conn_close (k, false);
@@ -169,6 +176,8 @@
 
   if (poll (&p, 1, READ_TIMEOUT_MS) <= 0)
     return false;
+  if (k->slow)
+    g_usleep (SLOW_READ_US);
   n = recv (k->fd, buf, sizeof buf, 0);
   if (n <= 0)
     return false;
@@ -584,6 +593,12 @@
                                  .vm = (char)('a' + i),
                                  .in = g_string_new (NULL),
                                  .body = g_string_new (NULL) };
+  for (i = 0; i < 26; i++)
+    if (draw (c, 4) == 0)
+      {
+        c->conns[i].slow = true;
+        c->conns[i].receive_bytes = SMALL_BUFFER;
+      }
   for (i = 1; now_ms () < until_ms; i++)
     play (c, i);
   for (i = 0; i < 26; i++)
--- a/regress/streamstorm.sh
+++ b/regress/streamstorm.sh
@@ -10,7 +10,7 @@
 vms=${VMS:-abc}
 # All requests and all that follows from them are to be in the logs.
 log_lines_s=0
-# 1: a VM may lose the store, the other VMs and its time at once.
+# 1: a VM may be suspended without the store, and one is while a new build comes.
 cutoff=${CUTOFF:-0}
 
 draw() { echo $((RANDOM % $1)); }
@@ -158,11 +158,27 @@
 		;;
 	esac
 }
+# VM $1 stands still without the store while the first of another build come.
+release_behind() {
+	[ -e "$tmp/held.$1" ] && return
+	note "release behind $1"
+	: >"$tmp/held.$1"
+	control rows "{\"lost_$1\":1}"
+	eval "kill -STOP \$pid_$1"
+	for e in p q r; do
+		[ -e "$tmp/leaving.$e" ] && continue
+		leave "$e"
+		serve "$e" v2
+	done
+	after 5 "resume $1"
+	after 7 "control rows '{\"lost_$1\":0}'"
+}
 until=$(($(date +%s) + length))
 while [ "$(date +%s)" -lt $until ]; do
 	sleep 0.3
 	tick=$((tick + 1))
 	[ $tick -lt "$length" ] || alone=0
+	[ $tick != "$length" ] || [ "$cutoff" = 0 ] || release_behind "$(one_of $all_vms)"
 	due
 	fault
 done
