--- a/regress/streamcalls.c
+++ b/regress/streamcalls.c
@@ -79,11 +79,11 @@
 /* One caller. */
 struct caller
 {
-  int number;            /* in names of streams */
   GRand *rand;           /* of its own */
   struct conn conns[26]; /* kept, by the VM's letter */
   int64_t told_ms;       /* pause that the last refusal asked for, -1 */
   bool told_anew;        /* it said that the stream is to begin anew */
+  int number;            /* in names of streams */
 };
 
 enum counter
@@ -625,7 +625,7 @@
   dir = argv[1];
   vms = argv[2];
   n = MIN (atoi (argv[3]), 256);
-  until_ms = now_ms () + 1000 * atoi (argv[4]);
+  until_ms = now_ms () + INT64_C (1000) * atoi (argv[4]);
   unnamed = atoi (argv[6]);
   unnumbered = atoi (argv[7]);
   for (i = 0; i < n; i++)
