A block of a stream without data is no event

Cause: each block with a field counted as an event without a number, after which a stream is not resumed. A block without data dispatches no event.

/relay/resume-unnumbered has the case; it fails without the change.

--- a/regress/test-relay.c
+++ b/regress/test-relay.c
@@ -487,6 +487,7 @@
     { "id: 1\r\ndata: a\r\n\r\n:\r\n\r\n", 1 },
     { "id:1\nid: 2\ndata: a\n\n", 2 },
     { ": keep\n\n", -1 },
+    { "retry: 9\n\nid: 1\ndata: a\n\nevent: x\n\n", 1 },
   };
   size_t i;
 
--- a/sse.c
+++ b/sse.c
@@ -71,14 +71,14 @@
 /* Fields of an event. */
 struct fields
 {
-  int64_t id;      /* of the last id field; -1 if none is a number */
-  bool is_comment; /* it has no fields */
+  int64_t id;    /* of the last id field; -1 if none is a number */
+  bool has_data; /* it has a data field; others are no events */
 };
 
 static struct fields
 read_fields (const char *event, size_t len)
 {
-  struct fields f = { .id = -1, .is_comment = true };
+  struct fields f = { .id = -1 };
   const char *end = event + len;
   const char *line = event;
   const char *next;
@@ -89,7 +89,8 @@
       next = next == NULL ? end : next + 1;
       if (line[0] == ':' || line[0] == '\n' || line[0] == '\r')
         continue;
-      f.is_comment = false;
+      f.has_data |= next - line > 4 && memcmp (line, "data", 4) == 0
+                    && strchr (":\r\n", line[4]) != NULL;
       if (next - line > 2 && memcmp (line, "id", 2) == 0
           && strchr (":\r\n", line[2]) != NULL)
         f.id = line[2] == ':' ? parse_id (line + 3, next) : -1;
@@ -119,7 +120,7 @@
           e->last_id = f.id;
           e->place_known = true;
         }
-      else if (f.id < 0 && !f.is_comment)
+      else if (f.id < 0 && f.has_data)
         {
           e->unnumbered++;
           e->place_known = false;
