A check of builds answers only those that arrived before it

A callback of a check may start the next one, and later questions were then answered with the former result as if it were that of the new check. The time at which the finished check was sent is kept for the whole of its answers.

--- a/buildcheck.c
+++ b/buildcheck.c
@@ -79,15 +79,15 @@
   q->done (q->arg, ok, now_us);
 }
 
-/* A question that the check answers, or NULL; the callbacks may ask again. */
+/* A question that a check sent at SENT_US answers, or NULL. */
 static struct buildcheck_question *
-find_answered (const struct buildcheck *c)
+find_answered (const struct buildcheck *c, int64_t sent_us)
 {
   struct buildcheck_question *q;
 
   APR_RING_FOREACH (q, &c->questions, buildcheck_question, link)
   {
-    if (q->since_us <= c->sent_us)
+    if (q->since_us <= sent_us)
       return q;
   }
   return NULL;
@@ -97,6 +97,8 @@
 finish (struct buildcheck *c, int64_t now_us)
 {
   bool ok = c->finding == FINDING_COMPLETE;
+  /* The callbacks may start the next check. */
+  int64_t sent_us = c->sent_us;
   struct buildcheck_question *q;
 
   if (ok)
@@ -107,7 +109,7 @@
              "outcome=%s known=%d took_us=%" G_GINT64_FORMAT,
              finding_name (c->finding), c->opts.fleet->nbuilds,
              (gint64)(now_us - c->sent_us));
-  while ((q = find_answered (c)) != NULL)
+  while ((q = find_answered (c, sent_us)) != NULL)
     answer (c, q, ok, now_us);
   if (!APR_RING_EMPTY (&c->questions, buildcheck_question, link) && !c->stopped
       && c->pending == 0 && !c->timer.armed)
