A check of builds passes over invalid entries

Cause: an invalid row of an unknown id counted as an entry that came and went. It names no endpoint, and an endpoint that it has overwritten meanwhile is in the recorded table of builds, which the check reads as well.

/builds/check-incomplete listed invalid rows among those that fail a check; they moved to /builds/check-beside-invalid, which needs the stream to go on.

--- a/buildcheck.c
+++ b/buildcheck.c
@@ -152,7 +152,7 @@
       it = &g_array_index (n->items, struct follow_item, i);
       if (it->kind == FOLLOW_ITEM_ENDPOINT)
         fleet_note_build (f, &it->listing, now_us);
-      else if (!c->rereads && it->listing.id[0] != '\0'
+      else if (it->kind == FOLLOW_ITEM_ENDPOINT_REMOVED && !c->rereads
                && !g_hash_table_contains (f->by_id, it->listing.id))
         finding = FINDING_ENTRY_GONE;
     }
--- a/regress/test-builds.c
+++ b/regress/test-builds.c
@@ -439,8 +439,7 @@
 test_check_incomplete (void)
 {
   static const enum follow_item_kind kinds[]
-      = { FOLLOW_ITEM_ENDPOINT_REMOVED, FOLLOW_ITEM_INVALID,
-          FOLLOW_ITEM_CONF };
+      = { FOLLOW_ITEM_ENDPOINT_REMOVED, FOLLOW_ITEM_CONF };
   struct follow_item change = { .row = 2 };
   struct harness *p;
   guint i;
@@ -465,6 +464,23 @@
     }
 }
 
+/* Guards against requests that are all refused while another writer's invalid
+   entry changes again and again. */
+static void
+test_check_beside_invalid (void)
+{
+  struct follow_item change = { .kind = FOLLOW_ITEM_INVALID, .row = 2 };
+  struct harness *p = unnamed ();
+
+  g_strlcpy (change.listing.id, "c", sizeof change.listing.id);
+  p->change = &change;
+  harness_start (p);
+  harness_run (p, CHECK_US);
+  g_assert_cmpint (p->sends, ==, 1);
+  harness_answer (p, "id: 2\ndata: b\n\n");
+  harness_free (p);
+}
+
 /* Guards against requests that are all refused while the platform keeps no
    history of its list. */
 static void
@@ -993,6 +1009,7 @@
   { "/builds/joining", test_joining },
   { "/builds/restored", test_restored },
   { "/builds/check-incomplete", test_check_incomplete },
+  { "/builds/check-beside-invalid", test_check_beside_invalid },
   { "/builds/check-without-history", test_check_without_history },
   { "/builds/ends-while-checked", test_ends_while_checked },
   { "/builds/moved", test_moved },
