--- a/regress/test-relay.c
+++ b/regress/test-relay.c
@@ -420,25 +420,18 @@
 static void
 test_ended_with_connection (void)
 {
-  static const enum relay_probe_result runs[]
-      = { RELAY_PROBE_ALIVE, RELAY_PROBE_SILENT };
-  static const enum relay_probe_result ended[]
-      = { RELAY_PROBE_CRASHED, RELAY_PROBE_REFUSED };
-  struct harness *p;
-  guint i;
-
-  for (i = 0; i < G_N_ELEMENTS (runs); i++)
-    {
-      p = ended_with_connection ();
-      p->probe (p->probe_arg, runs[i], NULL);
-      g_assert_cmpint (p->ended, ==, 1);
-      g_assert_cmpint (p->sends, ==, 1);
-      harness_free (p);
-    }
-  for (i = 0; i < G_N_ELEMENTS (ended); i++)
+  struct harness *p = ended_with_connection ();
+  enum relay_probe_result probe;
+
+  p->probe (p->probe_arg, RELAY_PROBE_ALIVE, NULL);
+  g_assert_cmpint (p->ended, ==, 1);
+  g_assert_cmpint (p->sends, ==, 1);
+  harness_free (p);
+
+  for (probe = RELAY_PROBE_CRASHED; probe <= RELAY_PROBE_SILENT; probe++)
     {
       p = ended_with_connection ();
-      p->probe (p->probe_arg, ended[i], NULL);
+      p->probe (p->probe_arg, probe, NULL);
       g_assert_cmpint (p->sends, ==, 2);
       g_assert_cmpint (p->resume_after, ==, 1);
       harness_answer (p, "id: 2\ndata: b\n\n");
@@ -447,28 +440,6 @@
     }
 }
 
-/* Guards against a whole answer that is lost since its endpoint, which drains,
-   ends right after it. */
-static void
-test_ended_while_draining (void)
-{
-  struct harness *p = harness_new (FLEET_IDEMPOTENT);
-  struct relay_head h = { .status = 200, .genuine = true, .running = -1 };
-
-  h.lines = harness_seal;
-  h.ends_with_connection = true;
-  harness_start (p);
-  g_assert_true (p->event->before_send (p->arg));
-  g_assert_true (p->event->head (p->arg, &h));
-  harness_body (p, "whole");
-  fleet_apply_draining (g_hash_table_lookup (p->fleet.by_id, p->to[0]));
-  harness_end (p, true, true);
-  g_assert_cmpint (p->probes, ==, 0);
-  g_assert_cmpint (p->status, ==, 200);
-  g_assert_cmpstr (p->got->str, ==, "whole");
-  harness_free (p);
-}
-
 /* Guards against a request that is freed while its endpoint is probed. */
 static void
 test_ended_and_caller_gone (void)
@@ -1324,7 +1295,6 @@
   { "/relay/answer-to-other-request", test_answer_to_other_request },
   { "/relay/resume", test_resume },
   { "/relay/ended-with-connection", test_ended_with_connection },
-  { "/relay/ended-while-draining", test_ended_while_draining },
   { "/relay/ended-and-caller-gone", test_ended_and_caller_gone },
   { "/relay/resume-unnumbered", test_resume_unnumbered },
   { "/relay/resume-error", test_resume_error },
--- a/relayconfirm.c
+++ b/relayconfirm.c
@@ -3,9 +3,7 @@
  *
  * When a process is killed, the kernel closes its connections as the process
  * itself does after an answer.  So such an answer counts as complete only if
- * its endpoint is not found to have ended.  A host whose process was killed
- * refuses connections; one that stays silent says nothing of the answer.  An
- * endpoint that drains may end in order after its last answer.
+ * its endpoint is found running after the end.
  */
 #include "librelay.h"
 
@@ -26,8 +24,7 @@
 relay_is_end_doubtful (const struct relay *r, const struct relay_end *end)
 {
   return end->whole && r->ends_with_connection && r->state == RELAY_BEGUN
-         && !r->not_run && r->stop_reason == NULL && !r->endpoint->draining
-         && !r->endpoint->removed
+         && !r->not_run && r->stop_reason == NULL
          && !(r->streaming && sse_has_partial (&r->events))
          && r->rs->opts.engine.probe != NULL;
 }
@@ -54,7 +51,7 @@
                  "req=%s endpoint=%s probe=%s took_us=%" G_GINT64_FORMAT,
                  r->desc.id, r->endpoint->listing.id, names[probe],
                  (gint64)(now - c->started_us));
-      c->end.whole = probe == RELAY_PROBE_ALIVE || probe == RELAY_PROBE_SILENT;
+      c->end.whole = probe == RELAY_PROBE_ALIVE;
       c->end.error = c->end.whole ? "" : "endpoint gone at the answer's end";
       if (!c->end.whole)
         met_add (MET_ENDS_DOUBTED, 1);
